--- /dev/null
+++ b/calicopin/__init__.py
@@ -0,0 +1,1 @@
+"""calicopin: a courier that carries texts to many outside destinations."""
--- /dev/null
+++ b/calicopin/brain.py
@@ -0,0 +1,564 @@
+"""The decisions of calicopin, all of them.
+
+How to call it: make one `Courier` an instance, with what is read at start as keyword arguments, then give
+`courier.handle(now, events)` every batch of events; it returns the actions, in order.
+The types of both are in `calicopin/interface.py`; docs/design.md says what is kept of the design and what is not.
+"""
+import heapq
+import zlib
+from collections import deque
+from itertools import count
+
+from calicopin.interface import (How, ListFailed, Listed, Log, Nack, Outcome, Repeat, Submit, Taken,
+                                 Undeliverable, Wake, Watch, Withdrawn, Woken)
+
+HARMLESS = (How.FULL, How.UNREACHED, How.NOT_SENT)  # these prove that the submit never ran
+ROUND = 250.0  # the one periodic timer
+
+
+class Floor:
+    """The one loop: notes lie in the inboxes of the parts, due times in one heap."""
+
+    def __init__(self, number, seed):
+        self.now, self.out = 0.0, []
+        self.busy, self.due, self.order, self.armed = deque(), [], count(), float("inf")
+        self.wakes, self.number, self.draws = 0, number, count(seed & 0xFFFFFFFF)
+
+    def post(self, part, name, *args):
+        part.inbox.append((name, args))
+        self.busy.append(part)
+
+    def later(self, when, part, name, *args):
+        heapq.heappush(self.due, (when, next(self.order), part, name, args))
+
+    def empty(self):
+        while self.busy:
+            part = self.busy.popleft()
+            name, args = part.inbox.popleft()
+            getattr(part, "on_" + name)(*args)
+
+    def chance(self, ident):
+        return zlib.crc32(f"{self.number}:{ident}:{next(self.draws)}".encode()) / 2**32
+
+    def log(self, line):
+        self.out.append(Log(line))
+
+
+class Text:
+    """One text and what its submits may have done so far."""
+    __slots__ = ("ident", "dest", "product", "key", "taken", "until", "tries", "call", "ran_at", "ran_zone", "over")
+
+    def __init__(self, ident, dest, product, key, taken, until):
+        self.ident, self.dest, self.product, self.key = ident, dest, product, key
+        self.taken, self.until, self.tries = taken, until, 0
+        self.call = self.ran_at = self.ran_zone = None
+        self.over = False
+
+    def last_submit(self):
+        """Guards 'no double effect': the time after which nothing more may be sent."""
+        if self.ran_at is None or self.product.repeat == Repeat.RESENDABLE:
+            return self.until
+        if self.product.repeat == Repeat.ONCE_ONLY:
+            return -1.0
+        return min(self.until, self.ran_at + self.product.memory)
+
+    def nackable(self):
+        product = self.product
+        return self.ran_at is None or product.repeat == Repeat.RESENDABLE or (
+            product.repeat == Repeat.REFERENCED and not product.memory_by_zone)
+
+
+class Call:
+    """One call out, with the texts that share it."""
+    __slots__ = ("endpoint", "sent", "texts", "told")
+
+    def __init__(self, endpoint, sent, texts):
+        self.endpoint, self.sent, self.texts, self.told = endpoint, sent, texts, False
+
+
+class Route:
+    """Bucket and health of one destination, or of one endpoint where routes are apart."""
+    BURST, COOLDOWN, CUT, STEP, FLOOR = 1000.0, 5000.0, 0.7, 0.1, 0.001
+
+    def __init__(self, floor, name, senders, fail_back):
+        self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
+        self.rate = self.start = self.agreed = self.limit = None
+        self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
+        self.cut_at = self.changed = -1e12
+        self.waited = False
+        self.sends = deque()
+        self.usual, self.flow, self.flow_at = None, 0.0, floor.now
+        self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
+
+    def share(self):
+        """Calls a millisecond that this sender may count on when the destination is warm."""
+        told = self.limit or self.agreed
+        if told:
+            return told / self.senders
+        return max(self.flow, self.FLOOR / self.senders)
+
+    def speed(self):
+        """The bucket's rate; under fail-back it is held to what a cold destination can do."""
+        rate = self.rate
+        if self.mode == "well":
+            return rate
+        warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / self.fail_back.cold)
+        held = self.share() * (self.fail_back.cold_from + (1.0 - self.fail_back.cold_from) * warm)
+        return held if rate is None else min(rate, held)
+
+    def fill(self):
+        now, speed = self.floor.now, self.speed()
+        if speed is not None:
+            most = max(1.0, speed * self.BURST) if self.mode == "well" else 1.0
+            self.tokens = min(most, self.tokens + max(0.0, now - max(self.filled, self.pause)) * speed)
+        self.filled = now
+        return speed
+
+    def opens(self):
+        """When the next call may go."""
+        speed = self.fill()
+        if self.floor.now < self.pause:
+            return self.pause + (0.0 if speed is None else 1.0 / speed)
+        if speed is None or self.tokens >= 1.0 - 1e-9:
+            return self.floor.now
+        return self.floor.now + (1.0 - self.tokens) / speed
+
+    def spend(self):
+        if self.speed() is not None:
+            self.tokens -= 1.0
+        self.sends.append(self.floor.now)
+        while self.sends[0] < self.floor.now - 1000.0:
+            self.sends.popleft()
+
+    def full(self, call, wait, limit):
+        """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
+        now = self.floor.now
+        self.waited, self.changed = False, now
+        if self.rate is None:
+            sent = sum(1 for at in self.sends if at > now - 1000.0) / 1000.0
+            told = self.agreed or limit
+            self.rate = max(self.FLOOR, told / self.senders if told else self.CUT * sent)
+            self.start, self.cut_at, self.tokens, self.filled = self.rate, now, 0.0, now
+            self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
+        elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
+            self.fill()
+            self.rate, self.cut_at = max(self.FLOOR, self.rate * self.CUT), now
+            self.floor.log(f"{self.name} cut to {self.rate * 1000:.2f}/s")
+        if wait > 0.0:
+            self.fill()
+            self.pause, self.tokens = max(self.pause, now + wait), 0.0
+
+    def delivered(self, call, elapsed):
+        now = self.floor.now
+        self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
+        if self.mode == "out":
+            self.turn("cold", f"answered after {now - self.since:.0f} ms")
+        self.fails = 0
+        if self.rate is not None and self.waited and now >= self.pause and now - self.changed >= 1000.0:
+            self.fill()
+            self.rate += self.STEP * self.start
+            self.waited, self.changed = False, now
+
+    def failed(self, why, weight):
+        """Failures in a row with nothing delivered between: an outage, whatever causes it."""
+        if self.fails == 0:
+            self.fail_since = self.floor.now
+        self.fails += weight
+        if self.fails >= 2 and self.mode != "out":
+            self.turn("out", f"{self.fails} failures, last {why}")
+
+    def turn(self, mode, why):
+        self.fill()
+        self.mode, self.since, self.fails = mode, self.floor.now, 0
+        self.tokens = 0.0 if mode == "out" else min(self.tokens, 1.0)
+        self.floor.log(f"{self.name} {mode}: {why}")
+
+    def look(self, oldest):
+        """Periodic: the flow that a fail-back is measured by, silence, and the end of the cold time."""
+        now = self.floor.now
+        if self.mode == "well":
+            sent = sum(1 for at in self.sends if at > now - 1000.0) / 1000.0
+            self.flow += 0.05 * (sent - self.flow) if self.flow else sent
+        elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
+            self.turn("well", "warm again")
+        if oldest is not None and self.mode != "out" and now - oldest > max(1000.0, 5.0 * (self.usual or 1000.0)):
+            self.turn("out", f"silent for {now - oldest:.0f} ms, usual {self.usual or 0.0:.0f} ms")
+
+
+class Endpoint:
+    """Carries calls to one endpoint and tells its destination how they went."""
+
+    def __init__(self, floor, ident, zone, dest, route):
+        self.floor, self.ident, self.zone, self.dest, self.route = floor, ident, zone, dest, route
+        self.inbox, self.calls, self.bad = deque(), [], 0
+
+    def room(self):
+        """Room this endpoint is thought to have: the odds of the pick."""
+        return 1.0 / (1 + len(self.calls)) / (1 + 4 * self.bad)
+
+    def on_carry(self, texts):
+        now = self.floor.now
+        call = Call(self, now, len(texts))
+        self.calls.append(call)
+        for text in texts:
+            text.call, text.tries = call, text.tries + 1
+            usual = self.route.usual or 0.0
+            limit = text.until - now
+            if text.last_submit() > 0 and text.product.repeat != Repeat.ONCE_ONLY:
+                limit = min(limit, max(text.product.sla, 10.0 * usual))
+            self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
+
+    def on_outcome(self, text, event):
+        call, text.call = text.call, None
+        call.texts -= 1
+        first, call.told = not call.told, True
+        if not call.texts:
+            self.calls.remove(call)
+            self.floor.post(self.dest.pool, "free", self.dest)
+        how = event.how
+        if event.limit is not None:
+            self.route.limit = event.limit / 1000.0 or None
+        if first:
+            if how == How.DELIVERED:
+                self.route.delivered(call, event.elapsed)
+                self.bad = 0
+            elif how == How.FULL:
+                self.route.full(call, event.wait, self.route.limit)
+                if event.wait > self.route.fail_back.span and self.route.mode != "out":
+                    self.route.turn("out", f"told to wait {event.wait:.0f} ms")
+                elif call.sent > self.route.fail_since + 1000.0 or not self.route.fails:
+                    self.route.failed("full", 1 if self.route.fails else 0.5)
+            elif how not in (How.NOT_SENT, How.CALLED_OFF):
+                self.bad = min(8, self.bad + 1)
+                self.route.failed(how.name.lower(), 1)
+        elif how == How.FULL and event.wait > 0:
+            self.route.full(call, event.wait, self.route.limit)
+        if how not in HARMLESS and text.ran_at is None:
+            text.ran_at, text.ran_zone = call.sent, self.zone
+        self.floor.post(self.dest, "back", text, event)
+
+
+class Destination:
+    """The queue of one destination, first in first out, and the pick of the endpoint."""
+
+    def __init__(self, floor, ident, desk, pool, tries, tick, bundle, make_route):
+        self.floor, self.ident, self.desk, self.pool = floor, ident, desk, pool
+        self.tries, self.tick, self.bundle, self.make_route = tries, tick, bundle, make_route
+        self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
+        self.wanting, self.wake_at, self.held = False, float("inf"), 0
+
+    def route_for(self, entry, apart):
+        name = entry.endpoint if apart else -1
+        if name not in self.routes:
+            self.routes[name] = self.make_route(f"destination {self.ident}" + (f" route {name}" if apart else ""))
+        if entry.agreed:
+            self.routes[name].agreed = entry.agreed / 1000.0
+        return self.routes[name]
+
+    def on_take(self, text):
+        self.queue.append(text)
+        self.on_pump()
+
+    def on_back(self, text, event):
+        """A submit came back: the text is over, waits for its next submit, or is given up at once."""
+        if event.ended or text.over:
+            self.floor.post(self.desk, "over", text, event.how)
+        elif self.floor.now >= text.until - self.tick or text.tries >= self.tries \
+                or text.last_submit() <= self.floor.now:
+            self.floor.post(self.desk, "give_up", text, 0.0)
+        else:
+            at = next((i for i, other in enumerate(self.queue) if other.taken > text.taken), len(self.queue))
+            self.queue.insert(at, text)
+            self.floor.later(min(text.until - 2 * self.tick, text.last_submit()), self.desk, "lapse", text)
+            self.floor.post(self.desk, "settle", text, event.how)
+        self.on_pump()
+
+    def on_drop(self, text):
+        if text in self.queue:
+            self.queue.remove(text)
+
+    def on_shed(self):
+        """The store is full: the oldest text that waits here makes room for texts that can still go."""
+        for text in self.queue:
+            self.queue.remove(text)
+            route = min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
+            return self.floor.post(self.desk, "give_up", text, max(0.0, route - self.floor.now))
+
+    def on_due(self):
+        self.wake_at = float("inf")
+        self.on_pump()
+
+    def first(self):
+        """The first text in line that may go now (a key's turn, a reference still remembered)."""
+        return next((text for text in self.queue if not text.over and self.desk.turn(text)), None)
+
+    def pick(self, text):
+        """One endpoint at random, odds in step with its room; zones bind where references live in one."""
+        now = self.floor.now
+        fit = [e for e in self.endpoints.values() if e.route.opens() <= now and not (
+            text.ran_at is not None and text.product.memory_by_zone and text.product.repeat == Repeat.REFERENCED
+            and e.zone != text.ran_zone)]
+        rooms = [e.room() for e in fit]
+        draw = self.floor.chance(text.ident) * sum(rooms) if len(fit) > 1 else 0.0
+        for endpoint, room in zip(fit, rooms):
+            draw -= room
+            if draw < 0.0:
+                return endpoint
+        return fit[-1] if fit else None
+
+    def on_pump(self):
+        """Ask for a slot when the first in line may go; else come back when a bucket opens."""
+        if self.wanting or not self.queue or not self.endpoints:
+            return
+        text = self.first()
+        if text is None:
+            return
+        opens = min(endpoint.route.opens() for endpoint in self.endpoints.values())
+        if opens > self.floor.now:
+            for endpoint in self.endpoints.values():
+                endpoint.route.waited = True
+            if opens < self.wake_at:
+                self.wake_at = max(opens, self.floor.now + self.tick)
+                self.floor.later(self.wake_at, self, "due")
+            return
+        self.wanting = True
+        self.floor.post(self.pool, "want", self)
+
+    def on_grant(self):
+        """A slot: texts from the head of the line share the call as far as the destination takes it."""
+        self.wanting = False
+        head = self.first()
+        endpoint = head and self.pick(head)
+        if not endpoint:
+            self.floor.post(self.pool, "free", self)
+            return
+        texts = [head]
+        for text in self.queue:
+            if len(texts) >= self.bundle:
+                break
+            if text is not head and not text.over and text.ran_at is None and self.desk.turn(text) and (
+                    text.key is None or all(text.key != other.key for other in texts)):
+                texts.append(text)
+        for text in texts:
+            self.queue.remove(text)
+        endpoint.route.spend()
+        self.floor.post(endpoint, "carry", texts)
+        self.floor.post(self, "pump")
+
+
+class Pool:
+    """The slots. A destination may hold as many as are left free, so one that hangs cannot take them all."""
+
+    def __init__(self, floor, slots):
+        self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), deque()
+
+    def on_want(self, dest):
+        self.wants.append(dest)
+        self.deal()
+
+    def on_free(self, dest):
+        self.free += 1
+        dest.held -= 1
+        self.deal()
+
+    def deal(self):
+        for _ in range(len(self.wants)):
+            dest = self.wants.popleft()
+            if self.free > 0 and dest.held < max(1, self.free):
+                self.free -= 1
+                dest.held += 1
+                self.floor.post(dest, "grant")
+            else:
+                self.wants.append(dest)
+
+
+class Desk:
+    """Takes texts, gives each its one final answer, and keeps the order of keys."""
+
+    def __init__(self, floor, room, tick, settle, most_advice):
+        self.floor, self.room, self.tick, self.settle, self.most_advice = floor, room, tick, settle, most_advice
+        self.inbox, self.texts, self.keys, self.rests = deque(), {}, {}, {}
+
+    def on_take(self, text):
+        self.texts[text.ident] = text
+        if text.key is not None:
+            self.keys.setdefault(text.key, deque()).append(text)
+        if self.floor.now >= text.until - 2 * self.tick:
+            return self.on_give_up(text, 0.0)
+        self.floor.later(text.until - 2 * self.tick, self, "lapse", text)
+        self.floor.post(text.dest, "take", text)
+        waiting = {}
+        if len(self.texts) >= self.room - max(1, self.room // 20):
+            for held in self.texts.values():
+                if held.call is None and held is not text and not held.over:
+                    waiting[held.dest] = waiting.get(held.dest, 0) + 1
+            if waiting:
+                self.floor.post(max(waiting, key=lambda dest: (waiting[dest], -dest.ident)), "shed")
+
+    def turn(self, text):
+        """Guards the order per key: only the first unfinished text of a key goes, after its rest."""
+        if text.key is None:
+            return True
+        rest = self.rests.get(text.key)
+        return self.keys[text.key][0] is text and (
+            rest is None or rest[1] is text or rest[0] <= self.floor.now)
+
+    def on_settle(self, text, how):
+        """A submit that may still run lays its key to rest for the texts behind it."""
+        if text.key is not None and how in (How.TIMEOUT, How.BROKEN, How.CALLED_OFF):
+            self.rests[text.key] = (self.floor.now + self.settle, text)
+
+    def on_over(self, text, how):
+        text.over = True
+        self.on_settle(text, how)
+        self.clear(text)
+
+    def clear(self, text):
+        if text.call is not None:
+            return
+        self.texts.pop(text.ident, None)
+        line = self.keys.get(text.key)
+        if line and text in line:
+            line.remove(text)
+            if not line:
+                del self.keys[text.key]
+            else:
+                rest = self.rests.get(text.key)
+                if rest is not None and rest[0] > self.floor.now:
+                    self.floor.later(rest[0], line[0].dest, "pump")
+                self.floor.post(line[0].dest, "pump")
+
+    def on_lapse(self, text):
+        """Nothing is sat on: time is up, or no submit is allowed any more."""
+        if text.call is None and not text.over and (
+                self.floor.now >= min(text.until - 2 * self.tick, text.last_submit())):
+            self.floor.post(text.dest, "drop", text)
+            self.on_give_up(text, 0.0)
+
+    def on_give_up(self, text, stay_away):
+        if text.over:
+            return
+        text.over = True
+        self.floor.out.append(Nack(text.ident, min(stay_away, self.most_advice)) if text.nackable()
+                              else Undeliverable(text.ident))
+        self.clear(text)
+
+    def on_withdrawn(self, text):
+        text.over = True
+        self.floor.post(text.dest, "drop", text)
+        self.clear(text)
+
+
+class Lister:
+    """Keeps the list of endpoints; asks for it where it does not come by itself."""
+
+    def __init__(self, floor, asks, again):
+        self.floor, self.asks, self.again, self.inbox, self.misses = floor, asks, again, deque(), 0
+
+    def on_ask(self):
+        self.floor.out.append(Watch())
+
+    def on_failed(self):
+        self.misses += 1
+        wait = min(self.again / 4, 500.0 * 2 ** min(self.misses, 8)) * (0.5 + self.floor.chance(self.misses))
+        self.floor.later(self.floor.now + wait, self, "ask")
+
+
+class Courier:
+    """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
+
+    def __init__(self, *, seed, number, senders, tick, slots, room, tries, products, partners, fail_back,
+                 settle=0.0, most_advice=0.0, asks=False, ask_within=10000.0):
+        self.floor = Floor(number, seed)
+        self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
+        self.products, self.partners = products, partners
+        self.pool, self.desk = Pool(self.floor, slots), Desk(self.floor, room, tick, settle, most_advice)
+        self.lister = Lister(self.floor, asks, ask_within)
+        self.dests, self.endpoints, self.inbox, self.begun = {}, {}, deque(), False
+
+    def dest(self, ident):
+        if ident not in self.dests:
+            self.dests[ident] = Destination(
+                self.floor, ident, self.desk, self.pool, self.tries, self.tick, 1,
+                lambda name: Route(self.floor, name, self.senders, self.fail_back))
+        return self.dests[ident]
+
+    def handle(self, now, events):
+        floor = self.floor
+        floor.now, floor.out = now, []
+        if not self.begun:
+            self.begun = True
+            floor.later(now + ROUND, self, "round")
+            if self.lister.asks:
+                floor.post(self.lister, "ask")
+        for event in events:
+            getattr(self, "on_" + type(event).__name__.lower())(event)
+        while True:
+            if floor.busy:
+                floor.empty()
+            elif floor.due and floor.due[0][0] <= now + 1e-6:
+                _, _, part, name, args = heapq.heappop(floor.due)
+                floor.post(part, name, *args)
+            else:
+                break
+        if floor.due and floor.due[0][0] < floor.armed:
+            floor.armed, floor.wakes = floor.due[0][0], floor.wakes + 1
+            floor.out.append(Wake(floor.armed - now, floor.wakes))
+        return floor.out
+
+    def on_round(self):
+        self.floor.later(self.floor.now + ROUND, self, "round")
+        for dest in self.dests.values():
+            oldest = {}
+            for endpoint in dest.endpoints.values():
+                for call in endpoint.calls[:1]:
+                    oldest[id(endpoint.route)] = min(call.sent, oldest.get(id(endpoint.route), call.sent))
+            for route in dest.routes.values():
+                route.look(oldest.get(id(route)))
+            if dest.queue:
+                self.floor.post(dest, "pump")
+
+    def on_woken(self, event):
+        if event.token == self.floor.wakes:
+            self.floor.armed = float("inf")
+
+    def on_taken(self, event):
+        product = self.products[event.product]
+        text = Text(event.text, self.dest(event.dest), product, event.key if product.in_order else None,
+                    self.floor.now, event.valid_until)
+        self.floor.post(self.desk, "take", text)
+
+    def on_outcome(self, event):
+        text = self.desk.texts.get(event.text)
+        if text is None or text.call is None:
+            return
+        text.over = text.over or event.ended
+        self.floor.post(text.call.endpoint, "outcome", text, event)
+
+    def on_withdrawn(self, event):
+        text = self.desk.texts.get(event.text)
+        if text is not None:
+            self.floor.post(self.desk, "withdrawn", text)
+
+    def on_listfailed(self, event):
+        self.floor.post(self.lister, "failed")
+
+    def on_listed(self, event):
+        self.lister.misses = 0
+        seen = set()
+        for entry in event.entries:
+            dest, partner = self.dest(entry.dest), self.partners[min(entry.kind, len(self.partners) - 1)]
+            seen.add(entry.endpoint)
+            dest.bundle = partner.bundle
+            route = dest.route_for(entry, partner.apart)
+            if not entry.ready:
+                dest.endpoints.pop(entry.endpoint, None)
+            elif entry.endpoint not in dest.endpoints:
+                endpoint = self.endpoints.get(entry.endpoint) or Endpoint(
+                    self.floor, entry.endpoint, entry.zone, dest, route)
+                dest.endpoints[entry.endpoint] = self.endpoints[entry.endpoint] = endpoint
+            self.floor.post(dest, "pump")
+        if event.whole:
+            for dest in self.dests.values():
+                for ident in [ident for ident in dest.endpoints if ident not in seen]:
+                    del dest.endpoints[ident]
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,42 @@
+from calicopin.interface import Entry, How, Listed, Nack, Product, Repeat, Undeliverable
+from helper import Stand, submits
+
+
+def test_nothing_waits_before_the_first_refusal():
+    assert len(submits(Stand().take(10))) == 10
+
+
+def test_told_wait_binds_for_every_text():
+    stand = Stand()
+    first = submits(stand.take(1))[0]
+    stand.outcome(first, How.FULL, wait=700.0)
+    assert not submits(stand.take(3)) and not submits(stand.step(after=699.0))
+    assert submits(stand.step(after=3000.0))
+
+
+def test_once_only_text_that_may_have_run_is_undeliverable_at_once():
+    once = Product(Repeat.ONCE_ONLY, 4000.0, 24000.0, 1.0, 0.3)
+    stand = Stand([once])
+    out = stand.outcome(submits(stand.take(1))[0], How.ERROR)
+    assert [a.text for a in out if isinstance(a, Undeliverable)] == [0]
+
+
+def test_drained_endpoint_gets_nothing_new():
+    stand = Stand()
+    stand.step([Listed([Entry(0, 0, ready=False)])])
+    assert {submit.endpoint for submit in submits(stand.take(12))} == {1}
+
+
+def test_text_without_endpoint_is_nacked_in_time():
+    stand = Stand()
+    stand.take(1, dest=5, validity=1000.0)
+    assert [a.text for a in stand.step(after=999.0) if isinstance(a, Nack)] == [0]
+
+
+def test_an_early_wake_is_asked_for_again():
+    """A wake-up a hair too early once left held texts without a timer, so they lapsed unanswered."""
+    stand = Stand()
+    stand.take(1, dest=5, validity=100.0)
+    stand.now, stand.wake = stand.wake[0] - 1e-4, (stand.wake[0] - 1e-4, stand.wake[1])
+    stand.step(after=0.0)
+    assert any(isinstance(a, Nack) for a in stand.step(after=100.0))
