--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -496,7 +496,7 @@
         while True:
             if floor.busy:
                 floor.empty()
-            elif floor.due and floor.due[0][0] <= now + 1e-6:
+            elif floor.due and floor.due[0][0] <= now:
                 _, _, part, name, args = heapq.heappop(floor.due)
                 floor.post(part, name, *args)
             else:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -40,3 +40,12 @@
     stand.now, stand.wake = stand.wake[0] - 1e-4, (stand.wake[0] - 1e-4, stand.wake[1])
     stand.step(after=0.0)
     assert any(isinstance(a, Nack) for a in stand.step(after=100.0))
+
+
+def test_a_lapse_a_rounding_error_away_is_not_forgotten():
+    """Due times were popped with a tolerance that the lapse itself did not have: the text was lost."""
+    stand = Stand()
+    stand.now = 219616324.799
+    stand.take(1, dest=5, validity=520.0)
+    stand.step(after=509.99999997)
+    assert any(isinstance(a, Nack) for a in stand.step(after=10.0))
