Outage judged by five failures running, their span, or silence of all calls

Cause: two failures or one silent call counted as an outage, so partial loss held destinations to a trickle. Should also hold for connection caps and flaky networks; may hurt where a small courier needs five failures to notice an outage.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -78,7 +78,7 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
-    BURST, COOLDOWN, CUT, STEP, FLOOR = 1000.0, 5000.0, 0.7, 0.1, 0.001
+    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK = 1000.0, 5000.0, 0.7, 0.1, 0.001, 5
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
@@ -87,7 +87,7 @@
         self.cut_at = self.changed = -1e12
         self.waited = False
         self.sends = deque()
-        self.usual, self.flow, self.flow_at = None, 0.0, floor.now
+        self.usual, self.flow, self.heard = None, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -159,13 +159,16 @@
             self.rate += self.STEP * self.start
             self.waited, self.changed = False, now
 
-    def failed(self, why, weight):
-        """Failures in a row with nothing delivered between: an outage, whatever causes it."""
+    def failed(self, why):
+        """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
+        span. A destination that loses a part of its calls is none: it still serves the rest."""
+        now = self.floor.now
         if self.fails == 0:
-            self.fail_since = self.floor.now
-        self.fails += weight
-        if self.fails >= 2 and self.mode != "out":
-            self.turn("out", f"{self.fails} failures, last {why}")
+            self.fail_since = now
+        self.fails += 1
+        lasting = self.fails >= 2 and now - self.fail_since >= self.fail_back.span
+        if self.mode != "out" and (lasting or why != "full" and self.fails >= self.STREAK):
+            self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}")
 
     def turn(self, mode, why):
         self.fill()
@@ -181,8 +184,11 @@
             self.flow += 0.05 * (sent - self.flow) if self.flow else sent
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
             self.turn("well", "warm again")
-        if oldest is not None and self.mode != "out" and now - oldest > max(1000.0, 5.0 * (self.usual or 1000.0)):
-            self.turn("out", f"silent for {now - oldest:.0f} ms, usual {self.usual or 0.0:.0f} ms")
+        if oldest is None or self.mode == "out":
+            return
+        silent = now - max(oldest, self.heard)
+        if silent > max(1000.0, 5.0 * (self.usual or 1000.0)):
+            self.turn("out", f"silent for {silent:.0f} ms, usual {self.usual or 0.0:.0f} ms")
 
 
 class Endpoint:
@@ -212,6 +218,8 @@
         call, text.call = text.call, None
         call.texts -= 1
         first, call.told = not call.told, True
+        if event.how != How.TIMEOUT:
+            self.route.heard = self.floor.now
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
@@ -226,11 +234,11 @@
                 self.route.full(call, event.wait, self.route.limit)
                 if event.wait > self.route.fail_back.span and self.route.mode != "out":
                     self.route.turn("out", f"told to wait {event.wait:.0f} ms")
-                elif call.sent > self.route.fail_since + 1000.0 or not self.route.fails:
-                    self.route.failed("full", 1 if self.route.fails else 0.5)
+                else:
+                    self.route.failed("full")
             elif how not in (How.NOT_SENT, How.CALLED_OFF):
                 self.bad = min(8, self.bad + 1)
-                self.route.failed(how.name.lower(), 1)
+                self.route.failed(how.name.lower())
         elif how == How.FULL and event.wait > 0:
             self.route.full(call, event.wait, self.route.limit)
         if how not in HARMLESS and text.ran_at is None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -49,3 +49,20 @@
     stand.take(1, dest=5, validity=520.0)
     stand.step(after=509.99999997)
     assert any(isinstance(a, Nack) for a in stand.step(after=10.0))
+
+
+def test_partial_loss_is_no_outage():
+    """Two failures, or one silent call among answered ones, once sent a destination down to its trickle."""
+    stand = Stand()
+    for how in (How.BROKEN, How.BROKEN, How.DELIVERED) * 10:
+        stand.outcome(submits(stand.take(1))[0], how, ended=True)
+    assert len(submits(stand.take(10))) == 10
+
+
+def test_outage_leaves_a_trickle():
+    stand = Stand()
+    for submit in submits(stand.take(10)):
+        stand.outcome(submit, How.UNREACHED)
+    stand.done.clear()
+    stand.step(after=3000.0)
+    assert 0 < len(submits(stand.done)) <= 10 * 0.2 * 2.0 * 3
