--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -95,7 +95,7 @@
         told = self.limit or self.agreed
         if told:
             return told / self.senders
-        return max(self.flow, self.FLOOR / self.senders)
+        return self.flow
 
     def speed(self):
         """The bucket's rate; under fail-back it is held to what a cold destination can do."""
@@ -103,7 +103,7 @@
         if self.mode == "well":
             return rate
         warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / self.fail_back.cold)
-        held = self.share() * (self.fail_back.cold_from + (1.0 - self.fail_back.cold_from) * warm)
+        held = max(2.0 / self.fail_back.span / self.senders, self.share() * (self.fail_back.cold_from + (1.0 - self.fail_back.cold_from) * warm))
         return held if rate is None else min(rate, held)
 
     def fill(self):
@@ -211,7 +211,7 @@
             usual = self.route.usual or 0.0
             limit = text.until - now
             if text.last_submit() > 0 and text.product.repeat != Repeat.ONCE_ONLY:
-                limit = min(limit, max(text.product.sla, 10.0 * usual))
+                limit = min(limit, max(text.product.sla / 2.0, 8.0 * usual))
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
     def on_outcome(self, text, event):
@@ -220,6 +220,8 @@
         first, call.told = not call.told, True
         if event.how != How.TIMEOUT:
             self.route.heard = self.floor.now
+        elif self.route.usual is not None:
+            self.route.usual += 0.1 * (event.elapsed - self.route.usual)
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
