--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -62,6 +62,10 @@
             return -1.0
         return min(self.until, self.ran_at + self.product.memory)
 
+    def late(self, now, ahead):
+        """Whether a delivery `ahead` from now would miss the SLA time, counted from when it was first handed in."""
+        return now + ahead > self.until - self.product.validity + self.product.sla
+
     def nackable(self):
         product = self.product
         return self.ran_at is None or product.repeat == Repeat.RESENDABLE or (
@@ -334,9 +338,20 @@
         self.wanting = True
         self.floor.post(self.pool, "want", self)
 
+    def weed(self):
+        """In overload units go to what still earns in full: a late text does not stand before one in time."""
+        now, route = self.floor.now, next(iter(self.endpoints.values())).route
+        ahead, speed = route.usual or 0.0, route.speed()
+        if speed is None or not self.queue or self.queue[-1].late(now, ahead):
+            return
+        for text in [text for text in self.queue if text.late(now, ahead)]:
+            self.queue.remove(text)
+            self.floor.post(self.desk, "give_up", text, len(self.queue) / speed)
+
     def on_grant(self):
         """A slot: texts from the head of the line share the call as far as the destination takes it."""
         self.wanting = False
+        self.weed()
         head = self.first()
         endpoint = head and self.pick(head)
         if not endpoint:
