--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -62,16 +62,6 @@
             return -1.0
         return min(self.until, self.ran_at + self.product.memory)
 
-    def earns(self, at):
-        """Share of the revenue that a delivery at that time still earns."""
-        product = self.product
-        past = at - (self.until - product.validity + product.sla)
-        if past <= 0.0:
-            return 1.0
-        if product.late_halves:
-            return max(product.late_revenue, 0.5 ** (past / product.sla))
-        return 1.0 - (1.0 - product.late_revenue) * past / max(1.0, product.validity - product.sla)
-
     def nackable(self):
         product = self.product
         return self.ran_at is None or product.repeat == Repeat.RESENDABLE or (
@@ -266,7 +256,6 @@
         self.tries, self.tick, self.bundle, self.make_route = tries, tick, bundle, make_route
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
         self.wanting, self.wake_at, self.held = False, float("inf"), 0
-        self.came, self.load = 0, 0.0
 
     def route_for(self, entry, apart):
         name = entry.endpoint if apart else -1
@@ -278,7 +267,6 @@
 
     def on_take(self, text):
         self.queue.append(text)
-        self.came += 1
         self.on_pump()
 
     def on_back(self, text, event):
@@ -346,23 +334,9 @@
         self.wanting = True
         self.floor.post(self.pool, "want", self)
 
-    def weed(self):
-        """In overload units go to what still earns. Carrying a late text keeps all behind it late until the backlog
-        drains, which takes the longer the nearer the load is to the rate: it is nacked where that costs more."""
-        route = next(iter(self.endpoints.values())).route
-        speed, at = route.speed(), self.floor.now + (route.usual or 0.0)
-        if speed is None or route.mode == "out" or self.queue[-1].earns(at) < 1.0:
-            return
-        least = 1.0 / (2.0 - min(1.0, self.load / speed))
-        for text in [text for text in self.queue if text.earns(at) < least]:
-            self.queue.remove(text)
-            self.floor.post(self.desk, "give_up", text, len(self.queue) / speed)
-
     def on_grant(self):
         """A slot: texts from the head of the line share the call as far as the destination takes it."""
         self.wanting = False
-        if self.queue and self.endpoints:
-            self.weed()
         head = self.first()
         endpoint = head and self.pick(head)
         if not endpoint:
@@ -551,8 +525,6 @@
                     oldest[id(endpoint.route)] = min(call.sent, oldest.get(id(endpoint.route), call.sent))
             for route in dest.routes.values():
                 route.look(oldest.get(id(route)))
-            dest.load += 0.05 * (dest.came / ROUND - dest.load)
-            dest.came = 0
             if dest.queue:
                 self.floor.post(dest, "pump")
 
