--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -187,7 +187,7 @@
         if oldest is None or self.mode == "out":
             return
         silent = now - max(oldest, self.heard)
-        if silent > max(1000.0, 5.0 * (self.usual or 1000.0)):
+        if silent > max(self.fail_back.span, 8.0 * (self.usual or 0.0)):
             self.turn("out", f"silent for {silent:.0f} ms, usual {self.usual or 0.0:.0f} ms")
 
 
