--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -103,7 +103,9 @@
         if self.mode == "well":
             return rate
         warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / self.fail_back.cold)
-        held = max(2.0 / self.fail_back.span / self.senders, self.share() * (self.fail_back.cold_from + (1.0 - self.fail_back.cold_from) * warm))
+        fail_back = self.fail_back
+        could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
+        held = max(2.0 / fail_back.span / self.senders, self.share() * could * fail_back.multiple ** 0.5)
         return held if rate is None else min(rate, held)
 
     def fill(self):
