--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -189,7 +189,7 @@
         if oldest is None or self.mode == "out":
             return
         silent = now - max(oldest, self.heard)
-        if silent > max(self.fail_back.span / 2.0, 8.0 * (self.usual or 0.0)):
+        if silent > max(self.fail_back.span, 8.0 * (self.usual or 0.0)):
             self.turn("out", f"silent for {silent:.0f} ms, usual {self.usual or 0.0:.0f} ms")
 
 
