--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -161,6 +161,10 @@
             self.rate += self.STEP * self.start
             self.waited, self.changed = False, now
 
+    def patience(self):
+        """Time-out: far beyond the usual, and doubled by each failure running, so a slow partner is waited for."""
+        return (self.usual or 0.0) * 8.0 * 2.0 ** min(3, self.fails)
+
     def failed(self, why):
         """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
         span. A destination that loses a part of its calls is none: it still serves the rest."""
@@ -210,10 +214,9 @@
         self.calls.append(call)
         for text in texts:
             text.call, text.tries = call, text.tries + 1
-            usual = self.route.usual or 0.0
             limit = text.until - now
-            if text.last_submit() > 0 and text.product.repeat != Repeat.ONCE_ONLY:
-                limit = min(limit, max(text.product.sla / 2.0, 8.0 * usual))
+            if text.product.repeat != Repeat.ONCE_ONLY:
+                limit = min(limit, self.route.patience() or text.product.sla)
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
     def on_outcome(self, text, event):
@@ -222,8 +225,6 @@
         first, call.told = not call.told, True
         if event.how != How.TIMEOUT:
             self.route.heard = self.floor.now
-        elif self.route.usual is not None:
-            self.route.usual += 0.1 * (event.elapsed - self.route.usual)
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
