--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -87,7 +87,7 @@
         self.cut_at = self.changed = -1e12
         self.waited = False
         self.sends = deque()
-        self.usual, self.flow, self.heard = None, 0.0, floor.now
+        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -184,7 +184,8 @@
 
     def look(self, oldest):
         """Periodic: the flow that a fail-back is measured by, silence, and the end of the cold time."""
-        now = self.floor.now
+        now, usual = self.floor.now, self.usual or 0.0
+        self.past += 0.01 * (usual - self.past) if self.past else usual
         if self.mode == "well":
             sent = sum(1 for at in self.sends if at > now - 1000.0) / 1000.0
             self.flow += 0.05 * (sent - self.flow) if self.flow else sent
@@ -259,6 +260,7 @@
         self.tries, self.tick, self.bundle, self.make_route = tries, tick, bundle, make_route
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
         self.wanting, self.wake_at, self.held = False, float("inf"), 0
+        self.came, self.load = 0, 0.0
 
     def route_for(self, entry, apart):
         name = entry.endpoint if apart else -1
@@ -270,6 +272,7 @@
 
     def on_take(self, text):
         self.queue.append(text)
+        self.came += 1
         self.on_pump()
 
     def on_back(self, text, event):
@@ -335,7 +338,8 @@
                 self.floor.later(self.wake_at, self, "due")
             return
         self.wanting = True
-        self.floor.post(self.pool, "want", self)
+        usual = max(endpoint.route.past for endpoint in self.endpoints.values())
+        self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
 
     def on_grant(self):
         """A slot: texts from the head of the line share the call as far as the destination takes it."""
@@ -360,13 +364,14 @@
 
 
 class Pool:
-    """The slots. A destination may hold as many as are left free, so one that hangs cannot take them all."""
+    """The slots, dealt to the oldest text that waits. A destination may hold twice its usual need, or as many as are
+    left free, so that one that hangs or slows cannot take them all."""
 
     def __init__(self, floor, slots):
-        self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), deque()
+        self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
 
-    def on_want(self, dest):
-        self.wants.append(dest)
+    def on_want(self, dest, since, need):
+        heapq.heappush(self.wants, (since, dest.ident, need, dest))
         self.deal()
 
     def on_free(self, dest):
@@ -375,14 +380,18 @@
         self.deal()
 
     def deal(self):
-        for _ in range(len(self.wants)):
-            dest = self.wants.popleft()
-            if self.free > 0 and dest.held < max(1, self.free):
+        kept = []
+        while self.wants and self.free > 0:
+            want = heapq.heappop(self.wants)
+            dest = want[3]
+            if dest.held < max(1.0, self.free, 2.0 * want[2]):
                 self.free -= 1
                 dest.held += 1
                 self.floor.post(dest, "grant")
             else:
-                self.wants.append(dest)
+                kept.append(want)
+        for want in kept:
+            heapq.heappush(self.wants, want)
 
 
 class Desk:
@@ -528,6 +537,8 @@
                     oldest[id(endpoint.route)] = min(call.sent, oldest.get(id(endpoint.route), call.sent))
             for route in dest.routes.values():
                 route.look(oldest.get(id(route)))
+            dest.load += 0.05 * (dest.came / ROUND - dest.load)
+            dest.came = 0
             if dest.queue:
                 self.floor.post(dest, "pump")
 
