Slots go to whoever holds least of its usual need

Cause: an even cap starved destinations that need many slots, oldest first fed the sick ones. May hurt a destination whose load has only begun.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -364,14 +364,14 @@
 
 
 class Pool:
-    """The slots, dealt to the oldest text that waits. A destination may hold twice its usual need, or as many as are
-    left free, so that one that hangs or slows cannot take them all."""
+    """The slots, dealt to whoever holds the least of its usual need. A destination may hold as much as that need, or
+    as many as are left free, so that one that hangs or slows cannot take them all."""
 
     def __init__(self, floor, slots):
         self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
 
     def on_want(self, dest, since, need):
-        heapq.heappush(self.wants, (since, dest.ident, need, dest))
+        self.wants.append((dest, since, need))
         self.deal()
 
     def on_free(self, dest):
@@ -380,18 +380,15 @@
         self.deal()
 
     def deal(self):
-        kept = []
         while self.wants and self.free > 0:
-            want = heapq.heappop(self.wants)
-            dest = want[3]
-            if dest.held < max(1.0, self.free, 2.0 * want[2]):
-                self.free -= 1
-                dest.held += 1
-                self.floor.post(dest, "grant")
-            else:
-                kept.append(want)
-        for want in kept:
-            heapq.heappush(self.wants, want)
+            want = min(self.wants, key=lambda want: (want[0].held / max(0.5, want[2]), want[1], want[0].ident))
+            dest, _, need = want
+            if dest.held >= max(1.0, self.free, need):
+                return
+            self.wants.remove(want)
+            self.free -= 1
+            dest.held += 1
+            self.floor.post(dest, "grant")
 
 
 class Desk:
