--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -383,7 +383,7 @@
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda want: (want[0].held / max(0.5, want[2]), want[1], want[0].ident))
             dest, _, need = want
-            if dest.held >= max(1.0, self.free, need):
+            if dest.held >= max(1.0, self.free, 2.0 * need):
                 return
             self.wants.remove(want)
             self.free -= 1
