--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -82,7 +82,7 @@
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
-        self.rate = self.start = self.agreed = self.limit = None
+        self.rate = self.start = self.agreed = self.limit = self.left = None
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
         self.waited = False
@@ -156,7 +156,8 @@
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
-        if self.rate is not None and self.waited and now >= self.pause and now - self.changed >= 1000.0:
+        clock = 1000.0 if self.left is None or self.left < 0.5 else 250.0
+        if self.rate is not None and self.waited and now >= self.pause and now - self.changed >= clock:
             self.fill()
             self.rate += self.STEP * self.start
             self.waited, self.changed = False, now
@@ -232,6 +233,8 @@
         how = event.how
         if event.limit is not None:
             self.route.limit = event.limit / 1000.0 or None
+            self.route.left = event.left if not event.limit or self.route.left is None else (
+                self.route.left + 0.2 * (event.left - self.route.left))
         if first:
             if how == How.DELIVERED:
                 self.route.delivered(call, event.elapsed)
