Where a limit is told, the rate rises only while half of it is left

Cause: additive rise ran into the told limit, and each refusal halts and empties the bucket. May hurt where reports lag far behind.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -156,8 +156,8 @@
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
-        clock = 1000.0 if self.left is None or self.left < 0.5 else 250.0
-        if self.rate is not None and self.waited and now >= self.pause and now - self.changed >= clock:
+        room = not self.limit or self.left >= 0.5
+        if self.rate is not None and self.waited and room and now >= self.pause and now - self.changed >= 1000.0:
             self.fill()
             self.rate += self.STEP * self.start
             self.waited, self.changed = False, now
