--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -152,8 +152,6 @@
 
     def delivered(self, call, elapsed):
         now = self.floor.now
-        if self.rate is None and self.limit:
-            self.rate = self.start = self.limit / self.senders
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
