--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -139,12 +139,12 @@
         if self.rate is None:
             sent = sum(1 for at in self.sends if at > now - 1000.0) / 1000.0
             told = self.agreed or limit
-            self.rate = max(self.FLOOR, told / self.senders if told else self.CUT * sent)
+            self.rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
             self.start, self.cut_at, self.tokens, self.filled = self.rate, now, 0.0, now
             self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             self.fill()
-            self.rate, self.cut_at = max(self.FLOOR, self.rate * self.CUT), now
+            self.rate, self.cut_at = max(self.FLOOR / self.senders, self.rate * self.CUT), now
             self.floor.log(f"{self.name} cut to {self.rate * 1000:.2f}/s")
         if wait > 0.0:
             self.fill()
