--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -163,7 +163,7 @@
             self.waited, self.changed = False, now
 
     def patience(self):
-        """Time-out: far beyond the usual, stretched while more than one in five run into it, so that a slow partner is
+        """Time-out: far beyond the usual, stretched while about half of the calls run into it, so that a slow partner is
         waited for (a late answer is worth more than a repeat) and a rare lost call is not."""
         return (self.usual or 0.0) * 8.0 * self.stretch
 
@@ -175,7 +175,7 @@
             self.fail_since = now
         self.fails += 1
         if why == "timeout":
-            self.stretch = min(8.0, self.stretch * 1.5)
+            self.stretch = min(8.0, self.stretch * 1.3)
         lasting = self.fails >= 2 and now - self.fail_since >= self.fail_back.span
         if self.mode != "out" and (lasting or why != "full" and self.fails >= self.STREAK):
             self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}")
