--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -87,7 +87,7 @@
         self.cut_at = self.changed = -1e12
         self.waited = False
         self.sends = deque()
-        self.usual, self.past, self.flow, self.heard, self.stretch = None, 0.0, 0.0, floor.now, 1.0
+        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -163,9 +163,8 @@
             self.waited, self.changed = False, now
 
     def patience(self):
-        """Time-out: far beyond the usual, stretched while about half of the calls run into it, so that a slow partner is
-        waited for (a late answer is worth more than a repeat) and a rare lost call is not."""
-        return (self.usual or 0.0) * 8.0 * self.stretch
+        """Time-out: far beyond the usual, and doubled by each failure running, so a slow partner is waited for."""
+        return (self.usual or 0.0) * 8.0 * 2.0 ** min(3, self.fails)
 
     def failed(self, why):
         """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
@@ -174,8 +173,6 @@
         if self.fails == 0:
             self.fail_since = now
         self.fails += 1
-        if why == "timeout":
-            self.stretch = min(8.0, self.stretch * 1.3)
         lasting = self.fails >= 2 and now - self.fail_since >= self.fail_back.span
         if self.mode != "out" and (lasting or why != "full" and self.fails >= self.STREAK):
             self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}")
@@ -467,10 +464,12 @@
                               else Undeliverable(text.ident))
         self.clear(text)
 
-    def on_withdrawn(self, text):
-        text.over = True
-        self.floor.post(text.dest, "drop", text)
-        self.clear(text)
+    def on_withdrawn(self, ident):
+        text = self.texts.get(ident)
+        if text is not None:
+            text.over = True
+            self.floor.post(text.dest, "drop", text)
+            self.clear(text)
 
 
 class Lister:
@@ -562,9 +561,7 @@
         self.floor.post(text.call.endpoint, "outcome", text, event)
 
     def on_withdrawn(self, event):
-        text = self.desk.texts.get(event.text)
-        if text is not None:
-            self.floor.post(self.desk, "withdrawn", text)
+        self.floor.post(self.desk, "withdrawn", event.text)
 
     def on_listfailed(self, event):
         self.floor.post(self.lister, "failed")
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,4 +1,4 @@
-from calicopin.interface import Entry, How, Listed, Nack, Product, Repeat, Undeliverable
+from calicopin.interface import Entry, How, Listed, Nack, Product, Repeat, Taken, Undeliverable, Withdrawn
 from helper import Stand, submits
 
 
@@ -75,3 +75,10 @@
     first = submits(stand.take(2, key="van 7"))
     assert len(first) == 1 and not submits(stand.outcome(first[0], How.TIMEOUT))
     assert not submits(stand.step(after=699.0)) and len(submits(stand.step(after=60.0))) == 1
+
+
+def test_a_text_withdrawn_in_the_batch_that_brought_it_gets_no_answer():
+    """Found by the model of the rules: the withdrawal was looked up before the text was taken in."""
+    stand = Stand()
+    stand.step([Taken(0, 5, 0, 1000.0), Withdrawn(0)])
+    assert not any(isinstance(a, (Nack, Undeliverable)) for a in stand.step(after=2000.0))
