--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -309,7 +309,9 @@
 
     def first(self):
         """The first text in line that may go now (a key's turn, a reference still remembered)."""
-        return next((text for text in self.queue if not text.over and self.desk.turn(text)), None)
+        now = self.floor.now
+        return next((text for text in self.queue
+                     if not text.over and now < text.last_submit() and self.desk.turn(text)), None)
 
     def pick(self, text):
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -82,3 +82,12 @@
     stand = Stand()
     stand.step([Taken(0, 5, 0, 1000.0), Withdrawn(0)])
     assert not any(isinstance(a, (Nack, Undeliverable)) for a in stand.step(after=2000.0))
+
+
+def test_nothing_is_sent_in_the_moment_a_reference_is_forgotten():
+    """Found by the model of the rules: a repeat went out at the very end of the memory."""
+    stand = Stand([Product(Repeat.REFERENCED, 4000.0, 24000.0, 1.0, 0.3, memory=1000.0)], senders=1)
+    first = submits(stand.take(1))[0]
+    stand.now = 100.0
+    stand.outcome(submits(stand.outcome(first, How.ERROR))[0], How.FULL, wait=900.0)
+    assert not submits(stand.step(after=30000.0)) and any(isinstance(a, Nack) for a in stand.done)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -122,6 +122,11 @@
             event.ended = how == How.DELIVERED or model.texts[action.text]["ended"]
             model.outcome(now, event)
             events.append(event)
+        if rng.random() < 0.004 and model.texts:
+            text = rng.choice(list(model.texts))
+            model.texts[text]["ended"] = True
+            model.clear(text)
+            events.append(Withdrawn(text))
         if now < 18000 and rng.random() < 0.12:
             for _ in range(rng.choice([1, 1, 1, 8])):
                 taken = Taken(number, rng.randrange(5), rng.randrange(3), now + rng.choice([-5.0, 2.0, 3000.0, 9000.0]),
@@ -133,11 +138,6 @@
             entry = rng.choice(entries)
             entry.ready = not entry.ready
             events.append(Listed([entry]))
-        if rng.random() < 0.004 and model.texts:
-            text = rng.choice(list(model.texts))
-            model.texts[text]["ended"] = True
-            model.clear(text)
-            events.append(Withdrawn(text))
         if events:
             read(stand.hand(now, events), now)
     assert number > 300 and all(text["ended"] for text in model.texts.values()), "a text was lost"
