--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -9,8 +9,7 @@
 from collections import deque
 from itertools import count
 
-from calicopin.interface import (How, ListFailed, Listed, Log, Nack, Outcome, Repeat, Submit, Taken,
-                                 Undeliverable, Wake, Watch, Withdrawn, Woken)
+from calicopin.interface import How, Log, Nack, Repeat, Submit, Undeliverable, Wake, Watch
 
 HARMLESS = (How.FULL, How.UNREACHED, How.NOT_SENT)  # these prove that the submit never ran
 ROUND = 250.0  # the one periodic timer
@@ -82,20 +81,21 @@
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
-        self.rate = self.start = self.agreed = self.limit = self.left = None
+        self.rate = self.start = self.agreed = self.limit = None
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
-        self.waited = False
-        self.sends = deque()
+        self.waited, self.left, self.sends = False, 0.5, deque()
         self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
         """Calls a millisecond that this sender may count on when the destination is warm."""
         told = self.limit or self.agreed
-        if told:
-            return told / self.senders
-        return self.flow
+        return told / self.senders if told else self.flow
+
+    def recent(self):
+        """Calls sent in the last second, a millisecond."""
+        return sum(1 for at in self.sends if at > self.floor.now - 1000.0) / 1000.0
 
     def speed(self):
         """The bucket's rate; under fail-back it is held to what a cold destination can do."""
@@ -132,13 +132,12 @@
         while self.sends[0] < self.floor.now - 1000.0:
             self.sends.popleft()
 
-    def full(self, call, wait, limit):
+    def full(self, call, wait):
         """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
         now = self.floor.now
         self.waited, self.changed = False, now
         if self.rate is None:
-            sent = sum(1 for at in self.sends if at > now - 1000.0) / 1000.0
-            told = self.agreed or limit
+            sent, told = self.recent(), self.agreed or self.limit
             self.rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
             self.start, self.cut_at, self.tokens, self.filled = self.rate, now, 0.0, now
             self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
@@ -150,7 +149,7 @@
             self.fill()
             self.pause, self.tokens = max(self.pause, now + wait), 0.0
 
-    def delivered(self, call, elapsed):
+    def delivered(self, elapsed):
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.mode == "out":
@@ -166,7 +165,7 @@
         """Time-out: far beyond the usual, and doubled by each failure running, so a slow partner is waited for."""
         return (self.usual or 0.0) * 8.0 * 2.0 ** min(3, self.fails)
 
-    def failed(self, why):
+    def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
         span. A destination that loses a part of its calls is none: it still serves the rest."""
         now = self.floor.now
@@ -176,6 +175,8 @@
         lasting = self.fails >= 2 and now - self.fail_since >= self.fail_back.span
         if self.mode != "out" and (lasting or why != "full" and self.fails >= self.STREAK):
             self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}")
+        elif self.mode != "out" and wait > self.fail_back.span:
+            self.turn("out", f"told to wait {wait:.0f} ms")
 
     def turn(self, mode, why):
         self.fill()
@@ -188,15 +189,12 @@
         now, usual = self.floor.now, self.usual or 0.0
         self.past += 0.01 * (usual - self.past) if self.past else usual
         if self.mode == "well":
-            sent = sum(1 for at in self.sends if at > now - 1000.0) / 1000.0
-            self.flow += 0.05 * (sent - self.flow) if self.flow else sent
+            self.flow += 0.05 * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
             self.turn("well", "warm again")
-        if oldest is None or self.mode == "out":
-            return
         silent = now - max(oldest, self.heard)
-        if silent > max(self.fail_back.span, 8.0 * (self.usual or 0.0)):
-            self.turn("out", f"silent for {silent:.0f} ms, usual {self.usual or 0.0:.0f} ms")
+        if self.mode != "out" and silent > max(self.fail_back.span, 8.0 * usual):
+            self.turn("out", f"silent for {silent:.0f} ms, usual {usual:.0f} ms")
 
 
 class Endpoint:
@@ -225,31 +223,23 @@
         call, text.call = text.call, None
         call.texts -= 1
         first, call.told = not call.told, True
-        if event.how != How.TIMEOUT:
-            self.route.heard = self.floor.now
+        how, route = event.how, self.route
+        if how != How.TIMEOUT:
+            route.heard = self.floor.now
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
-        how = event.how
         if event.limit is not None:
-            self.route.limit = event.limit / 1000.0 or None
-            self.route.left = event.left if not event.limit or self.route.left is None else (
-                self.route.left + 0.2 * (event.left - self.route.left))
-        if first:
-            if how == How.DELIVERED:
-                self.route.delivered(call, event.elapsed)
-                self.bad = 0
-            elif how == How.FULL:
-                self.route.full(call, event.wait, self.route.limit)
-                if event.wait > self.route.fail_back.span and self.route.mode != "out":
-                    self.route.turn("out", f"told to wait {event.wait:.0f} ms")
-                else:
-                    self.route.failed("full")
-            elif how not in (How.NOT_SENT, How.CALLED_OFF):
-                self.bad = min(8, self.bad + 1)
-                self.route.failed(how.name.lower())
-        elif how == How.FULL and event.wait > 0:
-            self.route.full(call, event.wait, self.route.limit)
+            route.limit = event.limit / 1000.0 or None
+            route.left += 0.2 * ((event.left or 0.0) - route.left)
+        if how == How.FULL:
+            route.full(call, event.wait)
+        if first and how == How.DELIVERED:
+            route.delivered(event.elapsed)
+            self.bad = 0
+        elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
+            self.bad = min(8, self.bad + (how != How.FULL))
+            route.failed(how.name.lower(), event.wait)
         if how not in HARMLESS and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent, self.zone
         self.floor.post(self.dest, "back", text, event)
@@ -258,21 +248,13 @@
 class Destination:
     """The queue of one destination, first in first out, and the pick of the endpoint."""
 
-    def __init__(self, floor, ident, desk, pool, tries, tick, bundle, make_route):
+    def __init__(self, floor, ident, desk, pool, tries, tick):
         self.floor, self.ident, self.desk, self.pool = floor, ident, desk, pool
-        self.tries, self.tick, self.bundle, self.make_route = tries, tick, bundle, make_route
+        self.tries, self.tick, self.bundle = tries, tick, 1
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
         self.wanting, self.wake_at, self.held = False, float("inf"), 0
         self.came, self.load = 0, 0.0
 
-    def route_for(self, entry, apart):
-        name = entry.endpoint if apart else -1
-        if name not in self.routes:
-            self.routes[name] = self.make_route(f"destination {self.ident}" + (f" route {name}" if apart else ""))
-        if entry.agreed:
-            self.routes[name].agreed = entry.agreed / 1000.0
-        return self.routes[name]
-
     def on_take(self, text):
         self.queue.append(text)
         self.came += 1
@@ -474,21 +456,6 @@
             self.clear(text)
 
 
-class Lister:
-    """Keeps the list of endpoints; asks for it where it does not come by itself."""
-
-    def __init__(self, floor, asks, again):
-        self.floor, self.asks, self.again, self.inbox, self.misses = floor, asks, again, deque(), 0
-
-    def on_ask(self):
-        self.floor.out.append(Watch())
-
-    def on_failed(self):
-        self.misses += 1
-        wait = min(self.again / 4, 500.0 * 2 ** min(self.misses, 8)) * (0.5 + self.floor.chance(self.misses))
-        self.floor.later(self.floor.now + wait, self, "ask")
-
-
 class Courier:
     """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
 
@@ -498,14 +465,12 @@
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
         self.products, self.partners = products, partners
         self.pool, self.desk = Pool(self.floor, slots), Desk(self.floor, room, tick, settle, most_advice)
-        self.lister = Lister(self.floor, asks, ask_within)
+        self.asks, self.ask_within, self.misses = asks, ask_within, 0
         self.dests, self.endpoints, self.inbox, self.begun = {}, {}, deque(), False
 
     def dest(self, ident):
         if ident not in self.dests:
-            self.dests[ident] = Destination(
-                self.floor, ident, self.desk, self.pool, self.tries, self.tick, 1,
-                lambda name: Route(self.floor, name, self.senders, self.fail_back))
+            self.dests[ident] = Destination(self.floor, ident, self.desk, self.pool, self.tries, self.tick)
         return self.dests[ident]
 
     def handle(self, now, events):
@@ -514,8 +479,8 @@
         if not self.begun:
             self.begun = True
             floor.later(now + ROUND, self, "round")
-            if self.lister.asks:
-                floor.post(self.lister, "ask")
+            if self.asks:
+                floor.post(self, "ask")
         for event in events:
             getattr(self, "on_" + type(event).__name__.lower())(event)
         while True:
@@ -537,9 +502,9 @@
             oldest = {}
             for endpoint in dest.endpoints.values():
                 for call in endpoint.calls[:1]:
-                    oldest[id(endpoint.route)] = min(call.sent, oldest.get(id(endpoint.route), call.sent))
+                    oldest[endpoint.route] = min(call.sent, oldest.get(endpoint.route, call.sent))
             for route in dest.routes.values():
-                route.look(oldest.get(id(route)))
+                route.look(oldest.get(route, self.floor.now))
             dest.load += 0.05 * (dest.came / ROUND - dest.load)
             dest.came = 0
             if dest.queue:
@@ -565,23 +530,32 @@
     def on_withdrawn(self, event):
         self.floor.post(self.desk, "withdrawn", event.text)
 
-    def on_listfailed(self, event):
-        self.floor.post(self.lister, "failed")
+    def on_ask(self):
+        self.floor.out.append(Watch())
+
+    def on_listfailed(self, _):
+        """The watch may have ended: ask again, later each time, but well before we count as told all the same."""
+        self.misses += 1
+        wait = min(self.ask_within / 4.0, 500.0 * 2.0 ** min(self.misses, 8)) * (0.5 + self.floor.chance("list"))
+        self.floor.later(self.floor.now + wait, self, "ask")
 
     def on_listed(self, event):
-        self.lister.misses = 0
+        self.misses = 0
         seen = set()
         for entry in event.entries:
             dest, partner = self.dest(entry.dest), self.partners[min(entry.kind, len(self.partners) - 1)]
             seen.add(entry.endpoint)
-            dest.bundle = partner.bundle
-            route = dest.route_for(entry, partner.apart)
+            dest.bundle, place = partner.bundle, entry.endpoint if partner.apart else None
+            route = dest.routes.get(place)
+            if route is None:
+                name = f"destination {entry.dest}" + (f" route {place}" if partner.apart else "")
+                route = dest.routes[place] = Route(self.floor, name, self.senders, self.fail_back)
+            route.agreed = entry.agreed / 1000.0 if entry.agreed else route.agreed
             if not entry.ready:
                 dest.endpoints.pop(entry.endpoint, None)
             elif entry.endpoint not in dest.endpoints:
-                endpoint = self.endpoints.get(entry.endpoint) or Endpoint(
-                    self.floor, entry.endpoint, entry.zone, dest, route)
-                dest.endpoints[entry.endpoint] = self.endpoints[entry.endpoint] = endpoint
+                dest.endpoints[entry.endpoint] = self.endpoints.setdefault(
+                    entry.endpoint, Endpoint(self.floor, entry.endpoint, entry.zone, dest, route))
             self.floor.post(dest, "pump")
         if event.whole:
             for dest in self.dests.values():
