Texts that earn nothing, or under half before a newest in full, are given up at once

Cause: a standing line, first in first out, sent every text a moment before its validity ended. Should also hold in lasting overload; may hurt where the load falls just then.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -45,8 +45,6 @@
 
 class Text:
     """One text and what its submits may have done so far."""
-    __slots__ = ("ident", "dest", "product", "key", "taken", "until", "tries", "call", "ran_at", "ran_zone", "over")
-
     def __init__(self, ident, dest, product, key, taken, until):
         self.ident, self.dest, self.product, self.key = ident, dest, product, key
         self.taken, self.until, self.tries = taken, until, 0
@@ -61,6 +59,15 @@
             return -1.0
         return min(self.until, self.ran_at + self.product.memory)
 
+    def earns(self, at):
+        """Share of the revenue that a delivery at that time still earns."""
+        product, past = self.product, at - (self.until - self.product.validity + self.product.sla)
+        if past <= 0.0 or at >= self.until:
+            return float(at < self.until)
+        if product.late_halves:
+            return max(product.late_revenue, 0.5 ** (past / product.sla))
+        return 1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla)
+
     def nackable(self):
         product = self.product
         return self.ran_at is None or product.repeat == Repeat.RESENDABLE or (
@@ -69,8 +76,6 @@
 
 class Call:
     """One call out, with the texts that share it."""
-    __slots__ = ("endpoint", "sent", "texts", "told")
-
     def __init__(self, endpoint, sent, texts):
         self.endpoint, self.sent, self.texts, self.told = endpoint, sent, texts, False
 
@@ -280,10 +285,9 @@
 
     def on_shed(self):
         """The store is full: the oldest text that waits here makes room for texts that can still go."""
-        for text in self.queue:
-            self.queue.remove(text)
-            route = min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
-            return self.floor.post(self.desk, "give_up", text, max(0.0, route - self.floor.now))
+        if self.queue:
+            opens = min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
+            self.floor.post(self.desk, "give_up", self.queue.popleft(), opens - self.floor.now)
 
     def on_due(self):
         self.wake_at = float("inf")
@@ -328,9 +332,20 @@
         usual = max(endpoint.route.past for endpoint in self.endpoints.values())
         self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
 
+    def weed(self):
+        """Guards against a standing line, first in first out, in which every text is sent too late to earn: what
+        earns nothing any more, or under half while the newest earns in full, is given up at once. It should also hold
+        in any lasting overload; it may hurt where the load falls just then. The newest always stays, to be tried."""
+        at = self.floor.now + max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
+        least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
+        for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
+            self.queue.remove(text)
+            self.floor.post(self.desk, "give_up", text, at - self.floor.now)
+
     def on_grant(self):
         """A slot: texts from the head of the line share the call as far as the destination takes it."""
         self.wanting = False
+        self.weed()
         head = self.first()
         endpoint = head and self.pick(head)
         if not endpoint:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -91,3 +91,13 @@
     stand.now = 100.0
     stand.outcome(submits(stand.outcome(first, How.ERROR))[0], How.FULL, wait=900.0)
     assert not submits(stand.step(after=30000.0)) and any(isinstance(a, Nack) for a in stand.done)
+
+
+def test_a_standing_line_gives_up_what_can_no_longer_earn():
+    """First in, first out, a full line once sent every text a moment before its validity ended."""
+    stand = Stand([Product(Repeat.RESENDABLE, 1500.0, 5000.0, 2.0, 0.0)], senders=1, slots=1)
+    submit = submits(stand.take(5, validity=5000.0))[0]
+    stand.step(after=4990.0 - 200.0)
+    stand.take(1, validity=5000.0)
+    after = stand.outcome(submit, elapsed=4790.0)
+    assert [a.text for a in after if isinstance(a, Nack)] == [1, 2, 3, 4] and submits(after)[0].text == 5
