--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -6,8 +6,8 @@
 """
 import heapq
 import zlib
-from collections import deque
-from itertools import count
+from collections import Counter, deque
+from itertools import count, islice
 
 from calicopin.interface import How, Log, Nack, Repeat, Submit, Undeliverable, Wake, Watch
 
@@ -269,7 +269,7 @@
         """A submit came back: the text is over, waits for its next submit, or is given up at once."""
         self.floor.post(self.desk, "settle", text, event.how)
         if event.ended or text.over:
-            self.floor.post(self.desk, "over", text)
+            self.floor.post(self.desk, "withdrawn", text.ident)
         elif self.floor.now >= text.until - self.tick or text.tries >= self.tries \
                 or text.last_submit() <= self.floor.now:
             self.floor.post(self.desk, "give_up", text, 0.0)
@@ -289,15 +289,9 @@
             opens = min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
             self.floor.post(self.desk, "give_up", self.queue.popleft(), opens - self.floor.now)
 
-    def on_due(self):
-        self.wake_at = float("inf")
-        self.on_pump()
-
     def first(self):
-        """The first text in line that may go now (a key's turn, a reference still remembered)."""
-        now = self.floor.now
-        return next((text for text in self.queue
-                     if not text.over and now < text.last_submit() and self.desk.turn(text)), None)
+        """The first text in line that may go now."""
+        return next((text for text in self.queue if self.desk.turn(text)), None)
 
     def pick(self, text):
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
@@ -315,9 +309,9 @@
 
     def on_pump(self):
         """Ask for a slot when the first in line may go; else come back when a bucket opens."""
-        if self.wanting or not self.queue or not self.endpoints:
-            return
-        text = self.first()
+        if self.wake_at <= self.floor.now:
+            self.wake_at = float("inf")
+        text = None if self.wanting or not self.endpoints else self.first()
         if text is None:
             return
         opens = min(endpoint.route.opens() for endpoint in self.endpoints.values())
@@ -326,7 +320,7 @@
                 endpoint.route.waited = True
             if opens < self.wake_at:
                 self.wake_at = max(opens, self.floor.now + self.tick)
-                self.floor.later(self.wake_at, self, "due")
+                self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
         usual = max(endpoint.route.past for endpoint in self.endpoints.values())
@@ -351,13 +345,8 @@
         if not endpoint:
             self.floor.post(self.pool, "free", self)
             return
-        texts = [head]
-        for text in self.queue:
-            if len(texts) >= self.bundle:
-                break
-            if text is not head and not text.over and text.ran_at is None and self.desk.turn(text) and (
-                    text.key is None or all(text.key != other.key for other in texts)):
-                texts.append(text)
+        texts = [head, *islice((text for text in self.queue if text is not head and text.ran_at is None
+                                and self.desk.turn(text)), self.bundle - 1)]
         for text in texts:
             self.queue.remove(text)
         endpoint.route.spend()
@@ -408,30 +397,28 @@
             return self.on_give_up(text, 0.0)
         self.floor.later(text.until - 2 * self.tick, self, "lapse", text)
         self.floor.post(text.dest, "take", text)
-        waiting = {}
         if len(self.texts) >= self.room - max(1, self.room // 20):
-            for held in self.texts.values():
-                if held.call is None and held is not text and not held.over:
-                    waiting[held.dest] = waiting.get(held.dest, 0) + 1
-            if waiting:
-                self.floor.post(max(waiting, key=lambda dest: (waiting[dest], -dest.ident)), "shed")
+            waiting = Counter(held.dest for held in self.texts.values() if held.call is None and not held.over)
+            self.floor.post(max(waiting, key=lambda dest: (waiting[dest], -dest.ident)), "shed")
 
     def turn(self, text):
-        """Guards the order per key: only the first unfinished text of a key goes, after its rest."""
-        if text.key is None:
-            return True
-        rest = self.rests.get(text.key)
-        return self.keys[text.key][0] is text and (
-            rest is None or rest[1] is text or rest[0] <= self.floor.now)
+        """Whether a text may go now. Guards the order per key: only its first unfinished text goes, after its rest."""
+        if text.over or self.floor.now >= text.last_submit():
+            return False
+        return text.key is None or (
+            self.keys[text.key][0] is text and self.rests.get(text.key, (0.0, text))[1] is text)
 
     def on_settle(self, text, how):
         """A submit that may still run lays its key to rest for the texts behind it."""
         if text.key is not None and how in (How.TIMEOUT, How.BROKEN, How.CALLED_OFF):
             self.rests[text.key] = (self.floor.now + self.settle, text)
+            self.floor.later(self.floor.now + self.settle, self, "rested", text.key)
 
-    def on_over(self, text):
-        text.over = True
-        self.clear(text)
+    def on_rested(self, key):
+        if key in self.rests and self.rests[key][0] <= self.floor.now:
+            del self.rests[key]
+            if key in self.keys:
+                self.floor.post(self.keys[key][0].dest, "pump")
 
     def clear(self, text):
         if text.call is not None:
@@ -440,13 +427,10 @@
         line = self.keys.get(text.key)
         if line and text in line:
             line.remove(text)
-            if not line:
-                del self.keys[text.key]
-            else:
-                rest = self.rests.get(text.key)
-                if rest is not None and rest[0] > self.floor.now:
-                    self.floor.later(rest[0], line[0].dest, "pump")
+            if line:
                 self.floor.post(line[0].dest, "pump")
+            else:
+                del self.keys[text.key]
 
     def on_lapse(self, text):
         """Nothing is sat on: time is up, or no submit is allowed any more."""
