--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -90,7 +90,7 @@
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
         self.waited, self.left, self.sends = False, 0.5, deque()
-        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
+        self.usual, self.flow, self.heard = None, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -192,13 +192,12 @@
     def look(self, oldest):
         """Periodic: the flow that a fail-back is measured by, silence, and the end of the cold time."""
         now, usual = self.floor.now, self.usual or 0.0
-        self.past += 0.01 * (usual - self.past) if self.past else usual
         if self.mode == "well":
             self.flow += 0.05 * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
             self.turn("well", "warm again")
         silent = now - max(oldest, self.heard)
-        if self.mode != "out" and silent > max(self.fail_back.span, 8.0 * usual):
+        if self.mode != "out" and silent > max(self.fail_back.span, 16.0 * usual):
             self.turn("out", f"silent for {silent:.0f} ms, usual {usual:.0f} ms")
 
 
@@ -207,11 +206,11 @@
 
     def __init__(self, floor, ident, zone, dest, route):
         self.floor, self.ident, self.zone, self.dest, self.route = floor, ident, zone, dest, route
-        self.inbox, self.calls, self.bad = deque(), [], 0
+        self.inbox, self.calls = deque(), []
 
     def room(self):
         """Room this endpoint is thought to have: the odds of the pick."""
-        return 1.0 / (1 + len(self.calls)) / (1 + 4 * self.bad)
+        return 1.0 / (1 + len(self.calls))
 
     def on_carry(self, texts):
         now = self.floor.now
@@ -241,9 +240,7 @@
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
             route.delivered(event.elapsed)
-            self.bad = 0
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
-            self.bad = min(8, self.bad + (how != How.FULL))
             route.failed(how.name.lower(), event.wait)
         if how not in HARMLESS and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent, self.zone
@@ -323,14 +320,16 @@
                 self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
-        usual = max(endpoint.route.past for endpoint in self.endpoints.values())
-        self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
+        self.floor.post(self.pool, "want", self, text.taken, self.load * self.usual())
+
+    def usual(self):
+        return max((endpoint.route.usual or 0.0 for endpoint in self.endpoints.values()), default=0.0)
 
     def weed(self):
         """Guards against a standing line, first in first out, in which every text is sent too late to earn: what
         earns nothing any more, or under half while the newest earns in full, is given up at once. It should also hold
         in any lasting overload; it may hurt where the load falls just then. The newest always stays, to be tried."""
-        at = self.floor.now + max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
+        at = self.floor.now + self.usual()
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
         for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
             self.queue.remove(text)
@@ -355,8 +354,8 @@
 
 
 class Pool:
-    """The slots, dealt to whoever holds the least of its usual need. A destination may hold as much as that need, or
-    as many as are left free, so that one that hangs or slows cannot take them all."""
+    """The slots, dealt to whoever holds the least of its usual need, so that one that hangs or slows comes last. It
+    should also hold where one destination gets most texts; it may hurt one whose load has only begun."""
 
     def __init__(self, floor, slots):
         self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
@@ -373,13 +372,10 @@
     def deal(self):
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda want: (want[0].held / max(0.5, want[2]), want[1], want[0].ident))
-            dest, _, need = want
-            if dest.held >= max(1.0, self.free, 2.0 * need):
-                return
             self.wants.remove(want)
             self.free -= 1
-            dest.held += 1
-            self.floor.post(dest, "grant")
+            want[0].held += 1
+            self.floor.post(want[0], "grant")
 
 
 class Desk:
