--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -372,6 +372,8 @@
     def deal(self):
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda want: (want[0].held / max(0.5, want[2]), want[1], want[0].ident))
+            if want[0].held >= max(1.0, self.free, 2.0 * want[2]):
+                return
             self.wants.remove(want)
             self.free -= 1
             want[0].held += 1
