--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -197,7 +197,7 @@
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
             self.turn("well", "warm again")
         silent = now - max(oldest, self.heard)
-        if self.mode != "out" and silent > max(self.fail_back.span, 16.0 * usual):
+        if self.mode != "out" and silent > max(self.fail_back.span, 8.0 * usual):
             self.turn("out", f"silent for {silent:.0f} ms, usual {usual:.0f} ms")
 
 
