--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -206,11 +206,11 @@
 
     def __init__(self, floor, ident, zone, dest, route):
         self.floor, self.ident, self.zone, self.dest, self.route = floor, ident, zone, dest, route
-        self.inbox, self.calls = deque(), []
+        self.inbox, self.calls, self.bad = deque(), [], 0
 
     def room(self):
         """Room this endpoint is thought to have: the odds of the pick."""
-        return 1.0 / (1 + len(self.calls))
+        return 1.0 / (1 + len(self.calls)) / (1 + 4 * self.bad)
 
     def on_carry(self, texts):
         now = self.floor.now
@@ -240,7 +240,9 @@
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
             route.delivered(event.elapsed)
+            self.bad = 0
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
+            self.bad = min(8, self.bad + (how != How.FULL))
             route.failed(how.name.lower(), event.wait)
         if how not in HARMLESS and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent, self.zone
