--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -90,7 +90,7 @@
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
         self.waited, self.left, self.sends = False, 0.5, deque()
-        self.usual, self.flow, self.heard = None, 0.0, floor.now
+        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -192,6 +192,7 @@
     def look(self, oldest):
         """Periodic: the flow that a fail-back is measured by, silence, and the end of the cold time."""
         now, usual = self.floor.now, self.usual or 0.0
+        self.past += 0.01 * (usual - self.past) if self.past else usual
         if self.mode == "well":
             self.flow += 0.05 * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
@@ -322,16 +323,14 @@
                 self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
-        self.floor.post(self.pool, "want", self, text.taken, self.load * self.usual())
-
-    def usual(self):
-        return max((endpoint.route.usual or 0.0 for endpoint in self.endpoints.values()), default=0.0)
+        usual = max(endpoint.route.usual or 0.0 for endpoint in self.endpoints.values())
+        self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
 
     def weed(self):
         """Guards against a standing line, first in first out, in which every text is sent too late to earn: what
         earns nothing any more, or under half while the newest earns in full, is given up at once. It should also hold
         in any lasting overload; it may hurt where the load falls just then. The newest always stays, to be tried."""
-        at = self.floor.now + self.usual()
+        at = self.floor.now + max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
         for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
             self.queue.remove(text)
