--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -257,8 +257,7 @@
         self.floor, self.ident, self.desk, self.pool = floor, ident, desk, pool
         self.tries, self.tick, self.bundle = tries, tick, 1
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
-        self.wanting, self.wake_at, self.held = False, float("inf"), 0
-        self.came, self.load = 0, 0.0
+        self.wanting, self.wake_at, self.held, self.came, self.load = False, 0.0, 0, 0, 0.0
 
     def on_take(self, text):
         self.queue.append(text)
@@ -299,18 +298,15 @@
         fit = [e for e in self.endpoints.values() if e.route.opens() <= now and not (
             text.ran_at is not None and text.product.memory_by_zone and text.product.repeat == Repeat.REFERENCED
             and e.zone != text.ran_zone)]
-        rooms = [e.room() for e in fit]
-        draw = self.floor.chance(text.ident) * sum(rooms) if len(fit) > 1 else 0.0
-        for endpoint, room in zip(fit, rooms):
-            draw -= room
+        draw = self.floor.chance(text.ident) * sum(e.room() for e in fit)
+        for endpoint in fit:
+            draw -= endpoint.room()
             if draw < 0.0:
                 return endpoint
         return fit[-1] if fit else None
 
     def on_pump(self):
         """Ask for a slot when the first in line may go; else come back when a bucket opens."""
-        if self.wake_at <= self.floor.now:
-            self.wake_at = float("inf")
         text = None if self.wanting or not self.endpoints else self.first()
         if text is None:
             return
@@ -318,12 +314,12 @@
         if opens > self.floor.now:
             for endpoint in self.endpoints.values():
                 endpoint.route.waited = True
-            if opens < self.wake_at:
+            if not self.floor.now < self.wake_at <= opens:
                 self.wake_at = max(opens, self.floor.now + self.tick)
                 self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
-        usual = max(endpoint.route.usual or 0.0 for endpoint in self.endpoints.values())
+        usual = max(endpoint.route.past for endpoint in self.endpoints.values())
         self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
 
     def weed(self):
@@ -355,8 +351,8 @@
 
 
 class Pool:
-    """The slots, dealt to whoever holds the least of its usual need, so that one that hangs or slows comes last. It
-    should also hold where one destination gets most texts; it may hurt one whose load has only begun."""
+    """The slots, dealt to whoever holds the least of its usual need. A destination may hold as much as that need, or
+    as many as are left free, so that one that hangs or slows cannot take them all."""
 
     def __init__(self, floor, slots):
         self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
@@ -373,12 +369,13 @@
     def deal(self):
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda want: (want[0].held / max(0.5, want[2]), want[1], want[0].ident))
-            if want[0].held >= max(1.0, self.free, 2.0 * want[2]):
+            dest, _, need = want
+            if dest.held >= max(1.0, self.free, 2.0 * need):
                 return
             self.wants.remove(want)
             self.free -= 1
-            want[0].held += 1
-            self.floor.post(want[0], "grant")
+            dest.held += 1
+            self.floor.post(dest, "grant")
 
 
 class Desk:
@@ -420,11 +417,10 @@
                 self.floor.post(self.keys[key][0].dest, "pump")
 
     def clear(self, text):
-        if text.call is not None:
-            return
-        self.texts.pop(text.ident, None)
-        line = self.keys.get(text.key)
-        if line and text in line:
+        line = self.keys.get(text.key, ())
+        if text.call is None:
+            self.texts.pop(text.ident, None)
+        if text.call is None and text in line:
             line.remove(text)
             if line:
                 self.floor.post(line[0].dest, "pump")
@@ -439,12 +435,10 @@
             self.on_give_up(text, 0.0)
 
     def on_give_up(self, text, stay_away):
-        if text.over:
-            return
-        text.over = True
-        self.floor.out.append(Nack(text.ident, min(stay_away, self.most_advice)) if text.nackable()
-                              else Undeliverable(text.ident))
-        self.clear(text)
+        if not text.over:
+            text.over, advice = True, min(stay_away, self.most_advice)
+            self.floor.out.append(Nack(text.ident, advice) if text.nackable() else Undeliverable(text.ident))
+            self.clear(text)
 
     def on_withdrawn(self, ident):
         text = self.texts.get(ident)
