One silent call is no silence: two are needed

Cause: a courier with little traffic has one call out at a destination; its loss put the destination out. May notice a hang later where calls are rare.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -189,15 +189,16 @@
         self.tokens = 0.0 if mode == "out" else min(self.tokens, 1.0)
         self.floor.log(f"{self.name} {mode}: {why}")
 
-    def look(self, oldest):
-        """Periodic: the flow that a fail-back is measured by, silence, and the end of the cold time."""
+    def look(self, since):
+        """Periodic: the flow that a fail-back is measured by, silence of two calls or more, and the end of the cold
+        time. One lost call, all that a small courier may have out, is no silence."""
         now, usual = self.floor.now, self.usual or 0.0
         self.past += 0.01 * (usual - self.past) if self.past else usual
         if self.mode == "well":
             self.flow += 0.05 * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
             self.turn("well", "warm again")
-        silent = now - max(oldest, self.heard)
+        silent = now - max(since, self.heard)
         if self.mode != "out" and silent > max(self.fail_back.span, 8.0 * usual):
             self.turn("out", f"silent for {silent:.0f} ms, usual {usual:.0f} ms")
 
@@ -491,12 +492,10 @@
     def on_round(self):
         self.floor.later(self.floor.now + ROUND, self, "round")
         for dest in self.dests.values():
-            oldest = {}
-            for endpoint in dest.endpoints.values():
-                for call in endpoint.calls[:1]:
-                    oldest[endpoint.route] = min(call.sent, oldest.get(endpoint.route, call.sent))
             for route in dest.routes.values():
-                route.look(oldest.get(route, self.floor.now))
+                sent = sorted(call.sent for endpoint in dest.endpoints.values() if endpoint.route is route
+                              for call in endpoint.calls)
+                route.look(sent[1] if len(sent) > 1 else self.floor.now)
             dest.load += 0.05 * (dest.came / ROUND - dest.load)
             dest.came = 0
             if dest.queue:
