--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -169,7 +169,7 @@
     def patience(self):
         """Time-out: far beyond the usual, so that a lost call frees its slot. The trickle to one that is out waits far
         longer: it may only be slow, and a late answer is worth more than a repeat."""
-        return (self.usual or 0.0) * (32.0 if self.mode == "out" else 8.0)
+        return (self.usual or 0.0) * (32.0 if self.mode == "out" else 5.0)
 
     def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
