--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -90,7 +90,7 @@
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
         self.waited, self.left, self.sends = False, 0.5, deque()
-        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
+        self.usual, self.spread, self.past, self.flow, self.heard = None, 0.0, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -156,7 +156,10 @@
 
     def delivered(self, elapsed):
         now = self.floor.now
-        self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
+        if self.usual is None:
+            self.usual = self.spread = elapsed
+        self.spread += 0.1 * (abs(elapsed - self.usual) - self.spread)
+        self.usual += 0.1 * (elapsed - self.usual)
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
@@ -167,9 +170,9 @@
             self.waited, self.changed = False, now
 
     def patience(self):
-        """Time-out: far beyond the usual, so that a lost call frees its slot. The trickle to one that is out waits far
+        """Time-out: far beyond the usual and its spread, so that a lost call frees its slot. The trickle waits far
         longer: it may only be slow, and a late answer is worth more than a repeat."""
-        return (self.usual or 0.0) * (32.0 if self.mode == "out" else 5.0)
+        return ((self.usual or 0.0) + 12.0 * self.spread) * (4.0 if self.mode == "out" else 1.0)
 
     def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
