--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -2,7 +2,7 @@
 
 How to call it: make one `Courier` an instance, with what is read at start as keyword arguments, then give
 `courier.handle(now, events)` every batch of events; it returns the actions, in order.
-The types of both are in `calicopin/interface.py`; docs/design.md says what is kept of the design and what is not.
+The types of both are in `calicopin/interface.py`; docs/design.md says what is kept of the design.
 """
 import heapq
 import zlib
@@ -90,7 +90,7 @@
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
         self.waited, self.left, self.sends = False, 0.5, deque()
-        self.usual, self.spread, self.past, self.flow, self.heard = None, 0.0, 0.0, 0.0, floor.now
+        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -156,27 +156,24 @@
 
     def delivered(self, elapsed):
         now = self.floor.now
-        if self.usual is None:
-            self.usual = self.spread = elapsed
-        self.spread += 0.1 * (abs(elapsed - self.usual) - self.spread)
-        self.usual += 0.1 * (elapsed - self.usual)
+        self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
-        room = not self.limit or self.left >= 0.5
-        if self.rate is not None and self.waited and room and now >= self.pause and now - self.changed >= 1000.0:
+        room = now >= self.pause and (not self.limit or self.left >= 0.5)
+        if self.rate is not None and self.waited and room and now - self.changed >= 1000.0:
             self.fill()
             self.rate += self.STEP * self.start
             self.waited, self.changed = False, now
 
     def patience(self):
-        """Time-out: far beyond the usual and its spread, so that a lost call frees its slot. The trickle waits far
-        longer: it may only be slow, and a late answer is worth more than a repeat."""
-        return ((self.usual or 0.0) + 12.0 * self.spread) * (4.0 if self.mode == "out" else 1.0)
+        """Time-out: far beyond the usual, so that a lost call frees its slot. The trickle to one that is out
+        waits longer: it may only be slow, and a late answer is worth more than a repeat."""
+        return (self.usual or 0.0) * (32.0 if self.mode == "out" else 8.0)
 
     def failed(self, why, wait):
-        """An outage, whatever causes it: nothing delivered between many failures, or for as long as the rule's
-        span. A destination that loses a part of its calls is none: it still serves the rest."""
+        """An outage, whatever causes it: nothing delivered between many failures, or for the rule's span. A
+        destination that loses a part of its calls is none: it still serves the rest."""
         now = self.floor.now
         if self.fails == 0:
             self.fail_since = now
@@ -194,8 +191,8 @@
         self.floor.log(f"{self.name} {mode}: {why}")
 
     def look(self, since):
-        """Periodic: the flow that a fail-back is measured by, silence of two calls or more, and the end of the cold
-        time. One lost call, all that a small courier may have out, is no silence."""
+        """Periodic: the flow that a fail-back is measured by, the end of the cold time, and silence. One lost
+        call, all that a small courier may have out, is no silence: two are needed."""
         now, usual = self.floor.now, self.usual or 0.0
         self.past += 0.01 * (usual - self.past) if self.past else usual
         if self.mode == "well":
@@ -290,7 +287,7 @@
     def on_shed(self):
         """The store is full: the oldest text that waits here makes room for texts that can still go."""
         if self.queue:
-            opens = min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
+            opens = min((e.route.opens() for e in self.endpoints.values()), default=self.floor.now)
             self.floor.post(self.desk, "give_up", self.queue.popleft(), opens - self.floor.now)
 
     def first(self):
@@ -299,10 +296,10 @@
 
     def pick(self, text):
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
-        now = self.floor.now
-        fit = [e for e in self.endpoints.values() if e.route.opens() <= now and not (
-            text.ran_at is not None and text.product.memory_by_zone and text.product.repeat == Repeat.REFERENCED
-            and e.zone != text.ran_zone)]
+        bound = text.ran_at is not None and text.product.memory_by_zone and (
+            text.product.repeat == Repeat.REFERENCED)
+        fit = [e for e in self.endpoints.values() if e.route.opens() <= self.floor.now
+               and not (bound and e.zone != text.ran_zone)]
         draw = self.floor.chance(text.ident) * sum(e.room() for e in fit)
         for endpoint in fit:
             draw -= endpoint.room()
@@ -328,9 +325,9 @@
         self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
 
     def weed(self):
-        """Guards against a standing line, first in first out, in which every text is sent too late to earn: what
-        earns nothing any more, or under half while the newest earns in full, is given up at once. It should also hold
-        in any lasting overload; it may hurt where the load falls just then. The newest always stays, to be tried."""
+        """Guards against a standing line, first in first out, in which every text is sent too late to earn:
+        what earns nothing any more, or under half while the newest earns in full, is given up at once. It
+        should also hold in any lasting overload; it may hurt where the load falls just then."""
         at = self.floor.now + max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
         for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
@@ -356,8 +353,8 @@
 
 
 class Pool:
-    """The slots, dealt to whoever holds the least of its usual need. A destination may hold as much as that need, or
-    as many as are left free, so that one that hangs or slows cannot take them all."""
+    """The slots, dealt to whoever holds the least of its usual need. A destination may hold twice that, or as
+    many as are left free: one that hangs or slows comes last. It may hurt one whose load has only begun."""
 
     def __init__(self, floor, slots):
         self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
@@ -373,7 +370,7 @@
 
     def deal(self):
         while self.wants and self.free > 0:
-            want = min(self.wants, key=lambda want: (want[0].held / max(0.5, want[2]), want[1], want[0].ident))
+            want = min(self.wants, key=lambda w: (w[0].held / max(0.5, w[2]), w[1], w[0].ident))
             dest, _, need = want
             if dest.held >= max(1.0, self.free, 2.0 * need):
                 return
@@ -387,7 +384,8 @@
     """Takes texts, gives each its one final answer, and keeps the order of keys."""
 
     def __init__(self, floor, room, tick, settle, most_advice):
-        self.floor, self.room, self.tick, self.settle, self.most_advice = floor, room, tick, settle, most_advice
+        self.floor, self.room, self.tick, self.settle = floor, room, tick, settle
+        self.most_advice = most_advice
         self.inbox, self.texts, self.keys, self.rests = deque(), {}, {}, {}
 
     def on_take(self, text):
@@ -399,11 +397,11 @@
         self.floor.later(text.until - 2 * self.tick, self, "lapse", text)
         self.floor.post(text.dest, "take", text)
         if len(self.texts) >= self.room - max(1, self.room // 20):
-            waiting = Counter(held.dest for held in self.texts.values() if held.call is None and not held.over)
+            waiting = Counter(t.dest for t in self.texts.values() if t.call is None and not t.over)
             self.floor.post(max(waiting, key=lambda dest: (waiting[dest], -dest.ident)), "shed")
 
     def turn(self, text):
-        """Whether a text may go now. Guards the order per key: only its first unfinished text goes, after its rest."""
+        """Whether a text may go now. Guards the order per key: its first unfinished text, after its rest."""
         if text.over or self.floor.now >= text.last_submit():
             return False
         return text.key is None or (
@@ -529,10 +527,10 @@
         self.floor.out.append(Watch())
 
     def on_listfailed(self, _):
-        """The watch may have ended: ask again, later each time, but well before we count as told all the same."""
+        """The watch may have ended: ask again, later each time, but well before we count as told anyway."""
         self.misses += 1
-        wait = min(self.ask_within / 4.0, 500.0 * 2.0 ** min(self.misses, 8)) * (0.5 + self.floor.chance("list"))
-        self.floor.later(self.floor.now + wait, self, "ask")
+        wait = min(self.ask_within / 4.0, 500.0 * 2.0 ** min(self.misses, 8))
+        self.floor.later(self.floor.now + wait * (0.5 + self.floor.chance("list")), self, "ask")
 
     def on_listed(self, event):
         self.misses = 0
--- a/calicopin/drill/__main__.py
+++ b/calicopin/drill/__main__.py
@@ -45,8 +45,8 @@
         except Exception as fault:
             traceback.print_exc()
             place = traceback.extract_tb(fault.__traceback__)[-1]
-            cause = plain(f"instance {who}: {type(fault).__name__}: {fault} ({place.name}, line {place.lineno})")
-            return reply + [f"INSTANCE {who}", f"BAIL_OUT {cause}"]
+            cause = f"instance {who}: {type(fault).__name__}: {fault} ({place.name}, line {place.lineno})"
+            return reply + [f"INSTANCE {who}", f"BAIL_OUT {plain(cause)}"]
         if lines:
             reply.append(f"INSTANCE {who}")
             reply.extend(lines)
--- a/calicopin/drill/door.py
+++ b/calicopin/drill/door.py
@@ -1,10 +1,11 @@
-"""The door of one courier: wire names, seconds and ids outside; our words, milliseconds and indices inside."""
+"""The door of one courier: the wire's names, seconds and ids outside; ours inside."""
 from calicopin.brain import Courier
 from calicopin.drill.codec import WireFault, plain, seconds
 from calicopin.interface import (Entry, FailBack, How, Listed, ListFailed, Outcome, Partner, Product, Repeat,
                                  Taken, Withdrawn, Woken)
 
-REPEATS = {"read_like": Repeat.RESENDABLE, "idempotency_key": Repeat.REFERENCED, "non_idempotent": Repeat.ONCE_ONLY}
+REPEATS = {"read_like": Repeat.RESENDABLE, "idempotency_key": Repeat.REFERENCED,
+           "non_idempotent": Repeat.ONCE_ONLY}
 READY, FAILED, WHOLE = 3, 2, (3, 4)
 
 
@@ -88,8 +89,9 @@
             return None
         self.out[text] -= 1
         told = dict(zip(self.reports, report)) if report else {}
-        event = Outcome(text, self.endpoints(endpoint), How(reason), note if reason == How.FULL and note else 0.0,
-                        _ms(elapsed), finished, told.get("x0"), told.get("x1"))
+        wait = note if reason == How.FULL and note else 0.0
+        event = Outcome(text, self.endpoints(endpoint), How(reason), wait, _ms(elapsed), finished,
+                        told.get("x0"), told.get("x1"))
         if finished:
             self.ended.add(text)
         self._forget(text)
@@ -115,8 +117,8 @@
             return ListFailed()
         if bank not in pages:
             raise WireFault(f"line {number}: PEERS_KNOWN names page {bank}, which was not sent")
-        return Listed([Entry(self.endpoints(endpoint), self.dests(cell), machine or 0, hall or 0, phase == READY,
-                             share if self.agreed else None)
+        return Listed([Entry(self.endpoints(endpoint), self.dests(cell), machine or 0, hall or 0,
+                             phase == READY, share if self.agreed else None)
                        for phase, share, _, cell, hall, machine, endpoint in pages[bank]], kind in WHOLE)
 
     def _bell(self, _, values, __):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -1,17 +1,19 @@
 """A small stand for the courier: builds one, feeds it events, keeps what it did."""
 from calicopin.brain import Courier
-from calicopin.interface import (Entry, FailBack, How, Listed, Outcome, Partner, Product, Repeat, Submit, Taken,
-                                 Wake, Woken)
+from calicopin.interface import (Entry, FailBack, How, Listed, Outcome, Partner, Product, Repeat, Submit,
+                                 Taken, Wake, Woken)
 
-PRODUCT = Product(Repeat.REFERENCED, sla=4000.0, validity=24000.0, revenue=1.0, late_revenue=0.3, memory=15000.0)
+PRODUCT = Product(Repeat.REFERENCED, sla=4000.0, validity=24000.0, revenue=1.0, late_revenue=0.3,
+                  memory=15000.0)
 
 
 class Stand:
     """One courier with its clock; destination 0 has endpoints 0 and 1 unless told otherwise."""
 
     def __init__(self, products=(PRODUCT,), entries=None, **terms):
-        told = dict(seed=7, number=0, senders=2, tick=5.0, slots=40, room=200, tries=8, products=list(products),
-                    partners=[Partner()], fail_back=FailBack(0.2, 10000.0, 2.0, 3000.0))
+        told = dict(seed=7, number=0, senders=2, tick=5.0, slots=40, room=200, tries=8,
+                    products=list(products), partners=[Partner()],
+                    fail_back=FailBack(0.2, 10000.0, 2.0, 3000.0))
         self.courier = Courier(**(told | terms))
         self.now, self.wake, self.done, self.next = 0.0, None, [], 0
         self.step([Listed(entries or [Entry(0, 0), Entry(1, 0)], whole=True)])
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -69,7 +69,7 @@
 
 
 def test_a_text_given_up_after_a_time_out_still_lays_its_key_to_rest():
-    """Found by the model of the rules: the give-up skipped the rest, and the next text of the key went out early."""
+    """Found by the model of the rules: the give-up skipped the rest of the key."""
     once = Product(Repeat.ONCE_ONLY, 4000.0, 24000.0, 1.0, 0.3, in_order=True)
     stand = Stand([once], settle=700.0)
     first = submits(stand.take(2, key="van 7"))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,4 +1,4 @@
-"""A slow, plain model of the rules beside the module, on generated input: whatever the module does must be allowed."""
+"""A slow, plain model of the rules beside the module, on generated input: what it does must be allowed."""
 import random
 
 import pytest
@@ -59,7 +59,8 @@
             route = self.route(action.endpoint)
             self.waits[route] = max(self.waits.get(route, 0.0), now + event.wait)
         key = text["event"].key
-        if text["product"].in_order and key is not None and event.how in (How.TIMEOUT, How.BROKEN, How.CALLED_OFF):
+        rests = event.how in (How.TIMEOUT, How.BROKEN, How.CALLED_OFF)
+        if text["product"].in_order and key is not None and rests:
             self.rests[key] = (now + SETTLE, event.text)
         text["ended"] = text["ended"] or event.ended
         self.clear(event.text)
@@ -75,25 +76,28 @@
         assert now <= text["event"].valid_until + SLACK, "the final answer is late"
         if isinstance(action, Nack) and (text["ran"] or action.text in self.out):
             product = text["product"]
-            assert product.repeat == Repeat.RESENDABLE or (
-                product.repeat == Repeat.REFERENCED and not product.memory_by_zone), "a nack promises too much"
+            everywhere = product.repeat == Repeat.REFERENCED and not product.memory_by_zone
+            assert product.repeat == Repeat.RESENDABLE or everywhere, "a nack promises too much"
         text["ended"] = True
         self.clear(action.text)
 
 
 def product(rng):
-    return Product(rng.choice(list(Repeat)), 1500.0, rng.choice([3000.0, 9000.0]), 1.0, rng.choice([0.0, 0.5]),
-                   rng.choice([1000.0, 5000.0]), rng.random() < 0.3, rng.random() < 0.4, rng.random() < 0.5)
+    return Product(rng.choice(list(Repeat)), 1500.0, rng.choice([3000.0, 9000.0]), 1.0,
+                   rng.choice([0.0, 0.5]), rng.choice([1000.0, 5000.0]),
+                   rng.random() < 0.3, rng.random() < 0.4, rng.random() < 0.5)
 
 
 @pytest.mark.parametrize("seed", range(40))
 def test_the_module_does_only_what_the_rules_allow(seed):
     rng = random.Random(seed)
     products, apart = [product(rng) for _ in range(3)], [rng.random() < 0.5, False]
-    entries = [Entry(i, i % 4, (i % 4) % 2, rng.randrange(2), agreed=rng.choice([None, 8.0])) for i in range(9)]
-    slots, sick = rng.choice([4, 12, 60]), {i: rng.choice(list(How)[:6]) for i in range(9) if rng.random() < 0.4}
+    entries = [Entry(i, i % 4, i % 2, rng.randrange(2), agreed=rng.choice([None, 8.0])) for i in range(9)]
+    slots = rng.choice([4, 12, 60])
+    sick = {i: rng.choice(list(How)[:6]) for i in range(9) if rng.random() < 0.4}
     model = Model(products, apart, slots, 6)
-    stand = Stand(products, entries, partners=[Partner(rng.choice([1, 5]), apart[0]), Partner()], slots=slots, tries=6,
+    stand = Stand(products, entries, slots=slots, tries=6,
+                  partners=[Partner(rng.choice([1, 5]), apart[0]), Partner()],
                   room=rng.choice([25, 400]), settle=SETTLE, most_advice=2000.0)
     model.listed = {entry.endpoint: entry for entry in entries}
     ends, number, now = [], 0, 0.0
@@ -102,8 +106,8 @@
         for action in actions:
             if isinstance(action, Submit):
                 model.submit(now, action)
-                how = sick[action.endpoint] if action.endpoint in sick and 4000 < now < 12000 else rng.choices(
-                    list(How), [30, 1, 3, 0, 1, 1, 1, 1])[0]
+                how = rng.choices(list(How), [30, 1, 3, 0, 1, 1, 1, 1])[0]
+                how = sick.get(action.endpoint, how) if 4000 < now < 12000 else how
                 elapsed = action.timeout if how == How.TIMEOUT else rng.expovariate(1 / 200.0)
                 if elapsed >= action.timeout:
                     how, elapsed = How.TIMEOUT, action.timeout
@@ -117,8 +121,9 @@
         for end in [end for end in ends if end[0] <= now]:
             ends.remove(end)
             _, action, how, elapsed = end
-            event = Outcome(action.text, action.endpoint, how, elapsed=elapsed, limit=rng.choice([None, 0.0, 9.0]),
-                            left=rng.random(), wait=rng.choice([0.0, 400.0]) if how == How.FULL else 0.0)
+            event = Outcome(action.text, action.endpoint, how, elapsed=elapsed, left=rng.random(),
+                            limit=rng.choice([None, 0.0, 9.0]),
+                            wait=rng.choice([0.0, 400.0]) if how == How.FULL else 0.0)
             event.ended = how == How.DELIVERED or model.texts[action.text]["ended"]
             model.outcome(now, event)
             events.append(event)
@@ -129,8 +134,8 @@
             events.append(Withdrawn(text))
         if now < 18000 and rng.random() < 0.12:
             for _ in range(rng.choice([1, 1, 1, 8])):
-                taken = Taken(number, rng.randrange(5), rng.randrange(3), now + rng.choice([-5.0, 2.0, 3000.0, 9000.0]),
-                              rng.choice([None, "a", "b"]))
+                taken = Taken(number, rng.randrange(5), rng.randrange(3),
+                              now + rng.choice([-5.0, 2.0, 3000.0, 9000.0]), rng.choice([None, "a", "b"]))
                 number += 1
                 model.take(taken)
                 events.append(taken)
