--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -82,7 +82,7 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
-    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK = 300.0, 5000.0, 0.7, 0.05, 0.001, 5
+    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK = 300.0, 5000.0, 0.7, 0.1, 0.001, 5
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
@@ -160,10 +160,11 @@
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
-        room = now >= self.pause and (not self.limit or self.left >= 0.5)
-        if self.rate is not None and self.waited and room and now - self.changed >= 1000.0:
+        room = 2.0 * self.left - 1.0 if self.limit else 1.0
+        ready = self.rate is not None and self.waited and now >= self.pause
+        if ready and room > 0.0 and now - self.changed >= 1000.0:
             self.fill()
-            self.rate += self.STEP * self.start
+            self.rate += self.STEP * self.start * room
             self.waited, self.changed = False, now
 
     def patience(self):
