--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -148,7 +148,8 @@
             self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             self.fill()
-            self.rate, self.cut_at = max(self.FLOOR / self.senders, self.rate * self.CUT), now
+            even = min(self.rate, (self.limit or self.FLOOR) / self.senders)
+            self.rate, self.cut_at = max(even, self.rate * self.CUT), now
             self.floor.log(f"{self.name} cut to {self.rate * 1000:.2f}/s")
         if wait > 0.0:
             self.fill()
