--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -142,7 +142,7 @@
         now = self.floor.now
         self.waited, self.changed = False, now
         if self.rate is None:
-            sent, told = self.recent(), self.agreed or self.limit
+            sent, told = self.recent(), self.limit or self.agreed
             self.rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
             self.start, self.cut_at, self.tokens, self.filled = self.rate, now, 0.0, now
             self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
