--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -239,7 +239,8 @@
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
-            route.limit = event.limit / 1000.0 or None
+            told = event.limit / 1000.0
+            route.limit = (0.9 * (route.limit or told) + 0.1 * told if told else None)
             route.left += 0.2 * ((event.left or 0.0) - route.left)
         if how == How.FULL:
             route.full(call, event.wait)
