--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -158,6 +158,8 @@
     def delivered(self, elapsed):
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
+        if self.rate is None and self.limit:
+            self.rate = self.start = self.limit / self.senders
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
@@ -239,8 +241,7 @@
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
-            told = event.limit / 1000.0
-            route.limit = (0.9 * (route.limit or told) + 0.1 * told if told else None)
+            route.limit = event.limit / 1000.0 or None
             route.left += 0.2 * ((event.left or 0.0) - route.left)
         if how == How.FULL:
             route.full(call, event.wait)
