--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -182,7 +182,7 @@
         if self.fails == 0:
             self.fail_since = now
         self.fails += 1
-        lasting = self.fails >= 2 and now - self.fail_since >= self.fail_back.span
+        lasting = self.fails >= 3 and now - self.fail_since >= self.fail_back.span
         if self.mode != "out" and (lasting or why != "full" and self.fails >= self.STREAK):
             self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}")
         elif self.mode != "out" and wait > self.fail_back.span:
