--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -82,7 +82,7 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
-    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK = 300.0, 5000.0, 0.7, 0.1, 0.001, 5
+    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK, IDLE = 300.0, 5000.0, 0.7, 0.1, 0.001, 5, 60000.0
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
@@ -148,9 +148,10 @@
             self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             self.fill()
-            even = min(self.rate, (self.limit or self.FLOOR) / self.senders)
-            self.rate, self.cut_at = max(even, self.rate * self.CUT), now
-            self.floor.log(f"{self.name} cut to {self.rate * 1000:.2f}/s")
+            before, least = self.rate, (self.limit or self.FLOOR) / self.senders
+            self.rate, self.cut_at = min(before, max(least, before * self.CUT)), now
+            if self.rate < before:
+                self.floor.log(f"{self.name} cut from {before * 1000:.2f} to {self.rate * 1000:.2f}/s")
         if wait > 0.0:
             self.fill()
             self.pause, self.tokens = max(self.pause, now + wait), 0.0
@@ -164,10 +165,9 @@
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
         room = 2.0 * self.left - 1.0 if self.limit else 1.0
-        ready = self.rate is not None and self.waited and now >= self.pause
-        if ready and room > 0.0 and now - self.changed >= 1000.0:
+        if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
-            self.rate += self.STEP * room * (self.limit / 2.0 if self.limit else self.start)
+            self.rate += self.STEP * self.start * room
             self.waited, self.changed = False, now
 
     def patience(self):
@@ -199,6 +199,8 @@
         call, all that a small courier may have out, is no silence: two are needed."""
         now, usual = self.floor.now, self.usual or 0.0
         self.past += 0.01 * (usual - self.past) if self.past else usual
+        if self.sends and now - self.sends[-1] > self.IDLE and self.mode == "well":
+            self.rate = None
         if self.mode == "well":
             self.flow += 0.05 * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
@@ -462,10 +464,10 @@
                  settle=0.0, most_advice=0.0, asks=False, ask_within=10000.0):
         self.floor = Floor(number, seed)
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
-        self.products, self.partners = products, partners
+        self.products, self.partners, self.begun = products, partners, False
         self.pool, self.desk = Pool(self.floor, slots), Desk(self.floor, room, tick, settle, most_advice)
         self.asks, self.ask_within, self.misses = asks, ask_within, 0
-        self.dests, self.endpoints, self.inbox, self.begun = {}, {}, deque(), False
+        self.dests, self.endpoints, self.inbox = {}, {}, deque()
 
     def dest(self, ident):
         if ident not in self.dests:
@@ -537,8 +539,7 @@
         self.floor.later(self.floor.now + wait * (0.5 + self.floor.chance("list")), self, "ask")
 
     def on_listed(self, event):
-        self.misses = 0
-        seen = set()
+        self.misses, seen = 0, set()
         for entry in event.entries:
             dest, partner = self.dest(entry.dest), self.partners[min(entry.kind, len(self.partners) - 1)]
             seen.add(entry.endpoint)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -101,3 +101,23 @@
     stand.take(1, validity=5000.0)
     after = stand.outcome(submit, elapsed=4790.0)
     assert [a.text for a in after if isinstance(a, Nack)] == [1, 2, 3, 4] and submits(after)[0].text == 5
+
+
+def test_a_told_limit_paces_from_the_first_answer():
+    """Refusals halt and empty the bucket: where the limit is told, none is needed to learn it."""
+    stand = Stand(senders=2)
+    stand.outcome(submits(stand.take(1))[0], limit=4.0, left=0.9)
+    assert len(submits(stand.take(10))) == 1
+    stand.done.clear()
+    stand.step(after=3000.0)
+    assert 5 <= len(submits(stand.done)) <= 7
+
+
+def test_one_lost_call_is_no_silence():
+    """A small courier has one call out at a destination: its loss once put the destination out."""
+    stand = Stand([Product(Repeat.ONCE_ONLY, 4000.0, 24000.0, 1.0, 0.3)])
+    stand.take(1)
+    stand.step(after=6000.0)
+    assert len(submits(stand.take(6))) == 6
+    stand.step(after=6000.0)
+    assert not submits(stand.take(6))
