--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -228,7 +228,7 @@
         for text in texts:
             text.call, text.tries = call, text.tries + 1
             limit, cut = text.until - now, self.route.patience() or text.product.sla
-            if text.product.repeat != Repeat.ONCE_ONLY and limit > 2.0 * cut:
+            if text.product.repeat != Repeat.ONCE_ONLY and limit > 1.25 * cut:
                 limit = cut
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
