--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -227,9 +227,9 @@
         self.calls.append(call)
         for text in texts:
             text.call, text.tries = call, text.tries + 1
-            limit, cut = text.until - now, self.route.patience() or text.product.sla
-            if text.product.repeat != Repeat.ONCE_ONLY and limit > 1.25 * cut:
-                limit = cut
+            limit = text.until - now
+            if text.product.repeat != Repeat.ONCE_ONLY:
+                limit = min(limit, self.route.patience() or text.product.sla)
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
     def on_outcome(self, text, event):
