--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -104,14 +104,13 @@
 
     def speed(self):
         """The bucket's rate; under fail-back it is held to what a cold destination can do."""
-        rate = self.rate
         if self.mode == "well":
-            return rate
-        warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / self.fail_back.cold)
+            return self.rate
         fail_back = self.fail_back
+        warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / fail_back.cold)
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
         held = max(2.0 / fail_back.span / self.senders, self.share() * could * fail_back.multiple ** 0.5)
-        return held if rate is None else min(rate, held)
+        return held if self.rate is None else min(self.rate, held)
 
     def fill(self):
         now, speed = self.floor.now, self.speed()
@@ -161,6 +160,7 @@
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.rate is None and self.limit:
             self.rate = self.start = self.limit / self.senders
+            self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
