--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -30,8 +30,12 @@
     def later(self, when, part, name, *args):
         heapq.heappush(self.due, (when, next(self.order), part, name, args))
 
-    def empty(self):
-        while self.busy:
+    def run(self):
+        """Empties the inboxes; what is due posts its note whenever they are empty."""
+        while self.busy or self.due and self.due[0][0] <= self.now:
+            if not self.busy:
+                _, _, part, name, args = heapq.heappop(self.due)
+                self.post(part, name, *args)
             part = self.busy.popleft()
             name, args = part.inbox.popleft()
             getattr(part, "on_" + name)(*args)
@@ -136,15 +140,19 @@
         while self.sends[0] < self.floor.now - 1000.0:
             self.sends.popleft()
 
+    def pace(self, rate, why):
+        self.rate = self.start = rate
+        self.floor.log(f"{self.name} paced at {rate * 1000:.2f}/s, {why}")
+
     def full(self, call, wait):
         """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
         now = self.floor.now
         self.waited, self.changed = False, now
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed
-            self.rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
-            self.start, self.cut_at, self.tokens, self.filled = self.rate, now, 0.0, now
-            self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, sent {sent * 1000:.0f}/s")
+            rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
+            self.pace(rate, f"sent {sent * 1000:.0f}/s")
+            self.cut_at, self.tokens, self.filled = now, 0.0, now
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             self.fill()
             before, least = self.rate, (self.limit or self.FLOOR) / self.senders
@@ -159,8 +167,7 @@
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.rate is None and self.limit:
-            self.rate = self.start = self.limit / self.senders
-            self.floor.log(f"{self.name} paced at {self.rate * 1000:.2f}/s, its share of a told limit")
+            self.pace(self.limit / self.senders, "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
@@ -327,14 +334,17 @@
                 self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
-        usual = max(endpoint.route.past for endpoint in self.endpoints.values())
-        self.floor.post(self.pool, "want", self, text.taken, self.load * usual)
+        self.floor.post(self.pool, "want", self, text.taken, self.load * self.past())
+
+    def past(self):
+        """The answer time that calls here used to take."""
+        return max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
 
     def weed(self):
         """Guards against a standing line, first in first out, in which every text is sent too late to earn:
         what earns nothing any more, or under half while the newest earns in full, is given up at once. It
         should also hold in any lasting overload; it may hurt where the load falls just then."""
-        at = self.floor.now + max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
+        at = self.floor.now + self.past()
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
         for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
             self.queue.remove(text)
@@ -426,10 +436,11 @@
                 self.floor.post(self.keys[key][0].dest, "pump")
 
     def clear(self, text):
+        if text.call is not None:
+            return
+        self.texts.pop(text.ident, None)
         line = self.keys.get(text.key, ())
-        if text.call is None:
-            self.texts.pop(text.ident, None)
-        if text.call is None and text in line:
+        if text in line:
             line.remove(text)
             if line:
                 self.floor.post(line[0].dest, "pump")
@@ -464,10 +475,13 @@
                  settle=0.0, most_advice=0.0, asks=False, ask_within=10000.0):
         self.floor = Floor(number, seed)
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
-        self.products, self.partners, self.begun = products, partners, False
+        self.products, self.partners = products, partners
         self.pool, self.desk = Pool(self.floor, slots), Desk(self.floor, room, tick, settle, most_advice)
-        self.asks, self.ask_within, self.misses = asks, ask_within, 0
+        self.ask_within, self.misses = ask_within, 0
         self.dests, self.endpoints, self.inbox = {}, {}, deque()
+        self.floor.post(self, "round")
+        if asks:
+            self.floor.post(self, "ask")
 
     def dest(self, ident):
         if ident not in self.dests:
@@ -477,21 +491,9 @@
     def handle(self, now, events):
         floor = self.floor
         floor.now, floor.out = now, []
-        if not self.begun:
-            self.begun = True
-            floor.later(now + ROUND, self, "round")
-            if self.asks:
-                floor.post(self, "ask")
         for event in events:
             getattr(self, "on_" + type(event).__name__.lower())(event)
-        while True:
-            if floor.busy:
-                floor.empty()
-            elif floor.due and floor.due[0][0] <= now:
-                _, _, part, name, args = heapq.heappop(floor.due)
-                floor.post(part, name, *args)
-            else:
-                break
+        floor.run()
         if floor.due and floor.due[0][0] < floor.armed:
             floor.armed, floor.wakes = floor.due[0][0], floor.wakes + 1
             floor.out.append(Wake(floor.armed - now, floor.wakes))
