Tried: refusals alone are no outage, cooldown unchanged; retries keep a limit used up

Tapped: at destination 38 a clump of 46 leaves 25 texts that ask again every 1.4 s; refused calls use up the limit, so 8/s pass of 17.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -150,7 +150,7 @@
         self.waited, self.changed = False, now
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed
-            rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
+            rate = max(self.FLOOR / self.senders, told / self.senders if told else 0.0, self.CUT * sent)
             self.pace(rate, f"sent {sent * 1000:.0f}/s")
             self.cut_at, self.tokens, self.filled = now, 0.0, now
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
@@ -166,15 +166,15 @@
     def delivered(self, elapsed):
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
-        if self.rate is None and self.limit:
-            self.pace(self.limit / self.senders, "its share of a told limit")
+        if self.rate is None and self.limit and self.left < 0.5:
+            self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
         room = 2.0 * self.left - 1.0 if self.limit else 1.0
         if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
-            self.rate += self.STEP * self.start * room
+            self.rate += self.STEP * max(self.start, self.rate) * room
             self.waited, self.changed = False, now
 
     def patience(self):
@@ -189,7 +189,8 @@
         if self.fails == 0:
             self.fail_since = now
         self.fails += 1
-        lasting = self.fails >= 2 and now - self.fail_since >= self.fail_back.span
+        lasting = self.fails >= (self.STREAK if why == "full" else 2) and (
+            now - self.fail_since >= self.fail_back.span)
         if self.mode != "out" and (lasting or why != "full" and self.fails >= self.STREAK):
             self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}")
         elif self.mode != "out" and wait > self.fail_back.span:
