--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -86,14 +86,14 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
-    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK, IDLE = 300.0, 1000.0, 0.5, 0.1, 0.001, 5, 60000.0
+    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK, IDLE = 300.0, 5000.0, 0.7, 0.1, 0.001, 5, 60000.0
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
         self.rate = self.start = self.agreed = self.limit = None
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
-        self.waited, self.left, self.sends = False, 0.5, deque()
+        self.waited, self.left, self.told_at, self.sends = False, 0.5, floor.now, deque()
         self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
@@ -102,19 +102,24 @@
         told = self.limit or self.agreed
         return told / self.senders if told else self.flow
 
+    def idle(self):
+        """How many senders' shares this one may use: its own while half of the limit is left, all of them when
+        all is left."""
+        return self.senders ** max(0.0, 2.0 * self.left - 1.0)
+
     def recent(self):
-        """Calls sent in the last second, a millisecond."""
-        return sum(1 for at in self.sends if at > self.floor.now - 1000.0) / 1000.0
+        """Calls sent within a cooldown, a millisecond."""
+        return sum(1 for at in self.sends if at > self.floor.now - self.COOLDOWN) / self.COOLDOWN
 
     def speed(self):
         """The bucket's rate; under fail-back it is held to what a cold destination can do."""
         if self.mode == "well":
-            return self.rate
+            return self.rate and self.rate * self.idle()
         fail_back = self.fail_back
         warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / fail_back.cold)
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
         held = max(2.0 / fail_back.span / self.senders, self.share() * could * fail_back.multiple ** 0.5)
-        return held if self.rate is None else min(self.rate, held)
+        return held if self.rate is None else min(self.rate * self.idle(), held)
 
     def fill(self):
         now, speed = self.floor.now, self.speed()
@@ -137,7 +142,7 @@
         if self.speed() is not None:
             self.tokens -= 1.0
         self.sends.append(self.floor.now)
-        while self.sends[0] < self.floor.now - 1000.0:
+        while self.sends[0] < self.floor.now - self.COOLDOWN:
             self.sends.popleft()
 
     def pace(self, rate, why):
@@ -153,7 +158,9 @@
             rate = max(self.FLOOR / self.senders, told / self.senders if told else 0.0, self.CUT * sent)
             self.pace(rate, f"sent {sent * 1000:.0f}/s")
             self.cut_at, self.tokens, self.filled = now, 0.0, now
-        elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
+        self.fill()
+        self.left = min(self.left, 0.5)
+        if self.rate is not None and now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             self.fill()
             before, least = self.rate, (self.limit or self.FLOOR) / self.senders
             self.rate, self.cut_at = min(before, max(least, before * self.CUT)), now
@@ -166,7 +173,7 @@
     def delivered(self, elapsed):
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
-        if self.rate is None and self.limit and self.left < 0.5:
+        if self.rate is None and self.limit:
             self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
@@ -174,7 +181,7 @@
         room = 2.0 * self.left - 1.0 if self.limit else 1.0
         if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
-            self.rate += self.STEP * max(self.start, self.rate) * room
+            self.rate += self.STEP * self.start * room
             self.waited, self.changed = False, now
 
     def patience(self):
@@ -252,7 +259,9 @@
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
             route.limit = event.limit / 1000.0 or None
-            route.left += 0.2 * ((event.left or 0.0) - route.left)
+            old = self.floor.now - route.told_at
+            route.left += max(0.2, min(0.5, old / 4000.0)) * ((event.left or 0.0) - route.left)
+            route.told_at = self.floor.now
         if how == How.FULL:
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
