--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -103,9 +103,15 @@
         return told / self.senders if told else self.flow
 
     def idle(self):
-        """How many senders' shares this one may use: its own while half of the limit is left, all of them when
-        all is left."""
-        return self.senders ** max(0.0, 2.0 * self.left - 1.0)
+        """How many senders' shares this one may use: its own when nothing is left of the limit, all when all is."""
+        return self.senders ** self.left if self.limit or self.agreed else 1.0
+
+    def hint(self, left):
+        """Share of the limit left, as told: a refusal tells that nothing was. The older the last, the more it counts."""
+        now = self.floor.now
+        self.fill()
+        self.left += min(0.5, max(0.2, (now - self.told_at) / self.COOLDOWN)) * (left - self.left)
+        self.told_at = now
 
     def recent(self):
         """Calls sent within a cooldown, a millisecond."""
@@ -155,12 +161,10 @@
         self.waited, self.changed = False, now
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed
-            rate = max(self.FLOOR / self.senders, told / self.senders if told else 0.0, self.CUT * sent)
+            rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
             self.pace(rate, f"sent {sent * 1000:.0f}/s")
             self.cut_at, self.tokens, self.filled = now, 0.0, now
-        self.fill()
-        self.left = min(self.left, 0.5)
-        if self.rate is not None and now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
+        elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             self.fill()
             before, least = self.rate, (self.limit or self.FLOOR) / self.senders
             self.rate, self.cut_at = min(before, max(least, before * self.CUT)), now
@@ -174,7 +178,7 @@
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.rate is None and self.limit:
-            self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
+            self.pace(self.limit / self.senders, "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
@@ -259,9 +263,10 @@
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
             route.limit = event.limit / 1000.0 or None
-            old = self.floor.now - route.told_at
-            route.left += max(0.2, min(0.5, old / 4000.0)) * ((event.left or 0.0) - route.left)
-            route.told_at = self.floor.now
+        if how == How.FULL:
+            route.hint(0.0)
+        elif how == How.DELIVERED:
+            route.hint(event.left if event.limit else 0.5)
         if how == How.FULL:
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
