--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -103,8 +103,8 @@
         return told / self.senders if told else self.flow
 
     def idle(self):
-        """How many senders' shares this one may use: its own when nothing is left of the limit, all when all is."""
-        return self.senders ** self.left if self.limit or self.agreed else 1.0
+        """How many senders' shares this one may use: its own while half of the limit is left, all when all is."""
+        return self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, left):
         """Share of the limit left, as told: a refusal tells that nothing was. The older the last, the more it counts."""
