--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -102,12 +102,18 @@
         told = self.limit or self.agreed
         return told / self.senders if told else self.flow
 
-    def idle(self):
-        """How many senders' shares this one may use: its own while half of the limit is left, all when all is."""
-        return self.senders ** max(0.0, 2.0 * self.left - 1.0)
+    def pace_now(self):
+        """The rate, as far as room is told: what it holds over the even share counts less the less is left under half
+        of the limit, and idle senders' shares come on top above half."""
+        told = self.limit or self.agreed
+        if not told or self.rate is None:
+            return self.rate
+        share = told / self.senders
+        over = max(1.0, self.rate / share) ** min(1.0, 2.0 * self.left)
+        return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, left):
-        """Share of the limit left, as told: a refusal tells that nothing was. The older the last, the more it counts."""
+        """Share of the limit left, as told; the older the last news, the more it counts."""
         now = self.floor.now
         self.fill()
         self.left += min(0.5, max(0.2, (now - self.told_at) / self.COOLDOWN)) * (left - self.left)
@@ -120,12 +126,12 @@
     def speed(self):
         """The bucket's rate; under fail-back it is held to what a cold destination can do."""
         if self.mode == "well":
-            return self.rate and self.rate * self.idle()
+            return self.pace_now()
         fail_back = self.fail_back
         warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / fail_back.cold)
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
         held = max(2.0 / fail_back.span / self.senders, self.share() * could * fail_back.multiple ** 0.5)
-        return held if self.rate is None else min(self.rate * self.idle(), held)
+        return held if self.rate is None else min(self.pace_now(), held)
 
     def fill(self):
         now, speed = self.floor.now, self.speed()
@@ -161,7 +167,7 @@
         self.waited, self.changed = False, now
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed
-            rate = max(self.FLOOR / self.senders, told / self.senders if told else self.CUT * sent)
+            rate = max((told or self.FLOOR) / self.senders, self.CUT * sent)
             self.pace(rate, f"sent {sent * 1000:.0f}/s")
             self.cut_at, self.tokens, self.filled = now, 0.0, now
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
@@ -178,7 +184,7 @@
         now = self.floor.now
         self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
         if self.rate is None and self.limit:
-            self.pace(self.limit / self.senders, "its share of a told limit")
+            self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
@@ -263,10 +269,10 @@
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
             route.limit = event.limit / 1000.0 or None
+        if event.limit:
+            route.hint(event.left)
         if how == How.FULL:
-            route.hint(0.0)
-        elif how == How.DELIVERED:
-            route.hint(event.left if event.limit else 0.5)
+            route.left = min(route.left, 0.5)
         if how == How.FULL:
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
