--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -103,13 +103,14 @@
         return told / self.senders if told else self.flow
 
     def pace_now(self):
-        """The rate, as far as room is told: what it holds over the even share counts less the less is left under half
-        of the limit, and idle senders' shares come on top above half."""
+        """The rate, as far as room is told. Where nothing is left it is a cut under the even share: a limit that
+        refused calls use up opens again only under it. What the rate holds over the even share counts in full from
+        half of the limit left, and above half idle senders' shares come on top."""
         told = self.limit or self.agreed
         if not told or self.rate is None:
             return self.rate
         share = told / self.senders
-        over = max(1.0, self.rate / share) ** min(1.0, 2.0 * self.left)
+        over = self.CUT * (max(1.0, self.rate / share) / self.CUT) ** min(1.0, 2.0 * self.left)
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, left):
