--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -110,7 +110,7 @@
         if not told or self.rate is None:
             return self.rate
         share = told / self.senders
-        over = self.CUT ** 2 * (max(1.0, self.rate / share) / self.CUT ** 2) ** min(1.0, 2.0 * self.left)
+        over = self.CUT * (max(1.0, self.rate / share) / self.CUT) ** min(1.0, 2.0 * self.left)
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, left):
