--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -93,8 +93,9 @@
         self.rate = self.start = self.agreed = self.limit = None
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
         self.cut_at = self.changed = -1e12
-        self.waited, self.left, self.told_at, self.sends = False, 0.5, floor.now, deque()
-        self.usual, self.past, self.flow, self.heard = None, 0.0, 0.0, floor.now
+        self.waited, self.left, self.told_at = False, 0.5, floor.now
+        self.sends, self.sent_at = deque(), floor.now
+        self.usual, self.flow, self.heard = 0.0, 0.0, floor.now
         self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
 
     def share(self):
@@ -113,16 +114,17 @@
         over = self.CUT * (max(1.0, self.rate / share) / self.CUT) ** min(1.0, 2.0 * self.left)
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
-    def hint(self, left):
-        """Share of the limit left, as told; the older the last news, the more it counts."""
-        now = self.floor.now
+    def hint(self, limit, left):
+        """The limit and the share of it left, as told; the older the last news, the more these count."""
         self.fill()
-        self.left += min(0.5, max(0.2, (now - self.told_at) / self.COOLDOWN)) * (left - self.left)
-        self.told_at = now
+        if limit:
+            news = min(0.5, max(0.2, (self.floor.now - self.told_at) / self.COOLDOWN))
+            self.left += news * (left - self.left)
+        self.limit, self.told_at = limit or None, self.floor.now
 
     def recent(self):
         """Calls sent within a cooldown, a millisecond."""
-        return sum(1 for at in self.sends if at > self.floor.now - self.COOLDOWN) / self.COOLDOWN
+        return len(self.sends) / self.COOLDOWN
 
     def speed(self):
         """The bucket's rate; under fail-back it is held to what a cold destination can do."""
@@ -155,8 +157,6 @@
         if self.speed() is not None:
             self.tokens -= 1.0
         self.sends.append(self.floor.now)
-        while self.sends[0] < self.floor.now - self.COOLDOWN:
-            self.sends.popleft()
 
     def pace(self, rate, why):
         self.rate = self.start = rate
@@ -165,40 +165,38 @@
     def full(self, call, wait):
         """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
         now = self.floor.now
-        self.waited, self.changed = False, now
+        self.fill()
+        self.waited, self.changed, self.left = False, now, min(self.left, 0.5)
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed
             rate = max((told or self.FLOOR) / self.senders, self.CUT * sent)
             self.pace(rate, f"sent {sent * 1000:.0f}/s")
-            self.cut_at, self.tokens, self.filled = now, 0.0, now
+            self.cut_at, self.tokens = now, 0.0
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
-            self.fill()
             before, least = self.rate, (self.limit or self.FLOOR) / self.senders
             self.rate, self.cut_at = min(before, max(least, before * self.CUT)), now
             if self.rate < before:
                 self.floor.log(f"{self.name} cut from {before * 1000:.2f} to {self.rate * 1000:.2f}/s")
         if wait > 0.0:
-            self.fill()
             self.pause, self.tokens = max(self.pause, now + wait), 0.0
 
     def delivered(self, elapsed):
         now = self.floor.now
-        self.usual = elapsed if self.usual is None else self.usual + 0.1 * (elapsed - self.usual)
+        self.usual += (0.1 if self.usual else 1.0) * (elapsed - self.usual)
         if self.rate is None and self.limit:
             self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
-        room = 2.0 * self.left - 1.0 if self.limit else 1.0
-        if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
+        if self.rate and self.waited and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
-            self.rate += self.STEP * self.start * room
+            self.rate += self.STEP * self.start
             self.waited, self.changed = False, now
 
     def patience(self):
         """Time-out: far beyond the usual, so that a lost call frees its slot. The trickle to one that is out
         waits longer: it may only be slow, and a late answer is worth more than a repeat."""
-        return (self.usual or 0.0) * (32.0 if self.mode == "out" else 8.0)
+        return self.usual * (32.0 if self.mode == "out" else 8.0)
 
     def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for the rule's span. A
@@ -220,15 +218,16 @@
         self.tokens = 0.0 if mode == "out" else min(self.tokens, 1.0)
         self.floor.log(f"{self.name} {mode}: {why}")
 
-    def look(self, since):
+    def look(self, since, rounds):
         """Periodic: the flow that a fail-back is measured by, the end of the cold time, and silence. One lost
         call, all that a small courier may have out, is no silence: two are needed."""
-        now, usual = self.floor.now, self.usual or 0.0
-        self.past += 0.01 * (usual - self.past) if self.past else usual
-        if self.sends and now - self.sends[-1] > self.IDLE and self.mode == "well":
+        now, usual = self.floor.now, self.usual
+        while self.sends and self.sends[0] <= now - self.COOLDOWN:
+            self.sent_at = self.sends.popleft()
+        if not self.sends and now - self.sent_at > self.IDLE and self.mode == "well":
             self.rate = None
         if self.mode == "well":
-            self.flow += 0.05 * (self.recent() - self.flow) if self.flow else self.recent()
+            self.flow += (1.0 - 0.95 ** rounds) * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now - self.since >= self.fail_back.cold:
             self.turn("well", "warm again")
         silent = now - max(since, self.heard)
@@ -241,11 +240,11 @@
 
     def __init__(self, floor, ident, zone, dest, route):
         self.floor, self.ident, self.zone, self.dest, self.route = floor, ident, zone, dest, route
-        self.inbox, self.calls, self.bad = deque(), [], 0
+        self.inbox, self.calls = deque(), []
 
     def room(self):
         """Room this endpoint is thought to have: the odds of the pick."""
-        return 1.0 / (1 + len(self.calls)) / (1 + 4 * self.bad)
+        return 1.0 / (1 + len(self.calls))
 
     def on_carry(self, texts):
         now = self.floor.now
@@ -269,18 +268,12 @@
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
-            route.limit = event.limit / 1000.0 or None
-        if event.limit:
-            route.hint(event.left)
-        if how == How.FULL:
-            route.left = min(route.left, 0.5)
+            route.hint(event.limit / 1000.0, event.left or 0.0)
         if how == How.FULL:
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
             route.delivered(event.elapsed)
-            self.bad = 0
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
-            self.bad = min(8, self.bad + (how != How.FULL))
             route.failed(how.name.lower(), event.wait)
         if how not in HARMLESS and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent, self.zone
@@ -294,7 +287,7 @@
         self.floor, self.ident, self.desk, self.pool = floor, ident, desk, pool
         self.tries, self.tick, self.bundle = tries, tick, 1
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
-        self.wanting, self.wake_at, self.held, self.came, self.load = False, 0.0, 0, 0, 0.0
+        self.wanting, self.wake_at, self.held, self.came, self.load, self.round = False, 0.0, 0, 0, 0.0, 0
 
     def on_take(self, text):
         self.queue.append(text)
@@ -315,6 +308,21 @@
             self.floor.later(min(text.until - 2 * self.tick, text.last_submit()), self.desk, "lapse", text)
         self.on_pump()
 
+    def idle(self):
+        """Nothing here that time alone would change, but for averages that fade."""
+        return not (self.queue or self.held or any(r.mode == "cold" or r.sends for r in self.routes.values()))
+
+    def on_round(self, number):
+        """Periodic; rounds that an idle destination was left out of are made up for."""
+        rounds, self.round = number - self.round, number
+        for route in self.routes.values():
+            sent = sorted(call.sent for endpoint in self.endpoints.values() if endpoint.route is route
+                          for call in endpoint.calls)
+            route.look(sent[1] if len(sent) > 1 else self.floor.now, rounds)
+        self.load += (1.0 - 0.95 ** rounds) * (self.came / ROUND - self.load)
+        self.came = 0
+        self.on_pump()
+
     def on_drop(self, text):
         if text in self.queue:
             self.queue.remove(text)
@@ -356,17 +364,17 @@
                 self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
-        self.floor.post(self.pool, "want", self, text.taken, self.load * self.past())
+        self.floor.post(self.pool, "want", self, text.taken, self.load * self.usual())
 
-    def past(self):
-        """The answer time that calls here used to take."""
-        return max((endpoint.route.past for endpoint in self.endpoints.values()), default=0.0)
+    def usual(self):
+        """The answer time of calls here."""
+        return max((endpoint.route.usual for endpoint in self.endpoints.values()), default=0.0)
 
     def weed(self):
         """Guards against a standing line, first in first out, in which every text is sent too late to earn:
         what earns nothing any more, or under half while the newest earns in full, is given up at once. It
         should also hold in any lasting overload; it may hurt where the load falls just then."""
-        at = self.floor.now + self.past()
+        at = self.floor.now + self.usual()
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
         for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
             self.queue.remove(text)
@@ -391,8 +399,8 @@
 
 
 class Pool:
-    """The slots, dealt to whoever holds the least of its usual need. A destination may hold twice that, or as
-    many as are left free: one that hangs or slows comes last. It may hurt one whose load has only begun."""
+    """The slots, dealt to whoever holds the least of its usual need: one that hangs or slows comes last. It may
+    hurt one whose load has only begun."""
 
     def __init__(self, floor, slots):
         self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
@@ -409,13 +417,10 @@
     def deal(self):
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda w: (w[0].held / max(0.5, w[2]), w[1], w[0].ident))
-            dest, _, need = want
-            if dest.held >= max(1.0, self.free, 2.0 * need):
-                return
             self.wants.remove(want)
             self.free -= 1
-            dest.held += 1
-            self.floor.post(dest, "grant")
+            want[0].held += 1
+            self.floor.post(want[0], "grant")
 
 
 class Desk:
@@ -500,7 +505,7 @@
         self.products, self.partners = products, partners
         self.pool, self.desk = Pool(self.floor, slots), Desk(self.floor, room, tick, settle, most_advice)
         self.ask_within, self.misses = ask_within, 0
-        self.dests, self.endpoints, self.inbox = {}, {}, deque()
+        self.dests, self.endpoints, self.inbox, self.live, self.rounds = {}, {}, deque(), {}, 0
         self.floor.post(self, "round")
         if asks:
             self.floor.post(self, "ask")
@@ -522,16 +527,12 @@
         return floor.out
 
     def on_round(self):
+        """Only destinations with something going on are looked at: idle ones cost nothing."""
         self.floor.later(self.floor.now + ROUND, self, "round")
-        for dest in self.dests.values():
-            for route in dest.routes.values():
-                sent = sorted(call.sent for endpoint in dest.endpoints.values() if endpoint.route is route
-                              for call in endpoint.calls)
-                route.look(sent[1] if len(sent) > 1 else self.floor.now)
-            dest.load += 0.05 * (dest.came / ROUND - dest.load)
-            dest.came = 0
-            if dest.queue:
-                self.floor.post(dest, "pump")
+        self.rounds += 1
+        self.live = {dest: None for dest in self.live if not dest.idle()}
+        for dest in self.live:
+            self.floor.post(dest, "round", self.rounds)
 
     def on_woken(self, event):
         if event.token == self.floor.wakes:
@@ -539,8 +540,12 @@
 
     def on_taken(self, event):
         product = self.products[event.product]
-        text = Text(event.text, self.dest(event.dest), product, event.key if product.in_order else None,
+        dest = self.dest(event.dest)
+        text = Text(event.text, dest, product, event.key if product.in_order else None,
                     self.floor.now, event.valid_until)
+        if dest not in self.live:
+            self.live[dest] = None
+            self.floor.post(dest, "round", self.rounds)
         self.floor.post(self.desk, "take", text)
 
     def on_outcome(self, event):
