--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -188,9 +188,10 @@
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
         self.fails = 0
-        if self.rate and self.waited and now >= max(self.pause, self.changed + 1000.0):
+        room = 2.0 * self.left - 1.0 if self.limit else 1.0
+        if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
-            self.rate += self.STEP * self.start
+            self.rate += self.STEP * self.start * room
             self.waited, self.changed = False, now
 
     def patience(self):
