--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -118,7 +118,7 @@
         self.fill()
         self.limit = limit or None
         if limit:
-            self.left += 0.3 * (left - self.left)
+            self.left += (0.5 if left < self.left else 0.1) * (left - self.left)
 
     def recent(self):
         return len(self.sends) / self.COOLDOWN
@@ -394,8 +394,6 @@
     def deal(self):
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda w: (w[0].held / max(0.5, w[2]), w[1], w[0].ident))
-            if want[0].held >= max(1.0, self.free, 2.0 * want[2]):
-                return
             self.wants.remove(want)
             self.free -= 1
             want[0].held += 1
