--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -114,7 +114,7 @@
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, limit, left):
-        """The limit and the share of it left, as told."""
+        """The limit and the share of it left, as told; a refusal tells that nothing is, whatever runs out there."""
         self.fill()
         self.limit = limit or None
         if limit:
@@ -161,7 +161,7 @@
         """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
         now = self.floor.now
         self.fill()
-        self.waited, self.changed, self.left = False, now, min(self.left, 0.5)
+        self.waited, self.changed = False, now
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed or self.FLOOR
             self.pace(max(told / self.senders, self.CUT * sent), f"sent {sent * 1000:.1f}/s")
@@ -247,7 +247,7 @@
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
-            route.hint(event.limit / 1000.0, event.left or 0.0)
+            route.hint(event.limit / 1000.0, 0.0 if how == How.FULL else event.left or 0.0)
         if how == How.FULL:
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
