--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -114,7 +114,7 @@
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, limit, left):
-        """The limit and the share of it left, as told; a refusal tells that nothing is, whatever runs out there."""
+        """The limit and the share of it left, as told; a refusal tells that nothing is, whatever runs out."""
         self.fill()
         self.limit = limit or None
         if limit:
@@ -138,6 +138,7 @@
         if speed is not None:
             most = max(1.0, speed * self.BURST) if self.mode == "well" else 1.0
             self.tokens = min(most, self.tokens + max(0.0, now - max(self.filled, self.pause)) * speed)
+        self.left += (0.5 - self.left) * (1.0 - 0.5 ** ((now - self.filled) / self.COOLDOWN))
         self.filled = now
         return speed
 
