--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -114,7 +114,7 @@
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, limit, left):
-        """The limit and the share of it left, as told; a refusal tells that nothing is, whatever runs out."""
+        """The limit and the share of it left, as told."""
         self.fill()
         self.limit = limit or None
         if limit:
@@ -138,7 +138,6 @@
         if speed is not None:
             most = max(1.0, speed * self.BURST) if self.mode == "well" else 1.0
             self.tokens = min(most, self.tokens + max(0.0, now - max(self.filled, self.pause)) * speed)
-        self.left += (0.5 - self.left) * (1.0 - 0.5 ** ((now - self.filled) / self.COOLDOWN))
         self.filled = now
         return speed
 
@@ -162,7 +161,7 @@
         """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
         now = self.floor.now
         self.fill()
-        self.waited, self.changed = False, now
+        self.waited, self.changed, self.left = False, now, min(self.left, 0.5)
         if self.rate is None:
             sent, told = self.recent(), self.limit or self.agreed or self.FLOOR
             self.pace(max(told / self.senders, self.CUT * sent), f"sent {sent * 1000:.1f}/s")
@@ -248,7 +247,7 @@
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
-            route.hint(event.limit / 1000.0, 0.0 if how == How.FULL else event.left or 0.0)
+            route.hint(event.limit / 1000.0, event.left or 0.0)
         if how == How.FULL:
             route.full(call, event.wait)
         if first and how == How.DELIVERED:
@@ -347,7 +346,6 @@
         self.floor.post(self.pool, "want", self, text.taken, self.load * self.usual())
 
     def usual(self):
-        """The answer time of calls here."""
         return max((endpoint.route.usual for endpoint in self.endpoints.values()), default=0.0)
 
     def weed(self):
