--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -343,7 +343,8 @@
                 self.floor.later(self.wake_at, self, "pump")
             return
         self.wanting = True
-        self.floor.post(self.pool, "want", self, text.taken, self.load * self.usual())
+        gain = text.product.revenue * min(self.bundle, len(self.queue)) / max(self.tick, self.usual())
+        self.floor.post(self.pool, "want", self, -gain, self.load * self.usual())
 
     def usual(self):
         return max((endpoint.route.usual for endpoint in self.endpoints.values()), default=0.0)
@@ -381,8 +382,8 @@
     def __init__(self, floor, slots):
         self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
 
-    def on_want(self, dest, since, need):
-        self.wants.append((dest, since, need))
+    def on_want(self, dest, order, need):
+        self.wants.append((dest, order, need))
         self.deal()
 
     def on_free(self, dest):
