--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -97,7 +97,7 @@
         self.waited, self.left = False, 0.5
         self.sends, self.sent_at = deque(), floor.now
         self.usual = self.flow = 0.0
-        self.mode, self.since, self.fails, self.fail_since = "well", 0.0, 0, 0.0
+        self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
 
     def share(self):
         """Calls a millisecond that this sender may count on when the destination is warm."""
@@ -124,13 +124,15 @@
         return len(self.sends) / self.COOLDOWN
 
     def speed(self):
-        """The bucket's rate; under fail-back it is held to what a cold destination can do."""
+        """The bucket's rate; under fail-back held to what a cold one can do, shared by those who met the outage."""
         if self.mode == "well":
             return self.pace_now()
         fail_back = self.fail_back
-        warm = 0.0 if self.mode == "out" else min(1.0, (self.floor.now - self.since) / fail_back.cold)
+        passed = self.floor.now - self.since
+        warm = 0.0 if self.mode == "out" else min(1.0, passed / fail_back.cold)
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
-        held = max(2.0 / fail_back.span / self.senders, self.share() * could * fail_back.multiple ** 0.5)
+        held = max(2.0 / fail_back.span / self.senders, could * fail_back.multiple ** 0.5
+                   * max(self.share(), 1.0 / (passed + fail_back.span)))
         return held if self.rate is None else min(self.pace_now(), held)
 
     def fill(self):
@@ -163,8 +165,8 @@
         self.fill()
         self.waited, self.changed, self.left = False, now, min(self.left, 0.5)
         if self.rate is None:
-            sent, told = self.recent(), self.limit or self.agreed or self.FLOOR
-            self.pace(max(told / self.senders, self.CUT * sent), f"sent {sent * 1000:.1f}/s")
+            told = self.limit or self.agreed or self.FLOOR
+            self.pace(max(told / self.senders, self.CUT * self.recent()), "refused")
             self.cut_at, self.tokens = now, 0.0
         elif now - self.cut_at >= self.COOLDOWN and call.sent > self.cut_at:
             before, least = self.rate, (self.limit or self.FLOOR) / self.senders
@@ -181,6 +183,7 @@
             self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
+            self.since = self.failed_at  # it may have been back since: where few call, few know
         self.fails = 0
         room = 2.0 * self.left - 1.0 if self.limit else 1.0
         if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
@@ -193,18 +196,17 @@
         now = self.floor.now
         if self.fails == 0:
             self.fail_since = now
-        self.fails += 1
+        self.fails, self.failed_at = self.fails + 1, now
         lasting = self.fails >= (self.STREAK if why == "full" else 2) and (
             now - self.fail_since >= self.fail_back.span)
         many = why != "full" and self.fails >= self.STREAK
         if self.mode != "out" and (lasting or many or wait > self.fail_back.span):
-            told = f", told to wait {wait:.0f} ms" if wait else ""
-            self.turn("out", f"{self.fails} failures in {now - self.fail_since:.0f} ms, last {why}{told}")
+            lasted = now - self.fail_since
+            self.turn("out", f"{self.fails} failures in {lasted:.0f} ms, last {why}, told wait {wait:.0f} ms")
 
     def turn(self, mode, why):
         self.fill()
-        self.mode, self.since, self.fails = mode, self.floor.now, 0
-        self.tokens = 0.0 if mode == "out" else self.tokens
+        self.mode, self.since, self.fails, self.tokens = mode, self.floor.now, 0, 0.0
         self.floor.log(f"{self.name} {mode}: {why}")
 
     def look(self, rounds):
@@ -287,7 +289,7 @@
         self.on_pump()
 
     def idle(self):
-        """Nothing here that time alone would change, but for averages that fade."""
+        """Nothing here that time alone would change, but averages that fade."""
         return not (self.queue or self.held or any(r.mode == "cold" or r.sends for r in self.routes.values()))
 
     def on_round(self, number):
@@ -312,7 +314,6 @@
         return min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
 
     def first(self):
-        """The first text in line that may go now."""
         return next((text for text in self.queue if self.desk.turn(text)), None)
 
     def pick(self, text):
@@ -412,8 +413,6 @@
         self.texts[text.ident] = text
         if text.key is not None:
             self.keys.setdefault(text.key, deque()).append(text)
-        if self.floor.now >= text.until - 2 * self.tick:
-            return self.on_give_up(text, 0.0)
         self.floor.later(text.until - 2 * self.tick, self, "lapse", text)
         self.floor.post(text.dest, "take", text)
         if len(self.texts) >= self.room - max(1, self.room // 20):
