--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -124,7 +124,7 @@
         return len(self.sends) / self.COOLDOWN
 
     def speed(self):
-        """The bucket's rate; under fail-back held to what a cold one can do, shared by those who met the outage."""
+        """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
         if self.mode == "well":
             return self.pace_now()
         fail_back = self.fail_back
