--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -19,7 +19,7 @@
     """The one loop: notes lie in the inboxes of the parts, due times in one heap."""
 
     def __init__(self, number, seed):
-        self.now, self.out = 0.0, []
+        self.now, self.late, self.out = 0.0, 0.0, []
         self.busy, self.due, self.order, self.armed = deque(), [], count(), float("inf")
         self.wakes, self.number, self.draws = 0, number, count(seed & 0xFFFFFFFF)
 
@@ -114,7 +114,6 @@
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
     def hint(self, limit, left):
-        """The limit and the share of it left, as told."""
         self.fill()
         self.limit = limit or None
         if limit:
@@ -138,7 +137,7 @@
     def fill(self):
         now, speed = self.floor.now, self.speed()
         if speed is not None:
-            most = max(1.0, speed * self.BURST) if self.mode == "well" else 1.0
+            most = max(1.0, speed * max(self.BURST, self.floor.late)) if self.mode == "well" else 1.0
             self.tokens = min(most, self.tokens + max(0.0, now - max(self.filled, self.pause)) * speed)
         self.filled = now
         return speed
@@ -197,7 +196,7 @@
         if self.fails == 0:
             self.fail_since = now
         self.fails, self.failed_at = self.fails + 1, now
-        lasting = self.fails >= (self.STREAK if why == "full" else 2) and (
+        lasting = self.fails >= (self.STREAK if why == "full" else 3) and (
             now - self.fail_since >= self.fail_back.span)
         many = why != "full" and self.fails >= self.STREAK
         if self.mode != "out" and (lasting or many or wait > self.fail_back.span):
@@ -493,6 +492,7 @@
 
     def handle(self, now, events):
         floor = self.floor
+        floor.late = max(0.0, floor.late - (now - floor.now), now - floor.due[0][0] if floor.due else 0.0)
         floor.now, floor.out = now, []
         for event in events:
             getattr(self, "on_" + type(event).__name__.lower())(event)
