--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -124,10 +124,11 @@
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
-        if self.mode == "well":
-            return self.pace_now()
-        fail_back = self.fail_back
-        passed = self.floor.now - self.since
+        fail_back, passed = self.fail_back, self.floor.now - self.since
+        lasted = self.floor.now - self.fail_since
+        if self.mode == "well":  # failures without an end may be an outage that this sender sees little of
+            doubt = self.fails > 1 and lasted >= fail_back.span
+            return min(self.pace_now() or 1.0, 1.0 / lasted) if doubt else self.pace_now()
         warm = 0.0 if self.mode == "out" else min(1.0, passed / fail_back.cold)
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
         held = max(2.0 / fail_back.span / self.senders, could * fail_back.multiple ** 0.5
@@ -288,7 +289,6 @@
         self.on_pump()
 
     def idle(self):
-        """Nothing here that time alone would change, but averages that fade."""
         return not (self.queue or self.held or any(r.mode == "cold" or r.sends for r in self.routes.values()))
 
     def on_round(self, number):
