--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -87,7 +87,7 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
-    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK, IDLE = 300.0, 3000.0, 0.7, 0.1, 0.001, 5, 60000.0
+    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK, IDLE = 300.0, 4000.0, 0.7, 0.1, 0.001, 5, 60000.0
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
