--- /dev/null
+++ b/calicopin/boot/__init__.py
@@ -0,0 +1,1 @@
+"""Start, restart and stop."""
--- /dev/null
+++ b/calicopin/boot/shift.py
@@ -0,0 +1,105 @@
+"""One courier at work: the store, the decisions and the wire, joined by a turn after each pass of the loop."""
+from loguru import logger
+
+from calicopin.facade import Answer, Far
+from calicopin.wire.endpoints import submit
+from calicopin.wire.loop import Until
+
+SWEEP = 1000.0
+REPORT = 10000.0
+
+
+class Shift:
+    def __init__(self, loop, facade, journal, lines, connect_timeout):
+        self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
+        self.connect_timeout, self.notices = connect_timeout, None
+        self.waiting, self.calling, self.out, self.taken = [], True, 0, 0
+        loop.turn = self.turn
+
+    def restore(self):
+        """Owes each text of the last process its one end; what was given up owes just its notice."""
+        back = list(self.journal.texts.values())
+        for text in back:
+            if text.verdict is not None:
+                self.notices.owe(text)
+            else:
+                self.facade.hand_in(text)
+        if back:
+            logger.info("{} texts restored, {} of them may have run", len(back),
+                        sum(text.ran_at is not None for text in back))
+
+    # What clients ask of the desk.
+
+    def take(self, text):
+        """None where the text is taken on, else the wait in milliseconds after which to come again (0: none told)."""
+        if text.ident in self.journal.texts:
+            return None
+        if self.facade.full() or not self.journal.room(len(text.body)):
+            return 0.0
+        self.journal.taken(text)
+        self.facade.hand_in(text)
+        self.taken += 1
+        return None
+
+    def kept(self, bell):
+        self.waiting.append(bell)
+        return bell
+
+    def withdraw(self, text):
+        self.facade.withdraw(self.journal.texts.get(text.ident, text))
+
+    # The turn.
+
+    def turn(self):
+        """Decides on all that a pass brought. What follows from it goes out only once the journal holds it."""
+        facade, journal, now = self.facade, self.journal, self.loop.now()
+        due, calls = facade.tick(now), []
+        while back := facade.back():
+            journal.back(*back)
+        while self.calling and (call := facade.pick()):
+            for text in call.texts:
+                journal.sent(text, now, call.place.zone)
+            calls.append(call)
+        while end := facade.ended():
+            if end.verdict is None:
+                journal.over(end.text)
+            else:
+                journal.given_up(end.text, end.verdict, end.wait)
+                self.notices.owe(end.text)
+        journal.flush()
+        while line := facade.said():
+            logger.info(line)
+        for bell in self.waiting:
+            bell.ring()
+        self.waiting.clear()
+        for call in calls:
+            self.out += 1
+            self.loop.spawn(self.carry(call))
+        return due
+
+    def carry(self, call):
+        """One call; whatever happens in it, its texts get an outcome."""
+        started = self.loop.now()
+        answer = Answer(Far.SENT)  # a fault leaves open how far it came
+        try:
+            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout)
+        except Exception:
+            logger.exception("a call to {} ended by a fault", call.place.ident)
+        finally:
+            self.out -= 1
+            self.facade.report(call, answer, self.loop.now() - started)
+
+    def told(self, text):
+        """The platform has heard a notice."""
+        self.journal.over(text)
+
+    def keep_house(self):
+        """Closes idle connections in time and says how late the loop ran."""
+        report = self.loop.now() + REPORT
+        while True:
+            yield Until(self.loop.now() + SWEEP)
+            self.lines.sweep(self.loop.now())
+            if self.loop.now() >= report:
+                logger.info("loop at most {:.1f} ms late; {} texts taken, {} held, {} calls out, {} idle connections",
+                            self.loop.lateness, self.taken, len(self.facade.texts), self.out, self.lines.count)
+                self.loop.lateness, report = 0.0, self.loop.now() + REPORT
--- /dev/null
+++ b/calicopin/boot/start.py
@@ -0,0 +1,93 @@
+"""Start and restart: what a courier is told, its parts, and what the last process left behind."""
+import gc
+import json
+import os
+import sys
+import time
+import zlib
+from dataclasses import dataclass
+
+from loguru import logger
+
+from calicopin.boot.shift import Shift
+from calicopin.boot.stop import Stop
+from calicopin.facade import Facade
+from calicopin.held.connections import Budget, Lines
+from calicopin.held.journal import Journal
+from calicopin.wire.clients import Clients
+from calicopin.wire.discovery import Discovery, read
+from calicopin.wire.loop import Loop, clock
+from calicopin.wire.notices import Notices
+
+
+@dataclass(frozen=True)
+class Post:
+    """Where a courier is posted: its name, its addresses, its folder, its limits and the terms of its work."""
+    name: str
+    listen: str
+    discovery: str
+    folder: str
+    seed: int
+    descriptors: int
+    disk: int
+    known: dict
+    terms: dict
+
+
+def posted(environ):
+    """What the platform tells; the file says more, the variables stand where it is silent."""
+    with open(environ["LB_CONFIG"], encoding="utf-8") as file:
+        told = json.load(file)
+    limits, seed = told.get("limits", {}), str(told.get("seed", ""))
+    try:
+        seed = int(seed, 16)
+    except ValueError:
+        seed = zlib.crc32(seed.encode())
+    return Post(
+        name=told.get("name") or environ.get("LB_NAME", "courier"),
+        listen=environ.get("LB_LISTEN") or told["listen"],
+        discovery=environ.get("LB_DISCOVERY") or told["discovery"],
+        folder=environ.get("LB_STATE") or told["state"], seed=seed,
+        descriptors=int(limits.get("sockets") or 1024), disk=int(float(limits.get("disk_mb") or 3) * 1e6),
+        known=told.get("known") or {"version": 0, "full": True, "servers": []}, terms=told["settings"])
+
+
+def build(post, loop):
+    """The parts of one courier, ready to run; what was journalled is handed in before any client is heard."""
+    terms = post.terms
+    ceilings = terms["ceilings"]
+    connect = ceilings.get("connectTimeout", 1.0) * 1000.0
+    idle = ceilings.get("idleClose", 10.0) * 1000.0
+    budget = Budget(post.descriptors, terms["familyInfo"]["workers"])
+    journal = Journal(post.folder, post.disk, time.time() * 1000.0 - loop.now())
+    facade = Facade(post.seed, terms, budget.calls, loop.now())
+    lines = Lines(budget.idle, max(idle / 2.0, idle - connect))  # an opening's time clear of the idle limit
+    shift = Shift(loop, facade, journal, lines, connect)
+    shift.notices = Notices(loop, post.discovery, shift.told)
+    version, _, places = read(post.known)
+    facade.listed(places, True)
+    shift.restore()
+    shift.turn()
+    wait = min(60000.0, terms["rules"].get("askWithin", 10.0) * 500.0)
+    discovery = Discovery(loop, post.discovery, version, wait, facade.listed)
+    products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
+    clients = Clients(loop, post.listen, products, budget.clients, shift)
+    for gen in (discovery.watch(), shift.notices.send(), shift.keep_house(), Stop(loop, shift, clients).wait()):
+        loop.spawn(gen)
+    return shift
+
+
+def main():
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
+    post = posted(os.environ)
+    loop = Loop(now=clock)
+    shift = build(post, loop)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20000, 20, 50)
+    logger.info("{} ready on {}, list of {} endpoints", post.name, post.listen, len(post.known.get("servers", ())))
+    loop.run()
+    shift.journal.close()
+    logger.info("{} stopped, {} texts left in the journal", post.name, len(shift.journal.texts))
+    return 0
--- /dev/null
+++ b/calicopin/boot/stop.py
@@ -0,0 +1,41 @@
+"""SIGTERM: what still comes is served, what can be finished is, the rest stays in the journal."""
+import os
+import signal
+
+from loguru import logger
+
+from calicopin.wire.loop import FOREVER, READ, Until
+
+LISTEN = 500.0  # new connections keep coming for so long at most, with some room
+LAST_CALL = 2800.0  # a call that begins later may be cut off by the end
+LEAVE = 3400.0  # the platform kills 3.7 s after the signal at the earliest
+
+
+class Stop:
+    def __init__(self, loop, shift, clients):
+        self.loop, self.shift, self.clients = loop, shift, clients
+        self.ear, mouth = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        signal.set_wakeup_fd(mouth, warn_on_full_buffer=False)
+        signal.signal(signal.SIGTERM, lambda *_: None)
+
+    def wait(self):
+        """Waits for the signal, then leaves in order."""
+        while not self.heard():
+            yield Until(FOREVER, self.ear, READ)
+        began, shift = self.loop.now(), self.shift
+        logger.info("SIGTERM: {} texts held, {} calls out", len(shift.facade.texts), shift.out)
+        yield Until(began + LISTEN)
+        self.clients.stop_listening()
+        self.clients.close_between_requests()
+        while self.loop.now() < began + LAST_CALL and (shift.facade.texts or shift.notices.owed):
+            yield Until(self.loop.now() + 20.0)
+        shift.calling = False
+        while self.loop.now() < began + LEAVE and (shift.out or shift.notices.owed or self.clients.open):
+            yield Until(self.loop.now() + 20.0)
+        self.loop.running = False
+
+    def heard(self):
+        try:
+            return bool(os.read(self.ear, 64))
+        except BlockingIOError:
+            return False
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -50,11 +50,10 @@
 class Text:
     """One text and what its submits may have done so far."""
 
-    def __init__(self, ident, dest, product, key, taken, until):
-        self.ident, self.dest, self.product, self.key = ident, dest, product, key
-        self.taken, self.until, self.tries = taken, until, 0
-        self.call = self.ran_at = self.ran_zone = None
-        self.over = False
+    def __init__(self, event, dest, product, taken):
+        self.ident, self.dest, self.product, self.tries = event.text, dest, product, event.tries
+        self.key, self.taken, self.until = event.key if product.in_order else None, taken, event.valid_until
+        self.call, self.ran_at, self.ran_zone, self.over = None, event.ran_at, event.ran_zone, False
 
     def last_submit(self):
         """Guards 'no double effect': the time after which nothing more may be sent."""
@@ -82,7 +81,7 @@
 class Call:
     """One call out, with the texts that share it."""
     def __init__(self, endpoint, sent, texts):
-        self.endpoint, self.sent, self.texts, self.told = endpoint, sent, texts, False
+        self.endpoint, self.sent, self.texts, self.told = endpoint, sent, texts, None
 
 
 class Route:
@@ -124,8 +123,7 @@
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
-        fail_back, passed = self.fail_back, self.floor.now - self.since
-        lasted = self.floor.now - self.fail_since
+        fail_back, passed, lasted = self.fail_back, self.floor.now - self.since, self.floor.now - self.fail_since
         if self.mode == "well":  # failures without an end may be an outage that this sender sees little of
             doubt = self.fails > 1 and lasted >= fail_back.span
             return min(self.pace_now() or 1.0, 1.0 / lasted) if doubt else self.pace_now()
@@ -159,8 +157,8 @@
         self.rate = self.start = rate
         self.floor.log(f"{self.name} paced at {rate * 1000:.2f}/s, {why}")
 
-    def full(self, call, wait):
-        """A throttle: one wave, one cut; a told wait binds in full and the bucket restarts empty."""
+    def full(self, call):
+        """A throttle: one wave, one cut."""
         now = self.floor.now
         self.fill()
         self.waited, self.changed, self.left = False, now, min(self.left, 0.5)
@@ -173,8 +171,11 @@
             self.rate, self.cut_at = min(before, max(least, before * self.CUT)), now
             if self.rate < before:
                 self.floor.log(f"{self.name} cut from {before * 1000:.2f} to {self.rate * 1000:.2f}/s")
-        if wait > 0.0:
-            self.pause, self.tokens = max(self.pause, now + wait), 0.0
+
+    def halt(self, wait):
+        """A told wait, in whichever answer it comes: it binds in full and the bucket restarts empty."""
+        self.fill()
+        self.pause, self.tokens = max(self.pause, self.floor.now + wait), 0.0
 
     def delivered(self, elapsed):
         now = self.floor.now
@@ -197,11 +198,10 @@
         if self.fails == 0:
             self.fail_since = now
         self.fails, self.failed_at = self.fails + 1, now
-        lasting = self.fails >= (self.STREAK if why == "full" else 3) and (
-            now - self.fail_since >= self.fail_back.span)
+        lasted = now - self.fail_since
+        lasting = self.fails >= (self.STREAK if why == "full" else 3) and lasted >= self.fail_back.span
         many = why != "full" and self.fails >= self.STREAK
         if self.mode != "out" and (lasting or many or wait > self.fail_back.span):
-            lasted = now - self.fail_since
             self.turn("out", f"{self.fails} failures in {lasted:.0f} ms, last {why}, told wait {wait:.0f} ms")
 
     def turn(self, mode, why):
@@ -243,15 +243,17 @@
     def on_outcome(self, text, event):
         call, text.call = text.call, None
         call.texts -= 1
-        first, call.told = not call.told, True
         how, route = event.how, self.route
+        first, call.told = call.told != how, how  # one call may end in several ways: each counts once
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
         if event.limit is not None:
             route.hint(event.limit / 1000.0, event.left or 0.0)
         if how == How.FULL:
-            route.full(call, event.wait)
+            route.full(call)
+        if event.wait > 0.0:
+            route.halt(event.wait)
         if first and how == How.DELIVERED:
             route.delivered(event.elapsed)
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
@@ -273,6 +275,8 @@
     def on_take(self, text):
         self.queue.append(text)
         self.came += 1
+        if text.tries >= self.tries:  # only a restored one: all its submits were made before the restart
+            self.floor.post(self.desk, "give_up", self.queue.pop(), 0.0)
         self.on_pump()
 
     def on_back(self, text, event):
@@ -404,15 +408,14 @@
     """Takes texts, gives each its one final answer, and keeps the order of keys."""
 
     def __init__(self, floor, room, tick, settle, most_advice):
-        self.floor, self.room, self.tick, self.settle = floor, room, tick, settle
-        self.most_advice = most_advice
+        self.floor, self.room, self.tick, self.settle, self.most_advice = floor, room, tick, settle, most_advice
         self.inbox, self.texts, self.keys, self.rests = deque(), {}, {}, {}
 
     def on_take(self, text):
         self.texts[text.ident] = text
         if text.key is not None:
             self.keys.setdefault(text.key, deque()).append(text)
-        self.floor.later(text.until - 2 * self.tick, self, "lapse", text)
+        self.floor.later(min(text.until - 2 * self.tick, text.last_submit()), self, "lapse", text)
         self.floor.post(text.dest, "take", text)
         if len(self.texts) >= self.room - max(1, self.room // 20):
             waiting = Counter(t.dest for t in self.texts.values() if t.call is None and not t.over)
@@ -515,21 +518,20 @@
             self.floor.armed = float("inf")
 
     def on_taken(self, event):
-        product = self.products[event.product]
         dest = self.dest(event.dest)
-        text = Text(event.text, dest, product, event.key if product.in_order else None,
-                    self.floor.now, event.valid_until)
+        text = Text(event, dest, self.products[event.product], self.floor.now)
         if dest not in self.live:
             self.live[dest] = None
             self.floor.post(dest, "round", self.rounds)
         self.floor.post(self.desk, "take", text)
+        if event.ran_at is not None:  # a restart: what was out then may still run, so its key rests
+            self.floor.post(self.desk, "settle", text, How.BROKEN)
 
     def on_outcome(self, event):
         text = self.desk.texts.get(event.text)
-        if text is None or text.call is None:
-            return
-        text.over = text.over or event.ended
-        self.floor.post(text.call.endpoint, "outcome", text, event)
+        if text is not None and text.call is not None:
+            text.over = text.over or event.ended
+            self.floor.post(text.call.endpoint, "outcome", text, event)
 
     def on_withdrawn(self, event):
         self.floor.post(self.desk, "withdrawn", event.text)
@@ -562,5 +564,4 @@
             self.floor.post(dest, "pump")
         if event.whole:
             for dest in self.dests.values():
-                for ident in [ident for ident in dest.endpoints if ident not in seen]:
-                    del dest.endpoints[ident]
+                dest.endpoints = {ident: end for ident, end in dest.endpoints.items() if ident in seen}
--- a/calicopin/drill/door.py
+++ b/calicopin/drill/door.py
@@ -1,58 +1,11 @@
 """The door of one courier: the wire's names, seconds and ids outside; ours inside."""
-from calicopin.brain import Courier
 from calicopin.drill.codec import WireFault, plain, seconds
-from calicopin.interface import (Entry, FailBack, How, Listed, ListFailed, Outcome, Partner, Product, Repeat,
-                                 Taken, Withdrawn, Woken)
+from calicopin.interface import Entry, How, Listed, ListFailed, Outcome, Taken, Withdrawn, Woken
+from calicopin.terms import Indices, agreed, courier, ms, reports
 
-REPEATS = {"read_like": Repeat.RESENDABLE, "idempotency_key": Repeat.REFERENCED,
-           "non_idempotent": Repeat.ONCE_ONLY}
 READY, FAILED, WHOLE = 3, 2, (3, 4)
 
 
-class Indices:
-    """Gives each outside id a small index, in the order of arrival."""
-
-    def __init__(self):
-        self.index, self.ident = {}, []
-
-    def __call__(self, ident):
-        if ident not in self.index:
-            self.index[ident] = len(self.ident)
-            self.ident.append(ident)
-        return self.index[ident]
-
-
-def _ms(value):
-    return (value or 0.0) * 1000.0
-
-
-def product(grade, fades):
-    """One entry of `grades` in our words."""
-    return Product(
-        repeat=REPEATS[grade["idempotency"]], sla=_ms(grade["aim"]), validity=_ms(grade["giveUp"]),
-        revenue=grade.get("points", 1.0), late_revenue=grade.get("lateWorth", 0.0),
-        memory=_ms(grade.get("keyTtl")), memory_by_zone=grade.get("group", "all") != "all",
-        in_order=bool(grade.get("inOrder", False)), late_halves=fades == "halving")
-
-
-def courier(seed, env):
-    """A courier from the wire's first message; keys that are not known here are passed over."""
-    family, ceilings, rules = env["familyInfo"], env["ceilings"], env["rules"]
-    apart, bundles = family.get("ownLimits") or [], family.get("bundleMax") or []
-    kinds = max(len(env.get("kinds") or []), len(apart), len(bundles), 1)
-    return Courier(
-        seed=seed, number=env["slotNo"], senders=env["groupSize"], tick=_ms(env["tick"]),
-        slots=family["workers"], room=ceilings["mostHeld"], tries=ceilings["tryLimit"],
-        products=[product(grade, family.get("fades")) for grade in env["grades"]],
-        partners=[Partner(bundle=max(1, int(bundles[i])) if i < len(bundles) else 1,
-                          apart=bool(apart[i]) if i < len(apart) else False) for i in range(kinds)],
-        fail_back=FailBack(cold_from=rules["coldFrom"], cold=_ms(rules["cold"]),
-                           multiple=rules["tipMultiple"], span=_ms(rules["fall"])),
-        settle=_ms(rules.get("orderSettle")),
-        most_advice=_ms(ceilings.get("maxRetryAfter")) if ceilings.get("retryAfter") else 0.0,
-        asks=env.get("discovery") == "ask", ask_within=_ms(rules.get("askWithin", 10.0)))
-
-
 class Door:
     """Turns one courier's events and actions from and into lines."""
 
@@ -61,8 +14,8 @@
             self.courier = courier(seed, env)
         except (KeyError, TypeError, ValueError, IndexError) as fault:
             raise WireFault(f"line {number}: the settings of HELLO lack or garble {fault}") from None
-        self.reports = env.get("loadInfo", {}).get("columns") or []
-        self.agreed = env.get("weights") in ("nominal", "rough", "live")
+        self.reports = reports(env)
+        self.agreed = agreed(env)
         self.grades = len(env["grades"])
         self.dests, self.endpoints = Indices(), Indices()
         self.texts, self.handles, self.out, self.ended, self.next_text = {}, {}, {}, set(), 0
@@ -90,7 +43,7 @@
         self.out[text] -= 1
         told = dict(zip(self.reports, report)) if report else {}
         wait = note if reason == How.FULL and note else 0.0
-        event = Outcome(text, self.endpoints(endpoint), How(reason), wait, _ms(elapsed), finished,
+        event = Outcome(text, self.endpoints(endpoint), How(reason), wait, ms(elapsed), finished,
                         told.get("x0"), told.get("x1"))
         if finished:
             self.ended.add(text)
--- /dev/null
+++ b/calicopin/facade.py
@@ -0,0 +1,211 @@
+"""The decisions in blocking style: hand in, report, tick, then pick what is to be called and read what ended.
+
+The code around it never sees the module's events or actions. Nothing here decides anything.
+"""
+import heapq
+from collections import deque
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from calicopin import terms
+from calicopin.interface import (Entry, How, Listed, Log, Nack, Outcome, Submit, Taken, Undeliverable, Wake,
+                                 Withdrawn, Woken)
+
+
+class Far(IntEnum):
+    """How far a submit had come when it ended."""
+    UNCONNECTED = 0
+    UNSENT = 1  # its last byte was not written
+    SENT = 2
+    ANSWERED = 3
+
+
+@dataclass(slots=True)
+class Answer:
+    """How one call ended. `ends` holds what a bulk answer says of each text."""
+    far: Far
+    late: bool = False
+    status: int = 0
+    wait: float = 0.0
+    no_slot: bool = False
+    load: dict = field(default_factory=dict)
+    ends: dict | None = None
+
+
+@dataclass(slots=True)
+class Place:
+    """One line of the list, in our words."""
+    ident: str
+    address: str
+    dest: int
+    kind: str
+    zone: str
+    ready: bool
+    agreed: float
+
+
+@dataclass(slots=True)
+class Call:
+    """One call to make, with the texts that share it."""
+    place: Place
+    texts: list
+    timeout: float
+    open: set = field(default_factory=set)  # texts of which nothing was reported yet
+
+
+@dataclass(slots=True)
+class End:
+    """The one final answer of a text: delivered, over, or a notice with what it says."""
+    text: object
+    verdict: str | None
+    wait: float = 0.0
+
+
+ANSWERS = {200: How.DELIVERED, 429: How.FULL, 503: How.FULL, 504: How.NOT_SENT, 410: How.NOT_SENT,
+           400: How.NOT_SENT, 413: How.NOT_SENT}  # any other may have run
+STATES = {"delivered": How.DELIVERED, "failed": How.ERROR, "refused": How.FULL, "over": How.NOT_SENT,
+          "spent": How.NOT_SENT}
+HARMLESS = (How.FULL, How.UNREACHED, How.NOT_SENT)
+
+
+def how(answer, ident):
+    """The outcome of one text, and whether nothing more is owed for it."""
+    if answer.far <= Far.UNSENT:
+        return How.UNREACHED, False
+    if answer.far == Far.SENT:
+        return (How.TIMEOUT if answer.late else How.BROKEN), False
+    if answer.ends is not None:
+        state = answer.ends.get(ident)
+        return STATES.get(state, How.ERROR), state in ("delivered", "over")
+    if answer.status == 503 and answer.no_slot:
+        return How.NOT_SENT, False
+    return ANSWERS.get(answer.status, How.ERROR), answer.status in (200, 410)
+
+
+class Facade:
+    def __init__(self, seed, settings, slots, now):
+        self.partners = terms.partners(settings)
+        self.agreed, self.columns = terms.agreed(settings), terms.reports(settings)
+        self.kinds = terms.Indices(settings.get("kinds") or [])
+        self.zones = terms.Indices(settings.get("zones") or [])
+        self.dests, self.endpoints = terms.Indices(), terms.Indices()
+        slots = min(slots, settings["familyInfo"]["workers"])
+        self.module = terms.courier(seed, settings, slots=slots, asks=False)
+        self.room = settings["ceilings"]["mostHeld"]
+        self.texts, self.places, self.events = {}, {}, []
+        self.calls, self.backs, self.ends, self.lines = deque(), deque(), deque(), deque()
+        self.next_number, self.due, self.wake = 0, [], None
+        self.tick(now)
+
+    # What comes in.
+
+    def full(self):
+        """Whether as many texts are held as the settings allow."""
+        return len(self.texts) >= self.room
+
+    def hand_in(self, text):
+        """A new text, or one that a restart brought back."""
+        text.number, self.next_number = self.next_number, self.next_number + 1
+        self.texts[text.number] = text
+        zone = None if text.ran_zone is None else self.zones(text.ran_zone)
+        self.events.append(Taken(text.number, self.dests(text.dest), text.product, text.until, text.key,
+                                 tries=text.tries, ran_at=text.ran_at, ran_zone=zone))
+
+    def withdraw(self, text):
+        """Nothing more is owed for it."""
+        if self.texts.pop(text.number, None):
+            self.events.append(Withdrawn(text.number))
+            self.ends.append(End(text, None))
+
+    def listed(self, places, whole):
+        entries = []
+        for place in places:
+            number = self.endpoints(place.ident)
+            self.places[number] = place
+            entries.append(Entry(number, self.dests(place.dest), self.kinds(place.kind), self.zones(place.zone),
+                                 place.ready, place.agreed if self.agreed else None))
+        self.events.append(Listed(entries, whole))
+
+    def report(self, call, answer, elapsed):
+        """How a call ended. What had its outcome before is passed over."""
+        told = {column: answer.load.get(column) for column in self.columns}
+        for text in call.texts:
+            if text.number in call.open:
+                outcome, ended = how(answer, text.ident)
+                wait = answer.wait if answer.far == Far.ANSWERED else 0.0
+                self._outcome(call, text, outcome, elapsed, ended, wait, told)
+
+    def _outcome(self, call, text, outcome, elapsed, ended, wait=0.0, told=None):
+        call.open.discard(text.number)
+        told = told or {}
+        self.events.append(Outcome(text.number, self.endpoints(call.place.ident), outcome, wait, elapsed, ended,
+                                   told.get("x0"), told.get("x1")))
+        if not ended:
+            self.backs.append((text, outcome not in HARMLESS))
+        elif self.texts.pop(text.number, None):
+            self.ends.append(End(text, None))
+
+    # The module's turn.
+
+    def tick(self, now):
+        """Everything that came in since the last tick is decided; returns when the next one is due."""
+        while self.due and self.due[0][0] <= now:
+            _, _, call, text = heapq.heappop(self.due)
+            if text.number in call.open:
+                self._outcome(call, text, How.TIMEOUT, now - text.out_at, False)
+        if self.wake and self.wake[0] <= now:
+            self.events.append(Woken(self.wake[1]))
+            self.wake = None
+        if self.events:
+            events, self.events = self.events, []
+            self._carry_out(now, self.module.handle(now, events))
+        return min(self.wake[0] if self.wake else float("inf"), self.due[0][0] if self.due else float("inf"))
+
+    def _carry_out(self, now, actions):
+        shared = {}
+        for action in actions:
+            if isinstance(action, Submit):
+                self._submit(now, action, shared)
+            elif isinstance(action, (Nack, Undeliverable)):
+                text = self.texts.pop(action.text, None)
+                if text:
+                    nack = isinstance(action, Nack)
+                    self.ends.append(End(text, "bounced" if nack else "dead", action.stay_away if nack else 0.0))
+            elif isinstance(action, Wake):
+                self.wake = (now + action.after, action.token)
+            elif isinstance(action, Log):
+                self.lines.append(action.line)
+
+    def _submit(self, now, action, shared):
+        """Submits of one tick to one endpoint travel as one call, as far as the settings allow."""
+        text, place = self.texts[action.text], self.places[action.endpoint]
+        bundle = self.partners[min(self.kinds(place.kind), len(self.partners) - 1)].bundle
+        call = shared.get(action.endpoint)
+        if call is None or len(call.texts) >= bundle:
+            call = shared[action.endpoint] = Call(place, [], 0.0)
+            self.calls.append(call)
+        call.texts.append(text)
+        call.open.add(text.number)
+        call.timeout = max(call.timeout, action.timeout)
+        if bundle > 1:  # a text whose own time is up before its call's does not wait for the rest
+            heapq.heappush(self.due, (now + action.timeout, self.next_due(), call, text))
+
+    def next_due(self):
+        self.next_number += 1
+        return self.next_number
+
+    def pick(self):
+        """The next call to make, or None."""
+        return self.calls.popleft() if self.calls else None
+
+    def back(self):
+        """The next text whose submit came back without an end, and whether that may have run; or None."""
+        return self.backs.popleft() if self.backs else None
+
+    def ended(self):
+        """The next text that came to its end, or None."""
+        return self.ends.popleft() if self.ends else None
+
+    def said(self):
+        """The next line for on-call staff, or None."""
+        return self.lines.popleft() if self.lines else None
--- /dev/null
+++ b/calicopin/held/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept: texts, connections and the journal that outlasts the process."""
--- /dev/null
+++ b/calicopin/held/journal.py
@@ -0,0 +1,153 @@
+"""The lasting journal: what was taken on, sent and ended, so that a restart owes each text just its one end.
+
+Records are appended with plain writes, batched by `flush`; a torn last one is cut off at the next start. When the
+file has grown, what still lives is written to a new one, which then takes its place. Times in it are wall time.
+"""
+import json
+import os
+import struct
+import zlib
+
+from calicopin.held.texts import Text
+
+HEAD = struct.Struct("<II")
+BLOCK = 512
+TAKEN, SENT, BACK, GIVEN_UP, OVER = b"T", b"S", b"B", b"G", b"O"
+
+
+def blocks(size):
+    return -(-size // BLOCK) * BLOCK
+
+
+class Journal:
+    """`offset` turns the module's milliseconds into wall time."""
+
+    def __init__(self, folder, most, offset):
+        self.path, self.offset = os.path.join(folder, "journal"), offset
+        self.most, self.most_live = most * 11 // 20, most * 6 // 20  # the old file and its successor together fit
+        self.texts, self.costs, self.live, self.buffer = {}, {}, 0, bytearray()
+        self._replay()
+        self._rewrite()
+
+    # Reading.
+
+    def _replay(self):
+        try:
+            with open(self.path, "rb") as file:
+                data = file.read()
+        except FileNotFoundError:
+            return
+        place = 0
+        while place + HEAD.size <= len(data):
+            size, check = HEAD.unpack_from(data, place)
+            record = data[place + HEAD.size:place + HEAD.size + size]
+            if not size or len(record) < size or zlib.crc32(record) != check:
+                break  # torn: it was not acted on, since acting waits for the whole write
+            self._read(record[:1], record[1:])
+            place += HEAD.size + size
+        for text in self.texts.values():
+            if text.out_at is not None:
+                text.came_back(True)
+
+    def _read(self, kind, rest):
+        if kind == TAKEN:
+            head, _, body = rest.partition(b"\n")
+            values = json.loads(head)
+            values["until"] -= self.offset
+            if values["ran_at"] is not None:
+                values["ran_at"] -= self.offset
+            if values["out_at"] is not None:
+                values["out_at"] -= self.offset
+            text = Text(body=body, **values)
+            self.texts[text.ident] = text
+            return
+        ident, *values = json.loads(rest)
+        text = self.texts.get(ident)
+        if text is None:
+            return
+        if kind == SENT:
+            text.went_out(values[0] - self.offset, values[1])
+        elif kind == BACK:
+            text.came_back(values[0])
+        elif kind == GIVEN_UP:
+            text.verdict, text.wait = values
+        elif kind == OVER:
+            del self.texts[ident]
+
+    # Writing.
+
+    def _record(self, kind, payload):
+        record = kind + payload
+        return HEAD.pack(len(record), zlib.crc32(record)) + record
+
+    def _taken(self, text):
+        wall = [at if at is None else at + self.offset for at in (text.until, text.ran_at, text.out_at)]
+        head = dict(ident=text.ident, dest=text.dest, product=text.product, reference=text.reference, key=text.key,
+                    until=wall[0], tries=text.tries, ran_at=wall[1], ran_zone=text.ran_zone, out_at=wall[2],
+                    out_zone=text.out_zone, verdict=text.verdict, wait=text.wait)
+        return self._record(TAKEN, json.dumps(head).encode() + b"\n" + text.body)
+
+    def _put(self, kind, *values):
+        self.buffer += self._record(kind, json.dumps(values).encode())
+
+    def room(self, size):
+        """Whether a text with so long a body can still be kept."""
+        return self.live + size + 2 * BLOCK <= self.most_live
+
+    def _count(self, text, record):
+        self.costs[text.ident] = len(record)
+        self.live += len(record)
+        return record
+
+    def taken(self, text):
+        self.texts[text.ident] = text
+        self.buffer += self._count(text, self._taken(text))
+
+    def sent(self, text, at, zone):
+        text.went_out(at, zone)
+        self._put(SENT, text.ident, at + self.offset, zone)
+
+    def back(self, text, may_have_run):
+        text.came_back(may_have_run)
+        self._put(BACK, text.ident, may_have_run)
+
+    def given_up(self, text, verdict, wait):
+        text.verdict, text.wait = verdict, wait
+        self._put(GIVEN_UP, text.ident, verdict, wait)
+
+    def over(self, text):
+        if self.texts.pop(text.ident, None) is not None:
+            self.live -= self.costs.pop(text.ident)
+            self._put(OVER, text.ident)
+
+    def flush(self):
+        """Everything so far is in the file once this returns."""
+        if self.buffer:
+            if blocks(self.size + len(self.buffer)) > self.most:
+                self._rewrite()
+                return
+            data = memoryview(bytes(self.buffer))
+            self.buffer.clear()
+            while data:
+                done = os.write(self.file, data)
+                self.size += done
+                data = data[done:]
+
+    def _rewrite(self):
+        """What lives, in a new file that then takes the place of the old one."""
+        self.costs, self.live = {}, 0
+        data = memoryview(b"".join(self._count(text, self._taken(text)) for text in self.texts.values()))
+        successor = os.open(self.path + ".new", os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC,
+                            0o600)
+        self.size = len(data)
+        while data:
+            data = data[os.write(successor, data):]
+        os.replace(self.path + ".new", self.path)
+        if hasattr(self, "file"):
+            os.close(self.file)
+        self.file = successor
+        self.buffer.clear()
+
+    def close(self):
+        self.flush()
+        os.close(self.file)
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -60,13 +60,16 @@
 
 @dataclass(slots=True)
 class Taken:
-    """A text was handed in."""
+    """A text was handed in; one restored after a restart says what it had been through."""
     text: int
     dest: int
     product: int
     valid_until: float
     key: str | None = None
     customer: int = 0
+    tries: int = 0
+    ran_at: float | None = None
+    ran_zone: int | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/calicopin/wire/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken: the loop, HTTP, clients, endpoints, discovery and notices."""
--- /dev/null
+++ b/calicopin/wire/loop.py
@@ -0,0 +1,154 @@
+"""The one loop: select.epoll, with generators as coroutines. Times are float milliseconds."""
+import heapq
+import select
+import time
+from collections import deque
+from dataclasses import dataclass
+from itertools import count
+
+from loguru import logger
+
+READ = select.EPOLLIN | select.EPOLLRDHUP
+WRITE = select.EPOLLOUT
+FOREVER = float("inf")
+
+
+def clock():
+    return time.monotonic() * 1000.0
+
+
+@dataclass(slots=True, frozen=True)
+class Until:
+    """What a coroutine yields to wait: for a descriptor, for a bell, or for a time alone.
+    It is resumed with True, or with False once the time has come first."""
+    at: float = FOREVER
+    fd: int = -1
+    mask: int = 0
+    bell: object = None
+
+
+class Bell:
+    """Wakes the coroutine that waits for it; rung before that, it is not forgotten."""
+
+    def __init__(self, loop):
+        self.loop, self.task, self.rung = loop, None, False
+
+    def ring(self):
+        if self.task is None:
+            self.rung = True
+        else:
+            self.loop.resume(self.task, True)
+
+
+class Task:
+    """One coroutine, with the wait it is in."""
+    __slots__ = ("gen", "wait", "serial", "over")
+
+    def __init__(self, gen):
+        self.gen, self.wait, self.serial, self.over = gen, None, 0, False
+
+
+class Loop:
+    """Resumes coroutines; after each pass `turn` is called, so that what a pass brought is handled at once."""
+
+    def __init__(self, turn=lambda: FOREVER, now=clock):
+        self.now, self.turn = now, turn
+        self.epoll, self.fds = select.epoll(), {}
+        self.due, self.order, self.ready, self.running = [], count(), deque(), True
+        self.lateness, self.current = 0.0, None
+
+    def spawn(self, gen):
+        task = Task(gen)
+        self.ready.append((task, task.serial, None))
+        return task
+
+    def resume(self, task, value):
+        """Once only for each wait: what comes later belongs to a wait that is over."""
+        wait = task.wait
+        if wait is not None:
+            if wait.bell is not None:
+                wait.bell.task = None
+            if wait.fd >= 0 and self.fds.get(wait.fd) is task:
+                self.fds[wait.fd] = None
+            task.wait, task.serial = None, task.serial + 1
+            self.ready.append((task, task.serial, value))
+
+    def cancel(self, task):
+        """Ends a coroutine where it waits."""
+        if not task.over:
+            if task.wait is not None and task.wait.bell is not None:
+                task.wait.bell.task = None
+            if task.wait is not None and self.fds.get(task.wait.fd) is task:
+                self.fds[task.wait.fd] = None
+            task.wait, task.over = None, True
+            task.gen.close()
+
+    def close(self, sock):
+        """Closes a socket and forgets its descriptor before the number is used again."""
+        fd = sock.fileno()
+        if fd in self.fds:
+            del self.fds[fd]
+            self.epoll.unregister(fd)
+        sock.close()
+
+    def _arm(self, fd, mask, task):
+        mask |= select.EPOLLONESHOT
+        if fd in self.fds:
+            self.epoll.modify(fd, mask)
+        else:
+            self.epoll.register(fd, mask)
+        self.fds[fd] = task
+
+    def _step(self, task, value):
+        self.current = task
+        try:
+            wait = task.gen.send(value)
+        except StopIteration:
+            task.over = True
+            return
+        except Exception:  # guards the others: a fault ends one coroutine, never the program
+            task.over = True
+            logger.exception("a coroutine ended by a fault")
+            return
+        task.wait = wait
+        if wait.bell is not None:
+            wait.bell.task = task
+            if wait.bell.rung:
+                wait.bell.rung = False
+                self.resume(task, True)
+                return
+        if wait.fd >= 0:
+            try:
+                self._arm(wait.fd, wait.mask, task)
+            except OSError:  # a descriptor that cannot be watched counts as ready: the next call on it tells why
+                self.resume(task, True)
+                return
+        if wait.at < FOREVER:
+            heapq.heappush(self.due, (wait.at, next(self.order), task, task.serial))
+
+    def once(self, until=FOREVER):
+        """One pass: wait, resume what is ready until nothing is, then the turn."""
+        while self.due and (self.due[0][2].over or self.due[0][2].serial != self.due[0][3]):
+            heapq.heappop(self.due)
+        at = min(until, self.due[0][0] if self.due else FOREVER)
+        wait = 0.0 if self.ready else min(1.0, max(0.0, (at - self.now()) / 1000.0))
+        for fd, _ in self.epoll.poll(wait):
+            task = self.fds.get(fd)
+            if task is not None:
+                self.resume(task, True)
+        now = self.now()
+        while self.due and self.due[0][0] <= now:
+            at, _, task, serial = heapq.heappop(self.due)
+            if not task.over and task.serial == serial:
+                self.lateness = max(self.lateness, now - at)
+                self.resume(task, False)
+        while self.ready:
+            task, serial, value = self.ready.popleft()
+            if not task.over and task.serial == serial:
+                self._step(task, value)
+        return self.turn()
+
+    def run(self):
+        until = FOREVER
+        while self.running:
+            until = self.once(until)
