--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -92,8 +92,7 @@
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
         self.rate = self.start = self.agreed = self.limit = None
         self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
-        self.cut_at = self.changed = -1e12
-        self.waited, self.left = False, 0.5
+        self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
         self.sends, self.sent_at = deque(), floor.now
         self.usual = self.flow = 0.0
         self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
@@ -123,7 +122,8 @@
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
-        fail_back, passed, lasted = self.fail_back, self.floor.now - self.since, self.floor.now - self.fail_since
+        now, fail_back = self.floor.now, self.fail_back
+        passed, lasted = now - self.since, now - self.fail_since
         if self.mode == "well":  # failures without an end may be an outage that this sender sees little of
             doubt = self.fails > 1 and lasted >= fail_back.span
             return min(self.pace_now() or 1.0, 1.0 / lasted) if doubt else self.pace_now()
@@ -408,7 +408,7 @@
     """Takes texts, gives each its one final answer, and keeps the order of keys."""
 
     def __init__(self, floor, room, tick, settle, most_advice):
-        self.floor, self.room, self.tick, self.settle, self.most_advice = floor, room, tick, settle, most_advice
+        self.floor, self.room, self.tick, self.settle, self.advice = floor, room, tick, settle, most_advice
         self.inbox, self.texts, self.keys, self.rests = deque(), {}, {}, {}
 
     def on_take(self, text):
@@ -461,7 +461,7 @@
 
     def on_give_up(self, text, stay_away):
         if not text.over:
-            text.over, advice = True, min(stay_away, self.most_advice)
+            text.over, advice = True, min(stay_away, self.advice)
             self.floor.out.append(Nack(text.ident, advice) if text.nackable() else Undeliverable(text.ident))
             self.clear(text)
 
@@ -529,7 +529,7 @@
 
     def on_outcome(self, event):
         text = self.desk.texts.get(event.text)
-        if text is not None and text.call is not None:
+        if text and text.call:
             text.over = text.over or event.ended
             self.floor.post(text.call.endpoint, "outcome", text, event)
 
