A call whose connection came up late asks again before its first byte

Also: a request whose client has already gone is refused, not taken on (after a standstill it has handed the text in elsewhere); a client silent in the middle of a request gives its descriptor back; not ready once SIGTERM has come; a text withdrawn in the tick of its submit cannot stop the tick. Each has a test.

--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -92,7 +92,7 @@
         started = self.loop.now()
         answer = Answer(Far.SENT)  # a fault leaves open how far it came
         try:
-            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout)
+            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout, self.facade.still)
         except Exception:
             logger.exception("a call to {} ended by a fault", call.place.ident)
         finally:
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -25,6 +25,7 @@
             yield Until(FOREVER, self.ear, READ)
         began, shift = self.loop.now(), self.shift
         logger.info("SIGTERM: {} texts held, {} calls out", len(shift.facade.texts), shift.out)
+        self.clients.leaving = True  # no longer ready, but what still comes is served
         yield Until(began + LISTEN)
         self.clients.stop_listening()
         self.clients.close_between_requests()
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -73,9 +73,8 @@
         return 1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla)
 
     def nackable(self):
-        product = self.product
-        return self.ran_at is None or product.repeat == Repeat.RESENDABLE or (
-            product.repeat == Repeat.REFERENCED and not product.memory_by_zone)
+        return self.ran_at is None or self.product.repeat == Repeat.RESENDABLE or (
+            self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone)
 
 
 class Call:
@@ -114,8 +113,7 @@
     def hint(self, limit, left):
         self.fill()
         self.limit = limit or None
-        if limit:
-            self.left += (0.5 if left < self.left else 0.1) * (left - self.left)
+        self.left += (0.5 if left < self.left else 0.1) * (left - self.left) if limit else 0.0
 
     def recent(self):
         return len(self.sends) / self.COOLDOWN
@@ -275,8 +273,6 @@
     def on_take(self, text):
         self.queue.append(text)
         self.came += 1
-        if text.tries >= self.tries:  # only a restored one: all its submits were made before the restart
-            self.floor.post(self.desk, "give_up", self.queue.pop(), 0.0)
         self.on_pump()
 
     def on_back(self, text, event):
@@ -399,8 +395,7 @@
         while self.wants and self.free > 0:
             want = min(self.wants, key=lambda w: (w[0].held / max(0.5, w[2]), w[1], w[0].ident))
             self.wants.remove(want)
-            self.free -= 1
-            want[0].held += 1
+            self.free, want[0].held = self.free - 1, want[0].held + 1
             self.floor.post(want[0], "grant")
 
 
@@ -505,6 +500,12 @@
             floor.out.append(Wake(floor.armed - now, floor.wakes))
         return floor.out
 
+    def still(self, now, ident, texts):
+        """Whether a call that took its time to connect may begin: list, waits and memories have moved on."""
+        endpoint = self.endpoints[ident]
+        return ident in endpoint.dest.endpoints and now >= endpoint.route.pause and all(
+            now < self.desk.texts[text].last_submit() for text in texts)
+
     def on_round(self):
         """Only destinations with something going on are looked at: idle ones cost nothing."""
         self.floor.later(self.floor.now + ROUND, self, "round")
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -14,10 +14,11 @@
 
 class Far(IntEnum):
     """How far a submit had come when it ended."""
-    UNCONNECTED = 0
-    UNSENT = 1  # its last byte was not written
-    SENT = 2
-    ANSWERED = 3
+    CALLED_OFF = 0  # it took its time to connect, and then was no longer wanted
+    UNCONNECTED = 1
+    UNSENT = 2  # its last byte was not written
+    SENT = 3
+    ANSWERED = 4
 
 
 @dataclass(slots=True)
@@ -70,6 +71,8 @@
 
 def how(answer, ident):
     """The outcome of one text, and whether nothing more is owed for it."""
+    if answer.far == Far.CALLED_OFF:
+        return How.NOT_SENT, False
     if answer.far <= Far.UNSENT:
         return How.UNREACHED, False
     if answer.far == Far.SENT:
@@ -179,7 +182,10 @@
 
     def _submit(self, now, action, shared):
         """Submits of one tick to one endpoint travel as one call, as far as the settings allow."""
-        text, place = self.texts[action.text], self.places[action.endpoint]
+        text, place = self.texts.get(action.text), self.places[action.endpoint]
+        if text is None:  # withdrawn meanwhile
+            self.events.append(Outcome(action.text, action.endpoint, How.NOT_SENT, ended=True))
+            return
         bundle = self.partners[min(self.kinds(place.kind), len(self.partners) - 1)].bundle
         call = shared.get(action.endpoint)
         if call is None or len(call.texts) >= bundle:
@@ -199,6 +205,11 @@
         """The next call to make, or None."""
         return self.calls.popleft() if self.calls else None
 
+    def still(self, call, now):
+        """Whether a call that was picked and took its time to connect may begin now."""
+        texts = [text.number for text in call.texts if text.number in call.open]
+        return bool(texts) and self.module.still(now, self.endpoints(call.place.ident), texts)
+
     def back(self):
         """The next text whose submit came back without an end, and whether that may have run; or None."""
         return self.backs.popleft() if self.backs else None
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -11,7 +11,7 @@
 from calicopin.wire.loop import FOREVER, READ, Bell, Until
 
 MOST_BODY = 65536
-PATIENCE = 30000.0  # for the rest of a request: guards descriptors against clients that went silent in it
+PATIENCE = 5000.0  # for the rest of a request: guards descriptors against clients that go silent in it
 MOST_WORD = 256  # of an id, a reference or a key
 
 
@@ -64,7 +64,7 @@
         self.listener.bind((host, int(port)))
         self.listener.listen(1024)
         self.listener.setblocking(False)
-        self.idle, self.open, self.room, self.closing = {}, 0, Bell(loop), False
+        self.idle, self.open, self.room, self.leaving, self.closing = {}, 0, Bell(loop), False, False
         self.accepting = loop.spawn(self.accept())
 
     def accept(self):
@@ -108,13 +108,15 @@
         """One request and its answer; False where the connection ends."""
         head = yield from self.next_head(line)
         if not isinstance(head, h11.Request):
+            if head is None:
+                yield from self.fault(line, 408, "a head that does not come")
             if isinstance(head, h11.RemoteProtocolError):
                 yield from self.fault(line, head.error_status_hint or 400, str(head))
             return False
         path = head.target.split(b"?")[0]
         if head.method == b"GET":
             body = yield from line.body(MOST_BODY, FOREVER)
-            status = 200 if path == b"/-/ready" or path == b"/-/healthy" else 404
+            status = {b"/-/ready": 503 if self.leaving else 200, b"/-/healthy": 200}.get(path, 404)
             return body is not None and (yield from self.reply(line, status))
         if head.method != b"POST":
             yield from self.fault(line, 405, "" if head.method == b"HEAD" else f"no {head.method[:20]!r}")
@@ -134,6 +136,8 @@
         except Refused as fault:
             logger.warning("client request answered {}: {}", fault.status, fault)
             return (yield from self.reply(line, fault.status, str(fault).encode()))
+        if line.left():  # it waited too long and hands the text in elsewhere; else a refusal does no harm
+            return (yield from self.reply(line, 503))
         advice = self.desk.take(text)
         if advice is not None:
             extra = [("Retry-After", f"{advice / 1000.0:.3f}")] if advice > 0.0 else []
@@ -146,18 +150,11 @@
 
     def next_head(self, line):
         """Waits between requests; only here may the courier close the connection."""
-        if not self.closing:
-            try:
-                data = line.sock.recv(1, socket.MSG_PEEK)
-            except BlockingIOError:
-                data = None
-            except OSError:
-                data = b""
-            if data is None and not line.h11.trailing_data[0]:
-                self.idle[line] = self.loop.current
-                yield Until(FOREVER, line.sock.fileno(), READ)
-                self.idle.pop(line, None)
-        return (yield from line.event(FOREVER))
+        if not self.closing and line.quiet() and not line.h11.trailing_data[0]:
+            self.idle[line] = self.loop.current
+            yield Until(FOREVER, line.sock.fileno(), READ)
+            self.idle.pop(line, None)
+        return (yield from line.event(self.loop.now() + PATIENCE))
 
     def fault(self, line, status, why):
         logger.warning("client connection answered {}: {}", status, why)
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -64,8 +64,9 @@
                   no_slot=told.get("x-no-slot") == "1", load=load(told.get("x-server-load")))
 
 
-def submit(loop, lines, call, connect_timeout):
-    """One call from its start to its outcome, as a value that says how far it came."""
+def submit(loop, lines, call, connect_timeout, still):
+    """One call from its start to its outcome, as a value that says how far it came. Guards drains, waits and
+    memories of references against a connection that came up late: `still(call, now)` is asked again then."""
     until = loop.now() + call.timeout
     address = call.place.address
     line, keep = lines.take(address, loop.now()), False
@@ -74,6 +75,8 @@
             line = yield from dial(loop, address, min(until, loop.now() + connect_timeout))
             if line is None:
                 return Answer(Far.UNCONNECTED)
+            if not still(call, loop.now()):
+                return Answer(Far.CALLED_OFF)
         outcome = yield from talk(line, call, until)
         keep = outcome.far == Far.ANSWERED and line.again()
         return outcome
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -88,15 +88,22 @@
             else:
                 return None
 
-    def quiet(self):
-        """Whether an idle connection is still open and silent."""
+    def peek(self):
+        """What lies unread: a byte, nothing yet (None), or the end (empty)."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            pass
-        return False
+            return b""
+
+    def quiet(self):
+        """Whether an idle connection is still open and silent."""
+        return self.peek() is None
+
+    def left(self):
+        """Whether the other side has ended its sending."""
+        return self.ended or self.peek() == b""
 
     def again(self):
         """Ready for the next message on it; False where this connection has served its last."""
