After a restart every key rests, and restored texts stay in the rounds

Now all keys rest once after a restart. A second fault came out on the way: the first round was posted at birth and ran before the texts handed in with the first batch, so their destinations fell out of the rounds until the next text (brain.py on_round, live). It now runs behind them; the lateness of the first tick is not counted, or the whole clock would have passed for a standstill. No site asks for order; the second fault struck every restart.

--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -60,7 +60,7 @@
     idle = ceilings.get("idleClose", 10.0) * 1000.0
     budget = Budget(post.descriptors, terms["familyInfo"]["workers"])
     journal = Journal(post.folder, post.disk, time.time() * 1000.0 - loop.now())
-    facade = Facade(post.seed, terms, budget.calls, loop.now())
+    facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
     shift = Shift(loop, facade, journal, lines, connect)
     shift.notices = Notices(loop, post.discovery, shift.told)
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -273,6 +273,8 @@
     def on_take(self, text):
         self.queue.append(text)
         self.came += 1
+        if text.tries >= self.tries:  # only a restored one: all its submits were made before the restart
+            self.floor.post(self.desk, "give_up", self.queue.pop(), 0.0)
         self.on_pump()
 
     def on_back(self, text, event):
@@ -400,11 +402,11 @@
 
 
 class Desk:
-    """Takes texts, gives each its one final answer, and keeps the order of keys."""
+    """Takes texts, gives each its one final answer, and keeps the order of keys. After a restart all rest."""
 
-    def __init__(self, floor, room, tick, settle, most_advice):
+    def __init__(self, floor, room, tick, settle, most_advice, restarted):
         self.floor, self.room, self.tick, self.settle, self.advice = floor, room, tick, settle, most_advice
-        self.inbox, self.texts, self.keys, self.rests = deque(), {}, {}, {}
+        self.inbox, self.texts, self.keys, self.rests, self.calm = deque(), {}, {}, {}, restarted + settle
 
     def on_take(self, text):
         self.texts[text.ident] = text
@@ -418,10 +420,9 @@
 
     def turn(self, text):
         """Whether a text may go now. Guards the order per key: its first unfinished text, after its rest."""
-        if text.over or self.floor.now >= text.last_submit():
-            return False
-        return text.key is None or (
-            self.keys[text.key][0] is text and self.rests.get(text.key, (0.0, text))[1] is text)
+        return not text.over and self.floor.now < text.last_submit() and (text.key is None or (
+            self.floor.now >= self.calm and self.keys[text.key][0] is text
+            and self.rests.get(text.key, (0.0, text))[1] is text))
 
     def on_settle(self, text, how):
         """A submit that may still run lays its key to rest for the texts behind it."""
@@ -472,14 +473,14 @@
     """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
 
     def __init__(self, *, seed, number, senders, tick, slots, room, tries, products, partners, fail_back,
-                 settle=0.0, most_advice=0.0, asks=False, ask_within=10000.0):
+                 settle=0.0, most_advice=0.0, asks=False, ask_within=10000.0, restarted=-1e12):
         self.floor = Floor(number, seed)
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
         self.products, self.partners = products, partners
-        self.pool, self.desk = Pool(self.floor, slots), Desk(self.floor, room, tick, settle, most_advice)
-        self.ask_within, self.misses = ask_within, 0
+        self.pool, self.ask_within, self.misses = Pool(self.floor, slots), ask_within, 0
+        self.desk = Desk(self.floor, room, tick, settle, most_advice, restarted)
         self.dests, self.endpoints, self.inbox, self.live, self.rounds = {}, {}, deque(), {}, 0
-        self.floor.post(self, "round")
+        self.floor.later(0.0, self, "round")  # behind the texts that a restart hands in
         if asks:
             self.floor.post(self, "ask")
 
@@ -490,7 +491,7 @@
 
     def handle(self, now, events):
         floor = self.floor
-        floor.late = max(0.0, floor.late - (now - floor.now), now - floor.due[0][0] if floor.due else 0.0)
+        floor.late = max(0.0, floor.late - (now - floor.now), now - floor.due[0][0] if self.rounds else 0.0)
         floor.now, floor.out = now, []
         for event in events:
             getattr(self, "on_" + type(event).__name__.lower())(event)
@@ -525,8 +526,6 @@
             self.live[dest] = None
             self.floor.post(dest, "round", self.rounds)
         self.floor.post(self.desk, "take", text)
-        if event.ran_at is not None:  # a restart: what was out then may still run, so its key rests
-            self.floor.post(self.desk, "settle", text, How.BROKEN)
 
     def on_outcome(self, event):
         text = self.desk.texts.get(event.text)
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -86,14 +86,15 @@
 
 
 class Facade:
-    def __init__(self, seed, settings, slots, now):
+    def __init__(self, seed, settings, slots, now, restarted=False):
         self.partners = terms.partners(settings)
         self.agreed, self.columns = terms.agreed(settings), terms.reports(settings)
         self.kinds = terms.Indices(settings.get("kinds") or [])
         self.zones = terms.Indices(settings.get("zones") or [])
         self.dests, self.endpoints = terms.Indices(), terms.Indices()
         slots = min(slots, settings["familyInfo"]["workers"])
-        self.module = terms.courier(seed, settings, slots=slots, asks=False)
+        last = {"restarted": now} if restarted else {}
+        self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
         self.texts, self.places, self.events = {}, {}, []
         self.calls, self.backs, self.ends, self.lines = deque(), deque(), deque(), deque()
--- a/calicopin/held/journal.py
+++ b/calicopin/held/journal.py
@@ -33,7 +33,7 @@
         self.path, self.offset = os.path.join(folder, "journal"), offset
         self.most, self.most_live = most * 11 // 20, most * 6 // 20  # the old file and its successor fit
         self.texts, self.costs, self.live, self.buffer, self.file = {}, {}, 0, bytearray(), None
-        self._replay()
+        self.again = self._replay()
         self._rewrite()
 
     # Reading.
@@ -43,7 +43,7 @@
             with open(self.path, "rb") as file:
                 data = file.read()
         except FileNotFoundError:
-            return
+            return False
         place = 0
         while place + HEAD.size <= len(data):
             size, check = HEAD.unpack_from(data, place)
@@ -55,6 +55,7 @@
         for text in self.texts.values():
             if text.out_at is not None:
                 text.came_back(True)
+        return True
 
     def _read(self, kind, rest):
         if kind == TAKEN:
