Texts turned away are told when to come again; clients are served until the stop's last call

At a SIGTERM client connections were closed after 0.5 s although calls still went out for 2.3 s more: texts of clients without another courier found a closed door.

--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -14,7 +14,8 @@
     def __init__(self, loop, facade, journal, lines, connect_timeout):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices = connect_timeout, None
-        self.waiting, self.calls, self.calling, self.out, self.taken = [], [], True, 0, 0
+        self.waiting, self.calls, self.given_up, self.calling = [], [], [], True
+        self.out = self.taken = self.turned_away = self.noticed = 0
         loop.turn = self.turn
 
     def restore(self):
@@ -36,7 +37,8 @@
         if text.ident in self.journal.texts:
             return None
         if self.facade.full() or not self.journal.room(len(text.body)):
-            return 0.0
+            self.turned_away += 1
+            return self.facade.advice(text)
         self.journal.taken(text)
         self.facade.hand_in(text)
         self.taken += 1
@@ -64,6 +66,9 @@
         waiting, self.waiting = self.waiting, []
         for bell in waiting:
             bell.ring()
+        given_up, self.given_up = self.given_up, []
+        for text in given_up:
+            self.notices.owe(text)
         calls, self.calls = self.calls, []
         for call in calls:
             self.out += 1
@@ -84,7 +89,7 @@
                 journal.over(end.text)
             else:
                 journal.given_up(end.text, end.verdict, end.wait)
-                self.notices.owe(end.text)
+                self.given_up.append(end.text)
         journal.flush()
 
     def carry(self, call):
@@ -101,6 +106,7 @@
 
     def told(self, text):
         """The platform has heard a notice."""
+        self.noticed += 1
         self.journal.over(text)
 
     def keep_house(self):
@@ -110,7 +116,7 @@
             yield Until(self.loop.now() + SWEEP)
             self.lines.sweep(self.loop.now())
             if self.loop.now() >= report:
-                held = len(self.facade.texts)
-                logger.info("loop at most {:.1f} ms late; {} texts taken, {} held, {} calls out, {} idle",
-                            self.loop.lateness, self.taken, held, self.out, self.lines.count)
+                line = "loop at most {:.1f} ms late; {} taken, {} turned away, {} given up, {} held, {} out"
+                logger.info(line, self.loop.lateness, self.taken, self.turned_away, self.noticed,
+                            len(self.facade.texts), self.out)
                 self.loop.lateness, report = 0.0, self.loop.now() + REPORT
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -7,8 +7,9 @@
 from calicopin.wire.loop import FOREVER, READ, Until
 
 LISTEN = 500.0  # new connections keep coming for so long at most, with some room
-LAST_CALL = 2800.0  # a call that begins later may be cut off by the end
+LAST_CALL = 2800.0  # a call that begins later may be cut off by the end; clients are served until then
 LEAVE = 3400.0  # the platform kills 3.7 s after the signal at the earliest
+STEP = 20.0
 
 
 class Stop:
@@ -27,13 +28,14 @@
         logger.info("SIGTERM: {} texts held, {} calls out", len(shift.facade.texts), shift.out)
         self.clients.leaving = True  # no longer ready, but what still comes is served
         yield Until(began + LISTEN)
+        while self.loop.now() < began + LAST_CALL and (
+                self.clients.open or shift.facade.texts or shift.notices.owed):
+            yield Until(self.loop.now() + STEP)
         self.clients.stop_listening()
         self.clients.close_between_requests()
-        while self.loop.now() < began + LAST_CALL and (shift.facade.texts or shift.notices.owed):
-            yield Until(self.loop.now() + 20.0)
         shift.calling = False
         while self.loop.now() < began + LEAVE and (shift.out or shift.notices.owed or self.clients.open):
-            yield Until(self.loop.now() + 20.0)
+            yield Until(self.loop.now() + STEP)
         self.loop.running = False
 
     def heard(self):
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -142,9 +142,7 @@
     def opens(self):
         """When the next call may go."""
         speed, start = self.fill(), max(self.floor.now, self.pause)
-        if speed is None or self.tokens >= 1.0 - 1e-9:
-            return start
-        return start + (1.0 - self.tokens) / speed
+        return start if speed is None or self.tokens >= 1.0 - 1e-9 else start + (1.0 - self.tokens) / speed
 
     def spend(self):
         if self.speed() is not None:
@@ -507,6 +505,10 @@
         return ident in endpoint.dest.endpoints and now >= endpoint.route.pause and all(
             now < self.desk.texts[text].last_submit() for text in texts)
 
+    def advice(self, dest):
+        """When a text may come again that is turned away because too many are held."""
+        return min(max(0.0, self.dest(dest).opens() - self.floor.now), self.desk.advice)
+
     def on_round(self):
         """Only destinations with something going on are looked at: idle ones cost nothing."""
         self.floor.later(self.floor.now + ROUND, self, "round")
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -107,6 +107,10 @@
         """Whether as many texts are held as the settings allow."""
         return len(self.texts) >= self.room
 
+    def advice(self, text):
+        """The milliseconds after which a text that is turned away may come again (0: none told)."""
+        return self.module.advice(self.dests(text.dest))
+
     def hand_in(self, text):
         """A new text, or one that a restart brought back."""
         text.number, self.next_number = self.next_number, self.next_number + 1
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -184,11 +184,15 @@
     assert house.module.pool.free == 7  # only the call that is out holds a slot
 
 
-def test_a_full_house_is_known():
+def test_a_full_house_is_known_and_tells_when_to_come_again():
     house = facade()
+    house.hand_in(text("a"))
+    house.tick(0.0)
+    house.report(picked(house)[0], Answer(Far.ANSWERED, status=429, wait=900.0), 100.0)
+    house.tick(100.0)
     for number in range(40):
         house.hand_in(text(str(number), dest=9))
-    assert house.full()
+    assert house.full() and house.advice(text("b")) == 2000.0 and house.advice(text("c", dest=9)) == 0.0
 
 
 # Whole couriers.
@@ -314,9 +318,10 @@
     peer.say(b"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nX-Timeout: 9\r\nX-Envelope: dest=7\r\n"
              b"Content-Length: 0\r\n\r\n")
     spin(house.loop, lambda: house.shift.taken)
+    house.shift.take(Text("late", 7, 0, None, None, 0.0, b""))
     for _ in range(20):
         house.loop.once(house.loop.now())
-    assert not peer.hear() and not house.shift.out
+    assert not peer.hear() and not house.shift.out and not house.shift.notices.owed
     house.shift.journal.flush = flush
     house.loop.now.now += 100.0
     assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202") and house.shift.out == 1
@@ -333,15 +338,16 @@
     peer2 = client(house.loop, house.listen)
     peer2.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
     assert peer2.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 503")
-    house.loop.now.now += LISTEN
-    spin(house.loop, lambda: house.shift.journal and refused(house))
+    house.loop.now.now += LISTEN + 1.0
+    assert house.post("c") == b"202"
     peer.say(answer(200))
-    spin(house.loop, lambda: set(house.shift.journal.texts) == {"b"})
+    spin(house.loop, lambda: set(house.shift.journal.texts) == {"b", "c"})
     house.loop.now.now += LAST_CALL
     spin(house.loop, lambda: not house.shift.calling)
+    assert refused(house) and not peer2.wait_end()
     house.loop.now.now += LEAVE
     spin(house.loop, lambda: not house.loop.running)
-    assert set(house.shift.journal.texts) == {"b"}
+    assert set(house.shift.journal.texts) == {"b", "c"}
 
 
 def refused(house):
