--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -6,6 +6,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum
+from itertools import count
 
 from calicopin import terms
 from calicopin.interface import (Entry, How, Listed, Log, Nack, Outcome, Submit, Taken, Undeliverable, Wake,
@@ -98,7 +99,7 @@
         self.room = settings["ceilings"]["mostHeld"]
         self.texts, self.places, self.events = {}, {}, []
         self.calls, self.backs, self.ends, self.lines = deque(), deque(), deque(), deque()
-        self.next_number, self.due, self.wake = 0, [], None
+        self.next_number, self.due, self.order, self.wake = 0, [], count(), None
         self.tick(now)
 
     # What comes in.
@@ -200,11 +201,7 @@
         call.open.add(text.number)
         call.timeout = max(call.timeout, action.timeout)
         if bundle > 1:  # a text whose own time is up before its call's does not wait for the rest
-            heapq.heappush(self.due, (now + action.timeout, self.next_due(), call, text))
-
-    def next_due(self):
-        self.next_number += 1
-        return self.next_number
+            heapq.heappush(self.due, (now + action.timeout, next(self.order), call, text))
 
     def pick(self):
         """The next call to make, or None."""
