What must not end is begun again after a fault; last answers are not lost to unread bytes

Found by reading: the accept loop, the watch, the notices and the housekeeping were plain coroutines, so one unforeseen exception (a list nested too deep, an option refused by a socket already reset) would have left the courier deaf until a restart (wire/loop.py spawn, boot/start.py). A descriptor number freed without the loop's knowledge would have spun it. A connection closed over unread bytes is reset, and its 4xx with it. A client that never pauses held up the others. HEAD is answered as GET is.

--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -73,8 +73,8 @@
     products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
     clients = Clients(loop, post.listen, products, budget.clients, shift)
     stop = Stop(loop, shift, clients)
-    for gen in (discovery.watch(), shift.notices.send(), shift.keep_house(), stop.wait()):
-        loop.spawn(gen)
+    for begin in (discovery.watch, shift.notices.send, shift.keep_house, stop.wait):
+        loop.keep(begin)
     return shift
 
 
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -12,6 +12,7 @@
 
 MOST_BODY = 65536
 PATIENCE = 5000.0  # for the rest of a request: guards descriptors against clients that go silent in it
+LINGER = 1000.0  # for a client to read its last answer
 MOST_WORD = 256  # of an id, a reference or a key
 
 
@@ -65,7 +66,7 @@
         self.listener.listen(1024)
         self.listener.setblocking(False)
         self.idle, self.open, self.room, self.leaving, self.closing = {}, 0, Bell(loop), False, False
-        self.accepting = loop.spawn(self.accept())
+        self.accepting = loop.keep(self.accept)
 
     def accept(self):
         while True:
@@ -95,6 +96,7 @@
             more = True
             while more:
                 more = yield from self.request(line)
+                yield Until(0.0)  # one after the other: a client that never pauses does not hold up the rest
         except Exception:  # guards the program, and the client that would wait for nothing
             logger.exception("a client's request ended by a fault")
             yield from self.fault(line, 500, "a fault of the courier")
@@ -113,15 +115,14 @@
             if isinstance(head, h11.RemoteProtocolError):
                 yield from self.fault(line, head.error_status_hint or 400, str(head))
             return False
-        path = head.target.split(b"?")[0]
-        if head.method == b"GET":
-            body = yield from line.body(MOST_BODY, FOREVER)
+        path, until = head.target.split(b"?")[0], self.loop.now() + PATIENCE
+        if head.method in (b"GET", b"HEAD"):
+            body = yield from line.body(MOST_BODY, until)
             status = {b"/-/ready": 503 if self.leaving else 200, b"/-/healthy": 200}.get(path, 404)
             return body is not None and (yield from self.reply(line, status))
         if head.method != b"POST":
-            yield from self.fault(line, 405, "" if head.method == b"HEAD" else f"no {head.method[:20]!r}")
+            yield from self.fault(line, 405, f"no {head.method[:20]!r}")
             return False
-        until = self.loop.now() + PATIENCE
         body = yield from line.body(MOST_BODY, until)
         if body is None:
             if self.loop.now() >= until:
@@ -159,6 +160,7 @@
     def fault(self, line, status, why):
         logger.warning("client connection answered {}: {}", status, why)
         yield from self.reply(line, status, why.encode("latin-1", "replace"), [("Connection", "close")])
+        yield from line.linger(self.loop.now() + LINGER)
 
     def reply(self, line, status, body=b"", extra=()):
         """Whether the connection may serve another request; None if the answer could not be written."""
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -6,6 +6,7 @@
 from calicopin.wire.loop import READ, WRITE, Until
 
 CHUNK = 65536
+MOST_OVER = 16  # how much more than is allowed is read for the sake of an orderly answer
 TOO_LONG = object()
 
 
@@ -16,7 +17,10 @@
         self.loop, self.sock, self.h11 = loop, sock, h11.Connection(role)
         self.ended = False
         sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # already gone: the first read tells
+            pass
 
     def event(self, until):
         """The next h11 event; None when the time is up first. A peer that is gone is ConnectionClosed, also
@@ -79,7 +83,7 @@
             event = yield from self.event(until)
             if isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > most * 64:
+                if size > most * MOST_OVER:
                     return None
                 if size <= most:
                     parts.append(bytes(event.data))
@@ -88,6 +92,17 @@
             else:
                 return None
 
+    def linger(self, until):
+        """Ends the sending and reads on a while: closed over unread bytes, a connection is reset, and with it
+        goes the answer that the other side has not read yet."""
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        for _ in range(MOST_OVER):
+            if not (yield from self._read(until)):
+                break
+
     def peek(self):
         """What lies unread: a byte, nothing yet (None), or the end (empty)."""
         try:
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -11,6 +11,7 @@
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
 FOREVER = float("inf")
+AGAIN = 100.0
 
 
 def clock():
@@ -62,6 +63,18 @@
         self.ready.append((task, task.serial, None))
         return task
 
+    def keep(self, begin):
+        """A coroutine that must not end: it is begun again after a fault."""
+        def run():
+            while True:
+                try:
+                    yield from begin()
+                    return
+                except Exception:
+                    logger.exception("a coroutine that must not end is begun again")
+                    yield Until(self.now() + AGAIN)
+        return self.spawn(run())
+
     def resume(self, task, value):
         """Once only for each wait: what comes later belongs to a wait that is over."""
         wait = task.wait
@@ -93,9 +106,9 @@
 
     def _arm(self, fd, mask, task):
         mask |= select.EPOLLONESHOT
-        if fd in self.fds:
-            self.epoll.modify(fd, mask)
-        else:
+        try:
+            (self.epoll.modify if fd in self.fds else self.epoll.register)(fd, mask)
+        except FileNotFoundError:  # the number belonged to a socket that was closed without a word
             self.epoll.register(fd, mask)
         self.fds[fd] = task
 
