A shared call ends at the first time-out of a text that may go again

Found by reading facade.py _submit: texts of several products in one call have time-outs of their own, and the call stayed open to the last of them. A resendable text was reported as timed out at its own time and could be sent again while its first copy was still out on an open connection, which breaks the rule on double effects. Texts whose validity ends first still leave the call alone, since nothing more goes out for them. It costs a once-only text in such a call its long wait.

--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -52,6 +52,7 @@
     place: Place
     texts: list
     timeout: float
+    cut: float = float("inf")  # the first time-out that comes before the end of its text
     open: set = field(default_factory=set)  # texts of which nothing was reported yet
 
 
@@ -187,7 +188,9 @@
                 self.lines.append(action.line)
 
     def _submit(self, now, action, shared):
-        """Submits of one tick to one endpoint travel as one call, as far as the settings allow."""
+        """Submits of one tick to one endpoint travel as one call, as far as the settings allow. A text whose
+        time is up meanwhile does not wait for the rest. Any other time-out ends the whole call: a text that
+        went again while the call is still out would be a second copy."""
         text, place = self.texts.get(action.text), self.places[action.endpoint]
         if text is None:  # withdrawn meanwhile
             self.events.append(Outcome(action.text, action.endpoint, How.NOT_SENT, ended=True))
@@ -199,9 +202,11 @@
             self.calls.append(call)
         call.texts.append(text)
         call.open.add(text.number)
-        call.timeout = max(call.timeout, action.timeout)
-        if bundle > 1:  # a text whose own time is up before its call's does not wait for the rest
+        if now + action.timeout < text.until - 1.0:
+            call.cut = min(call.cut, action.timeout)
+        elif bundle > 1:
             heapq.heappush(self.due, (now + action.timeout, next(self.order), call, text))
+        call.timeout = min(call.cut, max(call.timeout, action.timeout))
 
     def pick(self):
         """The next call to make, or None."""
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -114,6 +114,23 @@
     assert not house.still(calls["b"], 1600.0) and house.still(calls["b"], 1650.0)
 
 
+def test_no_text_is_out_twice_where_texts_with_other_time_outs_share_its_call():
+    """A once-only text waits to its end; the call once stayed open with it while the other was sent again."""
+    for products in ((0, 2), (2, 0)):
+        house = facade(places=[place(kind="many")])
+        for number, product in enumerate(products):
+            house.hand_in(text(str(number), product))
+        due = house.tick(0.0)
+        call, = picked(house)
+        assert len(call.texts) == 2 and call.timeout == 2000.0
+        while due < 9000.0:
+            due = house.tick(due)
+        assert not picked(house)
+        house.report(call, Answer(Far.SENT, late=True), 2000.0)
+        house.tick(9000.0)
+        assert [one.product for call in picked(house) for one in call.texts] == [0]
+
+
 def test_a_text_whose_time_ends_does_not_wait_for_the_rest_of_its_call():
     house = facade(places=[place(kind="many")])
     house.hand_in(text("a", until=700.0))
