--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -35,7 +35,7 @@
 
 
 def posted(environ):
-    """What the platform tells; the file says more, the variables stand where it is silent."""
+    """What the platform tells: addresses and folder by its variables first, all else by its file."""
     with open(environ["LB_CONFIG"], encoding="utf-8") as file:
         told = json.load(file)
     limits, seed = told.get("limits", {}), str(told.get("seed", ""))
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -9,6 +9,7 @@
 from itertools import count
 
 from calicopin import terms
+from calicopin.brain import HARMLESS
 from calicopin.interface import (Entry, How, Listed, Log, Nack, Outcome, Submit, Taken, Undeliverable, Wake,
                                  Withdrawn, Woken)
 
@@ -68,7 +69,6 @@
            400: How.NOT_SENT, 413: How.NOT_SENT}  # any other may have run
 STATES = {"delivered": How.DELIVERED, "failed": How.ERROR, "refused": How.FULL, "over": How.NOT_SENT,
           "spent": How.NOT_SENT}
-HARMLESS = (How.FULL, How.UNREACHED, How.NOT_SENT)
 
 
 def how(answer, ident):
@@ -94,7 +94,6 @@
         self.kinds = terms.Indices(settings.get("kinds") or [])
         self.zones = terms.Indices(settings.get("zones") or [])
         self.dests, self.endpoints = terms.Indices(), terms.Indices()
-        slots = min(slots, settings["familyInfo"]["workers"])
         last = {"restarted": now} if restarted else {}
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
--- a/calicopin/held/connections.py
+++ b/calicopin/held/connections.py
@@ -17,7 +17,16 @@
     taken first, the oldest makes room."""
 
     def __init__(self, most, idle_limit):
-        self.most, self.idle_limit, self.idle, self.count, self.used = most, idle_limit, {}, 0, 0
+        self.most, self.idle_limit, self.idle, self.used = most, idle_limit, {}, 0
+
+    @property
+    def count(self):
+        """How many are idle."""
+        return sum(map(len, self.idle.values()))
+
+    def good(self, line, since, now):
+        """Whether an idle one may still serve."""
+        return now - since < self.idle_limit and line.quiet()
 
     def take(self, address, now):
         """An idle one well clear of the idle limit; None where a new one is to be opened: it has room."""
@@ -25,22 +34,19 @@
         kept = self.idle.get(address, [])
         while kept:
             line, since = kept.pop()
-            self.count -= 1
-            if now - since < self.idle_limit and line.quiet():
+            if self.good(line, since, now):
                 return line
             line.close()
         if self.used + self.count > self.most:
             shelves = [kept for kept in self.idle.values() if kept]
             if shelves:
                 min(shelves, key=lambda kept: kept[0][1]).pop(0)[0].close()
-                self.count -= 1
         return None
 
     def keep(self, address, line, now):
         """One that was taken may serve again."""
         self.used -= 1
         self.idle.setdefault(address, []).append((line, now))
-        self.count += 1
 
     def drop(self, line):
         """One that was taken has served its last, or never came up."""
@@ -53,11 +59,10 @@
         for address, kept in list(self.idle.items()):
             stay = []
             for line, since in kept:
-                if now - since < self.idle_limit and line.quiet():
+                if self.good(line, since, now):
                     stay.append((line, since))
                 else:
                     line.close()
-                    self.count -= 1
             if stay:
                 self.idle[address] = stay
             else:
--- a/calicopin/held/journal.py
+++ b/calicopin/held/journal.py
@@ -61,13 +61,10 @@
         if kind == TAKEN:
             head, _, body = rest.partition(b"\n")
             values = json.loads(head)
-            values["until"] -= self.offset
-            if values["ran_at"] is not None:
-                values["ran_at"] -= self.offset
-            if values["out_at"] is not None:
-                values["out_at"] -= self.offset
-            text = Text(body=body, **values)
-            self.texts[text.ident] = text
+            for name in ("until", "ran_at", "out_at"):
+                if values[name] is not None:
+                    values[name] -= self.offset
+            self.texts[values["ident"]] = Text(body=body, **values)
             return
         ident, *values = json.loads(rest)
         text = self.texts.get(ident)
@@ -158,7 +155,3 @@
             os.close(self.file)
         self.file, self.size = successor, len(data)
         self.buffer.clear()
-
-    def close(self):
-        self.flush()
-        os.close(self.file)
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -8,7 +8,7 @@
 
 from calicopin.held.texts import Text
 from calicopin.wire.http import TOO_LONG, Line
-from calicopin.wire.loop import FOREVER, READ, Bell, Until
+from calicopin.wire.loop import AGAIN, FOREVER, READ, Bell, Until
 
 MOST_BODY = 65536
 PATIENCE = 5000.0  # for the rest of a request: guards descriptors against clients that go silent in it
@@ -77,7 +77,7 @@
                 continue
             except OSError as fault:
                 logger.warning("accept failed: {}", fault)
-                yield Until(self.loop.now() + 100.0)
+                yield Until(self.loop.now() + AGAIN)
                 continue
             self.open += 1
             self.loop.spawn(self.serve(Line(self.loop, sock, h11.SERVER)))
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -55,13 +55,6 @@
         """One call; None where it was not answered in time or broke."""
         until = self.loop.now() + self.wait + GRACE
         target = f"/api/targets?index={self.version}&wait={self.wait:.0f}"
-        data = line.encode(h11.Request(method="GET", target=target, headers=[("Host", self.address)]))
-        if (yield from line.write(data, until)) < len(data):
-            return None
-        head = yield from line.event(until)
-        if not isinstance(head, h11.Response):
-            return None
-        body = yield from line.body(MOST_LIST, until)
-        if body is None or body is TOO_LONG or head.status_code != 200:
-            return None
-        return read(json.loads(body))
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
+        status, body = (yield from line.ask(request, b"", MOST_LIST, until)) or (0, b"")
+        return read(json.loads(body)) if status == 200 and body is not TOO_LONG else None
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -92,6 +92,17 @@
             else:
                 return None
 
+    def ask(self, request, body, most, until):
+        """One exchange as a client: status and body, or None where no whole answer came in time."""
+        data = self.encode(request, body)
+        if (yield from self.write(data, until)) < len(data):
+            return None
+        head = yield from self.event(until)
+        if not isinstance(head, h11.Response):
+            return None
+        told = yield from self.body(most, until)
+        return None if told is None else (head.status_code, told)
+
     def linger(self, until):
         """Ends the sending and reads on a while: closed over unread bytes, a connection is reset, and with it
         goes the answer that the other side has not read yet."""
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -11,7 +11,7 @@
 READ = select.EPOLLIN | select.EPOLLRDHUP
 WRITE = select.EPOLLOUT
 FOREVER = float("inf")
-AGAIN = 100.0
+AGAIN = 100.0  # after which what failed is tried once more
 
 
 def clock():
@@ -77,25 +77,27 @@
 
     def resume(self, task, value):
         """Once only for each wait: what comes later belongs to a wait that is over."""
-        wait = task.wait
-        if wait is not None:
-            if wait.bell is not None:
-                wait.bell.task = None
-            if wait.fd >= 0 and self.fds.get(wait.fd) is task:
-                self.fds[wait.fd] = None
-            task.wait, task.serial = None, task.serial + 1
+        if task.wait is not None:
+            self._disarm(task)
+            task.serial += 1
             self.ready.append((task, task.serial, value))
 
     def cancel(self, task):
         """Ends a coroutine where it waits."""
         if not task.over:
-            if task.wait is not None and task.wait.bell is not None:
-                task.wait.bell.task = None
-            if task.wait is not None and self.fds.get(task.wait.fd) is task:
-                self.fds[task.wait.fd] = None
-            task.wait, task.over = None, True
+            if task.wait is not None:
+                self._disarm(task)
+            task.over = True
             task.gen.close()
 
+    def _disarm(self, task):
+        """What a coroutine waited for no longer wakes it."""
+        wait, task.wait = task.wait, None
+        if wait.bell is not None:
+            wait.bell.task = None
+        if self.fds.get(wait.fd) is task:
+            self.fds[wait.fd] = None
+
     def close(self, sock):
         """Closes a socket and forgets its descriptor before the number is used again."""
         fd = sock.fileno()
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -5,10 +5,9 @@
 from loguru import logger
 
 from calicopin.wire.http import dial
-from calicopin.wire.loop import Bell, Until
+from calicopin.wire.loop import AGAIN, Bell, Until
 
 PATIENCE = 2000.0
-AGAIN = 100.0
 MOST = 500  # lines in one request
 MOST_ANSWER = 65536
 
@@ -59,12 +58,5 @@
     def post(self, line, body, until):
         head = h11.Request(method="POST", target="/v1/outcomes", headers=[
             ("Host", self.address), ("Content-Type", "application/json"), ("Content-Length", str(len(body)))])
-        data = line.encode(head, body)
-        if (yield from line.write(data, until)) < len(data):
-            return 0
-        event = yield from line.event(until)
-        if not isinstance(event, h11.Response):
-            return 0
-        if (yield from line.body(MOST_ANSWER, until)) is None:
-            return 0
-        return event.status_code
+        status, _ = (yield from line.ask(head, body, MOST_ANSWER, until)) or (0, b"")
+        return status
