SIGHUP reads the configuration again: new watch and unheard notices at its discovery

Checked: boot/stop.py set handlers for SIGTERM and SIGINT only and took any byte of the wake-up pipe for a stop (Stop.heard); wire/discovery.py and wire/notices.py kept their address for good (start.py: posted).

Now boot/ear.py hears the signals from the first line on, boot/renewal.py reads the file anew: discovery of the file stands before LB_DISCOVERY, the watch begins from the whole list, notices not heard go to the new address at once, descriptors and disk hold at once, the rest is logged as waiting for a restart, a file that cannot be read changes nothing.

Tests fail without the change.

--- a/calicopin/__main__.py
+++ b/calicopin/__main__.py
@@ -1,7 +1,9 @@
 """The courier on sockets: `python -m calicopin`."""
 import sys
 
-from calicopin.boot.start import main
+from calicopin.boot.ear import Ear
 
 if __name__ == "__main__":
-    sys.exit(main())
+    ear = Ear()  # before the rest is read in, which takes its time
+    from calicopin.boot.start import main
+    sys.exit(main(ear))
--- /dev/null
+++ b/calicopin/boot/renewal.py
@@ -0,0 +1,47 @@
+"""SIGHUP: the configuration is read again while the courier serves on."""
+from loguru import logger
+
+from calicopin.held.connections import Budget
+from calicopin.wire.loop import FOREVER, READ, Until
+
+LASTING = ("name", "listen", "folder")  # what only a restart takes up, with the terms
+
+
+class Renewal:
+    """Hears the signals. What a new file says of discovery, descriptors and disk holds at once."""
+
+    def __init__(self, loop, ear, post, again, stop, discovery, clients, shift):
+        self.loop, self.ear, self.post, self.again, self.stop = loop, ear, post, again, stop
+        self.discovery, self.clients, self.shift = discovery, clients, shift
+
+    def wait(self):
+        while True:
+            yield Until(FOREVER, self.ear.fd, READ)
+            signs = self.ear.heard()
+            if signs.intersection(self.ear.STOPS):
+                self.stop.asked.ring()
+            if signs.difference(self.ear.STOPS):
+                self.renew()
+
+    def renew(self):
+        """A file that cannot be read changes nothing."""
+        try:
+            post = self.again()
+        except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
+            logger.error("SIGHUP: the configuration cannot be read and changes nothing: {!r}", fault)
+            return
+        old, self.post = self.post, post
+        logger.info("SIGHUP: discovery at {}, {} notices unheard", post.discovery, len(self.shift.notices.owed))
+        self.discovery.move(post.discovery)
+        self.shift.notices.move(post.discovery)
+        if post.descriptors != old.descriptors:
+            budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"])
+            self.clients.most, self.shift.lines.most = budget.clients, budget.endpoints
+            logger.info("SIGHUP: {} descriptors, {} before", post.descriptors, old.descriptors)
+        if post.disk != old.disk:
+            self.shift.journal.limit(post.disk)
+            logger.info("SIGHUP: {} bytes of disk, {} before", post.disk, old.disk)
+        waits = [name for name in LASTING if getattr(post, name) != getattr(old, name)]
+        waits += sorted(name for name in {**old.terms, **post.terms} if post.terms.get(name) != old.terms.get(name))
+        if waits:
+            logger.warning("SIGHUP: {} changed and needs a restart", ", ".join(waits))
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -2,6 +2,7 @@
 import gc
 import json
 import os
+import socket
 import sys
 import time
 import zlib
@@ -9,6 +10,8 @@
 
 from loguru import logger
 
+from calicopin.boot.ear import Ear
+from calicopin.boot.renewal import Renewal
 from calicopin.boot.shift import Shift
 from calicopin.boot.stop import Stop
 from calicopin.facade import Facade
@@ -34,10 +37,21 @@
     terms: dict
 
 
-def posted(environ):
-    """What the platform tells: addresses and folder by its variables first, all else by its file."""
+def address(word):
+    """An address as it is told; OSError or ValueError where it is none."""
+    host, _, port = word.rpartition(":")
+    socket.inet_aton(host)
+    if not 0 < int(port) < 65536:
+        raise ValueError(f"no port: {word[:40]!r}")
+    return word
+
+
+def posted(environ, renewed=False):
+    """What the platform tells: addresses and folder by its variables first, all else by its file; once the file
+    was replaced, its discovery stands before the variable."""
     with open(environ["LB_CONFIG"], encoding="utf-8") as file:
         told = json.load(file)
+    discovery = [told.get("discovery"), environ.get("LB_DISCOVERY")]
     limits, seed = told.get("limits", {}), str(told.get("seed", ""))
     try:
         seed = int(seed, 16)
@@ -46,14 +60,15 @@
     return Post(
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
-        discovery=environ.get("LB_DISCOVERY") or told["discovery"],
+        discovery=address((discovery[0] or discovery[1]) if renewed else (discovery[1] or discovery[0])),
         folder=environ.get("LB_STATE") or told["state"], seed=seed,
         descriptors=int(limits.get("sockets") or 1024), disk=int(float(limits.get("disk_mb") or 3) * 1e6),
         known=told.get("known") or {"version": 0, "full": True, "servers": []}, terms=told["settings"])
 
 
-def build(post, loop):
-    """The parts of one courier; what was journalled is handed in before any client is heard."""
+def build(post, loop, ear, again):
+    """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
+    more what the platform tells."""
     terms = post.terms
     ceilings = terms["ceilings"]
     connect = ceilings.get("connectTimeout", 1.0) * 1000.0
@@ -73,17 +88,19 @@
     products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
     clients = Clients(loop, post.listen, products, budget.clients, shift)
     stop = Stop(loop, shift, clients)
-    for begin in (discovery.watch, shift.notices.send, shift.keep_house, stop.wait):
+    renewal = Renewal(loop, ear, post, again, stop, discovery, clients, shift)
+    for begin in (shift.keep_house, stop.wait, renewal.wait):
         loop.keep(begin)
     return shift
 
 
-def main():
+def main(ear=None):
+    ear = ear or Ear()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
     post = posted(os.environ)
     loop = Loop(now=clock)
-    shift = build(post, loop)
+    shift = build(post, loop, ear, lambda: posted(os.environ, renewed=True))
     gc.collect()
     gc.freeze()
     gc.set_threshold(20000, 20, 50)
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -1,10 +1,7 @@
 """SIGTERM: what still comes is served, what can be finished is, the rest stays in the journal."""
-import os
-import signal
-
 from loguru import logger
 
-from calicopin.wire.loop import FOREVER, READ, Until
+from calicopin.wire.loop import Bell, Until
 
 LISTEN = 500.0  # new connections keep coming for so long at most, with some room
 LAST_CALL = 2800.0  # a call that begins later may be cut off by the end; clients are served until then
@@ -15,15 +12,11 @@
 class Stop:
     def __init__(self, loop, shift, clients):
         self.loop, self.shift, self.clients = loop, shift, clients
-        self.ear, mouth = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
-        signal.set_wakeup_fd(mouth, warn_on_full_buffer=False)
-        for sign in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(sign, lambda *_: None)
+        self.asked = Bell(loop)
 
     def wait(self):
-        """Waits for the signal, then leaves in order."""
-        while not self.heard():
-            yield Until(FOREVER, self.ear, READ)
+        """Waits until it is asked to, then leaves in order."""
+        yield Until(bell=self.asked)
         began, shift = self.loop.now(), self.shift
         logger.info("SIGTERM: {} texts held, {} calls out", len(shift.facade.texts), shift.out)
         self.clients.leaving = True  # no longer ready, but what still comes is served
@@ -37,9 +30,3 @@
         while self.loop.now() < began + LEAVE and (shift.out or shift.notices.owed or self.clients.open):
             yield Until(self.loop.now() + STEP)
         self.loop.running = False
-
-    def heard(self):
-        try:
-            return bool(os.read(self.ear, 64))
-        except BlockingIOError:
-            return False
--- a/calicopin/held/journal.py
+++ b/calicopin/held/journal.py
@@ -31,11 +31,15 @@
 
     def __init__(self, folder, most, offset):
         self.path, self.offset = os.path.join(folder, "journal"), offset
-        self.most, self.most_live = most // 2, most * 2 // 5  # the old file and its successor fit
+        self.limit(most)
         self.texts, self.costs, self.live, self.buffer, self.file = {}, {}, 0, bytearray(), None
         self.again = self._replay()
         self._rewrite()
 
+    def limit(self, most):
+        """So many bytes the folder may hold: the old file and its successor fit."""
+        self.most, self.most_live = most // 2, most * 2 // 5
+
     # Reading.
 
     def _replay(self):
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -25,24 +25,35 @@
 
 
 class Discovery:
+    """`version` is that of the list as it is known; None asks for the whole of it."""
+
     def __init__(self, loop, address, version, wait, heard):
         self.loop, self.address, self.version, self.wait, self.heard = loop, address, version, wait, heard
+        self.line, self.task = None, loop.keep(self.watch)
+
+    def move(self, address):
+        """A new watch, from the whole list on: each address counts its versions for itself."""
+        self.loop.cancel(self.task)
+        self.hang_up()
+        self.address, self.version, self.task = address, None, self.loop.keep(self.watch)
+
+    def hang_up(self):
+        line, self.line = self.line, None
+        if line:
+            line.close()
 
     def watch(self):
         """For ever: one call after the other on one connection."""
-        line = None
         while True:
             try:
-                if line is None:
-                    line = yield from dial(self.loop, self.address, self.loop.now() + GRACE)
-                told = (yield from self.ask(line)) if line else None
-            except ValueError as fault:
+                if self.line is None:
+                    self.line = yield from dial(self.loop, self.address, self.loop.now() + GRACE)
+                told = (yield from self.ask(self.line)) if self.line else None
+            except (ValueError, RecursionError) as fault:
                 logger.warning("discovery's answer cannot be read: {}", fault)
                 told = None
-            if told is None or not line.again():
-                if line:
-                    line.close()
-                line = None
+            if told is None or not self.line.again():
+                self.hang_up()
             if told is None:
                 yield Until(self.loop.now() + AGAIN)
                 continue
@@ -53,8 +64,10 @@
 
     def ask(self, line):
         """One call; None where it was not answered in time or broke."""
-        until = self.loop.now() + self.wait + GRACE
-        target = f"/api/targets?index={self.version}&wait={self.wait:.0f}"
+        wait, target = 0.0, "/api/targets"
+        if self.version is not None:
+            wait, target = self.wait, f"{target}?index={self.version}&wait={self.wait:.0f}"
+        until = self.loop.now() + wait + GRACE
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         status, body = (yield from line.ask(request, b"", MOST_LIST, until)) or (0, b"")
         return read(json.loads(body)) if status == 200 and body is not TOO_LONG else None
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -24,28 +24,37 @@
 
     def __init__(self, loop, address, heard):
         self.loop, self.address, self.heard = loop, address, heard
-        self.owed, self.bell = [], Bell(loop)
+        self.owed, self.bell, self.line = [], Bell(loop), None
+        self.task = loop.keep(self.send)
+
+    def move(self, address):
+        """All that was not heard at the old address is told at the new one, at once."""
+        self.loop.cancel(self.task)
+        self.hang_up()
+        self.address, self.task = address, self.loop.keep(self.send)
+
+    def hang_up(self):
+        line, self.line = self.line, None
+        if line:
+            line.close()
 
     def owe(self, text):
         self.owed.append(text)
         self.bell.ring()
 
     def send(self):
-        line = None
         while True:
             while not self.owed:
                 yield Until(bell=self.bell)
             batch = self.owed[:MOST]
             until = self.loop.now() + PATIENCE
-            if line is not None and not line.quiet():
-                line.close()
-                line = None
-            if line is None:
-                line = yield from dial(self.loop, self.address, until)
-            status = (yield from self.post(line, b"".join(map(encode, batch)), until)) if line else 0
-            if line and not (status and line.again()):
-                line.close()
-                line = None
+            if self.line is not None and not self.line.quiet():
+                self.hang_up()
+            if self.line is None:
+                self.line = yield from dial(self.loop, self.address, until)
+            status = (yield from self.post(self.line, b"".join(map(encode, batch)), until)) if self.line else 0
+            if self.line and not (status and self.line.again()):
+                self.hang_up()
             if status in (200, 204, 400):
                 if status == 400:
                     logger.error("notices could not be read: {}", [text.ident for text in batch])
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -2,12 +2,15 @@
 import json
 import os
 import signal
+from dataclasses import replace
 
 import pytest
 
+from calicopin.boot.ear import Ear
 from calicopin.boot.start import Post, build, posted
 from calicopin.boot.stop import LAST_CALL, LEAVE, LISTEN
 from calicopin.facade import Answer, Facade, Far, Place, how
+from calicopin.held.connections import Budget
 from calicopin.held.texts import Text
 from calicopin.interface import How
 from calicopin.wire.loop import Loop
@@ -224,8 +227,11 @@
         self.listen = free_address()
         known = {"version": 4, "full": True, "servers": [
             {"id": "s-1", "addr": self.endpoint.address, "zone": "a", "kind": "one", "cell": 7, "state": "active"}]}
-        self.shift = build(Post("n0", self.listen, self.platform.address, str(folder), 5, 256, disk, known, terms()),
-                           self.loop)
+        self.posts = [Post("n0", self.listen, self.platform.address, str(folder), 5, 256, disk, known, terms())]
+        self.shift = build(self.posts[0], self.loop, Ear(), lambda: self.again())
+
+    def again(self):
+        return self.posts[-1]
 
     def post(self, ident, product="notice", size=3, left=20.0):
         peer = client(self.loop, self.listen)
@@ -249,11 +255,11 @@
 
 @pytest.fixture(autouse=True)
 def signals():
-    before = signal.getsignal(signal.SIGTERM), signal.getsignal(signal.SIGINT)
+    before = {sign: signal.getsignal(sign) for sign in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)}
     yield
     signal.set_wakeup_fd(-1)
-    signal.signal(signal.SIGTERM, before[0])
-    signal.signal(signal.SIGINT, before[1])
+    for sign, handler in before.items():
+        signal.signal(sign, handler)
 
 
 def test_a_text_goes_from_its_client_to_its_endpoint(tmp_path):
@@ -367,6 +373,54 @@
     assert set(house.shift.journal.texts) == {"b", "c"}
 
 
+def renew(house, **other):
+    """The file is replaced, or cannot be read, and SIGHUP comes."""
+    house.posts.append(replace(house.posts[0], **other))
+    os.kill(os.getpid(), signal.SIGHUP)
+
+
+def test_sighup_begins_a_new_watch_and_tells_unheard_notices_at_the_new_address(tmp_path):
+    """It once ended the program."""
+    house = House(tmp_path)
+    house.post("a", left=0.0)
+    old = house.platform.meet()
+    old.wait(b"\r\n\r\n")
+    spin(house.loop, lambda: house.shift.notices.owed)
+    new = Door(house.loop)
+    renew(house, discovery=new.address, descriptors=512, disk=6_000_000)
+    heard = {peer.wait(b"\r\n\r\n")[:8]: peer for peer in (new.meet(), new.meet())}
+    old.wait_end()
+    watch, notices = heard[b"GET /api"], heard[b"POST /v1"]
+    notices.say(answer(204))
+    spin(house.loop, lambda: not house.shift.journal.texts)
+    other = {"id": "s-2", "addr": "127.0.0.1:9", "zone": "a", "kind": "one", "cell": 8, "state": "active"}
+    watch.say(answer(200, json.dumps({"version": 2, "full": True, "servers": [other]}).encode()))
+    assert b"index=2&wait=5000" in watch.wait(b"\r\n\r\n")
+    assert house.shift.lines.most > Budget(256, 8).endpoints and house.shift.journal.most == 3_000_000
+    assert house.loop.running and house.post("b") == b"202"
+
+
+def test_a_configuration_that_cannot_be_read_changes_nothing(tmp_path):
+    house = House(tmp_path)
+    old = house.platform.meet()
+    old.wait(b"\r\n\r\n")
+    before = house.shift.notices.task
+    for broken in ({}, {"discovery": 7}, {"discovery": "nowhere"}, "[", {"settings": terms(), "discovery": "1.2.3.4:x"}):
+        (tmp_path / "c.json").write_text(broken if broken == "[" else json.dumps({"listen": "x", "state": "y"} | broken))
+        house.again = lambda: posted({"LB_CONFIG": str(tmp_path / "c.json")}, renewed=True)
+        os.kill(os.getpid(), signal.SIGHUP)
+        for _ in range(10):
+            house.loop.once(house.loop.now())
+    assert not old.hear() and not old.ended and house.loop.running and house.shift.notices.task is before
+
+
+def test_a_signal_before_the_start_is_not_lost(tmp_path):
+    ear = Ear()
+    os.kill(os.getpid(), signal.SIGHUP)
+    os.kill(os.getpid(), signal.SIGTERM)
+    assert ear.heard() == {signal.SIGHUP, signal.SIGTERM} and not ear.heard()
+
+
 def refused(house):
     try:
         client(house.loop, house.listen)
@@ -379,5 +433,8 @@
             "limits": {"sockets": 300, "disk_mb": 3}, "settings": terms(), "more": 1}
     (tmp_path / "c.json").write_text(json.dumps(told))
     post = posted({"LB_CONFIG": str(tmp_path / "c.json"), "LB_STATE": "/x"})
+    assert posted({"LB_CONFIG": str(tmp_path / "c.json"), "LB_STATE": "/x", "LB_DISCOVERY": "127.0.0.1:3"}).discovery == "127.0.0.1:3"
+    assert posted({"LB_CONFIG": str(tmp_path / "c.json"), "LB_STATE": "/x", "LB_DISCOVERY": "127.0.0.1:3"},
+                  renewed=True).discovery == "127.0.0.1:2"
     assert (post.name, post.folder, post.seed, post.descriptors, post.disk) == (
         "n3", "/x", 0x8c1f30d27a5be964, 300, 3_000_000)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -378,7 +378,7 @@
 
 def test_the_watch_goes_on_and_is_begun_again_when_broken_garbled_or_silent(loop):
     door, heard = Door(loop), []
-    loop.spawn(Discovery(loop, door.address, 41, 5000.0, lambda places, whole: heard.append((places, whole))).watch())
+    Discovery(loop, door.address, 41, 5000.0, lambda places, whole: heard.append((places, whole)))
     peer = door.meet()
     assert b"GET /api/targets?index=41&wait=5000" in peer.wait(b"\r\n\r\n")
     peer.say(answer(200, json.dumps(LIST).encode()))
@@ -396,7 +396,6 @@
 def test_notices_gather_and_are_sent_until_heard(loop):
     door, heard = Door(loop), []
     notices = Notices(loop, door.address, lambda text: heard.append(text.ident))
-    loop.spawn(notices.send())
     for ident, verdict, wait in (("a", "dead", 0.0), ("b", "bounced", 500.4)):
         notices.owe(Text(ident, 1, 0, None, None, 1.0, b"", verdict=verdict, wait=wait))
     peer = door.meet()
