--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -36,7 +36,7 @@
         self.shift.notices.move(post.discovery)
         if post.descriptors != old.descriptors:
             budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"])
-            self.clients.most, self.shift.lines.most = budget.clients, budget.endpoints
+            self.clients.budget, self.shift.lines.most = budget, budget.endpoints
             logger.info("SIGHUP: {} descriptors, {} before", post.descriptors, old.descriptors)
         if post.disk != old.disk:
             self.shift.journal.limit(post.disk)
--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -2,6 +2,7 @@
 from loguru import logger
 
 from calicopin.facade import Answer, Far
+from calicopin.held.texts import Past
 from calicopin.wire.endpoints import submit
 from calicopin.wire.loop import Until
 
@@ -11,9 +12,9 @@
 
 
 class Shift:
-    def __init__(self, loop, facade, journal, lines, connect_timeout):
+    def __init__(self, loop, facade, journal, lines, connect_timeout, lasting):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
-        self.connect_timeout, self.notices = connect_timeout, None
+        self.connect_timeout, self.notices, self.past, self.current = connect_timeout, None, Past(lasting), False
         self.waiting, self.calls, self.given_up, self.calling = [], [], [], True
         self.out = self.taken = self.turned_away = self.noticed = 0
         loop.turn = self.turn
@@ -33,12 +34,15 @@
     # What clients ask of the desk.
 
     def take(self, text):
-        """None where the text is taken on, else the milliseconds after which to come again (0: none told)."""
-        if text.ident in self.journal.texts:
-            return None
+        """None where the text is taken on, else the status that refuses it and the milliseconds after which to
+        come again (0: none told)."""
+        if text.ident in self.journal.texts or text.ident in self.past:
+            return 409, 0.0
+        if not self.facade.serves(text.dest):
+            return (404 if self.current else 503), 0.0
         if self.facade.full() or not self.journal.room(len(text.body)):
             self.turned_away += 1
-            return self.facade.advice(text)
+            return 503, self.facade.advice(text)
         self.journal.taken(text)
         self.facade.hand_in(text)
         self.taken += 1
@@ -49,7 +53,14 @@
         return bell
 
     def withdraw(self, text):
-        self.facade.withdraw(self.journal.texts.get(text.ident, text))
+        self.facade.withdraw(text)
+
+    def listed(self, places, whole):
+        """News of discovery's."""
+        self.current = True
+        if whole or places:
+            self.facade.listed(places, whole)
+            self.lines.list(self.facade.places.values())
 
     # The turn.
 
@@ -86,7 +97,7 @@
             self.calls.append(call)
         while end := facade.ended():
             if end.verdict is None:
-                journal.over(end.text)
+                self.over(end.text)
             else:
                 journal.given_up(end.text, end.verdict, end.wait)
                 self.given_up.append(end.text)
@@ -96,18 +107,25 @@
         """One call; whatever happens in it, its texts get an outcome."""
         started = self.loop.now()
         answer = Answer(Far.SENT)  # a fault leaves open how far it came
+
+        def tell(early):
+            self.facade.report(call, early, self.loop.now() - started)
         try:
-            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout, self.facade.still)
+            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout, self.facade.still, tell)
         except Exception:
             logger.exception("a call to {} ended by a fault", call.place.ident)
         finally:
             self.out -= 1
-            self.facade.report(call, answer, self.loop.now() - started)
+            tell(answer)
 
     def told(self, text):
         """The platform has heard a notice."""
         self.noticed += 1
+        self.over(text)
+
+    def over(self, text):
         self.journal.over(text)
+        self.past.add(text.ident, self.loop.now())
 
     def keep_house(self):
         """Closes idle connections in time and says how late the loop ran."""
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -77,19 +77,20 @@
     journal = Journal(post.folder, post.disk, time.time() * 1000.0 - loop.now())
     facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
-    shift = Shift(loop, facade, journal, lines, connect)
+    lasting = max(grade["giveUp"] for grade in terms["grades"]) * 1000.0
+    shift = Shift(loop, facade, journal, lines, connect, lasting)
     shift.notices = Notices(loop, post.discovery, shift.told)
     version, _, places = read(post.known)
     facade.listed(places, True)
     shift.restore()
     shift.turn()
     wait = min(60000.0, terms["rules"].get("askWithin", 10.0) * 500.0)
-    discovery = Discovery(loop, post.discovery, version, wait, facade.listed)
+    discovery = Discovery(loop, post.discovery, version, wait, shift.listed)
     products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
-    clients = Clients(loop, post.listen, products, budget.clients, shift)
+    clients = Clients(loop, post.listen, products, budget, shift)
     stop = Stop(loop, shift, clients)
     renewal = Renewal(loop, ear, post, again, stop, discovery, clients, shift)
-    for begin in (shift.keep_house, stop.wait, renewal.wait):
+    for begin in (shift.keep_house, clients.keep_house, stop.wait, renewal.wait):
         loop.keep(begin)
     return shift
 
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -7,7 +7,7 @@
 import heapq
 import zlib
 from collections import Counter, deque
-from itertools import count, islice
+from itertools import accumulate, count, islice
 
 from calicopin.interface import How, Log, Nack, Repeat, Submit, Undeliverable, Wake, Watch
 
@@ -59,18 +59,16 @@
         """Guards 'no double effect': the time after which nothing more may be sent."""
         if self.ran_at is None or self.product.repeat == Repeat.RESENDABLE:
             return self.until
-        if self.product.repeat == Repeat.ONCE_ONLY:
-            return -1.0
-        return min(self.until, self.ran_at + self.product.memory)
+        once = self.product.repeat == Repeat.ONCE_ONLY
+        return -1.0 if once else min(self.until, self.ran_at + self.product.memory)
 
     def earns(self, at):
         """Share of the revenue that a delivery at that time still earns."""
         product, past = self.product, at - (self.until - self.product.validity + self.product.sla)
         if past <= 0.0 or at >= self.until:
             return float(at < self.until)
-        if product.late_halves:
-            return max(product.late_revenue, 0.5 ** (past / product.sla))
-        return 1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla)
+        return max(product.late_revenue, 0.5 ** (past / product.sla)) if product.late_halves else (
+            1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla))
 
     def nackable(self):
         return self.ran_at is None or self.product.repeat == Repeat.RESENDABLE or (
@@ -181,8 +179,7 @@
         if self.mode == "out":
             self.turn("cold", f"answered after {now - self.since:.0f} ms")
             self.since = self.failed_at  # it may have been back since: where few call, few know
-        self.fails = 0
-        room = 2.0 * self.left - 1.0 if self.limit else 1.0
+        self.fails, room = 0, 2.0 * self.left - 1.0 if self.limit else 1.0
         if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
             self.rate += self.STEP * self.start * room
@@ -191,8 +188,7 @@
     def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for the rule's span."""
         now = self.floor.now
-        if self.fails == 0:
-            self.fail_since = now
+        self.fail_since = self.fail_since if self.fails else now
         self.fails, self.failed_at = self.fails + 1, now
         lasted = now - self.fail_since
         lasting = self.fails >= (self.STREAK if why == "full" else 3) and lasted >= self.fail_back.span
@@ -221,7 +217,7 @@
     """Carries calls to one endpoint and tells its destination how they went."""
     def __init__(self, floor, ident, zone, dest, route):
         self.floor, self.ident, self.zone, self.dest, self.route = floor, ident, zone, dest, route
-        self.inbox, self.calls = deque(), []
+        self.inbox, self.calls, self.seen = deque(), [], floor.now
 
     def on_carry(self, texts):
         """Time-outs lie far beyond the usual, so that a lost call frees its slot; one out may be slow."""
@@ -323,11 +319,7 @@
                and not (bound and e.zone != text.ran_zone)]
         odds = [1.0 / (1 + len(endpoint.calls)) for endpoint in fit]
         draw = self.floor.chance(text.ident) * sum(odds)
-        for endpoint, part in zip(fit, odds):
-            draw -= part
-            if draw < 0.0:
-                return endpoint
-        return fit[-1] if fit else None
+        return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
 
     def on_pump(self):
         """Ask for a slot when the first in line may go; else come back when a bucket opens."""
@@ -387,8 +379,7 @@
         self.deal()
 
     def on_free(self, dest):
-        self.free += 1
-        dest.held -= 1
+        self.free, dest.held = self.free + 1, dest.held - 1
         self.deal()
 
     def deal(self):
@@ -501,10 +492,15 @@
 
     def still(self, now, ident, texts):
         """Whether a call that took its time to connect may begin: list, waits and memories have moved on."""
-        endpoint = self.endpoints[ident]
-        return ident in endpoint.dest.endpoints and now >= endpoint.route.pause and all(
+        endpoint = self.endpoints.get(ident)
+        return endpoint and ident in endpoint.dest.endpoints and now >= endpoint.route.pause and all(
             now < self.desk.texts[text].last_submit() for text in texts)
 
+    def halt(self, ident, wait):
+        """A told wait that came to light only after the call's outcome."""
+        if ident in self.endpoints:
+            self.endpoints[ident].route.halt(wait)
+
     def advice(self, dest):
         """When a text may come again that is turned away because too many are held."""
         return min(max(0.0, self.dest(dest).opens() - self.floor.now), self.desk.advice)
@@ -564,6 +560,11 @@
                 dest.endpoints[entry.endpoint] = self.endpoints.setdefault(
                     entry.endpoint, Endpoint(self.floor, entry.endpoint, entry.zone, dest, route))
             self.floor.post(dest, "pump")
-        if event.whole:
-            for dest in self.dests.values():
-                dest.endpoints = {ident: end for ident, end in dest.endpoints.items() if ident in seen}
+        for ident, endpoint in list(self.endpoints.items()):  # health is kept for one that may soon be back
+            if event.whole and ident not in seen:
+                endpoint.dest.endpoints.pop(ident, None)
+            if ident in endpoint.dest.endpoints:
+                endpoint.seen = self.floor.now
+            elif not endpoint.calls and self.floor.now - endpoint.seen > Route.IDLE:
+                del self.endpoints[ident]
+                endpoint.dest.routes.pop(ident, None)
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -45,6 +45,7 @@
     zone: str
     ready: bool
     agreed: float
+    left: bool = False
 
 
 @dataclass(slots=True)
@@ -53,6 +54,9 @@
     place: Place
     texts: list
     timeout: float
+    endpoint: int = -1
+    told: bool = False  # whether an outcome was reported, and with what wait
+    waited: float = 0.0
     cut: float = float("inf")  # the first time-out that comes before the end of its text
     open: set = field(default_factory=set)  # texts of which nothing was reported yet
 
@@ -126,14 +130,26 @@
             self.events.append(Withdrawn(text.number))
             self.ends.append(End(text, None))
 
+    def serves(self, dest):
+        """Whether the destination was ever listed."""
+        return dest in self.dests.index
+
     def listed(self, places, whole):
-        entries = []
+        """News of the list; what has left is forgotten once the decisions have no more use for it."""
+        entries, before = [], self.places
+        if whole:
+            self.places = {}
         for place in places:
             number = self.endpoints(place.ident)
             self.places[number] = place
             entries.append(Entry(number, self.dests(place.dest), self.kinds(place.kind),
                                  self.zones(place.zone), place.ready, place.agreed if self.agreed else None))
+            if place.left:
+                del self.places[number]
         self.events.append(Listed(entries, whole))
+        for ident, number in list(self.endpoints.index.items()):
+            if not (number in self.places or number in before or number in self.module.endpoints):
+                self.endpoints.forget(ident)
 
     def report(self, call, answer, elapsed):
         """How a call ended. What had its outcome before is passed over."""
@@ -143,11 +159,16 @@
                 outcome, ended = how(answer, text.ident)
                 wait = answer.wait if answer.far == Far.ANSWERED else 0.0
                 self._outcome(call, text, outcome, elapsed, ended, wait, told)
+        if answer.wait > call.waited:
+            if not call.open and call.told:  # the head came whole only after the first line had told the outcome
+                self.module.halt(call.endpoint, answer.wait)
+            call.waited = answer.wait
+        call.told = True
 
     def _outcome(self, call, text, outcome, elapsed, ended, wait=0.0, told=None):
         call.open.discard(text.number)
         told = told or {}
-        self.events.append(Outcome(text.number, self.endpoints(call.place.ident), outcome, wait, elapsed,
+        self.events.append(Outcome(text.number, call.endpoint, outcome, wait, elapsed,
                                    ended, told.get("x0"), told.get("x1")))
         if not ended:
             self.backs.append((text, outcome not in HARMLESS))
@@ -197,7 +218,7 @@
         bundle = self.partners[min(self.kinds(place.kind), len(self.partners) - 1)].bundle
         call = shared.get(action.endpoint)
         if call is None or len(call.texts) >= bundle:
-            call = shared[action.endpoint] = Call(place, [], 0.0)
+            call = shared[action.endpoint] = Call(place, [], 0.0, action.endpoint)
             self.calls.append(call)
         call.texts.append(text)
         call.open.add(text.number)
@@ -214,7 +235,7 @@
     def still(self, call, now):
         """Whether a call that was picked and took its time to connect may begin now."""
         texts = [text.number for text in call.texts if text.number in call.open]
-        return bool(texts) and self.module.still(now, self.endpoints(call.place.ident), texts)
+        return bool(texts) and bool(self.module.still(now, call.endpoint, texts))
 
     def back(self):
         """The next text whose submit came back without an end, and whether that may have run; or None."""
--- a/calicopin/held/connections.py
+++ b/calicopin/held/connections.py
@@ -9,29 +9,34 @@
         room = max(2, descriptors - self.OWN)
         self.endpoints = max(1, room // 2)  # connections to endpoints, idle ones among them
         self.calls = min(slots, self.endpoints)  # calls out at once
-        self.clients = room - self.endpoints
+        self.clients = max(1, min(descriptors // 3, room - self.endpoints))  # clients with requests
+        self.porch = room - self.endpoints - self.clients  # more for a moment: new ones, and such as are shown out
 
 
 class Lines:
-    """Connections to endpoints, `most` with those in use. Idle ones lie by address; the one used last is
-    taken first, the oldest makes room."""
+    """Connections to endpoints, `most` with those in use. Idle ones lie by endpoint and address, since an address
+    may pass to another endpoint; the one used last is taken first, the oldest makes room."""
 
     def __init__(self, most, idle_limit):
-        self.most, self.idle_limit, self.idle, self.used = most, idle_limit, {}, 0
+        self.most, self.idle_limit, self.idle, self.used, self.listed = most, idle_limit, {}, 0, None
 
     @property
     def count(self):
         """How many are idle."""
         return sum(map(len, self.idle.values()))
 
+    @staticmethod
+    def shelf(place):
+        return place.ident, place.address
+
     def good(self, line, since, now):
         """Whether an idle one may still serve."""
         return now - since < self.idle_limit and line.quiet()
 
-    def take(self, address, now):
+    def take(self, place, now):
         """An idle one well clear of the idle limit; None where a new one is to be opened: it has room."""
         self.used += 1
-        kept = self.idle.get(address, [])
+        kept = self.idle.get(self.shelf(place), [])
         while kept:
             line, since = kept.pop()
             if self.good(line, since, now):
@@ -43,10 +48,13 @@
                 min(shelves, key=lambda kept: kept[0][1]).pop(0)[0].close()
         return None
 
-    def keep(self, address, line, now):
-        """One that was taken may serve again."""
+    def keep(self, place, line, now):
+        """One that was taken may serve again, unless its endpoint has left."""
+        if self.listed is not None and self.shelf(place) not in self.listed:
+            self.drop(line)
+            return
         self.used -= 1
-        self.idle.setdefault(address, []).append((line, now))
+        self.idle.setdefault(self.shelf(place), []).append((line, now))
 
     def drop(self, line):
         """One that was taken has served its last, or never came up."""
@@ -54,9 +62,16 @@
         if line:
             line.close()
 
+    def list(self, places):
+        """The endpoints as they are listed now; idle connections to any other are closed."""
+        self.listed = {self.shelf(place) for place in places}
+        for shelf in self.idle.keys() - self.listed:
+            for line, _ in self.idle.pop(shelf):
+                line.close()
+
     def sweep(self, now):
         """Closes what has stood idle too long or was closed by the other side."""
-        for address, kept in list(self.idle.items()):
+        for shelf, kept in list(self.idle.items()):
             stay = []
             for line, since in kept:
                 if self.good(line, since, now):
@@ -64,6 +79,6 @@
                 else:
                     line.close()
             if stay:
-                self.idle[address] = stay
+                self.idle[shelf] = stay
             else:
-                del self.idle[address]
+                del self.idle[shelf]
--- a/calicopin/held/texts.py
+++ b/calicopin/held/texts.py
@@ -1,4 +1,5 @@
 """A text as it is kept from its 202 to its end. Times are the module's, in milliseconds."""
+from collections import deque
 from dataclasses import dataclass
 
 
@@ -27,3 +28,20 @@
         if may_have_run and self.ran_at is None:
             self.ran_at, self.ran_zone = self.out_at, self.out_zone
         self.out_at = self.out_zone = None
+
+
+class Past:
+    """Ids of texts that are over, for as long as a text may live. Guards against a second text under the id of
+    one that has just ended: its submits would be copies."""
+
+    def __init__(self, span):
+        self.span, self.idents, self.order = span, set(), deque()
+
+    def add(self, ident, now):
+        self.idents.add(ident)
+        self.order.append((now + self.span, ident))
+        while self.order[0][0] <= now:
+            self.idents.discard(self.order.popleft()[1])
+
+    def __contains__(self, ident):
+        return ident in self.idents
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -2,6 +2,8 @@
 
 Nothing here decides anything; keys that are not known are passed over.
 """
+from itertools import count
+
 from calicopin.brain import Courier
 from calicopin.interface import FailBack, Partner, Product, Repeat
 
@@ -10,19 +12,22 @@
 
 
 class Indices:
-    """Gives each outside id a small index, in the order of arrival."""
+    """Gives each outside id a small index, in the order of arrival; none is given twice."""
 
     def __init__(self, idents=()):
-        self.index, self.ident = {}, []
+        self.index, self.ident, self.next = {}, {}, count()
         for ident in idents:
             self(ident)
 
     def __call__(self, ident):
         if ident not in self.index:
-            self.index[ident] = len(self.ident)
-            self.ident.append(ident)
+            self.index[ident] = number = next(self.next)
+            self.ident[number] = ident
         return self.index[ident]
 
+    def forget(self, ident):
+        del self.ident[self.index.pop(ident)]
+
 
 def ms(value):
     return (value or 0.0) * 1000.0
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -1,5 +1,5 @@
 """Requests of clients: each that was read gets its answer, and a 202 only once its text is kept."""
-import math
+import re
 import socket
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -11,9 +11,18 @@
 from calicopin.wire.loop import AGAIN, FOREVER, READ, Bell, Until
 
 MOST_BODY = 65536
-PATIENCE = 5000.0  # for the rest of a request: guards descriptors against clients that go silent in it
-LINGER = 1000.0  # for a client to read its last answer
+PATIENCE = 2500.0  # for a whole request: guards descriptors against clients that go silent in it or before it
+LINGER = 300.0  # for a client to read its last answer
+NEW = 500.0  # a new connection is not closed for want of descriptors before: its request may be on its way
+REST = 2000.0  # nor one between requests
+SWEEP = 250.0
+EASE = 20.0  # between two looks for room: guards the loop where connections come at full speed
+PAUSE = 100.0  # after a request that could not be taken: guards the others against one that comes at full speed
+AT_ONCE = 32  # connections accepted in one pass, for the same reason
 MOST_WORD = 256  # of an id, a reference or a key
+MOST_TIME = 86400.0  # seconds; beyond a day no validity period is meant
+SECONDS = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
+NUMBER = re.compile(r"[0-9]{1,9}")
 
 
 class Refused(Exception):
@@ -38,130 +47,205 @@
     key = "/".join(parts[1:]) or None
     if not ident or max(len(ident), len(reference or ""), len(key or "")) > MOST_WORD:
         raise Refused(400, "X-Request-ID is absent, or a word is too long")
-    try:
-        left = float(told["x-timeout"]) * 1000.0
-        if not math.isfinite(left):
-            raise ValueError
-    except (KeyError, ValueError):
-        raise Refused(400, "X-Timeout is no number of seconds") from None
-    try:
-        dest = int(envelope(told["x-envelope"])["dest"])
-    except (KeyError, ValueError):
-        raise Refused(400, "X-Envelope names no dest") from None
-    return Text(ident, dest, products[parts[0]], reference, key, now + left, body)
+    left = told.get("x-timeout", "").strip()
+    if not SECONDS.fullmatch(left) or float(left) > MOST_TIME:
+        raise Refused(400, "X-Timeout is no number of seconds")
+    dest = envelope(told.get("x-envelope", "")).get("dest", "")
+    if not NUMBER.fullmatch(dest):
+        raise Refused(400, "X-Envelope names no dest")
+    return Text(ident, int(dest), products[parts[0]], reference, key, now + float(left) * 1000.0, body)
+
+
+def misframed(head):
+    """Why the end of a request with this head cannot be relied on, with a status; or None. Two lengths may hide a
+    second request in the body of the first."""
+    told = {name: value for name, value in head.headers if name in (b"content-length", b"transfer-encoding")}
+    if len(told) == 2:
+        return 400, "both Content-Length and Transfer-Encoding"
+    if int(told.get(b"content-length", 0)) > MOST_BODY:
+        return 413, "a body over 64 KiB"
+    return None
+
+
+class Visit:
+    """One connection of a client's."""
+    __slots__ = ("line", "task", "since", "until", "fresh", "pause")
+
+    def __init__(self, line, now):
+        self.line, self.task, self.since, self.until = line, None, now, now + PATIENCE
+        self.fresh, self.pause = True, 0.0  # fresh: no request was read yet
 
 
 class Clients:
     """Accepts connections as far as descriptors allow and serves what comes on them.
 
-    `desk` takes the texts: `desk.take(text)` is None where it is taken on, else the wait that is advised; a
-    text taken on is kept once the bell handed to `desk.kept` has rung."""
+    `desk` takes the texts: `desk.take(text)` is None where it is taken on, else the status that refuses it and
+    the wait that is advised; a text taken on is kept once the bell handed to `desk.kept` has rung."""
 
-    def __init__(self, loop, address, products, most, desk):
-        self.loop, self.products, self.most, self.desk = loop, products, most, desk
+    def __init__(self, loop, address, products, budget, desk):
+        self.loop, self.products, self.budget, self.desk = loop, products, budget, desk
         host, _, port = address.rpartition(":")
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((host, int(port)))
         self.listener.listen(1024)
         self.listener.setblocking(False)
-        self.idle, self.open, self.room, self.leaving, self.closing = {}, 0, Bell(loop), False, False
+        self.idle, self.lingering, self.open, self.leaving, self.closing = {}, {}, 0, False, False
+        self.faults, self.told, self.relieved = 0, -FOREVER, -FOREVER
         self.accepting = loop.keep(self.accept)
 
     def accept(self):
         while True:
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                yield Until(FOREVER, self.listener.fileno(), READ)
-                continue
-            except OSError as fault:
-                logger.warning("accept failed: {}", fault)
-                yield Until(self.loop.now() + AGAIN)
-                continue
+            for _ in range(AT_ONCE):
+                try:
+                    sock, _ = self.listener.accept()
+                except BlockingIOError:
+                    yield Until(FOREVER, self.listener.fileno(), READ)
+                    break
+                except OSError as fault:  # no descriptor left, or the client is gone
+                    logger.warning("accept failed: {}", fault)
+                    self.relieve()
+                    yield Until(self.loop.now() + AGAIN)
+                    break
+                self.admit(Line(self.loop, sock, h11.SERVER))
+            else:
+                yield Until(self.loop.now())
+
+    def admit(self, line):
+        """A new connection is served; where there is no room at all it is turned away, not left to wait."""
+        if self.open >= self.budget.clients and self.loop.now() >= self.relieved + EASE:
+            self.relieve()
+        if self.open < self.budget.clients + self.budget.porch:
             self.open += 1
-            self.loop.spawn(self.serve(Line(self.loop, sock, h11.SERVER)))
-            if self.open >= self.most:
-                self.close_longest_idle()
-            while self.open > self.most:
-                yield Until(bell=self.room)
-
-    def close_longest_idle(self):
-        task = next((task for line, task in self.idle.items() if line.quiet()), None)
-        if task:
+            self.loop.spawn(self.serve(Visit(line, self.loop.now())))
+            return
+        self.complain(503, "no descriptor left for a client")
+        try:
+            line.sock.send(b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            line.sock.shutdown(socket.SHUT_WR)
+            line.sock.recv(MOST_BODY)
+        except OSError:
+            pass
+        line.close()
+
+    def relieve(self):
+        """Closes what may be closed until descriptors are no longer short: connections that were shown out, then
+        new ones that said nothing, then those between requests, longest first; never one with a request begun."""
+        now, short = self.loop.now(), self.budget.clients
+        self.relieved = now
+        for task in list(self.lingering.values()):
+            if self.open < short:
+                break
             self.loop.cancel(task)
+        for fresh, least, enough in ((True, NEW, short - 1), (False, REST, short // 2)):
+            for visit in list(self.idle) if self.open > enough else ():
+                if self.open <= enough or now - visit.since < least:
+                    break
+                if visit.fresh is fresh and visit.line.quiet():
+                    self.loop.cancel(visit.task)
+
+    def keep_house(self):
+        while True:
+            yield Until(self.loop.now() + SWEEP)
+            self.relieve()
 
-    def serve(self, line):
+    def serve(self, visit):
+        line = visit.line
         try:
             more = True
             while more:
-                more = yield from self.request(line)
-                yield Until(0.0)  # one after the other: a client that never pauses does not hold up the rest
+                more = yield from self.request(visit)
+                visit.fresh = False
+                # one after the other: a client that never pauses does not hold up the rest
+                yield Until(self.loop.now() + visit.pause)
         except Exception:  # guards the program, and the client that would wait for nothing
             logger.exception("a client's request ended by a fault")
             yield from self.fault(line, 500, "a fault of the courier")
         finally:
-            self.idle.pop(line, None)
+            self.idle.pop(visit, None)
+            self.lingering.pop(line, None)
             line.close()
             self.open -= 1
-            self.room.ring()
 
-    def request(self, line):
+    def request(self, visit):
         """One request and its answer; False where the connection ends."""
-        head = yield from self.next_head(line)
+        line, visit.pause = visit.line, 0.0
+        head = yield from self.next_head(visit)
         if not isinstance(head, h11.Request):
-            if head is None:
+            if head is None and line.unread():
                 yield from self.fault(line, 408, "a head that does not come")
             if isinstance(head, h11.RemoteProtocolError):
                 yield from self.fault(line, head.error_status_hint or 400, str(head))
             return False
-        path, until = head.target.split(b"?")[0], self.loop.now() + PATIENCE
-        if head.method in (b"GET", b"HEAD"):
-            body = yield from line.body(MOST_BODY, until)
-            status = {b"/-/ready": 503 if self.leaving else 200, b"/-/healthy": 200}.get(path, 404)
-            return body is not None and (yield from self.reply(line, status))
-        if head.method != b"POST":
-            yield from self.fault(line, 405, f"no {head.method[:20]!r}")
-            return False
-        body = yield from line.body(MOST_BODY, until)
-        if body is None:
+        path, until = head.target.split(b"?")[0], visit.until
+        trouble = misframed(head)
+        if trouble is None and head.method not in (b"GET", b"HEAD", b"POST"):
+            trouble = 405, f"no {head.method[:20]!r}"
+        body = None if trouble else (yield from line.body(MOST_BODY, until))
+        if body is TOO_LONG:
+            trouble = 413, "a body over 64 KiB"
+        elif body is None and not trouble:
             if self.loop.now() >= until:
-                yield from self.fault(line, 408, "a body that does not come")
+                trouble = 408, "a body that does not come"
             elif line.h11.their_state is h11.ERROR and not line.ended:
-                yield from self.fault(line, 400, "a body that cannot be read")
+                trouble = 400, "a body that cannot be read"
+        if trouble:
+            yield from self.fault(line, *trouble)
+        if trouble or body is None:
             return False
-        if body is TOO_LONG:
-            return (yield from self.reply(line, 413, b"a body over 64 KiB"))
+        if head.method != b"POST":
+            status = {b"/-/ready": 503 if self.leaving else 200, b"/-/healthy": 200}.get(path, 404)
+            return (yield from self.reply(line, status))
         try:
             text = read_text(head, body, self.products, self.loop.now())
         except Refused as fault:
-            logger.warning("client request answered {}: {}", fault.status, fault)
+            visit.pause = PAUSE
+            self.complain(fault.status, fault)
             return (yield from self.reply(line, fault.status, str(fault).encode()))
         if line.left():  # it waited too long and hands the text in elsewhere; else a refusal does no harm
             return (yield from self.reply(line, 503))
-        advice = self.desk.take(text)
-        if advice is not None:
-            extra = [("Retry-After", f"{advice / 1000.0:.3f}")] if advice > 0.0 else []
-            return (yield from self.reply(line, 503, b"", extra))
+        refusal = self.desk.take(text)
+        if refusal is not None:
+            status, wait = refusal
+            if status != 503:
+                visit.pause = PAUSE
+                self.complain(status, f"dest {text.dest}, id {text.ident[:40]!r}")
+            extra = [("Retry-After", f"{wait / 1000.0:.3f}")] if wait > 0.0 else []
+            return (yield from self.reply(line, status, b"", extra))
         yield Until(bell=self.desk.kept(Bell(self.loop)))
         more = yield from self.reply(line, 202)
         if more is None:  # the client did not hear that it was taken on: it hands the text in again
             self.desk.withdraw(text)
         return bool(more)
 
-    def next_head(self, line):
+    def next_head(self, visit):
         """Waits between requests; only here may the courier close the connection."""
-        if not self.closing and line.quiet() and not line.h11.trailing_data[0]:
-            self.idle[line] = self.loop.current
-            yield Until(FOREVER, line.sock.fileno(), READ)
-            self.idle.pop(line, None)
-        return (yield from line.event(self.loop.now() + PATIENCE))
+        line = visit.line
+        if not self.closing and not line.unread() and line.quiet():
+            visit.task = self.loop.current
+            if not visit.fresh:
+                visit.since, visit.until = self.loop.now(), FOREVER
+            self.idle[visit] = True
+            yield Until(visit.until, line.sock.fileno(), READ)
+            self.idle.pop(visit, None)
+        if not visit.fresh:
+            visit.until = self.loop.now() + PATIENCE
+        return (yield from line.event(visit.until))
 
     def fault(self, line, status, why):
-        logger.warning("client connection answered {}: {}", status, why)
+        self.complain(status, why)
         yield from self.reply(line, status, why.encode("latin-1", "replace"), [("Connection", "close")])
+        self.lingering[line] = self.loop.current
         yield from line.linger(self.loop.now() + LINGER)
 
+    def complain(self, status, why):
+        """One line a second at the most: those that come at full speed are counted."""
+        self.faults += 1
+        now = self.loop.now()
+        if now >= self.told + 1000.0:
+            logger.warning("{} requests of clients turned away, the last with {}: {}", self.faults, status, why)
+            self.faults, self.told = 0, now
+
     def reply(self, line, status, body=b"", extra=()):
         """Whether the connection may serve another request; None if the answer could not be written."""
         if self.closing:
@@ -171,7 +255,7 @@
                 status_code=status, headers=[*extra, ("Content-Length", str(len(body)))]), body)
         except h11.LocalProtocolError:  # the answer is out or the peer is gone
             return None
-        done = yield from line.write(data, FOREVER)
+        done = yield from line.write(data, self.loop.now() + PATIENCE)
         return None if done < len(data) else line.again()
 
     def stop_listening(self):
@@ -181,5 +265,5 @@
     def close_between_requests(self):
         """Idle connections go now, the others with their next answer."""
         self.closing = True
-        for task in [task for line, task in self.idle.items() if line.quiet()]:
-            self.loop.cancel(task)
+        for visit in [visit for visit in self.idle if visit.line.quiet()]:
+            self.loop.cancel(visit.task)
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -18,7 +18,8 @@
     try:
         return int(data["version"]), bool(data["full"]), [
             Place(str(entry["id"]), str(entry["addr"]), int(entry["cell"]), str(entry.get("kind", "")),
-                  str(entry.get("zone", "")), entry["state"] == "active", float(entry.get("weight") or 0.0))
+                  str(entry.get("zone", "")), entry["state"] == "active", float(entry.get("weight") or 0.0),
+                  entry["state"] == "left")
             for entry in data["servers"]]
     except (KeyError, TypeError, AttributeError) as fault:
         raise ValueError(f"the list lacks or garbles {fault}") from None
@@ -58,8 +59,7 @@
                 yield Until(self.loop.now() + AGAIN)
                 continue
             version, whole, places = told
-            if whole or places:
-                self.heard(places, whole)
+            self.heard(places, whole)
             self.version = version
 
     def ask(self, line):
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -1,13 +1,19 @@
 """Calls to endpoints: one at a time on a connection, and none is ever sent twice by itself."""
 import base64
 import json
+import re
 
 import h11
 
 from calicopin.facade import Answer, Far
-from calicopin.wire.http import TOO_LONG, dial
+from calicopin.wire.http import NO_ROOM, TOO_LONG, dial
+from calicopin.wire.loop import AGAIN, Until
 
-MOST_ANSWER = 1 << 20
+MOST_ANSWER = 65536
+MOST_LINE = 1024  # of a first line
+MOST_INTERIM = 16  # 1xx answers before the one that counts
+REST = 1000.0  # for the rest of an answer once it has begun: guards slots against answers that never end
+STATUS = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?=[ \r\n])")
 
 
 def number(word, least=0.0):
@@ -23,12 +29,10 @@
     """The report of an answer; anything but numbers is passed over."""
     try:
         value = json.loads(word) if word else {}
-    except ValueError:
+        return {name: float(x) for name, x in value.items()
+                if isinstance(x, (int, float)) and not isinstance(x, bool) and 0.0 <= x < float("inf")}
+    except (ValueError, AttributeError, RecursionError, OverflowError):
         return {}
-    if not isinstance(value, dict):
-        return {}
-    return {name: float(x) for name, x in value.items()
-            if isinstance(x, (int, float)) and not isinstance(x, bool) and 0.0 <= x < float("inf")}
 
 
 def encode(call, timeout):
@@ -53,7 +57,7 @@
     """What a bulk answer says of each text; None where it cannot be read."""
     try:
         return {line["id"]: line["state"] for line in json.loads(body)}
-    except (ValueError, TypeError, KeyError):
+    except (ValueError, TypeError, KeyError, RecursionError):
         return None
 
 
@@ -64,49 +68,85 @@
                   no_slot=told.get("x-no-slot") == "1", load=load(told.get("x-server-load")))
 
 
-def submit(loop, lines, call, connect_timeout, still):
+def status_of(begun):
+    """The status that the beginning of an answer tells; None where it is not there yet, 0 where it never will."""
+    told = STATUS.match(begun)
+    if told:
+        return int(told[1])
+    return None if b"HTTP/1.".startswith(begun[:7]) and b"\n" not in begun and len(begun) < MOST_LINE else 0
+
+
+def submit(loop, lines, call, connect_timeout, still, tell):
     """One call from its start to its outcome, as a value that says how far it came. Guards drains, waits and
-    memories of references against a connection that came up late: `still(call, now)` is asked again then."""
-    until = loop.now() + call.timeout
-    address = call.place.address
-    line, keep = lines.take(address, loop.now()), False
+    memories of references against a connection that came up late: `still(call, now)` is asked again then.
+    `tell` hears what is certain before the answer has come to its end."""
+    until, place = loop.now() + call.timeout, call.place
+    line, keep = lines.take(place, loop.now()), False
     try:
-        if line is None:
-            line = yield from dial(loop, address, min(until, loop.now() + connect_timeout))
-            if line is None:
-                return Answer(Far.UNCONNECTED)
+        while not line:
+            line = yield from dial(loop, place.address, min(until, loop.now() + connect_timeout))
+            if line is NO_ROOM and loop.now() + AGAIN < until:
+                yield Until(loop.now() + AGAIN)
+                continue
+            if not line:
+                return Answer(Far.CALLED_OFF if line is NO_ROOM else Far.UNCONNECTED)
             if not still(call, loop.now()):
                 return Answer(Far.CALLED_OFF)
-        outcome = yield from talk(line, call, until)
-        keep = outcome.far == Far.ANSWERED and line.again()
+        outcome, whole = yield from talk(line, call, until, tell)
+        keep = whole and line.again() and not line.spent()
         return outcome
     finally:
         if keep:
-            lines.keep(address, line, loop.now())
+            lines.keep(place, line, loop.now())
         else:
             lines.drop(line)
 
 
-def talk(line, call, until):
+def talk(line, call, until, tell):
+    """The outcome, and whether the answer came whole."""
     head, body = encode(call, max(1.0, until - line.loop.now()))
     data = line.encode(head, body)
     done = yield from line.write(data, until)
     if done < len(data):
-        return Answer(Far.UNSENT)
-    while True:
-        event = yield from line.event(until)
-        if event is None:
-            return Answer(Far.SENT, late=True)
-        if isinstance(event, h11.Response):
+        return Answer(Far.UNSENT), False
+    for _ in range(MOST_INTERIM):
+        while (status := status_of(line.unread())) is None and not line.ended:
+            if not (yield from line.more(until)):
+                return Answer(Far.SENT, late=True), False
+        if not status or status >= 200:
             break
-        if not isinstance(event, h11.InformationalResponse):
-            return Answer(Far.SENT)
+        if not isinstance((yield from line.event(until)), h11.InformationalResponse):
+            return Answer(Far.SENT), False
+    if status == 200 and len(call.texts) == 1:
+        return (yield from delivered(line, until, tell))
+    return (yield from read(line, call, until)) if status else (Answer(Far.SENT), False)
+
+
+def delivered(line, until, tell):
+    """Once the first line says so, a text alone is delivered, whatever becomes of the rest."""
+    outcome, rest = Answer(Far.ANSWERED, status=200), min(until, line.loop.now() + REST)
+    event = line.parse()
+    if event is h11.NEED_DATA:
+        tell(outcome)
+        event = yield from line.event(rest)
+    if not isinstance(event, h11.Response):
+        return outcome, False
+    outcome = answer(event)
+    tell(outcome)
+    told = yield from line.body(MOST_ANSWER, rest)
+    return outcome, told is not None and told is not TOO_LONG
+
+
+def read(line, call, until):
+    """Any other answer counts only as a whole: a spoilt one may stand for a call that has run."""
+    rest = min(until, line.loop.now() + REST)
+    event = yield from line.event(rest)
+    told = (yield from line.body(MOST_ANSWER, rest)) if isinstance(event, h11.Response) else None
+    if told is None or told is TOO_LONG:
+        return Answer(Far.SENT, late=line.loop.now() >= until), False
     outcome = answer(event)
-    told = yield from line.body(MOST_ANSWER, until)
-    if told is TOO_LONG:
-        told = b""
     if len(call.texts) > 1 and outcome.status == 200:
-        outcome.ends = ends(told) if told is not None else None
+        outcome.ends = ends(told)
         if outcome.ends is None:  # nothing is known of any text: each may have run
-            return Answer(Far.SENT, late=told is None and line.loop.now() >= until)
-    return outcome
+            return Answer(Far.SENT), False
+    return outcome, True
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -6,10 +6,20 @@
 from calicopin.wire.loop import READ, WRITE, Until
 
 CHUNK = 65536
-MOST_OVER = 16  # how much more than is allowed is read for the sake of an orderly answer
+MOST_LINGER = 16  # chunks that are read on for the sake of an orderly answer
 TOO_LONG = object()
 
 
+class NoRoom:
+    """In place of a connection where no descriptor was left for it: no fault of the other side."""
+
+    def __bool__(self):
+        return False
+
+
+NO_ROOM = NoRoom()
+
+
 class Line:
     """One connection. Faults of the connection come back as values, never as exceptions."""
 
@@ -22,27 +32,39 @@
         except OSError:  # already gone: the first read tells
             pass
 
+    def parse(self):
+        """The next h11 event of what was read; NEED_DATA where more is needed. A peer that is gone is
+        ConnectionClosed, also in the middle of its message; what cannot be read is the fault, as a value."""
+        try:
+            return self.h11.next_event()
+        except h11.RemoteProtocolError as fault:
+            return h11.ConnectionClosed() if self.ended else fault
+
+    def more(self, until):
+        """Reads once; False when the time is up first."""
+        data = yield from self._read(until)
+        if data is None:
+            return False
+        self.ended = not data
+        try:
+            self.h11.receive_data(data)
+        except h11.RemoteProtocolError:  # bytes behind the end: parse tells
+            pass
+        return True
+
+    def unread(self):
+        """What was read and not parsed yet."""
+        return self.h11.trailing_data[0]
+
     def event(self, until):
-        """The next h11 event; None when the time is up first. A peer that is gone is ConnectionClosed, also
-        in the middle of its message; what cannot be read is the fault, as a value."""
-        while True:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as fault:
-                return h11.ConnectionClosed() if self.ended else fault
-            if event is not h11.NEED_DATA:
-                return event
+        """The next h11 event; None when the time is up first."""
+        while (event := self.parse()) is h11.NEED_DATA:
             if self.h11.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 yield from self.write(self.h11.send(go_on), until)
-            data = yield from self._read(until)
-            if data is None:
+            if not (yield from self.more(until)):
                 return None
-            self.ended = not data
-            try:
-                self.h11.receive_data(data)
-            except h11.RemoteProtocolError as fault:
-                return fault
+        return event
 
     def _read(self, until):
         while True:
@@ -76,19 +98,18 @@
         return b"".join(parts)
 
     def body(self, most, until):
-        """The body of the message whose head was read; None if it does not come whole. One that is too long
-        is read to its end, since a close before that could cost the other side its answer."""
+        """The body of the message whose head was read; None if it does not come whole. One that is too long is
+        not read on."""
         parts, size = [], 0
         while True:
             event = yield from self.event(until)
             if isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > most * MOST_OVER:
-                    return None
-                if size <= most:
-                    parts.append(bytes(event.data))
+                if size > most:
+                    return TOO_LONG
+                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return TOO_LONG if size > most else b"".join(parts)
+                return b"".join(parts)
             else:
                 return None
 
@@ -110,7 +131,7 @@
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
             return
-        for _ in range(MOST_OVER):
+        for _ in range(MOST_LINGER):
             if not (yield from self._read(until)):
                 break
 
@@ -138,17 +159,21 @@
             return True
         return False
 
+    def spent(self):
+        """Whether more lies on it than the answer that was read: whose that is, nobody can tell."""
+        return bool(self.unread()) or not self.quiet()
+
     def close(self):
         self.loop.close(self.sock)
 
 
 def dial(loop, address, until):
-    """A coroutine that opens a connection as a client: the line, or None if it never came up."""
+    """A coroutine that opens a connection as a client: the line, or None if it never came up, or NO_ROOM."""
     host, _, port = address.rpartition(":")
     try:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
     except OSError:
-        return None
+        return NO_ROOM
     try:
         sock.connect((host, int(port)))
     except BlockingIOError:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -17,8 +17,8 @@
 from helper import Clock, Door, answer, client, free_address, spin, terms
 
 
-def place(ident="s-1", address="127.0.0.1:9", dest=7, kind="one", zone="a", ready=True):
-    return Place(ident, address, dest, kind, zone, ready, 1.0)
+def place(ident="s-1", address="127.0.0.1:9", dest=7, kind="one", zone="a", ready=True, left=False):
+    return Place(ident, address, dest, kind, zone, ready, 1.0, left)
 
 
 def facade(now=0.0, places=(place(),), **other):
@@ -233,10 +233,10 @@
     def again(self):
         return self.posts[-1]
 
-    def post(self, ident, product="notice", size=3, left=20.0):
+    def post(self, ident, product="notice", size=3, left=20.0, dest=7):
         peer = client(self.loop, self.listen)
         peer.say(f"POST /{product} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: {left}\r\n"
-                 f"X-Envelope: dest=7\r\nContent-Length: {size}\r\n\r\n".encode() + b"\xfe" * size)
+                 f"X-Envelope: dest={dest}\r\nContent-Length: {size}\r\n\r\n".encode() + b"\xfe" * size)
         return peer.wait(b"\r\n\r\n").split()[1]
 
     def kill(self):
@@ -307,10 +307,68 @@
     assert House(tmp_path).notice() == [{"ref": "a", "result": "bounced"}]
 
 
-def test_a_text_that_comes_twice_under_one_id_is_taken_once(tmp_path):
+def test_the_id_of_another_text_neither_replaces_nor_withdraws_it_nor_sends_it_again(tmp_path):
+    """A second client's leaving once withdrew the first one's text, and an id just ended was sent once more."""
     house = House(tmp_path)
-    assert house.post("a") == house.post("a") == b"202"
-    assert house.shift.taken == 1
+    assert house.post("a") == b"202"
+    peer = house.endpoint.meet()
+    peer.wait(b"\xfe\xfe\xfe")
+    assert house.post("a", size=9) == b"409" and len(house.shift.journal.texts["a"].body) == 3
+    peer.say(answer(200))
+    spin(house.loop, lambda: not house.shift.journal.texts)
+    assert house.post("a") == b"409" and house.shift.taken == 1
+    house.loop.now.now += 20_001.0
+    house.shift.past.add("b", house.loop.now())
+    assert "a" not in house.shift.past
+
+
+def test_a_destination_never_listed_is_not_taken_on(tmp_path):
+    """It was held to its end, and took a place in every table for good."""
+    house = House(tmp_path)
+    assert house.post("a", dest=9) == b"503"
+    watch = house.platform.meet()
+    watch.wait(b"\r\n\r\n")
+    watch.say(answer(200, b'{"version": 5, "full": false, "servers": []}'))
+    watch.wait(b"\r\n\r\n")
+    assert house.post("b", dest=9) == b"404" and house.post("c") == b"202" and house.shift.facade.dests.index == {7: 0}
+
+
+def test_an_endpoint_that_left_is_forgotten_with_its_connections(tmp_path):
+    """Each once kept its place in the tables, and its connections, for good."""
+    house = House(tmp_path)
+    house.post("a")
+    peer = house.endpoint.meet()
+    peer.wait(b"\xfe\xfe\xfe")
+    peer.say(answer(200))
+    spin(house.loop, lambda: house.shift.lines.count)
+    facade = house.shift.facade
+    for number in range(200):
+        house.shift.listed([place(f"t-{number}", house.endpoint.address), place("s-1", ready=False, left=True)], False)
+        house.shift.listed([place(f"t-{number}", ready=False, left=True)], False)
+        house.loop.now.now += 1000.0
+        house.loop.once(house.loop.now())
+    assert not house.shift.lines.count and not peer.wait_end() and not facade.places
+    assert max(len(table) for table in (
+        facade.endpoints.index, facade.endpoints.ident, facade.module.endpoints)) <= 62
+
+
+def test_a_first_line_with_200_delivers_at_once_and_a_later_wait_still_binds(tmp_path):
+    house = House(tmp_path)
+    house.post("a")
+    peer = house.endpoint.meet()
+    peer.wait(b"\xfe\xfe\xfe")
+    peer.say(b"HTTP/1.1 200 OK\r\n")
+    spin(house.loop, lambda: not house.shift.journal.texts)
+    assert house.shift.out == 1
+    peer.say(b"X-Retry-In-Ms: 700\r\nContent-Length: 0\r\n\r\n")
+    spin(house.loop, lambda: not house.shift.out)
+    house.post("b")
+    for at in (0.0, 699.0):
+        assert not house.shift.out
+        house.loop.now.now += at
+        house.loop.once(house.loop.now())
+    house.loop.now.now += 6.0
+    spin(house.loop, lambda: house.shift.out)
 
 
 def test_without_room_for_the_body_a_text_is_refused(tmp_path):
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from calicopin.facade import Place
 from calicopin.held.connections import Budget, Lines
 from calicopin.held.journal import Journal, blocks
-from calicopin.held.texts import Text
+from calicopin.held.texts import Past, Text
 
 OFFSET = 5e11
 
@@ -125,6 +126,10 @@
     assert set(journal(tmp_path).texts) == {"a", "b"}
 
 
+def place(ident, address="x"):
+    return Place(ident, address, 7, "one", "a", True, 0.0)
+
+
 class FakeLine:
     def __init__(self):
         self.closed, self.silent = False, True
@@ -139,33 +144,55 @@
 def test_a_connection_is_used_again_only_clear_of_the_idle_limit():
     lines, old, young = Lines(5, 1000.0), FakeLine(), FakeLine()
     for at, line in ((0.0, old), (500.0, young)):
-        lines.take("y", at)
-        lines.keep("x", line, at)
-    assert lines.take("x", 1100.0) is young and lines.take("x", 1100.0) is None and old.closed
+        lines.take(place("y"), at)
+        lines.keep(place("x"), line, at)
+    assert lines.take(place("x"), 1100.0) is young and lines.take(place("x"), 1100.0) is None and old.closed
 
 
 def test_a_connection_that_the_other_side_closed_is_not_used():
     lines, line = Lines(5, 1000.0), FakeLine()
-    lines.keep("x", line, 0.0)
+    lines.keep(place("x"), line, 0.0)
     line.silent = False
-    assert lines.take("x", 1.0) is None and line.closed and lines.count == 0
+    assert lines.take(place("x"), 1.0) is None and line.closed and lines.count == 0
 
 
 def test_the_oldest_idle_connection_makes_room():
     lines, kept = Lines(3, 1000.0), [FakeLine() for _ in range(3)]
     for at, line in enumerate(kept):
-        assert lines.take("new", float(at)) is None
-        lines.keep(str(at), line, float(at))
-    assert lines.take("new", 3.0) is None and [line.closed for line in kept] == [True, False, False]
-    assert lines.take("2", 3.0) is kept[2] and not kept[1].closed and (lines.used, lines.count) == (2, 1)
+        assert lines.take(place("new"), float(at)) is None
+        lines.keep(place(str(at)), line, float(at))
+    assert lines.take(place("new"), 3.0) is None and [line.closed for line in kept] == [True, False, False]
+    assert lines.take(place("2"), 3.0) is kept[2] and not kept[1].closed and (lines.used, lines.count) == (2, 1)
     lines.drop(kept[2])
     lines.drop(None)
     lines.sweep(1001.5)
     assert kept[1].closed and (lines.used, lines.count) == (0, 0)
 
 
+def test_a_connection_does_not_pass_to_the_next_endpoint_at_an_address():
+    """Idle connections once lay by address; the call of one endpoint went to another that had its address before."""
+    lines, idle, out = Lines(5, 1000.0), FakeLine(), FakeLine()
+    assert lines.take(place("s-1"), 0.0) is lines.take(place("s-1"), 0.0) is None
+    lines.keep(place("s-1"), idle, 0.0)
+    assert lines.take(place("s-2"), 1.0) is None
+    lines.list([place("s-2")])
+    lines.keep(place("s-1"), out, 2.0)
+    lines.keep(place("s-2"), kept := FakeLine(), 2.0)
+    assert idle.closed and out.closed and not kept.closed and (lines.used, lines.count) == (0, 1)
+    lines.list([place("s-2", "y")])
+    assert kept.closed
+
+
+def test_ids_of_ended_texts_are_known_for_a_while_and_no_longer():
+    past = Past(1000.0)
+    for number in range(5000):
+        past.add(str(number), float(number))
+    assert "4500" in past and "3000" not in past and len(past.idents) == len(past.order) <= 1000
+
+
 @pytest.mark.parametrize("descriptors", [24, 64, 256, 1024, 4096])
 def test_descriptors_are_shared_out_without_going_over(descriptors):
     budget = Budget(descriptors, 40)
-    assert budget.endpoints + budget.clients + Budget.OWN <= descriptors and budget.calls <= budget.endpoints
+    assert budget.endpoints + budget.clients + budget.porch + Budget.OWN <= descriptors
+    assert budget.clients <= descriptors // 3 and budget.calls <= budget.endpoints
     assert min(budget.calls, budget.clients) >= 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,9 +5,9 @@
 import pytest
 
 from calicopin.facade import Call, Far, Place
-from calicopin.held.connections import Lines
+from calicopin.held.connections import Budget, Lines
 from calicopin.held.texts import Text
-from calicopin.wire.clients import Clients
+from calicopin.wire.clients import NEW, PATIENCE, PAUSE, REST, Clients
 from calicopin.wire.discovery import Discovery
 from calicopin.wire.endpoints import submit
 from calicopin.wire.loop import READ, Bell, Loop, Until
@@ -29,11 +29,12 @@
     """One call under way."""
 
     def __init__(self, loop, what, lines=None):
-        self.loop, self.lines, self.answer, self.wanted = loop, lines or Lines(4, 1000.0), None, True
+        self.loop, self.lines, self.answer, self.wanted, self.told = loop, lines or Lines(4, 1000.0), None, True, []
         loop.spawn(self.run(what))
 
     def run(self, what):
-        self.answer = yield from submit(self.loop, self.lines, what, 200.0, lambda call, now: self.wanted)
+        self.answer = yield from submit(
+            self.loop, self.lines, what, 200.0, lambda call, now: self.wanted, self.told.append)
 
     def end(self):
         spin(self.loop, lambda: self.answer is not None)
@@ -93,20 +94,82 @@
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
-    peer.say(b"HTTP/1.1 200 OK\r\n")
+    peer.say(b"HTTP/1.1 500 X\r\n")
     loop.now.now += 501.0
     assert out.end().late and out.answer.far == Far.SENT
     peer.wait_end()
 
 
-@pytest.mark.parametrize("garbage", [b"SSH-2.0-x\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"\x00" * 70000])
+@pytest.mark.parametrize("garbage", [
+    b"SSH-2.0-x\r\n\r\n", b"HTTP/1.1 503 X\r\nContent-Length: x\r\n\r\n", b"\x00" * 70000, b"noise with no end", b"HTTP/1.1 100 X\r\n\r\n" * 17,
+    b"HTTP/1.1 20", b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\n", b"HTTP/1.1 429 X\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 70000,
+    b"HTTP/1.1 503 X\r\nno end: "])
 def test_an_answer_that_cannot_be_read_may_have_run(loop, garbage):
     door = Door(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
     peer.say(garbage)
-    assert out.end().far == Far.SENT and out.lines.count == 0
+    for _ in range(20):
+        loop.once(loop.now())
+    loop.now.now += 501.0
+    assert out.end().far == Far.SENT and out.lines.count == 0 and not out.told
+    peer.wait_end()
+
+
+@pytest.mark.parametrize("rest", [
+    b"", b"\r\nContent-Length: x\r\n\r\n", b"\r\nX-Long: " + b"x" * 20000, b"\r\nContent-Length: 9\r\n\r\nhalf",
+    b"\r\nContent-Length: 3000000000\r\n\r\n" + b"x" * 70000, b"\r\n\r\n", b"\r\n\x00\xff\r\n\r\n"])
+def test_a_text_alone_is_delivered_once_the_first_line_says_so(loop, rest):
+    """Whatever becomes of the rest, the call has run; it once counted as failed, or waited for its time-out."""
+    door = Door(loop)
+    out = Out(loop, call(door.address))
+    peer = door.meet()
+    peer.wait(b"\x00\xff")
+    peer.say(b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK" + rest)
+    spin(loop, lambda: out.told or out.answer)
+    assert all((told.far, told.status) == (Far.ANSWERED, 200) for told in out.told)
+    loop.now.now += 501.0
+    assert (out.end().far, out.answer.status, out.lines.count, out.lines.used) == (Far.ANSWERED, 200, 0, 0)
+    peer.wait_end()
+
+
+@pytest.mark.parametrize("behind", [answer(200), b"\x00noise", b"\r\n"])
+def test_a_connection_with_more_than_the_answer_on_it_is_never_lent_again(loop, behind):
+    """What lay behind an answer was once read as the answer to the next call."""
+    door = Door(loop)
+    out = Out(loop, call(door.address))
+    peer = door.meet()
+    peer.wait(b"\x00\xff")
+    peer.say(answer(503, b"full") + behind)
+    assert (out.end().status, out.lines.count) == (503, 0)
+    peer.wait_end()
+
+
+@pytest.mark.parametrize("report", ["[" * 9000, "1" + "0" * 400, '{"x0":1' + "0" * 400 + "}", "[1]", '"', "{"])
+def test_a_report_that_cannot_be_read_is_passed_over(loop, report):
+    door = Door(loop)
+    out = Out(loop, call(door.address))
+    peer = door.meet()
+    peer.wait(b"\x00\xff")
+    peer.say(answer(503, X_Server_Load=report, X_Retry_In_Ms="90"))
+    assert (out.end().status, out.answer.wait, out.answer.load, out.lines.count) == (503, 90.0, {}, 1)
+
+
+def test_without_a_descriptor_a_call_waits_and_no_endpoint_is_blamed(loop, monkeypatch):
+    door, sock = Door(loop), socket.socket
+
+    def none_left(*_):
+        raise OSError(24, "too many open files")
+    monkeypatch.setattr(socket, "socket", none_left)
+    out, late = Out(loop, call(door.address)), Out(loop, call(door.address, timeout=150.0))
+    spin(loop, lambda: len(loop.due) == 2)
+    loop.now.now += 100.0
+    assert late.end().far == Far.CALLED_OFF and not out.answer
+    monkeypatch.setattr(socket, "socket", sock)
+    loop.now.now += 100.0
+    door.meet().say(answer(200))
+    assert out.end().status == 200
 
 
 def test_a_connection_closed_behind_the_answer_is_not_kept(loop):
@@ -146,12 +209,12 @@
     """Takes texts as told and keeps them when the test says so."""
 
     def __init__(self):
-        self.texts, self.bells, self.advice, self.withdrawn = [], [], None, []
+        self.texts, self.bells, self.refusal, self.withdrawn = [], [], None, []
 
     def take(self, text):
-        if self.advice is None:
+        if self.refusal is None:
             self.texts.append(text)
-        return self.advice
+        return self.refusal
 
     def kept(self, bell):
         self.bells.append(bell)
@@ -167,8 +230,9 @@
 
 
 def clients(loop, most=10):
-    address = free_address()
-    return Clients(loop, address, {"notice": 0, "order": 1}, most, Desk()), address
+    address, budget = free_address(), Budget(256, 8)
+    budget.clients, budget.porch = most, 1
+    return Clients(loop, address, {"notice": 0, "order": 1}, budget, Desk()), address
 
 
 def request(path="/notice", body=b"hello", **other):
@@ -195,14 +259,18 @@
 
 def test_a_refused_text_may_come_again(loop):
     house, address = clients(loop)
-    house.desk.advice = 1500.0
+    house.desk.refusal = 503, 1500.0
     peer = client(loop, address)
     peer.say(request())
     heard = peer.wait(b"\r\n\r\n")
     assert heard.startswith(b"HTTP/1.1 503") and b"Retry-After: 1.500" in heard
 
 
-BAD = [(404, dict(path="/parcel")), (400, dict(X_Timeout="soon")), (400, dict(X_Timeout="nan")), (400, dict(X_Timeout=None)),
+BAD = [(404, dict(path="/parcel")), (400, dict(X_Timeout="soon")), (400, dict(X_Timeout="nan")), (400, dict(X_Timeout="-5")),
+       (400, dict(X_Timeout="9" * 20)), (400, dict(X_Timeout="1_0")), (400, dict(X_Timeout="")), (400, dict(X_Envelope="dest=-1")),
+       (400, dict(X_Envelope="dest=1e12")), (400, dict(X_Envelope="dest=")), (413, dict(Content_Length="3000000000")),
+       (400, dict(Content_Length="-1")), (400, dict(Content_Length="9" * 30)), (400, dict(Transfer_Encoding="chunked")),
+       (400, dict(X_Timeout=None)),
        (400, dict(X_Request_ID=None)), (400, dict(X_Request_ID="x" * 300)), (400, dict(X_Envelope=None)),
        (400, dict(X_Envelope="dest=here")), (400, dict(X_Envelope="dest=" + "9" * 5000)), (400, dict(X_Envelope="\xff\xfe;=")),
        (400, dict(Content_Length=None, Transfer_Encoding="gzip")), (413, dict(body=b"x" * 65537)), (413, dict(body=b"x" * 900_000)),
@@ -311,7 +379,9 @@
     peer = client(loop, address)
     spin(loop, lambda: house.idle)
     peer.say(request())
-    house.close_longest_idle()
+    house.loop.now.now += REST
+    house.budget.clients = 1
+    house.relieve()
     house.close_between_requests()
     spin(loop, lambda: house.desk.bells)
 
@@ -334,21 +404,69 @@
     spin(loop, lambda: house.open and not house.idle)
     for _ in range(20):
         loop.once(loop.now())
-    loop.now.now += 5001.0
+    loop.now.now += PATIENCE + 1.0
     assert peer.wait_end().startswith(b"HTTP/1.1 408")
     loop.now.now += 1001.0
     spin(loop, lambda: house.open == 0)
 
 
-def test_descriptors_run_out_at_the_oldest_idle_client(loop):
-    house, address = clients(loop, most=2)
-    peers = [client(loop, address)]
-    spin(loop, lambda: len(house.idle) == 1)
-    peers += [client(loop, address), client(loop, address)]
-    peers[0].wait_end()
+def test_a_client_that_says_nothing_is_closed(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    spin(loop, lambda: house.idle)
+    loop.now.now += PATIENCE + 1.0
+    assert peer.wait_end() == b"" and PATIENCE <= 3000.0
+    spin(loop, lambda: house.open == 0)
+
+
+def asked_once(loop, house, address):
+    peer = client(loop, address)
+    peer.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    peer.wait(b"\r\n\r\n")
+    return peer
+
+
+def test_descriptors_run_short_at_those_that_stand_silent_longest(loop):
+    """A client between requests has two seconds, a new one half a second, one with a request begun all its time."""
+    house, address = clients(loop, most=4)
+    held = [asked_once(loop, house, address) for _ in range(2)]
+    loop.now.now += REST - NEW
+    silent, begun = client(loop, address), client(loop, address)
+    begun.say(request()[:40])
+    spin(loop, lambda: len(house.idle) == 3 and house.open == 4)
+    loop.now.now += NEW - 1.0
+    house.relieve()
+    assert house.open == 4
+    loop.now.now += 1.0
+    house.relieve()
+    assert not silent.wait_end() and not held[0].wait_end() and house.open == 2 and not held[1].ended
+    begun.say(request()[40:])
+    spin(loop, lambda: house.desk.bells)
+
+
+def test_where_there_is_no_room_at_all_a_client_is_turned_away_at_once(loop):
+    """It once waited, not accepted, behind those who said nothing."""
+    house, address = clients(loop, most=1)
+    peers = [client(loop, address) for _ in range(3)]
     peers[2].say(request())
+    assert peers[2].wait_end().startswith(b"HTTP/1.1 503") and house.open == 2
+    loop.now.now += NEW
+    peers.append(client(loop, address))
+    peers[3].say(request())
     spin(loop, lambda: house.desk.bells)
-    assert house.open <= 2
+    assert peers[0].hear() == b"" and peers[0].ended
+
+
+def test_one_that_repeats_what_was_turned_away_is_slowed_down(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(request("/parcel") * 3)
+    peer.wait(b"404")
+    for _ in range(20):
+        loop.once(loop.now())
+    assert not peer.hear().count(b"404")
+    loop.now.now += PAUSE
+    peer.wait(b"404")
 
 
 def test_stopping_closes_only_between_requests(loop):
