--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -361,8 +361,8 @@
         if not endpoint:
             self.floor.post(self.pool, "free", self)
             return
-        texts = [head, *islice((text for text in self.queue if text is not head and self.desk.turn(text) and not (
-            text.ran_at and text.product.memory_by_zone)), min(self.bundle, self.most) - 1)]
+        texts = [head, *islice((text for text in self.queue if text is not head and text.ran_at is None
+                                and self.desk.turn(text)), min(self.bundle, self.most) - 1)]
         for text in texts:
             self.queue.remove(text)
         endpoint.route.spend()
