The pick draws an endpoint half as often for each call it did not answer

Lines at fault: Destination.pick (odds by calls out alone: one that hangs keeps a good share).

The test fails without the change.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -218,7 +218,7 @@
     """Carries calls to one endpoint and tells its destination how they went."""
     def __init__(self, floor, ident, zone, dest, route):
         self.floor, self.ident, self.zone, self.dest, self.route = floor, ident, zone, dest, route
-        self.inbox, self.calls, self.seen = deque(), [], floor.now
+        self.inbox, self.calls, self.seen, self.misses = deque(), [], floor.now, 0
 
     def on_carry(self, texts):
         """Time-outs lie far beyond the usual, so that a lost call frees its slot; one out may be slow."""
@@ -249,9 +249,10 @@
             route.halt(event.wait)
         if first and how == How.DELIVERED:
             route.delivered(event.elapsed)
-            self.dest.bundle = min(self.dest.most, self.dest.bundle + 1)
+            self.misses, self.dest.bundle = 0, min(self.dest.most, self.dest.bundle + 1)
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
             route.failed(how.name.lower(), event.wait)
+            self.misses = min(Route.STREAK, self.misses + (how != How.FULL))
             if how in (How.BROKEN, How.TIMEOUT):  # all that share a call are lost with its answer
                 self.dest.bundle = max(1, min(self.dest.bundle, call.size // 2))
         if how not in HARMLESS and text.ran_at is None:
@@ -319,7 +320,7 @@
             text.product.repeat == Repeat.REFERENCED)
         fit = [e for e in self.endpoints.values() if e.route.opens() <= self.floor.now
                and not (bound and e.zone != text.ran_zone)]
-        odds = [1.0 / (1 + len(endpoint.calls)) for endpoint in fit]
+        odds = [0.5 ** endpoint.misses / (1 + len(endpoint.calls)) for endpoint in fit]
         draw = self.floor.chance(text.ident) * sum(odds)
         return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
 
@@ -356,8 +357,7 @@
         """A slot: texts from the head of the line share the call as far as the destination takes it."""
         self.wanting = False
         self.weed()
-        head = self.first()
-        endpoint = head and self.pick(head)
+        endpoint = (head := self.first()) and self.pick(head)
         if not endpoint:
             self.floor.post(self.pool, "free", self)
             return
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -62,6 +62,16 @@
     assert len(submits(stand.take(10))) == 10
 
 
+def test_an_endpoint_that_does_not_answer_is_picked_seldom_and_not_never():
+    """Of two endpoints the one that hung once got every other text."""
+    stand, picked = Stand(), []
+    for _ in range(400):
+        submit = submits(stand.take(1))[0]
+        picked.append(submit.endpoint)
+        stand.outcome(submit, How.TIMEOUT if submit.endpoint else How.DELIVERED, ended=True)
+    assert 5 <= sum(picked[50:]) <= 40
+
+
 def test_a_loss_met_before_takes_a_longer_streak_to_be_an_outage():
     """Where half of the calls were lost, five in a row came by chance and closed the door for the rule's cold time."""
     stand = Stand()
