--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -253,7 +253,7 @@
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
             route.failed(how.name.lower(), event.wait)
             self.misses = min(Route.STREAK, self.misses + (how != How.FULL))
-            if how in (How.BROKEN, How.TIMEOUT):  # all that share a call are lost with its answer
+            if how == How.BROKEN:  # all that share a call are lost with its answer
                 self.dest.bundle = max(1, min(self.dest.bundle, call.size // 2))
         if how not in HARMLESS and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent, self.zone
