One agent connection behind the watch and the notices; a dial without a descriptor is no fault

Reading the change again: discovery and notices each held the same move, hang_up and dial. In notices the copy was at fault: where a dial found no descriptor it kept NO_ROOM as its connection and met an AttributeError with the next pass (begun again after 100 ms, with a trace in the log each time). wire/agent.py now holds what both share, and what did not come up is None.

Also: clients ask Line.spent where they wrote it out, and posted() picks the discovery without indices. No other behaviour changes; the new test fails without the mend, the others are as they were.

--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -51,7 +51,8 @@
     was replaced, its discovery stands before the variable."""
     with open(environ["LB_CONFIG"], encoding="utf-8") as file:
         told = json.load(file)
-    discovery = [told.get("discovery"), environ.get("LB_DISCOVERY")]
+    discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
+    first, other = reversed(discovery) if renewed else discovery
     limits, seed = told.get("limits", {}), str(told.get("seed", ""))
     try:
         seed = int(seed, 16)
@@ -60,7 +61,7 @@
     return Post(
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
-        discovery=address((discovery[0] or discovery[1]) if renewed else (discovery[1] or discovery[0])),
+        discovery=address(first or other),
         folder=environ.get("LB_STATE") or told["state"], seed=seed,
         descriptors=int(limits.get("sockets") or 1024), disk=int(float(limits.get("disk_mb") or 3) * 1e6),
         known=told.get("known") or {"version": 0, "full": True, "servers": []}, terms=told["settings"])
--- /dev/null
+++ b/calicopin/wire/agent.py
@@ -0,0 +1,26 @@
+"""What the watch and the notices share: one lasting connection to the platform's agent, whose address may change."""
+from calicopin.wire.http import dial
+
+
+class Agent:
+    """`talk` is the coroutine that must not end; it begins on a new connection, also after a fault."""
+
+    def __init__(self, loop, address):
+        self.loop, self.address, self.line = loop, address, None
+        self.task = loop.keep(self.talk)
+
+    def move(self, address):
+        self.loop.cancel(self.task)
+        self.hang_up()
+        self.address, self.task = address, self.loop.keep(self.talk)
+
+    def hang_up(self):
+        line, self.line = self.line, None
+        if line:
+            line.close()
+
+    def connect(self, until):
+        """The connection, a new one where there is none; None where it did not come up."""
+        if self.line is None:
+            self.line = (yield from dial(self.loop, self.address, until)) or None
+        return self.line
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -226,7 +226,7 @@
     def next_head(self, visit):
         """Waits between requests; only here may the courier close the connection."""
         line = visit.line
-        if not self.closing and not line.unread() and line.quiet():
+        if not self.closing and not line.spent():
             visit.task = self.loop.current
             if not visit.fresh:
                 visit.since, visit.until = self.loop.now(), FOREVER
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -5,7 +5,8 @@
 from loguru import logger
 
 from calicopin.facade import Place
-from calicopin.wire.http import TOO_LONG, dial
+from calicopin.wire.agent import Agent
+from calicopin.wire.http import TOO_LONG
 from calicopin.wire.loop import Until
 
 AGAIN = 100.0  # a watch goes on where the next call comes within 200 ms
@@ -25,37 +26,30 @@
         raise ValueError(f"the list lacks or garbles {fault}") from None
 
 
-class Discovery:
+class Discovery(Agent):
     """`version` is that of the list as it is known; None asks for the whole of it."""
 
     def __init__(self, loop, address, version, wait, heard):
-        self.loop, self.address, self.version, self.wait, self.heard = loop, address, version, wait, heard
+        self.version, self.wait, self.heard = version, wait, heard
         self.silent = False  # while it is, short calls only: what it has to tell is told once it is back
-        self.line, self.task = None, loop.keep(self.watch)
+        super().__init__(loop, address)
 
     def move(self, address):
         """A new watch, from the whole list on: each address counts its versions for itself."""
-        self.loop.cancel(self.task)
-        self.hang_up()
-        self.address, self.version, self.task = address, None, self.loop.keep(self.watch)
-
-    def hang_up(self):
-        line, self.line = self.line, None
-        if line:
-            line.close()
+        self.version = None
+        super().move(address)
 
-    def watch(self):
+    def talk(self):
         """For ever: one call after the other on one connection, a new one after a fault."""
         self.hang_up()
         while True:
             try:
-                if self.line is None:
-                    self.line = yield from dial(self.loop, self.address, self.loop.now() + GRACE)
-                told = (yield from self.ask(self.line)) if self.line else None
+                line = yield from self.connect(self.loop.now() + GRACE)
+                told = (yield from self.ask(line)) if line else None
             except (ValueError, RecursionError) as fault:
                 logger.warning("discovery's answer cannot be read: {}", fault)
                 told = None
-            if told is None or not self.line.again():
+            if told is None or not line.again():
                 self.hang_up()
             self.silent = told is None
             if self.silent:
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -160,7 +160,7 @@
         return False
 
     def spent(self):
-        """Whether more lies on it than the answer that was read: whose that is, nobody can tell."""
+        """Whether more lies on it than was asked for or read, or its end: behind an answer nobody can tell whose."""
         return bool(self.unread()) or not self.quiet()
 
     def close(self):
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -4,7 +4,7 @@
 import h11
 from loguru import logger
 
-from calicopin.wire.http import dial
+from calicopin.wire.agent import Agent
 from calicopin.wire.loop import AGAIN, Bell, Until
 
 PATIENCE = 2000.0
@@ -19,30 +19,19 @@
     return json.dumps(notice).encode() + b"\n"
 
 
-class Notices:
-    """What has gathered while one request was out goes with the next."""
+class Notices(Agent):
+    """What has gathered while one request was out goes with the next. All that was not heard at an address is told
+    at the next one, at once."""
 
     def __init__(self, loop, address, heard):
-        self.loop, self.address, self.heard = loop, address, heard
-        self.owed, self.bell, self.line = [], Bell(loop), None
-        self.task = loop.keep(self.send)
-
-    def move(self, address):
-        """All that was not heard at the old address is told at the new one, at once."""
-        self.loop.cancel(self.task)
-        self.hang_up()
-        self.address, self.task = address, self.loop.keep(self.send)
-
-    def hang_up(self):
-        line, self.line = self.line, None
-        if line:
-            line.close()
+        self.heard, self.owed, self.bell = heard, [], Bell(loop)
+        super().__init__(loop, address)
 
     def owe(self, text):
         self.owed.append(text)
         self.bell.ring()
 
-    def send(self):
+    def talk(self):
         """For ever, on a new connection after a fault."""
         self.hang_up()
         while True:
@@ -52,10 +41,9 @@
             until = self.loop.now() + PATIENCE
             if self.line is not None and not self.line.quiet():
                 self.hang_up()
-            if self.line is None:
-                self.line = yield from dial(self.loop, self.address, until)
-            status = (yield from self.post(self.line, b"".join(map(encode, batch)), until)) if self.line else 0
-            if self.line and not (status and self.line.again()):
+            line = yield from self.connect(until)
+            status = (yield from self.post(line, b"".join(map(encode, batch)), until)) if line else 0
+            if line and not (status and line.again()):
                 self.hang_up()
             if status in (200, 204, 400):
                 if status == 400:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -594,6 +594,23 @@
     assert not notices.owed
 
 
+def test_notices_without_a_descriptor_wait_for_one_without_a_fault(loop, monkeypatch):
+    door, sock, heard = Door(loop), socket.socket, []
+    notices = Notices(loop, door.address, lambda text: heard.append(text.ident))
+    monkeypatch.setattr(socket, "socket", lambda *_: (_ for _ in ()).throw(OSError(24, "too many open files")))
+    monkeypatch.setattr("calicopin.wire.loop.logger.exception", heard.append)
+    notices.owe(Text("a", 1, 0, None, None, 1.0, b"", verdict="dead"))
+    for _ in range(3):
+        spin(loop, lambda: loop.due and loop.due[0][0] == loop.now() + 100.0)
+        loop.now.now += 100.0
+    assert not heard
+    monkeypatch.setattr(socket, "socket", sock)
+    peer = door.meet()
+    peer.wait(b"dead")
+    peer.say(answer(204))
+    spin(loop, lambda: heard == ["a"])
+
+
 # The loop.
 
 def test_a_bell_rung_early_is_not_forgotten_and_a_late_one_is_no_second_wake(loop):
