Admin address, one ledger of figures, and a drain that shares its steps with the stop

Design: a listener of its own on the loop whose coroutines are resumed ahead of clients; one ledger written where an end, a refusal or the last byte of a call is decided; the steps of drain and stop in one table without I/O (boot/leave.py).

--- /dev/null
+++ b/calicopin/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Where operators call: a second address on the one loop."""
--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -5,7 +5,7 @@
 from calicopin.wire.discovery import read
 from calicopin.wire.loop import FOREVER, READ, Until
 
-LASTING = ("name", "listen", "folder")  # what only a restart takes up, with the terms
+LASTING = ("name", "listen", "folder", "admin")  # what only a restart takes up, with the terms
 
 
 class Renewal:
@@ -51,7 +51,7 @@
         if post.sheet and not post.discovery and not old.discovery:
             self.relist(post, old)
         if post.descriptors != old.descriptors:
-            budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"])
+            budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"], bool(old.admin))
             self.clients.budget, self.shift.lines.most = budget, budget.endpoints
             logger.info("SIGHUP: {now} descriptors, {before} before", event="reload.descriptors", now=post.descriptors, before=old.descriptors)
         if post.disk != old.disk:
--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -14,11 +14,11 @@
 
 
 class Shift:
-    def __init__(self, loop, facade, journal, lines, connect_timeout):
+    def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
-        self.waiting, self.calls, self.given_up, self.calling = [], [], [], True
-        self.out = self.taken = self.turned_away = self.noticed = 0
+        self.waiting, self.calls, self.given_up, self.calling, self.refusing = [], [], [], True, False
+        self.out, self.ledger = 0, ledger
         self.stuck, self.told_at = 0, -REPEAT  # turns in a row that ended by a fault: until one succeeds nothing is taken on
         loop.turn = self.turn
 
@@ -42,13 +42,14 @@
         if self.journal.knows(text.ident):
             return 409, 0.0
         if not self.facade.serves(text.dest):
+            self.ledger.refused(text, again=not self.current)
             return (404 if self.current else 503), 0.0
-        if self.stuck or self.facade.full() or not self.journal.room(len(text.body)):
-            self.turned_away += 1
+        if self.refusing or self.stuck or self.facade.full() or not self.journal.room(len(text.body)):
+            self.ledger.refused(text, again=True)
             return 503, self.facade.advice(text)
         self.journal.taken(text)
         self.facade.hand_in(text)
-        self.taken += 1
+        self.ledger.taken += 1
         return None
 
     def kept(self, bell):
@@ -110,6 +111,7 @@
                 journal.sent(text, now, call.place.zone)
             self.calls.append(call)
         while end := facade.ended():
+            self.ledger.ended(end)
             if end.verdict is None:
                 self.over(end.text)
             else:
@@ -122,26 +124,34 @@
         started = self.loop.now()
         answer = Answer(Far.SENT)  # a fault leaves open how far it came
 
+        def written():
+            self.ledger.forwards += len(call.texts)
+
         def tell(early):
             self.facade.report(call, early, self.loop.now() - started)
         try:
-            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout, self.facade.still, tell)
+            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout, self.facade.still, written, tell)
         except Exception:
             logger.exception("a call to {endpoint} ended by a fault", event="call.fault", endpoint=call.place.ident)
         finally:
             self.out -= 1
             tell(answer)
 
+    def figures(self):
+        """What `GET /admin/stats` answers: the ledger, what is taken and not ended, and the list."""
+        return self.ledger.told() | dict(outstanding=len(self.facade.texts), discovered=len(self.facade.places), ejected=self.facade.avoided())
+
     def status(self):
-        """What `GET /-/status` answers: counts since the start, what is held, and every destination."""
-        return json.dumps(dict(
-            taken=self.taken, turned_away=self.turned_away, given_up=self.noticed, held=len(self.facade.texts), calls_out=self.out,
+        """What `GET /-/status` answers: the figures, what is held, and every destination."""
+        ledger = self.ledger
+        return json.dumps(self.figures() | dict(
+            taken=ledger.taken, turned_away=ledger.turned_away, given_up=ledger.noticed, held=len(self.facade.texts), calls_out=self.out,
             notices_owed=len(self.notices.owed), journal_bytes=self.journal.size, journal_stuck=self.stuck,
             idle_connections=self.lines.count, destinations=self.facade.state())).encode()
 
     def told(self, text):
         """The platform has heard a notice."""
-        self.noticed += 1
+        self.ledger.noticed += 1
         self.over(text)
 
     def over(self, text):
@@ -156,6 +166,7 @@
             if self.loop.now() >= report:
                 line = ("loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, {given_up} given up, "
                         "{held} held, {out} out")
-                logger.info(line, event="figures", late_ms=self.loop.lateness, taken=self.taken, turned_away=self.turned_away,
-                            given_up=self.noticed, held=len(self.facade.texts), out=self.out)
+                ledger = self.ledger
+                logger.info(line, event="figures", late_ms=self.loop.lateness, taken=ledger.taken, turned_away=ledger.turned_away,
+                            given_up=ledger.noticed, held=len(self.facade.texts), out=self.out)
                 self.loop.lateness, report = 0.0, self.loop.now() + REPORT
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from calicopin.admin.office import Office
 from calicopin.boot.ear import Ear
 from calicopin.boot.renewal import Renewal
 from calicopin.boot.shift import Shift
@@ -15,6 +16,7 @@
 from calicopin.facade import Facade
 from calicopin.held.connections import Budget, Lines
 from calicopin.held.journal import Journal
+from calicopin.held.ledger import Ledger
 from calicopin.system import HERE
 from calicopin.wire.clients import Clients
 from calicopin.wire.discovery import Discovery, read
@@ -42,6 +44,7 @@
     status: bool = False
     log: str = "lines"
     store: str = "file"
+    admin: str = ""  # a second address, where operators call
     durable: bool = False  # a 202 outlasts the machine's loss of power too
 
 
@@ -66,6 +69,7 @@
         told = json.loads(system.read(path))
     discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
     first, other = reversed(discovery) if renewed else discovery
+    second = environ.get("LB_ADMIN_ADDR") or told.get("admin_addr")
     limits, seed = told.get("limits", {}), str(told.get("seed", ""))
     try:
         seed = int(seed, 16)
@@ -75,6 +79,7 @@
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
         discovery=address(first or other) if first or other or not sheet else "",
+        admin=address(second) if second else "",
         folder=environ.get("LB_STATE") or told["state"], seed=seed,
         descriptors=int(limits.get("sockets") or 1024), disk=int(float(limits.get("disk_mb") or 3) * 1e6),
         known=told.get("known") or {"version": 0, "full": True, "servers": []}, terms=told["settings"],
@@ -89,7 +94,7 @@
     connect = ceilings.get("connectTimeout", 1.0) * 1000.0
     idle = ceilings.get("idleClose", 10.0) * 1000.0
     lasting = max(grade["giveUp"] for grade in terms["grades"]) * 1000.0
-    budget = Budget(post.descriptors, terms["familyInfo"]["workers"])
+    budget = Budget(post.descriptors, terms["familyInfo"]["workers"], bool(post.admin))
     offset, boot = loop.system.wall() - loop.now(), loop.system.boot()
     if post.store == "segments":
         from calicopin.store.segments import Segments
@@ -98,7 +103,7 @@
         journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot)
     facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
-    shift = Shift(loop, facade, journal, lines, connect)
+    shift = Shift(loop, facade, journal, lines, connect, Ledger(grade["name"] for grade in terms["grades"]))
     teller = post.discovery or post.notices
     shift.notices = Notices(loop, teller, shift.told) if teller else NoticeLines(loop, shift.told)
     version, _, places = read(post.known)
@@ -116,6 +121,10 @@
     clients = Clients(loop, post.listen, products, budget, shift)
     clients.status = shift.status if post.status else None
     stop = Stop(loop, shift, clients)
+    if post.admin:
+        Office(loop, post.admin, {
+            "/admin/health": ("GET", lambda: {"serving": True}), "/admin/stats": ("GET", shift.figures),
+            "/admin/quiesce": ("POST", stop.quiesce), "/admin/resume": ("POST", stop.resume)}, budget.admin - 1)
     renewal = Renewal(loop, ear, post, again, stop, discovery, clients, shift)
     for begin in (shift.keep_house, clients.keep_house, stop.wait, renewal.wait):
         loop.keep(begin)
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -1,35 +1,73 @@
-"""SIGTERM: what still comes is served, what can be finished is, the rest stays in the journal."""
+"""Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of `boot/leave.py`."""
 from loguru import logger
 
+from calicopin.boot.leave import DRAIN, STOP, Leave
 from calicopin.wire.loop import Bell, Until
 
-LISTEN = 500.0  # new connections keep coming for so long at most, with some room
-LAST_CALL = 2800.0  # a call that begins later may be cut off by the end
-LAST_TEXT = 3200.0  # clients are served until then: what is taken on late is called after the restart
-LEAVE = 3500.0  # the platform kills 3.7 s after the signal at the earliest
 STEP = 20.0
 
 
 class Stop:
+    """`asked` rings for the stop. A courier that was quiesced stays so until it is told to resume, or ends."""
+
     def __init__(self, loop, shift, clients):
         self.loop, self.shift, self.clients = loop, shift, clients
-        self.asked = Bell(loop)
+        self.asked, self.drain, self.stopping, self.task = Bell(loop), None, False, None
+
+    def busy(self):
+        """What is under way."""
+        shift = self.shift
+        under_way = dict(clients=self.clients.open, texts=shift.facade.texts, notices=shift.notices.owed, calls=shift.out)
+        return frozenset(name for name, what in under_way.items() if what)
+
+    def walk(self, leave):
+        """Through the steps, to the end of the last."""
+        now = self.loop.now
+        while step := leave.at(now(), self.busy()):
+            self.clients.leaving, self.shift.calling = True, step.calling
+            self.shift.refusing = self.shift.refusing or step.refusing
+            if not step.listening:
+                self.clients.stop_listening()
+            if step.closing:
+                self.clients.close_between_requests()
+            if step.emptying and self.shift.facade.texts:
+                self.shift.facade.hand_back()
+            yield Until(now() + STEP)
 
     def wait(self):
         """Waits until it is asked to, then leaves in order."""
         yield Until(bell=self.asked)
-        began, shift = self.loop.now(), self.shift
+        shift = self.shift
         logger.info("SIGTERM: {held} texts held, {out} calls out", event="stopping", held=len(shift.facade.texts), out=shift.out)
-        self.clients.leaving = True  # no longer ready, but what still comes is served
-        yield Until(began + LISTEN)
-        while self.loop.now() < began + LAST_CALL and (
-                self.clients.open or shift.facade.texts or shift.notices.owed):
-            yield Until(self.loop.now() + STEP)
-        shift.calling = False
-        while self.loop.now() < began + LAST_TEXT and self.clients.open:
-            yield Until(self.loop.now() + STEP)
-        self.clients.stop_listening()
-        self.clients.close_between_requests()
-        while self.loop.now() < began + LEAVE and (shift.out or shift.notices.owed or self.clients.open):
-            yield Until(self.loop.now() + STEP)
+        self.stopping = True
+        self.end_drain()
+        yield from self.walk(Leave(STOP, self.loop.now()))
         self.loop.running = False
+
+    def end_drain(self):
+        if self.task:
+            self.loop.cancel(self.task)
+        self.drain = self.task = None
+
+    def quiesce(self):
+        """Empties the courier; once more changes nothing."""
+        if self.drain is None and not self.stopping:
+            logger.info("quiesced: {held} texts held, {out} calls out", event="quiesced", held=len(self.shift.facade.texts), out=self.shift.out)
+            self.drain = Leave(DRAIN, self.loop.now())
+            self.clients.leaving = True
+            self.task = self.loop.keep(lambda: self.walk(self.drain))
+        return self.told()
+
+    def resume(self):
+        """Back to work, at any moment of a drain; without one it changes nothing."""
+        if self.drain is not None:
+            logger.info("resumed: {held} texts held", event="resumed", held=len(self.shift.facade.texts))
+            self.end_drain()
+            self.clients.leaving = self.clients.closing = self.shift.refusing = False
+        return self.told()
+
+    def told(self):
+        """What the calls at the admin address answer."""
+        step = self.drain and self.drain.at(self.loop.now(), self.busy())
+        return {"quiesced": self.drain is not None, "step": step.name if step else "stopping" if self.stopping else "at work",
+                "held": len(self.shift.facade.texts), "clients": self.clients.open}
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -89,11 +89,10 @@
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
         self.rate = self.start = self.agreed = self.limit = None
-        self.tokens, self.filled, self.pause = 1.0, floor.now, 0.0
+        self.tokens, self.filled, self.pause, self.patient = 1.0, floor.now, 0.0, None
         self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
         self.sends, self.sent_at = deque(), floor.now
-        self.usual = self.flow = self.gap = 0.0  # gap: failures between two deliveries
-        self.cut_off, self.patient, self.warm_at = 0.0, None, 0.0
+        self.usual = self.flow = self.gap = self.cut_off = self.warm_at = 0.0  # gap: failures between deliveries
         self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
 
     def share(self):
@@ -176,7 +175,6 @@
         now = self.floor.now
         beyond = elapsed / 4.0 if elapsed > 8.0 * self.usual else 0.0  # such answers were cut off: let the next ones come
         self.usual = max(beyond, self.usual + 0.1 * (elapsed - self.usual)) if self.usual else elapsed
-        self.cut_off = 0.0
         if self.rate is None and self.limit:
             self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
         if self.mode == "out":
@@ -184,7 +182,7 @@
             self.since = self.failed_at  # it may have been back since: where few call, few know
             self.warm_at = now + self.fail_back.cold  # but only now is it sure
         self.gap += 0.1 * (self.fails - self.gap)
-        self.fails, room = 0, 2.0 * self.left - 1.0 if self.limit else 1.0
+        self.fails, self.cut_off, room = 0, 0.0, 2.0 * self.left - 1.0 if self.limit else 1.0
         if self.rate and self.waited and room > 0.0 and now >= max(self.pause, self.changed + 1000.0):
             self.fill()
             self.rate += self.STEP * self.start * room
@@ -242,8 +240,7 @@
 
     def on_outcome(self, text, event):
         call, text.call = text.call, None
-        call.texts -= 1
-        how, route = event.how, self.route
+        how, route, call.texts = event.how, self.route, call.texts - 1
         first, call.told = call.told != how, how  # one call may end in several ways: each counts once
         if not call.texts:
             self.calls.remove(call)
@@ -448,10 +445,10 @@
             else:
                 del self.keys[text.key]
 
-    def on_lapse(self, text):
-        """Nothing is sat on: time is up, or no submit is allowed any more."""
+    def on_lapse(self, text, back=False):
+        """Nothing is sat on: time is up, no submit is allowed any more, or it is handed back."""
         if text.call is None and not text.over and (
-                self.floor.now >= min(text.until - 2 * self.tick, text.last_submit())):
+                back or self.floor.now >= min(text.until - 2 * self.tick, text.last_submit())):
             self.floor.post(text.dest, "drop", text)
             self.on_give_up(text, 0.0)
 
@@ -543,6 +540,11 @@
     def on_withdrawn(self, event):
         self.floor.post(self.desk, "withdrawn", event.text)
 
+    def on_emptied(self, _):
+        """A drain: what may be handed in elsewhere without harm does not wait here."""
+        for text in [text for text in self.desk.texts.values() if text.call is None and text.nackable()]:
+            self.floor.post(self.desk, "lapse", text, True)
+
     def on_ask(self):
         self.floor.out.append(Watch())
 
@@ -553,10 +555,9 @@
         self.floor.later(self.floor.now + wait * (0.5 + self.floor.chance("list")), self, "ask")
 
     def on_listed(self, event):
-        self.misses, seen = 0, set()
+        self.misses, seen = 0, {entry.endpoint for entry in event.entries}
         for entry in event.entries:
             dest, partner = self.dest(entry.dest), self.partners[min(entry.kind, len(self.partners) - 1)]
-            seen.add(entry.endpoint)
             dest.most, place = partner.bundle, entry.endpoint if partner.apart else None
             route = dest.routes.get(place)
             if route is None:
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -10,7 +10,7 @@
 
 from calicopin import terms
 from calicopin.brain import HARMLESS
-from calicopin.interface import (Entry, How, Listed, Log, Nack, Outcome, Submit, Taken, Undeliverable, Wake,
+from calicopin.interface import (Emptied, Entry, How, Listed, Log, Nack, Outcome, Submit, Taken, Undeliverable, Wake,
                                  Withdrawn, Woken)
 
 
@@ -68,6 +68,7 @@
     text: object
     verdict: str | None
     wait: float = 0.0
+    delivered: bool = False
 
 
 ANSWERS = {200: How.DELIVERED, 429: How.FULL, 503: How.FULL, 504: How.NOT_SENT, 410: How.NOT_SENT,
@@ -132,6 +133,10 @@
             self.events.append(Withdrawn(text.number))
             self.ends.append(End(text, None))
 
+    def hand_back(self):
+        """What waits and does no harm elsewhere ends as nacked."""
+        self.events.append(Emptied())
+
     def serves(self, dest):
         """Whether the destination was ever listed."""
         return dest in self.dests.index
@@ -175,7 +180,12 @@
         if not ended:
             self.backs.append((text, outcome not in HARMLESS))
         elif self.texts.pop(text.number, None):
-            self.ends.append(End(text, None))
+            self.ends.append(End(text, None, delivered=outcome == How.DELIVERED))
+
+    def avoided(self):
+        """How many of the listed endpoints are in an outage as far as is known: next to nothing is sent there."""
+        known = self.module.endpoints
+        return sum(number in known and known[number].route.mode == "out" for number in self.places)
 
     def state(self):
         """What is known of each destination that was ever listed: as on-call staff would ask for it. Rates are calls a
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -114,6 +114,11 @@
     text: int
 
 
+@dataclass(slots=True)
+class Emptied:
+    """The courier is to be empty: what waits goes elsewhere."""
+
+
 @dataclass(slots=True)
 class Woken:
     """A wake-up that was asked for."""
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -234,6 +234,8 @@
             self.idle.pop(visit, None)
         if not visit.fresh:
             visit.until = self.loop.now() + PATIENCE
+        elif self.closing:  # one that says nothing must not be held
+            visit.until = min(visit.until, self.loop.now() + NEW)
         return (yield from line.event(visit.until))
 
     def fault(self, line, status, why):
@@ -265,7 +267,7 @@
 
     def stop_listening(self):
         self.loop.cancel(self.accepting)
-        self.loop.close(self.listener)
+        self.loop.close(self.listener)  # once more does no harm
 
     def close_between_requests(self):
         """Idle connections go now, the others with their next answer."""
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -76,10 +76,10 @@
     return None if b"HTTP/1.".startswith(begun[:7]) and b"\n" not in begun and len(begun) < MOST_LINE else 0
 
 
-def submit(loop, lines, call, connect_timeout, still, tell):
+def submit(loop, lines, call, connect_timeout, still, written, tell):
     """One call from its start to its outcome, as a value that says how far it came. Guards drains, waits and
     memories of references against a connection that came up late: `still(call, now)` is asked again then.
-    `tell` hears what is certain before the answer has come to its end."""
+    `written` is called once the last byte is out; `tell` hears what is certain before the answer has come to its end."""
     until, place = loop.now() + call.timeout, call.place
     line, keep = lines.take(place, loop.now()), False
     try:
@@ -93,7 +93,7 @@
             if not still(call, loop.now()):
                 return Answer(Far.CALLED_OFF)
         began = loop.now()
-        outcome, whole = yield from talk(line, call, until, tell)
+        outcome, whole = yield from talk(line, call, until, written, tell)
         if outcome.far == Far.ANSWERED:
             lines.answered(place, loop.now() - began)
         elif outcome.far == Far.SENT and line.ended and not line.unread():
@@ -107,13 +107,14 @@
             lines.drop(line)
 
 
-def talk(line, call, until, tell):
+def talk(line, call, until, written, tell):
     """The outcome, and whether the answer came whole."""
     head, body = encode(call, max(1.0, until - line.loop.now()))
     data = line.encode(head, body)
     done = yield from line.write(data, until)
     if done < len(data):
         return Answer(Far.UNSENT), False
+    written()
     for _ in range(MOST_INTERIM):
         while (status := status_of(line.unread())) is None and not line.ended:
             if not (yield from line.more(until)):
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -40,10 +40,10 @@
 
 class Task:
     """One coroutine, with the wait it is in."""
-    __slots__ = ("gen", "wait", "serial", "over")
+    __slots__ = ("gen", "wait", "serial", "over", "ahead")
 
-    def __init__(self, gen):
-        self.gen, self.wait, self.serial, self.over = gen, None, 0, False
+    def __init__(self, gen, ahead=False):
+        self.gen, self.wait, self.serial, self.over, self.ahead = gen, None, 0, False, ahead
 
 
 class Loop:
@@ -55,12 +55,16 @@
         self.due, self.order, self.ready, self.running = [], count(), deque(), True
         self.lateness, self.current = 0.0, None
 
-    def spawn(self, gen):
-        task = Task(gen)
-        self.ready.append((task, task.serial, None))
+    def spawn(self, gen, ahead=False):
+        """`ahead`: it is resumed before all others that are ready."""
+        task = Task(gen, ahead)
+        self._line_up(task, None)
         return task
 
-    def keep(self, begin):
+    def _line_up(self, task, value):
+        (self.ready.appendleft if task.ahead else self.ready.append)((task, task.serial, value))
+
+    def keep(self, begin, ahead=False):
         """A coroutine that must not end: it is begun again after a fault."""
         def run():
             while True:
@@ -70,14 +74,14 @@
                 except Exception:
                     logger.exception("a coroutine that must not end is begun again", event="coroutine.again")
                     yield Until(self.now() + AGAIN)
-        return self.spawn(run())
+        return self.spawn(run(), ahead)
 
     def resume(self, task, value):
         """Once only for each wait: what comes later belongs to a wait that is over."""
         if task.wait is not None:
             self._disarm(task)
             task.serial += 1
-            self.ready.append((task, task.serial, value))
+            self._line_up(task, value)
 
     def cancel(self, task):
         """Ends a coroutine where it waits."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -412,7 +412,7 @@
     for _ in range(300):
         loop.now.now += 20.0
         loop.once(loop.now())
-    assert taken + refused == 300 and taken > 100 and shift.noticed == taken and not shift.journal.texts and sheet
+    assert taken + refused == 300 and taken > 100 and shift.ledger.noticed == taken and not shift.journal.texts and sheet
     ear.close()
 
 
@@ -434,7 +434,7 @@
     for _ in range(200):
         loop.now.now += 20.0
         loop.once(loop.now())
-    assert not shift.facade.texts and not shift.journal.texts and shift.noticed == 2
+    assert not shift.facade.texts and not shift.journal.texts and shift.ledger.noticed == 2
     ear.close()
 
 
@@ -530,7 +530,7 @@
     with open(os.path.join(root, "docs", "events.md"), encoding="utf-8") as file:
         page = file.read()
     names = set()
-    for folder in ("boot", "wire", "held"):
+    for folder in ("admin", "boot", "wire", "held"):
         for name in os.listdir(os.path.join(root, "calicopin", folder)):
             if name.endswith(".py"):
                 with open(os.path.join(root, "calicopin", folder, name), encoding="utf-8") as file:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -8,7 +8,8 @@
 
 from calicopin.boot.ear import Ear
 from calicopin.boot.start import Post, build, posted
-from calicopin.boot.stop import LAST_CALL, LAST_TEXT, LEAVE, LISTEN
+from calicopin.boot.leave import LAST_CALL, LAST_TEXT, LEAVE, LISTEN
+from calicopin.boot.stop import STEP
 from calicopin.facade import Answer, Facade, Far, Place, how
 from calicopin.held.connections import Budget
 from calicopin.held.texts import Text
@@ -316,7 +317,7 @@
     assert house.post("a", size=9) == b"409" and len(house.shift.journal.texts["a"].body) == 3
     peer.say(answer(200))
     spin(house.loop, lambda: not house.shift.journal.texts)
-    assert house.post("a") == b"409" and house.shift.taken == 1
+    assert house.post("a") == b"409" and house.shift.ledger.taken == 1
     house.loop.now.now += 20_001.0
     house.shift.journal.past.add("b", house.loop.now())
     assert "a" not in house.shift.journal.past
@@ -387,7 +388,7 @@
     house = House(tmp_path)
     tick, house.shift.facade.tick = house.shift.facade.tick, None
     house.loop.once(house.loop.now())
-    assert house.post("a") == b"503" and house.post("b") == b"503" and not house.shift.taken
+    assert house.post("a") == b"503" and house.post("b") == b"503" and not house.shift.ledger.taken
     house.shift.facade.tick = tick
     house.loop.once(house.loop.now())
     assert house.post("a") == b"202" and not house.shift.stuck
@@ -400,7 +401,7 @@
     peer = client(house.loop, house.listen)
     peer.say(b"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nX-Timeout: 9\r\nX-Envelope: dest=7\r\n"
              b"Content-Length: 0\r\n\r\n")
-    spin(house.loop, lambda: house.shift.taken)
+    spin(house.loop, lambda: house.shift.ledger.taken)
     house.shift.take(Text("late", 7, 0, None, None, 0.0, b""))
     for _ in range(20):
         house.loop.once(house.loop.now())
@@ -416,7 +417,7 @@
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
     os.kill(os.getpid(), signal.SIGTERM)
-    spin(house.loop, lambda: any(at == house.loop.now() + LISTEN for at, *_ in house.loop.due))
+    spin(house.loop, lambda: any(at == house.loop.now() + STEP for at, *_ in house.loop.due))
     assert house.post("b") == b"202", "what still comes is served"
     peer2 = client(house.loop, house.listen)
     peer2.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -34,7 +34,7 @@
 
     def run(self, what):
         self.answer = yield from submit(
-            self.loop, self.lines, what, 200.0, lambda call, now: self.wanted, self.told.append)
+            self.loop, self.lines, what, 200.0, lambda call, now: self.wanted, lambda: None, self.told.append)
 
     def end(self):
         spin(self.loop, lambda: self.answer is not None)
