A new version under load takes over all that the old process holds, connections too

Found on the way: an empty answer so far, fed to h11, is the end of the connection: calls that came over broke; lines in endpoints.go_on.

--- a/calicopin/admin/office.py
+++ b/calicopin/admin/office.py
@@ -76,7 +76,10 @@
         method, act = self.calls[path]
         if head.method.decode() != method:
             return self.refuse(405, f"{path} takes {method}")
-        return 200, act()
+        try:
+            return 200, act()
+        except ValueError as fault:  # it cannot be done in the state that the courier is in
+            return self.refuse(409, str(fault))
 
     def refuse(self, status, why):
         if self.loop.now() >= self.told + REST:
--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -13,7 +13,7 @@
 
     def __init__(self, loop, ear, post, again, stop, discovery, clients, shift):
         self.loop, self.ear, self.post, self.again, self.stop = loop, ear, post, again, stop
-        self.discovery, self.clients, self.shift = discovery, clients, shift
+        self.discovery, self.clients, self.shift, self.renewed = discovery, clients, shift, False
 
     def wait(self):
         while True:
@@ -40,7 +40,7 @@
         except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
             logger.error("SIGHUP: the configuration cannot be read and changes nothing: {fault!r}", event="reload.refused", fault=fault)
             return
-        old, self.post = self.post, post
+        old, self.post, self.renewed = self.post, post, True
         logger.info("SIGHUP: discovery at {agent}, {notices} notices unheard", event="reload", agent=post.discovery,
                     notices=len(self.shift.notices.owed))
         if post.discovery and old.discovery:
--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -4,7 +4,7 @@
 from loguru import logger
 
 from calicopin.facade import Answer, Far
-from calicopin.wire.endpoints import submit
+from calicopin.wire.endpoints import Flight, go_on, submit
 from calicopin.wire.loop import Until
 
 SWEEP = 1000.0
@@ -18,7 +18,7 @@
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
         self.waiting, self.calls, self.given_up, self.calling, self.refusing = [], [], [], True, False
-        self.out, self.ledger = 0, ledger
+        self.flights, self.ledger = {}, ledger
         self.stuck, self.told_at = 0, -REPEAT  # turns in a row that ended by a fault: until one succeeds nothing is taken on
         loop.turn = self.turn
 
@@ -34,6 +34,17 @@
             logger.info("{texts} texts restored, {ran} of them may have run", event="restored", texts=len(back),
                         ran=sum(text.ran_at is not None for text in back))
 
+    def inherit(self, taker):
+        """Goes on where another process was."""
+        for text in taker.read(self.facade, self.journal, self.loop.now()):
+            self.notices.owe(text)
+        self.current, self.lines.trust = taker.told["current"], taker.told["trust"]
+        self.lines.fastest = {(ident, address): best for ident, address, best in taker.told["fastest"]}
+
+    def lost(self, call):
+        """A call whose connection did not come over: it may have run."""
+        self.facade.report(call, Answer(Far.SENT), 0.0)
+
     # What clients ask of the desk.
 
     def take(self, text):
@@ -97,10 +108,27 @@
             self.notices.owe(text)
         calls, self.calls = self.calls, []
         for call in calls:
-            self.out += 1
-            self.loop.spawn(self.carry(call))
+            self.begin(call)
         return due
 
+    @property
+    def out(self):
+        """How many calls are out."""
+        return len(self.flights)
+
+    def begin(self, call):
+        flight = Flight(call, self.loop.now() + call.timeout)
+        self.fly(flight, lambda written, tell: submit(
+            self.loop, self.lines, flight, self.connect_timeout, self.facade.still, written, tell))
+
+    def go_on(self, flight, line, heard):
+        """A call that another process began."""
+        self.fly(flight, lambda written, tell: go_on(self.loop, self.lines, flight, line, heard, tell))
+
+    def fly(self, flight, talk):
+        self.flights[flight] = True
+        flight.task = self.loop.spawn(self.carry(flight, talk))
+
     def note_down(self):
         """What was decided goes out only once the journal holds it."""
         facade, journal, now = self.facade, self.journal, self.loop.now()
@@ -119,9 +147,9 @@
                 self.given_up.append(end.text)
         journal.flush()
 
-    def carry(self, call):
+    def carry(self, flight, talk):
         """One call; whatever happens in it, its texts get an outcome."""
-        started = self.loop.now()
+        call, started = flight.call, flight.began or self.loop.now()
         answer = Answer(Far.SENT)  # a fault leaves open how far it came
 
         def written():
@@ -130,12 +158,16 @@
         def tell(early):
             self.facade.report(call, early, self.loop.now() - started)
         try:
-            answer = yield from submit(self.loop, self.lines, call, self.connect_timeout, self.facade.still, written, tell)
+            answer = yield from talk(written, tell)
+        except GeneratorExit:  # called off, with what is known of it
+            answer = Answer(flight.far)
+            raise
         except Exception:
             logger.exception("a call to {endpoint} ended by a fault", event="call.fault", endpoint=call.place.ident)
         finally:
-            self.out -= 1
-            tell(answer)
+            del self.flights[flight]
+            if not flight.given:
+                tell(answer)
 
     def figures(self):
         """What `GET /admin/stats` answers: the ledger, what is taken and not ended, and the list."""
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -45,6 +45,8 @@
     log: str = "lines"
     store: str = "file"
     admin: str = ""  # a second address, where operators call
+    passed: str = ""  # the number of a descriptor: the clients' listening socket, which every process inherits
+    meeting: str = ""  # a folder that this process and the one that follows it both see
     durable: bool = False  # a 202 outlasts the machine's loss of power too
 
 
@@ -61,6 +63,7 @@
     """What the platform tells: addresses and folder by its variables first, all else by its file; once the file
     was replaced, its discovery stands before the variable."""
     path, sheet = environ["LB_CONFIG"], None
+    second, passed, meeting = (environ.get(name, "") for name in ("LB_ADMIN_ADDR", "LB_PASSED_SOCKET", "TMPDIR"))
     if path.endswith(".toml"):  # only then is the reader of operators' files read in
         from calicopin.configuration.posting import platform_form
         told, sheet = platform_form(path, environ)
@@ -69,7 +72,7 @@
         told = json.loads(system.read(path))
     discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
     first, other = reversed(discovery) if renewed else discovery
-    second = environ.get("LB_ADMIN_ADDR") or told.get("admin_addr")
+    second = second or told.get("admin_addr")
     limits, seed = told.get("limits", {}), str(told.get("seed", ""))
     try:
         seed = int(seed, 16)
@@ -79,37 +82,41 @@
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
         discovery=address(first or other) if first or other or not sheet else "",
-        admin=address(second) if second else "",
+        admin=address(second) if second else "", passed=passed, meeting=meeting,
         folder=environ.get("LB_STATE") or told["state"], seed=seed,
         descriptors=int(limits.get("sockets") or 1024), disk=int(float(limits.get("disk_mb") or 3) * 1e6),
         known=told.get("known") or {"version": 0, "full": True, "servers": []}, terms=told["settings"],
         sheet=sheet, watched=told.get("watched", ""), notices=told.get("notices", ""), status=bool(told.get("status")), log=told.get("log", "lines"), store=told.get("store", "file"), durable=told.get("durability") == "machine")
 
 
-def build(post, loop, ear, again):
+def build(post, loop, ear, again, lock=None, taker=None):
     """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
-    more what the platform tells."""
+    more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
     terms = post.terms
     ceilings = terms["ceilings"]
     connect = ceilings.get("connectTimeout", 1.0) * 1000.0
     idle = ceilings.get("idleClose", 10.0) * 1000.0
     lasting = max(grade["giveUp"] for grade in terms["grades"]) * 1000.0
     budget = Budget(post.descriptors, terms["familyInfo"]["workers"], bool(post.admin))
-    offset, boot = loop.system.wall() - loop.now(), loop.system.boot()
+    offset, boot, out = loop.system.wall() - loop.now(), loop.system.boot(), taker.flying if taker else None
     if post.store == "segments":
         from calicopin.store.segments import Segments
-        journal = Segments(post.folder, post.disk, offset, loop.system, lasting, boot, post.durable)
+        journal = Segments(post.folder, post.disk, offset, loop.system, lasting, boot, post.durable, out)
     else:
-        journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot)
-    facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again)
+        journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot, out)
+    facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again and not taker)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
     shift = Shift(loop, facade, journal, lines, connect, Ledger(grade["name"] for grade in terms["grades"]))
     teller = post.discovery or post.notices
     shift.notices = Notices(loop, teller, shift.told) if teller else NoticeLines(loop, shift.told)
-    version, _, places = read(post.known)
-    facade.listed(places, True)
-    shift.restore()
-    shift.turn()
+    if taker:
+        version = taker.told["version"]
+        shift.inherit(taker)
+    else:
+        version, _, places = read(post.known)
+        facade.listed(places, True)
+        shift.restore()
+        shift.turn()
     wait = min(60000.0, terms["rules"].get("askWithin", 10.0) * 200.0)  # a call met by silence costs so long
     if post.discovery:
         discovery = Discovery(loop, post.discovery, version, wait, shift.listed)
@@ -118,7 +125,8 @@
         shift.current = True
         discovery = ListFile(loop, post.watched, lister(post.sheet), shift.listed) if post.watched else None
     products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
-    clients = Clients(loop, post.listen, products, budget, shift)
+    listener = loop.system.passed(post.passed) if post.passed else None
+    clients = Clients(loop, post.listen, products, budget, shift, listener)
     clients.status = shift.status if post.status else None
     stop = Stop(loop, shift, clients)
     if post.admin:
@@ -126,6 +134,15 @@
             "/admin/health": ("GET", lambda: {"serving": True}), "/admin/stats": ("GET", shift.figures),
             "/admin/quiesce": ("POST", stop.quiesce), "/admin/resume": ("POST", stop.resume)}, budget.admin - 1)
     renewal = Renewal(loop, ear, post, again, stop, discovery, clients, shift)
+    if taker:
+        lock = taker.take(loop, shift, clients)
+        journal.begin()
+        if taker.told["drained"] is not None:
+            stop.begin_drain(taker.told["drained"])
+    if post.passed:
+        from calicopin.handover.giver import Giver
+        from calicopin.handover.meeting import Place
+        Giver(Place(post.meeting or post.folder, post.folder), lock, loop.system.again, loop, shift, clients, discovery, renewal, stop)
     for begin in (shift.keep_house, clients.keep_house, stop.wait, renewal.wait):
         loop.keep(begin)
     return shift
@@ -134,10 +151,20 @@
 def serve(environ, ear, system=HERE):
     """One courier from its start to its end; its ends are signals."""
     post = posted(environ, system=system)
-    if post.sheet:  # the platform gives each courier a folder of its own
-        system.lock(post.folder)
+    lock = taker = None
+    if post.passed:
+        system.passed(post.passed).detach()  # one that is none is told before anything is taken
+        lock, taker, post = follow(post, environ, ear, system)
+        if post is None:
+            return
+    elif post.sheet:  # the platform gives each courier a folder of its own
+        lock = system.lock(post.folder)
     loop = Loop(system=system)
-    shift = build(post, loop, ear, lambda: posted(environ, renewed=True, system=system))
+    try:
+        shift = build(post, loop, ear, lambda: posted(environ, renewed=True, system=system), lock, taker)
+    except ConnectionAbortedError as fault:
+        logger.warning("nothing was taken over, this process begins again: {fault}", event="handover.again", fault=fault)
+        system.again()
     if post.log == "json":
         log_as_json(post.name)
     system.settle()
@@ -147,6 +174,21 @@
     logger.info("{name} stopped, {texts} texts left in the journal", event="stopped", name=post.name, texts=len(shift.journal.texts))
 
 
+def follow(post, environ, ear, system):
+    """(lock, what another process gives, the post): waits until the folder is free or the one that holds it gives it. A post
+    of None where a signal comes first."""
+    from calicopin.handover.meeting import Place
+    from calicopin.handover.taker import Told, begin
+    try:
+        lock, taker = begin(Place(post.meeting or post.folder, post.folder), post.folder, ear, system)
+    except Told:
+        logger.info("{name} ends before it has taken anything", event="stopped", name=post.name, texts=0)
+        return None, None, None
+    if taker and taker.told["renewed"]:
+        post = posted(environ, renewed=True, system=system)
+    return lock, taker, post
+
+
 def log_as_json(name):
     """One JSON object a line in place of plain ones. A log that cannot be written never stops the courier."""
     from calicopin.boot.events import line
@@ -164,15 +206,12 @@
     ear = ear or Ear()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
-    if not os.environ["LB_CONFIG"].endswith(".toml"):
-        serve(os.environ, ear)
-        return 0
     try:
         serve(os.environ, ear)
     except BlockingIOError:
         print(f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own", file=sys.stderr)
         return 2
-    except (ValueError, OSError) as fault:  # an operator's file that cannot be served is told in plain lines
+    except (ValueError, OSError) as fault:  # what cannot be served is told in plain lines
         print(fault, file=sys.stderr)
         return 2
     return 0
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -13,6 +13,7 @@
     def __init__(self, loop, shift, clients):
         self.loop, self.shift, self.clients = loop, shift, clients
         self.asked, self.drain, self.stopping, self.task = Bell(loop), None, False, None
+        self.retired = False  # another process serves in its place
 
     def busy(self):
         """What is under way."""
@@ -51,15 +52,23 @@
 
     def quiesce(self):
         """Empties the courier; once more changes nothing."""
+        self.check()
         if self.drain is None and not self.stopping:
             logger.info("quiesced: {held} texts held, {out} calls out", event="quiesced", held=len(self.shift.facade.texts), out=self.shift.out)
-            self.drain = Leave(DRAIN, self.loop.now())
-            self.clients.leaving = True
-            self.task = self.loop.keep(lambda: self.walk(self.drain))
+            self.begin_drain(self.loop.now())
         return self.told()
 
+    def check(self):
+        if self.retired:
+            raise ValueError("all was handed over to a newer process: call that one")
+
+    def begin_drain(self, began):
+        self.drain, self.clients.leaving = Leave(DRAIN, began), True
+        self.task = self.loop.keep(lambda: self.walk(self.drain))
+
     def resume(self):
         """Back to work, at any moment of a drain; without one it changes nothing."""
+        self.check()
         if self.drain is not None:
             logger.info("resumed: {held} texts held", event="resumed", held=len(self.shift.facade.texts))
             self.end_drain()
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -254,9 +254,13 @@
         if now + action.timeout < text.until - 1.0 or text.key is not None and self.ordered[text.product]:
             call.cut = min(call.cut, action.timeout)
         elif bundle > 1:
-            heapq.heappush(self.due, (now + action.timeout, next(self.order), call, text))
+            self.remind(now + action.timeout, call, text)
         call.timeout = min(call.cut, max(call.timeout, action.timeout))
 
+    def remind(self, at, call, text):
+        """The time of a text in a shared call is up then."""
+        heapq.heappush(self.due, (at, next(self.order), call, text))
+
     def pick(self):
         """The next call to make, or None."""
         return self.calls.popleft() if self.calls else None
--- /dev/null
+++ b/calicopin/handover/giver.py
@@ -0,0 +1,173 @@
+"""The process that serves: hears the one that is to follow it, gives it all, and stands by until SIGTERM.
+
+Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the other one decides,
+and this one does nothing but end what cannot change hands. If the other one dies before SIGTERM comes, this one begins anew
+from the folder, as after a crash."""
+import base64
+
+from loguru import logger
+
+from calicopin.handover.meeting import Broken, Talk, ours
+from calicopin.handover.state import FORM, written
+from calicopin.wire.loop import AGAIN, FOREVER, READ, Until
+
+PATIENCE = 2.0  # seconds: this process stands still meanwhile
+HELLO = 1000.0
+MOST_HELLO = 4096
+AT_ONCE = 24  # connections in one frame: so few more descriptors than one courier's are open at any moment
+
+
+def coded(data):
+    return base64.b64encode(bytes(data)).decode()
+
+
+class Giver:
+    """`parts` are the courier's: loop, shift, clients, discovery, renewal, stop, office. `lock` is the folder's; `again` begins
+    this process anew."""
+
+    def __init__(self, place, lock, again, loop, shift, clients, discovery, renewal, stop):
+        self.place, self.lock, self.again = place, lock, again
+        self.loop, self.shift, self.clients, self.discovery, self.renewal, self.stop = loop, shift, clients, discovery, renewal, stop
+        self.listener = place.listen()
+        self.task = loop.keep(self.host)
+
+    def host(self):
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                yield Until(FOREVER, self.listener.fileno(), READ)
+                continue
+            except OSError as fault:
+                logger.warning("accept of a new version failed: {fault}", event="accept.failed", fault=fault)
+                yield Until(self.loop.now() + AGAIN)
+                continue
+            sock.setblocking(False)
+            data, until = b"", self.loop.now() + HELLO
+            while b"\n" not in data and len(data) < MOST_HELLO:
+                if not (yield Until(until, sock.fileno(), READ)):
+                    break
+                try:
+                    more = sock.recv(MOST_HELLO)
+                except OSError:
+                    break
+                if not more:
+                    break
+                data += more
+            self.loop.close(sock) if not self.fit(sock, data) else self.loop.after.append(lambda sock=sock: self.give(sock))
+
+    def fit(self, sock, data):
+        """Whether all may be given to whoever said so."""
+        why = ("another user's" if not ours(sock) else "it says nothing that can be read" if data != b"calicopin %d\n" % FORM
+               else "a stop is under way" if self.stop.stopping else "the journal cannot be written" if self.shift.stuck else None)
+        if why:
+            logger.warning("a new version is given nothing: {why}", event="handover.refused", why=why)
+        return not why
+
+    def settle(self):
+        """Calls that have not begun come back, what is decided is in the journal, and answers are on their way."""
+        for _ in range(8):
+            self.loop.step()
+            for flight in [flight for flight in self.shift.flights if not flight.far]:
+                self.loop.cancel(flight.task)
+            self.shift.turn()
+            if self.shift.stuck or not self.loop.ready:
+                break
+
+    def give(self, sock):
+        shift, talk, began = self.shift, None, self.loop.now()
+        self.loop.forget(sock)
+        calling, shift.calling = shift.calling, False
+        try:
+            talk = Talk(sock, PATIENCE)
+            self.settle()
+            if shift.stuck:
+                raise Broken("the journal cannot be written")
+            flights = [flight for flight in shift.flights if flight.call.open]
+            talk.say(self.told(flights))
+            if talk.hear()[0].get("ready") is not True:
+                raise Broken("it is not ready")
+            if self.stop.stopping or shift.journal.buffer:
+                raise Broken("this process has gone on")
+            talk.say({"go": True, "fds": 1}, [self.lock])
+        except Exception as fault:  # whatever it is, this process serves on
+            logger.warning("a new version takes nothing over, this one serves on: {fault!r}", event="handover.refused", fault=fault)
+            shift.calling = calling
+            sock.close()
+            return
+        held = len(shift.facade.texts)
+        try:
+            self.part(talk, flights)
+        except Broken as fault:
+            logger.error("the new version broke off: {fault}", event="handover.broken", fault=fault)
+        self.retire(sock)
+        logger.info("handed over in {ms:.0f} ms: {texts} texts, {out} calls out", event="handover.given", ms=self.loop.now() - began,
+                    texts=held, out=len(flights))
+
+    def told(self, flights):
+        stop, calls = self.stop, [flight.call for flight in flights]
+        lines = self.shift.lines
+        return written(self.shift.facade, calls) | dict(
+            until=[flight.until for flight in flights], began=[flight.began for flight in flights], version=getattr(self.discovery, "version", None),
+            current=self.shift.current, renewed=self.renewal.renewed, trust=lines.trust,
+            fastest=[[*shelf, best] for shelf, best in lines.fastest.items()], drained=stop.drain.began if stop.drain else None)
+
+    def part(self, talk, flights):
+        """Connections, a few at a time; each is closed here as soon as it is on its way."""
+        shift, clients = self.shift, self.clients
+        moved = []
+        for number, flight in enumerate(flights):
+            flight.given = True
+            moved.append(("call", dict(call=number, heard=coded(flight.line.heard)), flight.line))
+            self.loop.cancel(flight.task)
+        for flight in list(shift.flights):  # its texts have all ended, the rest of its answer is nobody's
+            flight.given = False
+            self.loop.cancel(flight.task)
+        for visit in list(clients.visits):
+            if line := clients.give(visit):
+                moved.append(("client", dict(heard=coded(line.heard), fresh=visit.fresh, since=visit.since, until=min(visit.until, 1e15)), line))
+        for shelf, kept in shift.lines.idle.items():
+            moved += [("idle", dict(shelf=shelf, since=since), line) for line, since in kept]
+        shift.lines.idle = {}
+        for at in range(0, len(moved), AT_ONCE):
+            some = moved[at:at + AT_ONCE]
+            talk.say({"connections": [dict(what, kind=kind) for kind, what, _ in some], "fds": len(some)},
+                     [line.sock.fileno() for _, _, line in some])
+            for _, _, line in some:
+                line.close()
+        talk.say({"end": True})
+
+    def retire(self, sock):
+        """From here on this process decides nothing."""
+        loop, shift = self.loop, self.shift
+        loop.turn = lambda: FOREVER
+        for task in (self.clients.accepting, self.task):
+            loop.cancel(task)
+        for part in (self.discovery, shift.notices):
+            part.retire()
+        loop.close(self.listener)
+        loop.system.close(self.lock)
+        if shift.journal.file is not None:
+            loop.system.close(shift.journal.file)
+        shift.journal.file, shift.journal.texts, shift.facade.texts, shift.notices.owed = None, {}, {}, []
+        shift.refusing = self.stop.retired = True
+        self.stop.end_drain()
+        self.clients.closing = self.clients.leaving = True
+        sock.setblocking(False)
+        loop.keep(lambda: self.stand_by(sock))
+
+    def stand_by(self, sock):
+        """Until SIGTERM ends this process, or the other one dies."""
+        while True:
+            yield Until(FOREVER, sock.fileno(), READ)
+            try:
+                if sock.recv(1):
+                    continue
+            except BlockingIOError:
+                continue
+            except OSError:
+                pass
+            if self.stop.stopping:
+                return
+            logger.error("the new version is gone: this one begins again", event="handover.again")
+            self.again()
--- /dev/null
+++ b/calicopin/handover/meeting.py
@@ -0,0 +1,122 @@
+"""Where the process that serves and the one that is to follow it meet: a Unix socket, frames of JSON, descriptors beside them."""
+import json
+import os
+import socket
+import struct
+import zlib
+
+HEAD = struct.Struct("<I")
+MOST_FRAME = 64 << 20
+MOST_FDS = 64  # with one frame
+CHUNK = 1 << 18
+CREDENTIALS = struct.Struct("3i")
+
+
+class Broken(ConnectionAbortedError):
+    """The other side is gone, silent for too long, or says what cannot be read."""
+
+
+def name(folder):
+    """The socket's name, of its own for each folder that lasts."""
+    return f"calicopin-{zlib.crc32(os.path.abspath(folder).encode()):08x}"
+
+
+class Place:
+    """The meeting place of the courier whose texts lie in `folder`; `where` is a folder that both processes see."""
+
+    def __init__(self, where, folder):
+        self.where, self.name = where, name(folder)
+
+    def _path(self, parent):
+        return f"/proc/self/fd/{parent}/{self.name}"  # however long the folder's own path is
+
+    def listen(self):
+        """A listening socket that does not block, in place of any that lies there."""
+        parent = os.open(self.where, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            try:
+                os.unlink(self.name, dir_fd=parent)
+            except FileNotFoundError:
+                pass
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+            try:
+                sock.bind(self._path(parent))
+                sock.listen(4)
+                sock.setblocking(False)
+            except OSError:
+                sock.close()
+                raise
+            return sock
+        finally:
+            os.close(parent)
+
+    def visit(self):
+        """A connection to whoever listens there; OSError where nobody does."""
+        parent = os.open(self.where, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+            try:
+                sock.connect(self._path(parent))
+            except OSError:
+                sock.close()
+                raise
+            return sock
+        finally:
+            os.close(parent)
+
+
+def ours(sock):
+    """Whether the other side runs under our own user: nobody else is given a thing."""
+    return CREDENTIALS.unpack(sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))[1] == os.getuid()
+
+
+class Talk:
+    """Frames on one connection. `patience` (seconds) bounds each wait for the other side."""
+
+    def __init__(self, sock, patience):
+        self.sock, self.data, self.fds = sock, bytearray(), []
+        sock.settimeout(patience)
+
+    def say(self, what, fds=()):
+        """One frame, with descriptors that become the other side's."""
+        data = json.dumps(what).encode()
+        data = HEAD.pack(len(data)) + data
+        try:
+            done = socket.send_fds(self.sock, [data], list(fds)) if fds else 0
+            self.sock.sendall(memoryview(data)[done:])
+        except OSError as fault:
+            raise Broken(f"it does not listen: {fault}") from None
+
+    def hear(self):
+        """(what, descriptors) of the next frame; they are the caller's to close."""
+        while True:
+            if len(self.data) >= HEAD.size:
+                size, = HEAD.unpack_from(self.data)
+                if size > MOST_FRAME:
+                    raise Broken("a frame that is too long")
+                if len(self.data) >= HEAD.size + size:
+                    break
+            try:
+                data, fds, _, _ = socket.recv_fds(self.sock, CHUNK, MOST_FDS, socket.MSG_CMSG_CLOEXEC)
+            except OSError as fault:
+                raise Broken(f"it does not answer: {fault}") from None
+            if not data:
+                raise Broken("it is gone")
+            self.data += data
+            self.fds += fds
+        try:
+            what = json.loads(bytes(self.data[HEAD.size:HEAD.size + size]))
+            count = int(what.get("fds", 0))
+        except (ValueError, AttributeError, TypeError, RecursionError) as fault:
+            raise Broken(f"a frame that cannot be read: {fault}") from None
+        del self.data[:HEAD.size + size]
+        fds, self.fds = self.fds[:count], self.fds[count:]
+        if len(fds) < count:
+            raise Broken("a frame without its descriptors")
+        return what, fds
+
+    def close(self):
+        for fd in self.fds:
+            os.close(fd)
+        self.fds = []
+        self.sock.close()
--- /dev/null
+++ b/calicopin/handover/state.py
@@ -0,0 +1,182 @@
+"""What the decisions know, as plain values and back: exactly as it was, so that two processes never add up to more than one
+courier. No I/O, and nothing here decides anything. Times are milliseconds of the machine's monotonic clock, which both share."""
+from dataclasses import asdict
+
+from calicopin import brain
+from calicopin.facade import Call, Place
+from calicopin.held.texts import Text
+from calicopin.interface import Taken
+
+FORM = 1  # of these values; another is not taken
+ROUTE = ("rate", "start", "agreed", "limit", "tokens", "filled", "pause", "cut_at", "changed", "waited", "left", "sent_at", "usual", "flow",
+         "gap", "cut_off", "warm_at", "mode", "since", "fails", "fail_since", "failed_at")
+DESTINATION = ("most", "bundle", "came", "load")
+CALL = ("timeout", "told", "waited", "cut")
+
+
+def picked(part, names):
+    return {name: getattr(part, name) for name in names}
+
+
+def put(part, names, told):
+    """What an older version did not tell stays as a new part has it."""
+    for name in names:
+        if name in told:
+            setattr(part, name, told[name])
+
+
+# Giving.
+
+def written(facade, calls):
+    """All that the decisions behind `facade` know, with the calls that are out; JSON holds it."""
+    module, endpoints, texts = facade.module, facade.endpoints.ident, {}
+    desk = module.desk
+    held = {text.number: text for text in facade.texts.values()}
+    for call in calls:
+        held |= {text.number: text for text in call.texts}
+    for number, text in held.items():
+        known = desk.texts.get(number)
+        if known is not None:
+            texts[text.ident] = dict(taken=known.taken, over=known.over)
+    ghosts = [asdict(text) | {"body": ""} for call in calls for text in call.texts if text.number not in facade.texts]
+    dests = []
+    for ident, number in facade.dests.index.items():
+        dest = module.dests.get(number)
+        told = dict(ident=ident)
+        if dest is not None:
+            told |= picked(dest, DESTINATION) | dict(routes=[
+                picked(route, ROUTE) | dict(endpoint=None if place is None else endpoints.get(place), sends=list(route.sends))
+                for place, route in dest.routes.items()])
+        dests.append(told)
+    known = [dict(ident=endpoints[number], dest=facade.dests.ident[endpoint.dest.ident], zone=facade.zones.ident.get(endpoint.zone, ""),
+                  misses=endpoint.misses, seen=endpoint.seen, apart=endpoint.route is not endpoint.dest.routes.get(None))
+             for number, endpoint in module.endpoints.items() if number in endpoints]
+    named = {id(known): held[number].ident for number, known in desk.texts.items() if number in held}
+    return dict(
+        form=FORM, places=[asdict(place) for place in facade.places.values()], dests=dests, endpoints=known, texts=texts, ghosts=ghosts,
+        calm=desk.calm, rests=[[key, until, named.get(id(text))] for key, (until, text) in desk.rests.items()],
+        calls=[out(facade, call) for call in calls],
+        due=[[at, number, text.ident] for at, _, call, text in facade.due for number, one in enumerate(calls) if one is call])
+
+
+def out(facade, call):
+    """One call that is out."""
+    module = facade.module
+    known = next((text.call for one in call.texts if (text := module.desk.texts.get(one.number)) is not None and text.call), None)
+    patient = known is not None and known.endpoint.route.patient is known
+    return picked(call, CALL) | dict(
+        place=asdict(call.place), texts=[text.ident for text in call.texts], open=[text.ident for text in call.texts if text.number in call.open],
+        sent=known.sent if known else 0.0, size=known.size if known else len(call.texts), mode=known.told if known else None, patient=patient)
+
+
+# Taking.
+
+def read(facade, told, texts, now):
+    """Puts it into a new facade. `texts` are those that its journal holds, in the order in which they were taken on.
+    Returns the calls that are out."""
+    module, floor = facade.module, facade.module.floor
+    for one in told["dests"]:
+        facade.dests(one["ident"])
+    facade.listed([Place(**place) for place in told["places"]], True)
+    facade.tick(now)
+    module.desk.calm = told["calm"]
+    for one in told["dests"]:
+        destination(facade, one)
+    for one in told["endpoints"]:
+        endpoint(facade, one)
+    by_ident = {}
+    for text in [*texts, *(Text(**ghost | {"body": b""}) for ghost in told["ghosts"])]:
+        text.number, facade.next_number = facade.next_number, facade.next_number + 1
+        by_ident[text.ident] = text
+    ghosts = {ghost["ident"] for ghost in told["ghosts"]}
+    flying = {ident for call in told["calls"] for ident in call["open"]}
+    order = sorted(by_ident.values(), key=lambda text: told["texts"].get(text.ident, {}).get("taken", now))
+    for text in order:
+        if text.ident in ghosts and text.ident not in flying:
+            continue  # it has ended; only its call is still known
+        if text.ident not in ghosts:
+            facade.texts[text.number] = text
+        enter(facade, text, told["texts"].get(text.ident, {}), text.ident in flying, text.ident in ghosts, now)
+    known = module.desk.texts
+    for key, until, ident in told["rests"]:
+        text = by_ident.get(ident)
+        module.desk.rests[key] = (until, known.get(text.number) if text else object())
+        floor.later(until, module.desk, "rested", key)
+    calls = [under_way(facade, one, by_ident) for one in told["calls"]]
+    for at, number, ident in told["due"]:
+        facade.remind(at, calls[number], by_ident[ident])
+    for dest in module.dests.values():
+        if not dest.idle() and dest not in module.live:
+            module.live[dest] = None
+            floor.post(dest, "round", module.rounds)
+    return calls
+
+
+def route_of(facade, dest, place):
+    """The route, made where the list does not hold it just now."""
+    module = facade.module
+    if place not in dest.routes:
+        dest.routes[place] = brain.Route(module.floor, f"destination {dest.ident}" + ("" if place is None else f" route {place}"),
+                                         module.senders, module.fail_back)
+    return dest.routes[place]
+
+
+def destination(facade, one):
+    dest = facade.module.dest(facade.dests(one["ident"]))
+    put(dest, DESTINATION, one)
+    for told in one.get("routes", ()):
+        if told["endpoint"] is not None and told["endpoint"] not in facade.endpoints.index:
+            continue  # it has left, and its route with it
+        route = route_of(facade, dest, None if told["endpoint"] is None else facade.endpoints(told["endpoint"]))
+        put(route, ROUTE, told)
+        route.sends.extend(told["sends"])
+
+
+def endpoint(facade, one):
+    """Health is kept also of one that is not listed just now and may soon be back."""
+    module, number = facade.module, facade.endpoints(one["ident"])
+    if number not in module.endpoints:
+        dest = module.dest(facade.dests(one["dest"]))
+        route = route_of(facade, dest, number if one["apart"] else None)
+        module.endpoints[number] = brain.Endpoint(module.floor, number, facade.zones(one["zone"]), dest, route)
+    put(module.endpoints[number], ("misses", "seen"), one)
+
+
+def enter(facade, text, told, flying, ghost, now):
+    """One text, in its line or out."""
+    module, dest = facade.module, facade.module.dest(facade.dests(text.dest))
+    zone = None if text.ran_zone is None else facade.zones(text.ran_zone)
+    event = Taken(text.number, dest.ident, text.product, text.until, text.key, tries=text.tries, ran_at=text.ran_at, ran_zone=zone)
+    known = brain.Text(event, dest, module.products[text.product], told.get("taken", now))
+    known.over = ghost or told.get("over", False)
+    module.desk.texts[text.number] = known
+    if known.key is not None:
+        module.desk.keys.setdefault(known.key, brain.deque()).append(known)
+    if dest not in module.live:
+        module.live[dest] = None
+        module.floor.post(dest, "round", module.rounds)
+    if not flying:
+        dest.queue.append(known)
+        module.floor.later(min(known.until - 2 * module.tick, known.last_submit()), module.desk, "lapse", known)
+
+
+def under_way(facade, one, by_ident):
+    """One call that is out, for the decisions and for whoever hears its answer."""
+    module, place = facade.module, Place(**one["place"])
+    number = facade.endpoints(place.ident)
+    if number not in module.endpoints:
+        endpoint(facade, dict(ident=place.ident, dest=place.dest, zone=place.zone, apart=False))
+    target = module.endpoints[number]
+    texts = [by_ident[ident] for ident in one["texts"]]
+    call = Call(place, texts, one["timeout"], number, open={by_ident[ident].number for ident in one["open"]})
+    put(call, CALL, one)
+    if call.open:
+        known = brain.Call(target, one["sent"], len(call.open))
+        known.size, known.told = one["size"], one["mode"]
+        target.calls.append(known)
+        module.pool.free, target.dest.held = module.pool.free - 1, target.dest.held + 1
+        if one["patient"]:
+            target.route.patient = known
+        for text in call.open:
+            module.desk.texts[text].call = known
+    return call
--- a/calicopin/held/journal.py
+++ b/calicopin/held/journal.py
@@ -33,15 +33,22 @@
 
 class Journal:
     """`offset` turns the module's milliseconds into wall time; `lasting` is the longest validity period. `boot` names
-    the run of the machine whose milliseconds these are: within it, a wall clock that was set matters to nobody."""
+    the run of the machine whose milliseconds these are: within it, a wall clock that was set matters to nobody.
+    `out` are ids of texts whose calls another process still has out; then nothing is written before `begin`."""
 
-    def __init__(self, folder, most, offset, system=HERE, lasting=FOREVER, boot=""):
+    def __init__(self, folder, most, offset, system=HERE, lasting=FOREVER, boot="", out=None):
         self.path, self.offset, self.system = os.path.join(folder, "journal"), offset, system
         self.lasting, self.boot, self.before = lasting, boot, offset  # before: the offset of what is read
+        self.out = out or ()
         self.past = Past(lasting)
         self.limit(most)
         self.texts, self.costs, self.live, self.buffer, self.file = {}, {}, 0, bytearray(), None
         self.size, self.again = 0, self._replay()
+        if out is None:
+            self.begin()
+
+    def begin(self):
+        """From here on it is written to."""
         try:
             self._rewrite()
         except OSError as fault:  # a courier that ends here could not even wait for its disk: the next flush tries again
@@ -66,10 +73,14 @@
                 break  # torn: it was not acted on, since acting waits for the whole write
             self._read(record[:1], record[1:])
             place += HEAD.size + size
+        self._come_back()
+        return True
+
+    def _come_back(self):
+        """What was out when the last process ended may have run."""
         for text in self.texts.values():
-            if text.out_at is not None:
+            if text.out_at is not None and text.ident not in self.out:
                 text.came_back(True)
-        return True
 
     def _read(self, kind, rest):
         if kind == TAKEN:
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -52,10 +52,10 @@
     """`texts`, `past` and the calls are the journal's own. `sizes` holds each file's size, `homes` the live texts of each
     segment with what they take, `ended` the ids whose end stands there; `damage` counts spans that could not be read."""
 
-    def __init__(self, folder, most, offset, system, lasting, boot="", durable=False):
+    def __init__(self, folder, most, offset, system, lasting, boot="", durable=False, out=None):
         self.folder, self.durable = folder, durable
         self.sizes, self.homes, self.ended, self.home, self.number, self.damage, self.moved, self.written = {}, {}, {}, {}, 0, 0, 0, 0
-        super().__init__(folder, most, offset, system, lasting, boot)
+        super().__init__(folder, most, offset, system, lasting, boot, out)
 
     def limit(self, most):
         """So many bytes the folder may hold. Live records may fill half: no second copy of all is ever written."""
@@ -78,9 +78,7 @@
             self._segment(number)
             if after is not None and after != number + 1:
                 self._damaged(number + 1, 0, "segments are missing", "texts whose records stood there are lost or may go again")
-        for text in self.texts.values():
-            if text.out_at is not None:
-                text.came_back(True)
+        self._come_back()
         return old or bool(numbers)
 
     def _segment(self, number):
--- a/calicopin/system.py
+++ b/calicopin/system.py
@@ -9,6 +9,7 @@
 import os
 import select
 import socket
+import sys
 import time
 
 
@@ -50,6 +51,26 @@
         listener.setblocking(False)
         return listener
 
+    @staticmethod
+    def passed(word):
+        """The listening socket that this process inherited as the descriptor of that number, as one that does not block;
+        ValueError where it is none."""
+        try:
+            sock = socket.socket(fileno=int(word))
+            listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        except (ValueError, OverflowError, OSError) as fault:
+            raise ValueError(f"LB_PASSED_SOCKET: {word[:40]!r} is no open socket: {fault}") from None
+        if not listening:
+            sock.detach()
+            raise ValueError(f"LB_PASSED_SOCKET: descriptor {word} does not listen")
+        sock.setblocking(False)
+        return sock
+
+    @staticmethod
+    def again():
+        """This process begins anew, as it was started; it does not return."""
+        os.execv(sys.executable, [sys.executable, *sys.orig_argv[1:]])
+
     @staticmethod
     def listen_path(path):
         """The same on a Unix socket; what a dead process left under that path makes room."""
--- a/calicopin/wire/agent.py
+++ b/calicopin/wire/agent.py
@@ -14,6 +14,11 @@
         self.hang_up()
         self.address, self.task = address, self.loop.keep(self.talk)
 
+    def retire(self):
+        """Another process has taken its place."""
+        self.loop.cancel(self.task)
+        self.hang_up()
+
     def hang_up(self):
         line, self.line = self.line, None
         if line:
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -69,11 +69,12 @@
 
 class Visit:
     """One connection of a client's."""
-    __slots__ = ("line", "task", "since", "until", "fresh", "pause")
+    __slots__ = ("line", "task", "since", "until", "fresh", "pause", "whole", "given")
 
     def __init__(self, line, now):
         self.line, self.task, self.since, self.until = line, None, now, now + PATIENCE
         self.fresh, self.pause = True, 0.0  # fresh: no request was read yet
+        self.whole = self.given = False  # whole: a request was read and its answer is not out yet
 
 
 class Clients:
@@ -82,12 +83,13 @@
     `desk` takes the texts: `desk.take(text)` is None where it is taken on, else the status that refuses it and
     the wait that is advised; a text taken on is kept once the bell handed to `desk.kept` has rung."""
 
-    def __init__(self, loop, address, products, budget, desk):
+    def __init__(self, loop, address, products, budget, desk, listener=None):
         self.loop, self.products, self.budget, self.desk = loop, products, budget, desk
         host, _, port = address.rpartition(":")
-        self.listener = loop.system.listen_path(port) if host == "unix" else loop.system.listen(host, int(port))
+        self.listener = listener or (loop.system.listen_path(port) if host == "unix" else loop.system.listen(host, int(port)))
         self.status = None  # where it is told, a function that returns its body
         self.idle, self.lingering, self.open, self.leaving, self.closing = {}, {}, 0, False, False
+        self.visits = {}  # all that are served, with their coroutines
         self.faults, self.told, self.relieved = 0, -FOREVER, -FOREVER
         self.accepting = loop.keep(self.accept)
 
@@ -118,8 +120,7 @@
             if visit:
                 self.loop.cancel(visit.task)
         if self.open < most:
-            self.open += 1
-            self.loop.spawn(self.serve(Visit(line, self.loop.now())))
+            self.receive(Visit(line, self.loop.now()))
             return
         self.complain(503, "no descriptor left for a client")
         try:
@@ -130,6 +131,21 @@
             pass
         line.close()
 
+    def receive(self, visit):
+        self.open += 1
+        self.visits[visit] = self.loop.spawn(self.serve(visit))
+
+    def give(self, visit):
+        """The connection, if all that came on it can be read again from its bytes: it is no longer ours. Else None."""
+        line = visit.line
+        if visit.whole or line.ended or line in self.lingering or visit not in self.visits:
+            return None
+        task, visit.given = self.visits.pop(visit), True
+        if not task.started():  # it would run no part of its own
+            self.open -= 1
+        self.loop.cancel(task)
+        return line
+
     def relieve(self):
         """Closes what may be closed until descriptors are no longer short: connections that were shown out, then
         new ones that said nothing, then those between requests, longest first; never one with a request begun."""
@@ -157,7 +173,7 @@
             more = True
             while more:
                 more = yield from self.request(visit)
-                visit.fresh = False
+                visit.fresh = visit.whole = False
                 # one after the other: a client that never pauses does not hold up the rest
                 yield Until(self.loop.now() + visit.pause)
         except Exception:  # guards the program, and the client that would wait for nothing
@@ -166,13 +182,16 @@
         finally:
             self.idle.pop(visit, None)
             self.lingering.pop(line, None)
-            line.close()
+            self.visits.pop(visit, None)
+            if not visit.given:
+                line.close()
             self.open -= 1
 
     def request(self, visit):
         """One request and its answer; False where the connection ends."""
-        line, visit.pause = visit.line, 0.0
+        line, visit.pause, visit.whole = visit.line, 0.0, False
         head = yield from self.next_head(visit)
+        visit.whole = not isinstance(head, h11.Request)
         if not isinstance(head, h11.Request):
             if head is None and line.unread():
                 yield from self.fault(line, 408, "a head that does not come")
@@ -184,6 +203,7 @@
         if trouble is None and head.method not in (b"GET", b"HEAD", b"POST"):
             trouble = 405, f"no {head.method[:20]!r}"
         body = None if trouble else (yield from line.body(MOST_BODY, until))
+        visit.whole = True
         if body is TOO_LONG:
             trouble = 413, "a body over 64 KiB"
         elif body is None and not trouble:
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -76,11 +76,20 @@
     return None if b"HTTP/1.".startswith(begun[:7]) and b"\n" not in begun and len(begun) < MOST_LINE else 0
 
 
-def submit(loop, lines, call, connect_timeout, still, written, tell):
+class Flight:
+    """One call under way: how far it has come, so that it can be called off, or go on in another process."""
+    __slots__ = ("call", "line", "until", "began", "task", "far", "given")
+
+    def __init__(self, call, until):
+        self.call, self.until, self.line, self.began, self.task = call, until, None, 0.0, None
+        self.far, self.given = Far.CALLED_OFF, False  # far: what is certain if it were called off now
+
+
+def submit(loop, lines, flight, connect_timeout, still, written, tell):
     """One call from its start to its outcome, as a value that says how far it came. Guards drains, waits and
     memories of references against a connection that came up late: `still(call, now)` is asked again then.
     `written` is called once the last byte is out; `tell` hears what is certain before the answer has come to its end."""
-    until, place = loop.now() + call.timeout, call.place
+    call, until, place = flight.call, flight.until, flight.call.place
     line, keep = lines.take(place, loop.now()), False
     try:
         while not line:
@@ -92,29 +101,54 @@
                 return Answer(Far.CALLED_OFF if line is NO_ROOM else Far.UNCONNECTED)
             if not still(call, loop.now()):
                 return Answer(Far.CALLED_OFF)
-        began = loop.now()
-        outcome, whole = yield from talk(line, call, until, written, tell)
-        if outcome.far == Far.ANSWERED:
-            lines.answered(place, loop.now() - began)
-        elif outcome.far == Far.SENT and line.ended and not line.unread():
-            outcome.gone = lines.gone(place, line, loop.now() - began)
-        keep = whole and line.again() and not line.spent()
+        flight.line, flight.began = line, loop.now()
+        head, body = encode(call, max(1.0, until - loop.now()))
+        data = line.encode(head, body)
+        done = yield from line.write(data, until)
+        if done < len(data):
+            return Answer(Far.UNSENT)
+        written()
+        outcome, keep = yield from hear(loop, lines, flight, tell)
         return outcome
     finally:
-        if keep:
-            lines.keep(place, line, loop.now())
-        else:
-            lines.drop(line)
+        leave(loop, lines, flight, line, keep)
+
+
+def go_on(loop, lines, flight, line, heard, tell):
+    """A call whose last byte another process wrote: from there to its outcome. `heard` is what came of the answer."""
+    lines.used, keep = lines.used + 1, False
+    try:
+        line.encode(*encode(flight.call, 1.0))  # h11 is to know that a whole request is out
+        if heard:  # nothing at all would be its end
+            line.hear(heard)
+        flight.line = line
+        outcome, keep = yield from hear(loop, lines, flight, tell)
+        return outcome
+    finally:
+        leave(loop, lines, flight, line, keep)
+
+
+def leave(loop, lines, flight, line, keep):
+    """The end of a flight: its connection serves again, is closed, or goes on in another process."""
+    if keep:
+        lines.keep(flight.call.place, line, loop.now())
+    else:
+        lines.drop(None if flight.given else line)
+
+
+def hear(loop, lines, flight, tell):
+    """The outcome, and whether its connection may serve again."""
+    line, flight.far = flight.line, Far.SENT
+    outcome, whole = yield from talk(line, flight.call, flight.until, tell)
+    if outcome.far == Far.ANSWERED:
+        lines.answered(flight.call.place, loop.now() - flight.began)
+    elif outcome.far == Far.SENT and line.ended and not line.unread():
+        outcome.gone = lines.gone(flight.call.place, line, loop.now() - flight.began)
+    return outcome, whole and line.again() and not line.spent()
 
 
-def talk(line, call, until, written, tell):
+def talk(line, call, until, tell):
     """The outcome, and whether the answer came whole."""
-    head, body = encode(call, max(1.0, until - line.loop.now()))
-    data = line.encode(head, body)
-    done = yield from line.write(data, until)
-    if done < len(data):
-        return Answer(Far.UNSENT), False
-    written()
     for _ in range(MOST_INTERIM):
         while (status := status_of(line.unread())) is None and not line.ended:
             if not (yield from line.more(until)):
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -26,6 +26,7 @@
     def __init__(self, loop, sock, role):
         self.loop, self.sock, self.h11 = loop, sock, h11.Connection(role)
         self.ended, self.stood = False, None  # stood: how long it was idle before it was taken again
+        self.heard = bytearray()  # since the last message ended: with it another process can read on
         sock.setblocking(False)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -46,11 +47,16 @@
         if data is None:
             return False
         self.ended = not data
+        self.hear(data)
+        return True
+
+    def hear(self, data):
+        """As if it had just been read."""
+        self.heard += data
         try:
             self.h11.receive_data(data)
         except h11.RemoteProtocolError:  # bytes behind the end: parse tells
             pass
-        return True
 
     def unread(self):
         """What was read and not parsed yet."""
@@ -156,6 +162,7 @@
         """Ready for the next message on it; False where this connection has served its last."""
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
+            self.heard[:] = self.unread()
             return True
         return False
 
--- a/calicopin/wire/listfile.py
+++ b/calicopin/wire/listfile.py
@@ -13,7 +13,11 @@
     def __init__(self, loop, path, load, heard):
         self.loop, self.path, self.load, self.heard = loop, path, load, heard
         self.stamp, self.places = loop.system.stamp(path), None
-        loop.keep(self.watch)
+        self.task = loop.keep(self.watch)
+
+    def retire(self):
+        """Another process watches it now."""
+        self.loop.cancel(self.task)
 
     def watch(self):
         while True:
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -45,6 +45,10 @@
     def __init__(self, gen, ahead=False):
         self.gen, self.wait, self.serial, self.over, self.ahead = gen, None, 0, False, ahead
 
+    def started(self):
+        """Whether it took its first step: cancelled before, it runs no part of its own."""
+        return self.wait is not None or self.serial > 0
+
 
 class Loop:
     """Resumes coroutines; after each pass `turn` handles what it brought and tells when it is due again."""
@@ -54,6 +58,7 @@
         self.epoll, self.fds = system.poller(), {}
         self.due, self.order, self.ready, self.running = [], count(), deque(), True
         self.lateness, self.current = 0.0, None
+        self.after = []  # done once behind the next turn, when no coroutine is in the middle of a step
 
     def spawn(self, gen, ahead=False):
         """`ahead`: it is resumed before all others that are ready."""
@@ -101,11 +106,15 @@
 
     def close(self, sock):
         """Closes a socket and forgets its descriptor before the number is used again."""
+        self.forget(sock)
+        sock.close()
+
+    def forget(self, sock):
+        """The loop no longer watches it; it stays open."""
         fd = sock.fileno()
         if fd in self.fds:
             del self.fds[fd]
             self.epoll.unregister(fd)
-        sock.close()
 
     def _arm(self, fd, mask, task):
         mask |= select.EPOLLONESHOT
@@ -163,11 +172,19 @@
             if not task.over and task.serial == serial:
                 self.lateness = max(self.lateness, now - at)
                 self.resume(task, False)
+        self.step()
+        until = self.turn()
+        after, self.after = self.after, []
+        for act in after:
+            act()
+        return until
+
+    def step(self):
+        """Resumes what is ready until nothing is."""
         while self.ready:
             task, serial, value = self.ready.popleft()
             if not task.over and task.serial == serial:
                 self._step(task, value)
-        return self.turn()
 
     def run(self):
         until = FOREVER
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -34,6 +34,9 @@
     def move(self, address):
         """There is no address."""
 
+    def retire(self):
+        """Nothing is owed any more."""
+
     def talk(self):
         while True:
             while self.owed:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -530,7 +530,7 @@
     with open(os.path.join(root, "docs", "events.md"), encoding="utf-8") as file:
         page = file.read()
     names = set()
-    for folder in ("admin", "boot", "wire", "held"):
+    for folder in ("admin", "boot", "handover", "wire", "held"):
         for name in os.listdir(os.path.join(root, "calicopin", folder)):
             if name.endswith(".py"):
                 with open(os.path.join(root, "calicopin", folder, name), encoding="utf-8") as file:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,7 @@
 from calicopin.held.texts import Text
 from calicopin.wire.clients import NEW, PATIENCE, PAUSE, REST, Clients
 from calicopin.wire.discovery import Discovery
-from calicopin.wire.endpoints import submit
+from calicopin.wire.endpoints import Flight, submit
 from calicopin.wire.loop import READ, Bell, Loop, Until
 from calicopin.wire.notices import Notices
 from helper import Clock, Door, answer, client, free_address, spin
@@ -34,7 +34,7 @@
 
     def run(self, what):
         self.answer = yield from submit(
-            self.loop, self.lines, what, 200.0, lambda call, now: self.wanted, lambda: None, self.told.append)
+            self.loop, self.lines, Flight(what, self.loop.now() + what.timeout), 200.0, lambda call, now: self.wanted, lambda: None, self.told.append)
 
     def end(self):
         spin(self.loop, lambda: self.answer is not None)
