--- a/calicopin/system.py
+++ b/calicopin/system.py
@@ -46,7 +46,11 @@
         """A listening socket that does not block."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, port))
+        try:
+            listener.bind((host, port))
+        except OSError as fault:
+            listener.close()
+            raise OSError(fault.errno, f"{host}:{port}: {fault.strerror}") from None
         listener.listen(1024)
         listener.setblocking(False)
         return listener
