--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -87,7 +87,11 @@
             self.address("courier.agent", courier.agent)
             if courier.agent == courier.listen:
                 self.fault("courier.agent", f"{courier.agent} is where the courier itself listens", "give the platform's agent")
-
+        if courier.admin:
+            self.address("courier.admin", courier.admin)
+            if courier.admin in (courier.listen, courier.agent):
+                self.fault("courier.admin", f"{courier.admin} is taken by {'listen' if courier.admin == courier.listen else 'agent'}",
+                           "give it a port of its own")
         if courier.notices:
             self.address("courier.notices", courier.notices)
             if courier.agent:
@@ -137,7 +141,7 @@
 
     def courier(self):
         courier = self.sheet.courier
-        budget = Budget(courier.descriptors, courier.slots)
+        budget = Budget(courier.descriptors, courier.slots, bool(courier.admin))
         if budget.calls < courier.slots:
             self.fault("courier.descriptors", f"{courier.descriptors} leave descriptors for {budget.calls} calls, not for {courier.slots} slots",
                        f"raise it to {least_descriptors(courier.slots)} at least, or lower slots")
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -52,6 +52,8 @@
                 known=lists.listed(some) if some else {"version": 0, "full": True, "servers": []}, settings=settings(sheet))
     if sheet.partners_file:
         told["watched"] = os.path.join(folder, sheet.partners_file)
+    if courier.admin:
+        told["admin_addr"] = courier.admin
     told |= dict(status=courier.status, notices=courier.notices, log=courier.log, store=courier.store, durability=courier.durability)
     return merge(told, copy.deepcopy({key: value for key, value in sheet.platform.items() if key != "settings"}))
 
@@ -87,7 +89,7 @@
             reports=bool(env.get("loadInfo", {}).get("columns")), limits_listed=env.get("weights") in ("nominal", "rough", "live"),
             courier=CourierPart(
                 name=told.get("name") or "courier", listen=told["listen"], state=told.get("state") or "state", agent=told.get("discovery") or "",
-                status=bool(told.get("status")), log=told.get("log") or "lines", store=told.get("store") or "file",
+                admin=told.get("admin_addr") or "", status=bool(told.get("status")), log=told.get("log") or "lines", store=told.get("store") or "file",
                 durability=told.get("durability") or "process", notices=told.get("notices") or "",
                 number=env["slotNo"], senders=env["groupSize"], seed=int(str(told.get("seed") or "0"), 16), slots=family["workers"],
                 held=ceilings["mostHeld"], tries=ceilings["tryLimit"], descriptors=int(limits.get("sockets") or 1024),
--- a/calicopin/configuration/sheet.py
+++ b/calicopin/configuration/sheet.py
@@ -22,6 +22,7 @@
     """The courier itself: where it listens, what it keeps and how much it may use."""
     name: Annotated[str, about("its name in logs and status", min_length=1, max_length=64)] = "courier"
     listen: Annotated[str, about("where applications hand texts in: an IPv4 address and port, or unix:/path")]
+    admin: Annotated[str, about("where operators call (docs/service.md): an IPv4 address and port; empty for nowhere")] = ""
     state: Annotated[str, about("the folder that outlasts its processes; of this courier alone", min_length=1)]
     agent: Annotated[str, about("the platform's agent: list, watch and notices; empty where the list stands in a file")] = ""
     notices: Annotated[str, about("where texts that end undelivered are told (POST /v1/outcomes) where there is no agent; empty: in the log alone")] = ""
--- a/calicopin/emulator/day.py
+++ b/calicopin/emulator/day.py
@@ -11,7 +11,7 @@
 from calicopin.emulator.partners import Destination, Endpoint
 from calicopin.emulator.process import Process, current
 from calicopin.emulator.scenario import COURIER_TROUBLES, PARTNER_TROUBLES, Trouble
-from calicopin.emulator.standins import Clients, Partners, Platform
+from calicopin.emulator.standins import Clients, Operator, Partners, Platform
 from calicopin.emulator.world import World
 
 OPENING = 1000.0  # couriers start, clients come after it
@@ -120,6 +120,7 @@
             self._courier(number, begin)
         self.clients = Clients(world, self.net, scenario.traffic, self.products, self.couriers)
         self.clients.front = scenario.couriers.front
+        self.operator = Operator(world, self.net)
         self.spare, self.lines = len(self.list), []
         if kills:
             self.couriers[0].planned.extend(kills)
@@ -145,6 +146,8 @@
         host, agent = f"10.8.{number // 200}.{number % 200 + 1}", f"10.7.{number // 200}.{number % 200 + 1}"
         environ = {"LB_NAME": name, "LB_CONFIG": "config", "LB_STATE": "state", "LB_LISTEN": f"{host}:5000",
                    "LB_DISCOVERY": f"{agent}:8500"}
+        if couriers.scrape_s:
+            environ["LB_ADMIN_ADDR"] = f"{host}:{Operator.PORT}"
         process = Process(self.world, self.net, name, host, begin, environ, couriers.descriptors,
                           self.world.chance(name), couriers.pass_ms, couriers.short)
         process.number_ = number
@@ -293,6 +296,24 @@
             one.kill()
         self.world.after(self.scenario.couriers.restart_ms, self.start, one)
 
+    def _quiesce(self, one, trouble, lasts):
+        self.operator.call(one, "quiesce", "POST")
+        self.world.after(4000.0, self._emptied, one, one.number, lasts)
+        self.world.after(lasts, self.operator.call, one, "resume", "POST")
+
+    def _emptied(self, one, number, lasts):
+        """What clients still hold there 4 s after the call."""
+        if one.number == number and not one.over and lasts > 4000.0:
+            self.world.note("emptied", one.name, len(self.clients.idle[one.name]))
+
+    def scrape(self, one):
+        """An operator's round, for as long as the run lasts; the holders' connections end and begin with it."""
+        if not one.over:
+            self.operator.call(one, "stats")
+            for _ in range(self.scenario.couriers.holders):
+                self.operator.hold(one)
+        self.world.after(self.scenario.couriers.scrape_s * 1000.0, self.scrape, one)
+
     def _reload(self, one, trouble, lasts):
         one.disk.files["config"] = bytearray(self.config(one, self.platforms[one.name]))
         one.signal(signal.SIGHUP)
@@ -402,6 +423,8 @@
         try:
             for courier in self.couriers:
                 self.world.at(self.rng.uniform(0.0, 200.0), self.start, courier)
+                if self.scenario.couriers.scrape_s:
+                    self.world.at(OPENING, self.scrape, courier)
             for text in self.texts:
                 courier = self.rng.choice(self.couriers)
                 self.world.at(text["due"], self.clients.hand_in, text, courier)
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -9,9 +9,10 @@
 from calicopin import brain, facade, terms
 from calicopin.boot import shift as shift_module
 from calicopin.boot.shift import Shift
-from calicopin.emulator.referee import ANSWER, DRAIN, EFFECT, ORDER, PUSH, SOUND, WAIT
+from calicopin.emulator.referee import ANSWER, DRAIN, EFFECT, ORDER, PUSH, SERVICE, SOUND, WAIT
 from calicopin.facade import Facade
 from calicopin.held.journal import Journal
+from calicopin.held.ledger import Ledger
 from calicopin.held.texts import Text
 from calicopin.interface import How, Repeat
 from calicopin.wire import clients, endpoints
@@ -287,5 +288,27 @@
     change(notices_module, "encode", lambda text: {}["ident"])
 
 
+@fault("refusals-not-counted", "quiesce", SERVICE, 1)
+def _(change):
+    change(Ledger, "refused", lambda ledger, text, again: None)
+
+
+@fault("all-ends-count-as-delivered", "scrape", SERVICE, 1)
+def _(change):
+    ended = Ledger.ended
+
+    def rosy(ledger, end):
+        end.verdict, kept = None, end.verdict
+        end.delivered = True
+        ended(ledger, end)
+        end.verdict = kept
+    change(Ledger, "ended", rosy)
+
+
+@fault("drain-keeps-connections", "quiesce", SERVICE, 1)
+def _(change):
+    change(Clients, "close_between_requests", lambda clients: None)
+
+
 def _how_of(how, wrong):
     return lambda answer, ident: (How.DELIVERED, True) if wrong(answer) else how(answer, ident)
--- a/calicopin/emulator/referee.py
+++ b/calicopin/emulator/referee.py
@@ -3,12 +3,14 @@
 A break is (rule, time, who, plain sentence). What a courier could not know or help is excused in the open: `Excuses`.
 """
 from bisect import bisect_right
+import json
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
 ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT = "final answer", "double effect", "drain", "pushed over", "order", "wait"
 SOUND = "soundness"  # not one of the six: a fault, a crash or a loop that never waits
-RULES = (ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT, SOUND)
+SERVICE = "service"  # nor this: an operator's call that is late or wrong, figures that are untrue, a drained courier that holds clients
+RULES = (ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT, SOUND, SERVICE)
 OVERDUE = 350.0  # after its time is up
 READY = 1500.0  # after a courier is ready again no notice is overdue
 GRACE = 60.0  # for a pass of the courier's loop after it could read something
@@ -86,7 +88,7 @@
         self.breaks, self.hands, self.answers, self.calls = [], {}, {}, {}
         self.notices, self.of, self.lives = defaultdict(list), defaultdict(list), defaultdict(Lives)
         self.cuts, self.silent, self.told, self.ran, self.refusals = [], set(), [], Counter(), 0
-        self.spans, self.ended = defaultdict(list), day.world.now
+        self.spans, self.ended, self.operators = defaultdict(list), day.world.now, []
         for entry in day.world.trace:
             getattr(self, "_" + entry[1].replace("-", "_"), self._pass)(*entry[:1], *entry[2:])
         self._excuses()
@@ -182,6 +184,13 @@
         for life in self.lives.values():
             life.excused.append((at, at + ms + 3000.0))
 
+    def _operator(self, at, courier, path, asked, status, body):
+        self.operators.append((at, courier, path, asked, status, body))
+
+    def _emptied(self, at, courier, held):
+        if held:
+            self.add(SERVICE, at, courier, f"clients hold {held} connections 4 s after it was to be empty")
+
     def _fault(self, at, courier, why):
         self.add(SOUND, at, courier, why)
 
@@ -212,6 +221,7 @@
             if not life.ended_between(self.hands[ident][0] - way, at + 5.0):
                 self.add(ANSWER, at, ident, f"{courier} ended the client's connection with no answer")
         self._drains()
+        self._service()
         self._waits()
         self._order()
 
@@ -292,6 +302,57 @@
                 if at > self.lives[courier].later(told) + drain + GRACE:
                     self.add(DRAIN, at, courier, f"a call to {full.endpoint} begun {at - told:.0f} ms after its drain was told")
 
+    def _service(self):
+        """Operators' calls, and the figures against what passed between the parties: 1% (2% of messages written) or 3 may be off, and
+        half a second late. What ended for a client that had left may stand under any count, and a notice travels: it may be owed
+        by the process before."""
+        seen = self._counted() if self.operators else {}
+        for at, courier, path, asked, status, body in self.operators:
+            life = self.lives[courier]
+            if life.ended_between(asked - OVERDUE, at) or life.later(asked) != asked or not life.starts or asked < life.starts[0] + READY:
+                continue
+            if not any(start + READY <= asked for start in life.starts[-1:]) and asked > life.starts[-1]:
+                continue  # it is still starting
+            if status != 200 or at - asked > 1000.0:
+                self.add(SERVICE, asked, courier, f"{path} is answered {status} after {at - asked:.0f} ms")
+            elif path == "stats":
+                begun = max(start for start in life.starts if start <= asked)
+                for name, why in self._untrue(json.loads(body), begun, at, seen.get(courier, {})):
+                    self.add(SERVICE, at, courier, f"{name}: {why}")
+
+    def _counted(self):
+        """By courier and count: (when it happened at the earliest and latest, what), as the parties saw it."""
+        seen = defaultdict(lambda: defaultdict(list))
+        for ident, (at, status) in self.answers.items():
+            name = "declined" if status in (429, 503) else "aborted" if status == 404 else None
+            if name:
+                seen[self.hands[ident][2]][name].append((at, at))
+        for ident, notices in self.notices.items():
+            at, courier, verdict, _ = notices[0]
+            if ident in self.hands:
+                seen[courier]["declined" if verdict == "bounced" else "aborted"].append((at - 3000.0, at))
+        for ident, calls in self.of.items():
+            known = min(((call.heard, call.courier) for call in calls if call.delivered(ident)), default=(INFINITE, ""))
+            if known[0] < INFINITE and ident not in self.notices:
+                seen[known[1]]["succeeded"].append((known[0], known[0]))
+        for call in self.calls.values():
+            seen[call.courier]["forwards"] += [(call.begun, call.at)] * len(call.texts)
+        for ident in self.silent:
+            if ident in self.hands:
+                seen[self.hands[ident][2]]["any"].append((self.hands[ident][0], INFINITE))
+        return seen
+
+    def _untrue(self, told, begun, at, seen):
+        """(count, sentence) for each that cannot be so."""
+        loose = sum(begun - 30000.0 <= early <= at for early, _ in seen.get("any", ()))
+        for name in ("succeeded", "declined", "aborted", "forwards"):
+            value = told[name] if name == "forwards" else sum(told[name].values())
+            least = sum(early >= begun and late <= at - 500.0 for early, late in seen.get(name, ()))
+            most = sum(late >= begun and early <= at + 60.0 for early, late in seen.get(name, ()))
+            slack = max(3.0, (0.02 if name == "forwards" else 0.01) * most)
+            if not least - slack - loose <= value <= most + slack + loose:
+                yield name, f"told {value}, where from {least} to {most} were seen and {loose} clients had left"
+
     def _waits(self):
         apart = {number: partner.apart for number, partner, _ in self.scenario.destinations()}
         sent = defaultdict(list)
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -25,7 +25,7 @@
 PARTNER_TROUBLES = ("refuse", "hang", "shut", "vanish", "slow", "errors", "lose", "spoil", "limit", "drain", "replace",
                     "stall-some")
 COURIER_TROUBLES = ("kill", "term", "reload", "bad-reload", "stand", "lose-machine", "disk-full", "disk-errors",
-                    "disk-slow", "disk-short")
+                    "disk-slow", "disk-short", "quiesce")
 WORLD_TROUBLES = ("partition", "net-slow", "resets", "burst", "clump", "platform-silent", "platform-cut", "clock")
 SHARES = ("errors", "lose", "spoil", "limit", "disk-errors", "disk-short")  # whose size is one
 TROUBLES = PARTNER_TROUBLES + COURIER_TROUBLES + WORLD_TROUBLES
@@ -56,6 +56,8 @@
     advice_s: Span = 2.0
     settle_ms: Span = 700.0
     store: Literal["file", "segments"] = "file"
+    scrape_s: Span = 0.0  # how often operators read each courier's figures; 0: there is no admin address
+    holders: Whole = 0  # operators' connections with half a call, at any moment
 
 
 class Rules(Strict):
@@ -147,7 +149,7 @@
 class Mixed(Strict):
     """A day that the seed draws: so many troubles of these kinds."""
     troubles: Annotated[int, Meta(ge=1, le=100)] = 4
-    kinds: tuple[Literal[TROUBLES], ...] = TROUBLES
+    kinds: tuple[Literal[TROUBLES], ...] = tuple(kind for kind in TROUBLES if kind != "quiesce")  # it needs an admin address
 
 
 class Scenario(Strict, kw_only=True):
@@ -202,6 +204,8 @@
             fault(f"{place}: size", f"{trouble.size:g} is negative, which only a clock's step may be")
         if trouble.kind in SHARES and trouble.size > 1.0:
             fault(f"{place}: size", f"{trouble.size:g} is a share, so at most 1")
+        if trouble.kind == "quiesce" and not scenario.couriers.scrape_s:
+            fault(f"{place}: kind", "couriers have an admin address only where couriers.scrape_s is told")
         kind, _, name = trouble.whom.partition(":")
         wants = ("courier" if trouble.kind in COURIER_TROUBLES else
                  "destination" if trouble.kind in PARTNER_TROUBLES else None)
--- a/calicopin/emulator/story.py
+++ b/calicopin/emulator/story.py
@@ -13,6 +13,7 @@
     "hung-up": "call {0}: its connection ends", "lost": "call {0}: its answer is lost",
     "notice": "{0} tells the platform: {1} is {2}, wait {3:.0f} ms", "told": "discovery tells {0}: on {2}, off {3}",
     "fault": "a fault in {0}: {1}", "lost-machine": "{0}'s machine is lost with its folder",
+    "operator": "{0} is called: {1}, asked at {2:.1f}, answers {3}", "emptied": "{0} is to be empty: clients hold {1} connections",
     "agents-gone": "the platform's agents are gone for {0:.0f} ms"}
 QUIET = ("refused", "told", "heard", "ran")  # left out of the story of a whole run
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -98,6 +98,8 @@
     (put("disk = \"1MB\"", "disk = \"1M\""), "c.toml:11: courier.disk", "kB, MB, GB"),
     (put("disk = \"1MB\"", "disk = 1000000"), "c.toml:11: courier.disk", "\"3MB\""),
     (put("slots = 10", "slots = 0"), "c.toml:8: courier.slots", ">= 1"),
+    (put("held = 50", "held = 50\nadmin = \"127.0.0.1\""), "courier.admin", "is no address"),
+    (put("held = 50", "held = 50\nadmin = \"127.0.0.1:5000\""), "courier.admin", "taken by listen"),
     (put("slots = 10", "slots = true"), "c.toml:8: courier.slots", "`int`"),
     (put("slots = 10", "slots = 100"), "c.toml:10: courier.descriptors", "raise it to 216"),
     (put("descriptors = 200", "descriptors = 32"), "c.toml:10: courier.descriptors", "slots"),
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -192,3 +192,16 @@
     with pytest.raises(OSError) as fault:
         disk.write(file, b"z")
     assert fault.value.errno == errno.ENOSPC and disk.read("a") == b"x" * 8 + b"yy"
+
+
+def test_figures_hold_against_what_the_parties_saw_through_faults_and_kills():
+    """Days drawn from the seed, with couriers killed in them, and figures read every 0.7 s."""
+    from msgspec.structs import replace
+    mixed = load("mixed")
+    asked = 0
+    for seed in range(31, 37):
+        scenario = replace(mixed, couriers=replace(mixed.couriers, scrape_s=0.7, holders=3))
+        _, referee, _ = runs.play(scenario, seed)
+        assert not referee.breaks, (seed, list(map(str, referee.breaks[:5])))
+        asked += sum(status == 200 for *_, status, _ in referee.operators)
+    assert asked > 300
