--- a/calicopin/__main__.py
+++ b/calicopin/__main__.py
@@ -10,6 +10,8 @@
         from calicopin.command.__main__ import main as command
         return command(prog_name="calicopin")
     ear = Ear()  # before the rest is read in, which takes its time
+    from calicopin.boot.light import load_logging
+    load_logging()
     from calicopin.boot.start import main as serve
     return serve(ear)
 
--- a/calicopin/boot/leave.py
+++ b/calicopin/boot/leave.py
@@ -33,6 +33,7 @@
     Step("finishing", 0.0, LAST_CALL, frozenset({"clients", "texts", "notices"})),
     Step("calling no more", 0.0, LAST_TEXT, frozenset({"clients"}), calling=False),
     Step("closing", 0.0, LEAVE, frozenset({"calls", "notices", "clients"}), closing=True, calling=False, listening=False))
+RETIRED = (Step("finishing answers", 0.0, LEAVE, frozenset({"clients"}), closing=True, calling=False, listening=False),)  # all else is another's
 DRAIN = (
     UNREADY,
     Step("giving connections back", 0.0, QUIET, None, closing=True),
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -1,7 +1,7 @@
 """Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of `boot/leave.py`."""
 from loguru import logger
 
-from calicopin.boot.leave import DRAIN, STOP, Leave
+from calicopin.boot.leave import DRAIN, RETIRED, STOP, Leave
 from calicopin.wire.loop import Bell, Until
 
 STEP = 20.0
@@ -42,7 +42,7 @@
         logger.info("SIGTERM: {held} texts held, {out} calls out", event="stopping", held=len(shift.facade.texts), out=shift.out)
         self.stopping = True
         self.end_drain()
-        yield from self.walk(Leave(STOP, self.loop.now()))
+        yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
         self.loop.running = False
 
     def end_drain(self):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,13 +4,17 @@
 from dataclasses import replace
 
 import pytest
-from test_courier import House, signals  # noqa: F401
+import test_courier
+from test_courier import House
 
 from calicopin.boot import leave
 from calicopin.boot.start import build
 from helper import Clock, answer, client, free_address, spin
 
 
+signals = test_courier.signals
+
+
 class Service(House):
     """A courier with an admin address; its clock stands unless the test moves it."""
 
@@ -204,3 +208,14 @@
     for _ in range(40):
         house.pass_time(100.0)
     assert not house.loop.running and isinstance(house.loop.now, Clock)
+
+
+def test_a_courier_is_read_in_without_asyncio_and_ssl():
+    """They come with the log's library and are a quarter of the memory of a courier; two of them stand side by side in an upgrade."""
+    import subprocess
+    import sys
+    script = ("import sys; from calicopin.boot.light import load_logging; load_logging(); import calicopin.boot.start, calicopin.handover.giver;"
+              "assert not {'ssl', 'asyncio', 'subprocess', 'concurrent'} & set(sys.modules), 'read in';"
+              "from loguru import logger; logger.info('said'); import asyncio; asyncio.run(asyncio.sleep(0))")
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True)
+    assert done.returncode == 0 and "said" in done.stderr, done.stderr
