--- a/calicopin/handover/meeting.py
+++ b/calicopin/handover/meeting.py
@@ -27,22 +27,13 @@
     def __init__(self, where, folder):
         self.where, self.name = where, name(folder)
 
-    def _path(self, parent):
-        return f"/proc/self/fd/{parent}/{self.name}"  # however long the folder's own path is
-
-    def listen(self):
-        """A listening socket that does not block, in place of any that lies there."""
+    def _socket(self, act):
+        """A Unix socket with which `act(sock, path, parent)` was done, the folder being open as `parent`."""
         parent = os.open(self.where, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
-            try:
-                os.unlink(self.name, dir_fd=parent)
-            except FileNotFoundError:
-                pass
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
             try:
-                sock.bind(self._path(parent))
-                sock.listen(4)
-                sock.setblocking(False)
+                act(sock, f"/proc/self/fd/{parent}/{self.name}", parent)  # however long the folder's own path is
             except OSError:
                 sock.close()
                 raise
@@ -50,19 +41,21 @@
         finally:
             os.close(parent)
 
+    def listen(self):
+        """A listening socket that does not block, in place of any that lies there."""
+        def bind(sock, path, parent):
+            try:
+                os.unlink(self.name, dir_fd=parent)
+            except FileNotFoundError:
+                pass
+            sock.bind(path)
+            sock.listen(4)
+            sock.setblocking(False)
+        return self._socket(bind)
+
     def visit(self):
         """A connection to whoever listens there; OSError where nobody does."""
-        parent = os.open(self.where, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-        try:
-            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
-            try:
-                sock.connect(self._path(parent))
-            except OSError:
-                sock.close()
-                raise
-            return sock
-        finally:
-            os.close(parent)
+        return self._socket(lambda sock, path, parent: sock.connect(path))
 
 
 def ours(sock):
