--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -23,7 +23,12 @@
 from calicopin import system
 from calicopin.boot.ear import Ear
 ear = Ear()
-from calicopin.handover import giver, meeting, taker
+from calicopin.handover import giver, meeting, state, taker
+if sys.argv[1] == "forgets-waits":
+    state.ROUTE = tuple(name for name in state.ROUTE if name not in ("pause", "tokens", "mode"))
+if sys.argv[1] == "forgets-drains":
+    real = giver.Giver.told
+    giver.Giver.told = lambda self, flights: real(self, flights) | dict(drained=None)
 role, at = sys.argv[1], int(sys.argv[2])
 count, armed = 0, False
 def step():
@@ -59,7 +64,7 @@
         real(*args)
     return begin
 giver.Giver.__init__ = disarm()  # the handover is over: a kill from here on is any crash
-arm(giver.Giver, "fit") if role == "old" else arm(taker, "ask")
+arm(giver.Giver, "fit") if role == "old" else arm(taker, "ask")  # a broken variant counts its steps and is never killed
 system.System.again = staticmethod(lambda: os.execv(sys.executable, [sys.executable, "-m", "calicopin"]))
 sys.argv = sys.argv[:1]
 from calicopin.boot.start import main
@@ -262,6 +267,20 @@
     assert platform.call(new, "stats")["outstanding"] == 3
 
 
+def test_broken_variants_are_seen(platform):
+    """What the tests around this hold would not hold if waits or drains stayed behind."""
+    old = platform.up(platform.start("forgets-waits"))
+    assert platform.post("wait-1") == 202
+    platform.until(lambda: platform.heard == ["wait-1"])
+    platform.up(platform.start("forgets-drains"))
+    old.send_signal(signal.SIGTERM)
+    platform.until(lambda: len(platform.heard) > 1)
+    drained = platform.running[-1]
+    platform.call(drained, "quiesce", "POST")
+    new = platform.up(platform.start())
+    assert platform.call(new, "resume", "POST")["quiesced"] is False and not any("resumed" in line for line in new.lines)
+
+
 def test_a_drain_goes_on_in_the_new_version(platform):
     old = platform.up(platform.start())
     platform.call(old, "quiesce", "POST")
