Read once more: an agent's move is its retirement, no twice-made round in a handover

Agent.move wrote out what retire does; state.enter entered a destination for its round, which read does for every one that is not idle; an attribute and two assignments of the giver that nothing reads are gone. Behaviour as before; all tests pass.

--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -22,11 +22,10 @@
 
 
 class Giver:
-    """`parts` are the courier's: loop, shift, clients, discovery, renewal, stop, office. `lock` is the folder's; `again` begins
-    this process anew."""
+    """Gives away the courier whose parts it is handed. `lock` is the folder's; `again` begins this process anew."""
 
     def __init__(self, place, lock, again, loop, shift, clients, discovery, renewal, stop):
-        self.place, self.lock, self.again = place, lock, again
+        self.lock, self.again = lock, again
         self.loop, self.shift, self.clients, self.discovery, self.renewal, self.stop = loop, shift, clients, discovery, renewal, stop
         self.listener = place.listen()
         self.task = loop.keep(self.host)
@@ -75,7 +74,7 @@
                 break
 
     def give(self, sock):
-        shift, talk, began = self.shift, None, self.loop.now()
+        shift, began = self.shift, self.loop.now()
         self.loop.forget(sock)
         calling, shift.calling = shift.calling, False
         try:
@@ -121,7 +120,6 @@
             moved.append(("call", dict(call=number, heard=coded(flight.line.heard)), flight.line))
             self.loop.cancel(flight.task)
         for flight in list(shift.flights):  # its texts have all ended, the rest of its answer is nobody's
-            flight.given = False
             self.loop.cancel(flight.task)
         for visit in list(clients.visits):
             if line := clients.give(visit):
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -153,9 +153,6 @@
     module.desk.texts[text.number] = known
     if known.key is not None:
         module.desk.keys.setdefault(known.key, brain.deque()).append(known)
-    if dest not in module.live:
-        module.live[dest] = None
-        module.floor.post(dest, "round", module.rounds)
     if not flying:
         dest.queue.append(known)
         module.floor.later(min(known.until - 2 * module.tick, known.last_submit()), module.desk, "lapse", known)
--- a/calicopin/wire/agent.py
+++ b/calicopin/wire/agent.py
@@ -10,12 +10,11 @@
         self.task = loop.keep(self.talk)
 
     def move(self, address):
-        self.loop.cancel(self.task)
-        self.hang_up()
+        self.retire()
         self.address, self.task = address, self.loop.keep(self.talk)
 
     def retire(self):
-        """Another process has taken its place."""
+        """It talks no more: another process has taken its place, or a new address is to."""
         self.loop.cancel(self.task)
         self.hang_up()
 
