Own calls are counted over the time lived, not over a whole cooldown

Ruled out: told waits (over at 1.4 s), the share of a told limit (none told yet), slots. Line at fault: brain.py, Route.recent, which divided two calls in half a second by the cooldown of 4 s: 0.35 a second, the next call 2.9 s later. Change: the span is the time that the destination has been known, between a second (what limits count over) and the cooldown. The test sums over 40 instances and fails without it.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -13,7 +13,7 @@
 from calicopin.interface import How, Log, Nack, Repeat, Submit, Undeliverable, Wake, Watch
 
 HARMLESS = (How.FULL, How.UNREACHED, How.NOT_SENT)  # these prove that the submit never ran
-ROUND = 250.0  # the one periodic timer
+ROUND, SECOND = 250.0, 1000.0  # the one periodic timer; what limits count over
 
 
 class Floor:
@@ -91,7 +91,7 @@
         self.rate = self.start = self.agreed = self.limit = None
         self.tokens, self.filled, self.pause, self.patient = 1.0, floor.now, 0.0, None
         self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
-        self.sends, self.sent_at = deque(), floor.now
+        self.sends, self.sent_at, self.born = deque(), floor.now, floor.now
         self.usual = self.flow = self.gap = self.cut_off = self.warm_at = 0.0  # gap: failures between deliveries
         self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
 
@@ -115,7 +115,7 @@
         self.left += (0.5 if left < self.left else 0.1) * (left - self.left) if limit else 0.0
 
     def recent(self):
-        return len(self.sends) / self.COOLDOWN
+        return len(self.sends) / min(self.COOLDOWN, max(SECOND, self.floor.now - self.born))
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -160,6 +160,30 @@
     assert stand.courier.dests[0].routes[None].mode == "well"
 
 
+def test_a_fleet_refused_just_after_its_start_goes_on_at_what_it_asked_for():
+    """40 couriers that had lived for half a second counted their few calls over the whole cooldown of 4 s: refused together, they left
+    a limit of 45 a second to itself for seconds, at a start and after a release. Summed over the fleet."""
+    went, asked = 0, 0
+    for number in range(40):
+        stand = Stand(senders=40, number=number)
+        stand.step(after=200.0)
+        out = submits(stand.take(2))
+        stand.step(after=300.0)
+        stand.outcome(out[0], How.FULL, wait=500.0)
+        stand.outcome(out[1], How.FULL, wait=500.0)
+        asked += len(out)
+        went += len(submits(stand.step(after=2000.0)))
+    assert 0.5 * asked < went <= 1.5 * 0.7 * asked, (asked, went)
+
+
+def test_calls_of_a_courier_that_has_lived_longer_are_counted_over_the_cooldown():
+    stand = Stand(senders=40)
+    stand.step(after=20000.0)
+    refused = submits(stand.take(2))
+    stand.outcome(refused[0], How.FULL)
+    assert stand.courier.dests[0].routes[None].rate == pytest.approx(0.7 * 2 / 4000.0)
+
+
 def test_a_limit_that_refusals_use_up_gets_less_than_the_even_share():
     """At the even share exactly, 223 couriers kept a throttled partner at its limit: it took nothing for 25 s."""
     stand = Stand(senders=4)
