What a shared call tells of the room is split by sender count, not taken once a text

Ruled out: a limit that fell (72 told throughout), cold endpoints (never down), a pace that no answer tells. Lines at fault: brain.py, Endpoint.on_outcome and Route.hint: the report of one answer was believed once for each text of the call. Ten texts take the belief from a half to 0.83, where idle senders' shares come on top eleven times, at all senders in the same moment. Change: the first text in full, each further one split by the sender count. One sender believes as before. The test sums the paces of 40 instances and fails without it.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -109,10 +109,10 @@
         over = self.CUT * (max(1.0, self.rate / share) / self.CUT) ** min(1.0, 2.0 * self.left)
         return share * over * self.senders ** max(0.0, 2.0 * self.left - 1.0)
 
-    def hint(self, limit, left):
+    def hint(self, limit, left, texts):
         self.fill()
-        self.limit = limit or None
-        self.left += (0.5 if left < self.left else 0.1) * (left - self.left) if limit else 0.0
+        self.limit, told = limit or None, 1.0 + (texts - 1.0) / self.senders  # all believe at once
+        self.left += (1.0 - (0.5 if left < self.left else 0.9) ** told) * (left - self.left) if limit else 0.0
 
     def recent(self):
         return len(self.sends) / min(self.COOLDOWN, max(SECOND, self.floor.now - self.born))
@@ -241,12 +241,12 @@
     def on_outcome(self, text, event):
         call, text.call = text.call, None
         how, route, call.texts = event.how, self.route, call.texts - 1
-        first, call.told = call.told != how, how  # one call may end in several ways: each counts once
+        fresh, first, call.told = call.told is None, call.told != how, how  # each way it ends counts once
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
-        if event.limit is not None:
-            route.hint(event.limit / 1000.0, event.left or 0.0)
+        if fresh and event.limit is not None:
+            route.hint(event.limit / 1000.0, event.left or 0.0, call.size)
         if how == How.FULL:
             route.full(call)
         elif how == How.TIMEOUT:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -184,6 +184,24 @@
     assert stand.courier.dests[0].routes[None].rate == pytest.approx(0.7 * 2 / 4000.0)
 
 
+def test_what_a_shared_call_tells_of_the_room_is_split_by_sender_count():
+    """A call of ten texts was believed ten times: all couriers took idle shares as theirs at one good answer, were refused together,
+    and held back together at the next one. Summed over 40 couriers, after one call of ten each. One alone still believes it ten times."""
+    alone = Stand(partners=[Partner(bundle=10)], senders=1)
+    alone.step([Outcome(s.text, s.endpoint, How.DELIVERED, 0.0, 200.0, True, 1.0, 80.0) for s in submits(alone.take(10))])
+    assert alone.courier.dests[0].routes[None].left == pytest.approx(1.0 - 0.5 * 0.9 ** 10)
+    paces = 0.0
+    for number in range(40):
+        stand = Stand(partners=[Partner(bundle=10)], senders=40, number=number)
+        out = submits(stand.take(10))
+        assert len({submit.endpoint for submit in out}) == 1
+        stand.step([Outcome(s.text, s.endpoint, How.DELIVERED, 0.0, 200.0, True, 1.0, 80.0) for s in out])
+        route = stand.courier.dests[0].routes[None]
+        assert route.left == pytest.approx(1.0 - 0.5 * 0.9 ** (1.0 + 9.0 / 40.0))
+        paces += route.share() * 40 ** (2.0 * route.left - 1.0)
+    assert paces < 2.0 * 80.0 / 1000.0, "ten times the belief would be 0.83 left and eleven limits"
+
+
 def test_a_limit_that_refusals_use_up_gets_less_than_the_even_share():
     """At the even share exactly, 223 couriers kept a throttled partner at its limit: it took nothing for 25 s."""
     stand = Stand(senders=4)
