--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -112,7 +112,7 @@
     def hint(self, limit, left, texts):
         self.fill()
         self.limit, told = limit or None, 1.0 + (texts - 1.0) / self.senders  # all believe at once
-        self.left += (1.0 - (0.5 if left < self.left else 0.9) ** told) * (left - self.left) if limit else 0.0
+        self.left += (1.0 - (0.5 ** texts if left < self.left else 0.9 ** told)) * (left - self.left) if limit else 0.0
 
     def recent(self):
         return len(self.sends) / min(self.COOLDOWN, max(SECOND, self.floor.now - self.born))
