--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -54,7 +54,7 @@
 
 
 def test_forty_couriers_killed_at_once_all_hold_a_watch_again_at_a_discovery_that_serves_few():
-    """With the calls for the list as they were, a third still had none ten seconds on and one in three was turned away."""
+    """With the calls for the list as they were, up to three still had none ten seconds on and most calls were turned away."""
     day, referee, _ = runs.play(load("herd-large"), 1)
     back = {}
     for at, kind, *told in day.world.trace:
