Read once more: the belief's step in two plain lines, a refusal told apart from silence by one branch

Route.hint nested a choice in a power in one line of 118 characters; Discovery.talk asked three times whether it was turned away. Same arithmetic, same order. Tests by file pass.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -111,8 +111,8 @@
 
     def hint(self, limit, left, texts):
         self.fill()
-        self.limit, told = limit or None, 1.0 + (texts - 1.0) / self.senders  # all believe at once
-        self.left += (1.0 - (0.5 ** texts if left < self.left else 0.9 ** told)) * (left - self.left) if limit else 0.0
+        kept = 0.5 ** texts if left < self.left else 0.9 ** (1.0 + (texts - 1.0) / self.senders)  # all rise
+        self.limit, self.left = limit or None, self.left + (limit and (1.0 - kept) * (left - self.left))
 
     def recent(self):
         return len(self.sends) / min(self.COOLDOWN, max(SECOND, self.floor.now - self.born))
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -62,9 +62,12 @@
                 self.hang_up()
             self.silent = told is None and not self.refused
             if told is None:
-                if self.refused and not self.asking.refusals:
-                    logger.warning("discovery turns calls for the list away", event="discovery.refused")
-                self.asking.refused() if self.refused else self.asking.silent()
+                if self.refused:
+                    if not self.asking.refusals:
+                        logger.warning("discovery turns calls for the list away", event="discovery.refused")
+                    self.asking.refused()
+                else:
+                    self.asking.silent()
                 yield Until(self.loop.now() + self.asking.again())
                 continue
             if self.asking.refusals:
