--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -246,10 +246,8 @@
             route.patient = call
         for text in texts:
             text.call, text.tries = call, text.tries + 1
-            limit = text.until - now
-            if text.product.repeat != Repeat.ONCE_ONLY:
-                usual = (32.0 if out else 8.0) * route.usual or text.product.sla
-                limit = min(limit, max(usual, 2.0 * route.cut_off) if patient else usual)
+            usual = (32.0 if out else 8.0) * route.usual or text.product.sla
+            limit = min(text.until - now, max(usual, 2.0 * route.cut_off) if patient else usual)
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
     def on_outcome(self, text, event):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -314,3 +314,14 @@
         stand.outcome(submits(stand.take(1, dest=dest))[0])
     stand.step(after=1000.0)
     assert 0 in closes(stand.done[before:]) and 2 not in closes(stand.done[before:])
+
+
+def test_a_once_only_text_is_cut_off_like_any_other():
+    """Where answers are lost, each held its slot to the end of its validity: at tanger-platform 16 s, with three slots a courier."""
+    stand = Stand([Product(Repeat.ONCE_ONLY, 2000.0, 16000.0, 1.0, 0.4)])
+    first = submits(stand.take(1))[0]
+    assert first.timeout == 2000.0
+    stand.outcome(first, elapsed=150.0)
+    second = submits(stand.take(1))[0]
+    assert second.timeout == 1200.0
+    assert [a.text for a in stand.outcome(second, How.TIMEOUT) if isinstance(a, Undeliverable)] == [second.text]
