--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -246,7 +246,7 @@
             route.patient = call
         for text in texts:
             text.call, text.tries = call, text.tries + 1
-            usual = (32.0 if out else 4.0 if self.dest.pool.free <= 0 else 8.0) * route.usual or text.product.sla
+            usual = (32.0 if out else 8.0) * route.usual or text.product.sla
             limit = min(text.until - now, max(usual, 2.0 * route.cut_off) if patient else usual)
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
