Refused connections rest, hopeless texts nacked at once, store sheds least worth, thin senders pace by four calls

Where no limit is told or listed, own calls are counted over the last four calls, five cooldowns at most.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -6,7 +6,7 @@
 """
 import heapq
 import zlib
-from collections import Counter, deque
+from collections import deque
 from itertools import accumulate, count, islice
 from math import log
 
@@ -84,7 +84,8 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
-    BURST, COOLDOWN, CUT, STEP, FLOOR, STREAK, IDLE, RARE = 300.0, 4000.0, 0.7, 0.1, 0.001, 5, 60000.0, 12.0
+    BURST, COOLDOWN, CUT, STEP, FLOOR, IDLE = 300.0, 4000.0, 0.7, 0.1, 0.001, 60000.0
+    STREAK, RARE, FEW = 5, 12.0, 4
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
@@ -115,7 +116,12 @@
         self.limit, self.left = limit or None, self.left + (limit and (1.0 - kept) * (left - self.left))
 
     def recent(self):
-        return len(self.sends) / min(self.COOLDOWN, max(SECOND, self.floor.now - self.born))
+        """Own calls a millisecond, over a cooldown; where no limit is told nor listed, over the last few calls if
+        that is longer: 200 senders that each count one call within a cooldown use a limit up for good."""
+        now, span = self.floor.now, self.COOLDOWN
+        if not (self.limit or self.agreed):
+            span = max(span, now - self.sends[0] if len(self.sends) >= self.FEW else 5 * span)
+        return sum(at > now - span - 1e-6 for at in self.sends) / min(span, max(SECOND, now - self.born))
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
@@ -206,7 +212,8 @@
 
     def look(self, rounds):
         now = self.floor.now
-        while self.sends and self.sends[0] <= now - self.COOLDOWN:
+        while self.sends and (self.sends[0] <= now - 5 * self.COOLDOWN or (
+                self.sends[0] <= now - self.COOLDOWN and len(self.sends) > self.FEW)):
             self.sent_at = self.sends.popleft()
         if not self.sends and now - self.sent_at > self.IDLE and self.mode == "well":
             self.rate = None
@@ -220,20 +227,22 @@
     """One kind of destination: what the settings say of it, and whether its endpoints seem to take few connections."""
 
     def __init__(self, partner):
-        self.bundle, self.apart, self.crowded = partner.bundle, partner.apart, False
+        self.bundle, self.apart, self.crowded = partner.bundle, partner.apart, -1e12
 
 
 class Endpoint:
     """Carries calls to one endpoint and tells its destination how they went."""
     def __init__(self, floor, ident, zone, dest, route, kind):
         self.floor, self.ident, self.zone, self.dest, self.route, self.kind = floor, ident, zone, dest, route, kind
-        self.inbox, self.calls, self.seen, self.misses, self.used = deque(), [], floor.now, 0, 0.0
+        self.inbox, self.calls, self.seen, self.misses, self.used, self.shy = deque(), [], floor.now, 0, 0.0, 0.0
+
+    def opens(self):
+        return max(self.route.opens(), self.shy)
 
     def on_rest(self):
-        """An idle connection is given back where its next use is not likely before it is closed anyway, or where such
-        endpoints take few: those of many senders that stand idle shut out the calls of all."""
-        now, each = self.floor.now, self.dest.load / max(1, len(self.dest.endpoints))
-        if not self.calls and now >= self.used and (self.kind.crowded or each * self.dest.idle_close < 1.0):
+        """An idle connection is given back where endpoints of its kind refused one: they may take few, and what many
+        senders leave idle there shuts out the calls of all. It may hurt after a crash: new connections cost time."""
+        if not self.calls and self.used <= self.floor.now < self.kind.crowded + Route.IDLE:
             self.floor.out.append(Close(self.ident))
 
     def on_carry(self, texts):
@@ -262,7 +271,10 @@
                 self.floor.later(self.used, self, "rest")
         if fresh and event.limit is not None:
             route.hint(event.limit / 1000.0, event.left or 0.0, call.size)
-        self.kind.crowded = self.kind.crowded or how == How.UNREACHED
+        if how == How.UNREACHED:
+            self.kind.crowded = self.floor.now  # it may be full or down: a text would use up its submits there at once
+            rest = max(route.usual, 20.0 * self.dest.tick) * 2.0 ** self.misses
+            self.shy = self.floor.now + rest * (0.5 + self.floor.chance(self.ident))
         if how == How.FULL:
             route.full(call)
         elif how == How.TIMEOUT:
@@ -325,13 +337,24 @@
     def on_drop(self, text):
         self.queue = deque(other for other in self.queue if other is not text)
 
-    def on_shed(self):
-        """The store is full: the oldest text that waits here makes room for texts that can still go."""
-        if self.queue:
-            self.floor.post(self.desk, "give_up", self.queue.popleft(), self.opens() - self.floor.now)
+    def turns(self):
+        """Each text that waits here, with the time at which its answer may be there."""
+        pace = max((endpoint.route.speed() or 0.0 for endpoint in self.endpoints.values()), default=0.0)
+        at, step = self.opens() + self.usual(), 1.0 / pace / min(self.bundle, self.most) if pace else 0.0
+        for place, text in enumerate(self.queue):
+            yield text, at + place * step
+
+    def despair(self):
+        """What would earn under half by its turn is given up at once, not held until then: its program can ask
+        elsewhere. Where answers name a limit, what is left of it may change the turn at any answer."""
+        told = any(endpoint.route.limit for endpoint in self.endpoints.values())
+        for text, at in [] if told else list(self.turns()):
+            if text.earns(at) < 0.5:
+                self.queue.remove(text)
+                self.floor.post(self.desk, "give_up", text, at - self.floor.now)
 
     def opens(self):
-        return min((endpoint.route.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
+        return min((endpoint.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
 
     def first(self):
         return next((text for text in self.queue if self.desk.turn(text)), None)
@@ -340,7 +363,7 @@
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
         bound = text.ran_at is not None and text.product.memory_by_zone and (
             text.product.repeat == Repeat.REFERENCED)
-        fit = [e for e in self.endpoints.values() if e.route.opens() <= self.floor.now
+        fit = [e for e in self.endpoints.values() if e.opens() <= self.floor.now
                and not (bound and e.zone != text.ran_zone)]
         odds = [0.5 ** endpoint.misses / (1 + len(endpoint.calls)) for endpoint in fit]
         draw = self.floor.chance(text.ident) * sum(odds)
@@ -353,6 +376,7 @@
             return
         opens = self.opens()
         if opens > self.floor.now:
+            self.despair()
             for endpoint in self.endpoints.values():
                 endpoint.route.waited = True
             if not self.floor.now < self.wake_at <= opens:
@@ -428,8 +452,15 @@
         self.floor.later(min(text.until - 2 * self.tick, text.last_submit()), self, "lapse", text)
         self.floor.post(text.dest, "take", text)
         if len(self.texts) >= self.room - max(1, self.room // 20):
-            waiting = Counter(t.dest for t in self.texts.values() if t.call is None and not t.over)
-            self.floor.post(max(waiting, key=lambda dest: (waiting[dest], -dest.ident)), "shed")
+            self.floor.post(self, "shed")
+
+    def on_shed(self):
+        """The store is nearly full: what earns least by its turn makes room for texts that can still go."""
+        dests = dict.fromkeys(text.dest for text in self.texts.values() if text.call is None and not text.over)
+        turns = [turn for dest in dests for turn in dest.turns()]
+        if turns:
+            least, at = min(turns, key=lambda turn: turn[0].product.revenue * turn[0].earns(turn[1]))
+            self.on_lapse(least, at - self.floor.now)
 
     def turn(self, text):
         """Whether a text may go now. Guards the order per key: its first unfinished text, after its rest."""
@@ -461,12 +492,12 @@
             else:
                 del self.keys[text.key]
 
-    def on_lapse(self, text, back=False):
-        """Nothing is sat on: time is up, no submit is allowed any more, or it is handed back."""
+    def on_lapse(self, text, back=None):
+        """Nothing is sat on: time is up, no submit is allowed any more, or it is handed back for so long."""
         if text.call is None and not text.over and (
-                back or self.floor.now >= min(text.until - 2 * self.tick, text.last_submit())):
+                back is not None or self.floor.now >= min(text.until - 2 * self.tick, text.last_submit())):
             self.floor.post(text.dest, "drop", text)
-            self.on_give_up(text, 0.0)
+            self.on_give_up(text, back or 0.0)
 
     def on_give_up(self, text, stay_away):
         if not text.over:
@@ -560,7 +591,7 @@
     def on_emptied(self, _):
         """A drain: what may be handed in elsewhere without harm does not wait here."""
         for text in [text for text in self.desk.texts.values() if text.call is None and text.nackable()]:
-            self.floor.post(self.desk, "lapse", text, True)
+            self.floor.post(self.desk, "lapse", text, 0.0)
 
     def on_ask(self):
         self.floor.out.append(Watch())
