Once-only texts wait their SLA time, misses count by product, the handover carries both

Tests of the handover, of the drain and of a shared call told waits and time-outs that the move changed; the emulator's late answers are seen on the mixed scenario now, since silence leaves no text to lapse.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -6,7 +6,7 @@
 """
 import heapq
 import zlib
-from collections import deque
+from collections import Counter, deque
 from itertools import accumulate, count, islice
 from math import log
 
@@ -93,7 +93,8 @@
         self.tokens, self.filled, self.pause, self.patient = 1.0, floor.now, 0.0, None
         self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
         self.sends, self.sent_at, self.born = deque(), floor.now, floor.now
-        self.usual = self.flow = self.gap = self.cut_off = self.warm_at = 0.0  # gap: failures between deliveries
+        self.usual = self.flow = self.cut_off = self.warm_at = 0.0
+        self.gap = 0.0  # failures between deliveries
         self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
 
     def share(self):
@@ -116,8 +117,8 @@
         self.limit, self.left = limit or None, self.left + (limit and (1.0 - kept) * (left - self.left))
 
     def recent(self):
-        """Own calls a millisecond, over a cooldown; where no limit is told nor listed, over the last few calls if
-        that is longer: 200 senders that each count one call within a cooldown use a limit up for good."""
+        """Own calls a millisecond, over a cooldown; where no limit is told nor listed, over the last few
+        if that is longer: 200 senders that each count one call in a cooldown use a limit up for good."""
         now, span = self.floor.now, self.COOLDOWN
         if not (self.limit or self.agreed):
             span = max(span, now - self.sends[0] if len(self.sends) >= self.FEW else 5 * span)
@@ -179,7 +180,7 @@
 
     def delivered(self, elapsed):
         now = self.floor.now
-        beyond = elapsed / 4.0 if elapsed > 8.0 * self.usual else 0.0  # such answers were cut off: let the next ones come
+        beyond = elapsed / 4.0 if elapsed > 8.0 * self.usual else 0.0  # were cut off: let the next ones come
         self.usual = max(beyond, self.usual + 0.1 * (elapsed - self.usual)) if self.usual else elapsed
         if self.rate is None and self.limit:
             self.pace(max(self.limit / self.senders, self.recent()), "its share of a told limit")
@@ -224,7 +225,7 @@
 
 
 class Kind:
-    """One kind of destination: what the settings say of it, and whether its endpoints seem to take few connections."""
+    """One kind of destination, and when one of its endpoints last refused a connection."""
 
     def __init__(self, partner):
         self.bundle, self.apart, self.crowded = partner.bundle, partner.apart, -1e12
@@ -233,21 +234,23 @@
 class Endpoint:
     """Carries calls to one endpoint and tells its destination how they went."""
     def __init__(self, floor, ident, zone, dest, route, kind):
-        self.floor, self.ident, self.zone, self.dest, self.route, self.kind = floor, ident, zone, dest, route, kind
-        self.inbox, self.calls, self.seen, self.misses, self.used, self.shy = deque(), [], floor.now, 0, 0.0, 0.0
+        self.floor, self.ident, self.zone, self.dest = floor, ident, zone, dest
+        self.route, self.kind = route, kind
+        self.inbox, self.calls, self.seen, self.used, self.shy = deque(), [], floor.now, 0.0, 0.0
+        self.misses, self.missed = 0, Counter()  # in a row, of all products and of each
 
     def opens(self):
         return max(self.route.opens(), self.shy)
 
     def on_rest(self):
-        """An idle connection is given back where endpoints of its kind refused one: they may take few, and what many
-        senders leave idle there shuts out the calls of all. It may hurt after a crash: new connections cost time."""
+        """An idle connection is given back where endpoints of its kind refused one: they may take few, and
+        what many senders leave idle there shuts out the calls of all. After a crash it may cost time."""
         if not self.calls and self.used <= self.floor.now < self.kind.crowded + Route.IDLE:
             self.floor.out.append(Close(self.ident))
 
     def on_carry(self, texts):
-        """Time-outs lie far beyond the usual, so that a lost call frees its slot; one out may be slow. Guards against
-        a partner whose answers all come later: while it is out, one call at a time waits twice as long as the last."""
+        """Time-outs lie far beyond the usual, so that a lost call frees its slot; one out may be slow. Guards
+        against a partner whose answers all come later: while out, one call at a time waits twice the last."""
         now, route = self.floor.now, self.route
         call, out = Call(self, now, len(texts)), route.mode == "out"
         self.calls.append(call)
@@ -256,6 +259,8 @@
         for text in texts:
             text.call, text.tries = call, text.tries + 1
             usual = (32.0 if out else 8.0) * route.usual or text.product.sla
+            if text.product.repeat == Repeat.ONCE_ONLY:  # its time-out is its end: not before it earns less
+                usual = max(usual, text.product.sla)
             limit = min(text.until - now, max(usual, 2.0 * route.cut_off) if patient else usual)
             self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
@@ -272,7 +277,7 @@
         if fresh and event.limit is not None:
             route.hint(event.limit / 1000.0, event.left or 0.0, call.size)
         if how == How.UNREACHED:
-            self.kind.crowded = self.floor.now  # it may be full or down: a text would use up its submits there at once
+            self.kind.crowded = self.floor.now  # full or down: at once again, a text would use up its submits
             rest = max(route.usual, 20.0 * self.dest.tick) * 2.0 ** self.misses
             self.shy = self.floor.now + rest * (0.5 + self.floor.chance(self.ident))
         if how == How.FULL:
@@ -283,10 +288,12 @@
             route.halt(event.wait)
         if first and how == How.DELIVERED:
             route.delivered(event.elapsed)
-            self.misses, self.dest.bundle = 0, min(self.dest.most, self.dest.bundle + 1)
+            self.dest.bundle = min(self.dest.most, self.dest.bundle + 1)
+            self.misses, self.missed[text.product] = 0, self.missed[text.product] // 2
         elif first and how not in (How.NOT_SENT, How.CALLED_OFF):
             route.failed(how.name.lower(), event.wait)
             self.misses = min(Route.STREAK, self.misses + (how != How.FULL))
+            self.missed[text.product] = min(Route.STREAK, self.missed[text.product] + (how != How.FULL))
             if how == How.BROKEN:  # all that share a call are lost with its answer
                 self.dest.bundle = max(1, min(self.dest.bundle, call.size // 2))
         if how not in HARMLESS and text.ran_at is None:
@@ -345,8 +352,8 @@
             yield text, at + place * step
 
     def despair(self):
-        """What would earn under half by its turn is given up at once, not held until then: its program can ask
-        elsewhere. Where answers name a limit, what is left of it may change the turn at any answer."""
+        """What would earn under half by its turn is given up at once, not held until then: its program can
+        ask elsewhere. Where answers name a limit, what is left of it may change the turn at any of them."""
         told = any(endpoint.route.limit for endpoint in self.endpoints.values())
         for text, at in [] if told else list(self.turns()):
             if text.earns(at) < 0.5:
@@ -365,7 +372,7 @@
             text.product.repeat == Repeat.REFERENCED)
         fit = [e for e in self.endpoints.values() if e.opens() <= self.floor.now
                and not (bound and e.zone != text.ran_zone)]
-        odds = [0.5 ** endpoint.misses / (1 + len(endpoint.calls)) for endpoint in fit]
+        odds = [0.5 ** max(e.misses, e.missed[text.product]) / (1 + len(e.calls)) for e in fit]
         draw = self.floor.chance(text.ident) * sum(odds)
         return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
 
@@ -456,7 +463,7 @@
 
     def on_shed(self):
         """The store is nearly full: what earns least by its turn makes room for texts that can still go."""
-        dests = dict.fromkeys(text.dest for text in self.texts.values() if text.call is None and not text.over)
+        dests = dict.fromkeys(t.dest for t in self.texts.values() if t.call is None and not t.over)
         turns = [turn for dest in dests for turn in dest.turns()]
         if turns:
             least, at = min(turns, key=lambda turn: turn[0].product.revenue * turn[0].earns(turn[1]))
@@ -517,7 +524,8 @@
     """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
 
     def __init__(self, *, seed, number, senders, tick, slots, room, tries, products, partners, fail_back,
-                 settle=0.0, most_advice=0.0, idle_close=0.0, asks=False, ask_within=10000.0, restarted=-1e12):
+                 settle=0.0, most_advice=0.0, idle_close=0.0, asks=False, ask_within=10000.0,
+                 restarted=-1e12):
         self.floor = Floor(number, seed)
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
         self.products, self.ask_within, self.misses, self.idle_close = products, ask_within, 0, idle_close
@@ -530,8 +538,8 @@
             self.floor.post(self, "ask")
 
     def dest(self, ident):
-        return self.dests.get(ident) or self.dests.setdefault(
-            ident, Destination(self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.idle_close))
+        return self.dests.get(ident) or self.dests.setdefault(ident, Destination(
+            self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.idle_close))
 
     def handle(self, now, events):
         floor = self.floor
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -166,7 +166,7 @@
     change(brain.Desk, "on_settle", lambda desk, text, how: None)
 
 
-@fault("late-final-answer", "silence", ANSWER)
+@fault("late-final-answer", "mixed", ANSWER)
 def _(change):
     lapse = brain.Desk.on_lapse
     change(brain.Desk, "on_lapse", lambda desk, text: desk.floor.later(desk.floor.now + 900.0, desk, "lapsed", text))
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -49,11 +49,13 @@
                 for place, route in dest.routes.items()])
         dests.append(told)
     known = [dict(ident=endpoints[number], dest=facade.dests.ident[endpoint.dest.ident], zone=facade.zones.ident.get(endpoint.zone, ""),
-                  misses=endpoint.misses, seen=endpoint.seen, apart=endpoint.route is not endpoint.dest.routes.get(None))
+                  misses=endpoint.misses, missed=[endpoint.missed[product] for product in module.products], shy=endpoint.shy,
+                  kind=module.kinds.index(endpoint.kind),
+                  seen=endpoint.seen, apart=endpoint.route is not endpoint.dest.routes.get(None))
              for number, endpoint in module.endpoints.items() if number in endpoints]
     named = {id(known): held[number].ident for number, known in desk.texts.items() if number in held}
     return dict(
-        form=FORM, places=[asdict(place) for place in facade.places.values()], dests=dests, endpoints=known, texts=texts, ghosts=ghosts,
+        form=FORM, crowded=[kind.crowded for kind in module.kinds], places=[asdict(place) for place in facade.places.values()], dests=dests, endpoints=known, texts=texts, ghosts=ghosts,
         calm=desk.calm, rests=[[key, until, named.get(id(text))] for key, (until, text) in desk.rests.items()],
         calls=[out(facade, call) for call in calls],
         due=[[at, number, text.ident] for at, _, call, text in facade.due for number, one in enumerate(calls) if one is call])
@@ -84,6 +86,8 @@
         destination(facade, one)
     for one in told["endpoints"]:
         endpoint(facade, one)
+    for kind, crowded in zip(module.kinds, told.get("crowded", [])):  # an older version of the same form lacks it
+        kind.crowded = crowded
     by_ident = {}
     for text in [*texts, *(Text(**ghost | {"body": b""}) for ghost in told["ghosts"])]:
         text.number, facade.next_number = facade.next_number, facade.next_number + 1
@@ -139,8 +143,11 @@
     if number not in module.endpoints:
         dest = module.dest(facade.dests(one["dest"]))
         route = route_of(facade, dest, number if one["apart"] else None)
-        module.endpoints[number] = brain.Endpoint(module.floor, number, facade.zones(one["zone"]), dest, route)
+        kind = module.kinds[min(one.get("kind", 0), len(module.kinds) - 1)]
+        module.endpoints[number] = brain.Endpoint(module.floor, number, facade.zones(one["zone"]), dest, route, kind)
     put(module.endpoints[number], ("misses", "seen"), one)
+    module.endpoints[number].shy = one.get("shy", 0.0)
+    module.endpoints[number].missed.update(dict(zip(module.products, one.get("missed", []))))
 
 
 def enter(facade, text, told, flying, ghost, now):
