--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -271,7 +271,7 @@
         if not call.texts:
             self.calls.remove(call)
             self.floor.post(self.dest.pool, "free", self.dest)
-            if self.dest.idle_close:
+            if self.dest.gives_back:
                 self.used = self.floor.now + max(route.usual, self.dest.tick)
                 self.floor.later(self.used, self, "rest")
         if fresh and event.limit is not None:
@@ -304,8 +304,8 @@
 class Destination:
     """The queue of one destination, first in first out, and the pick of the endpoint."""
 
-    def __init__(self, floor, ident, desk, pool, tries, tick, idle_close):
-        self.floor, self.ident, self.desk, self.pool, self.idle_close = floor, ident, desk, pool, idle_close
+    def __init__(self, floor, ident, desk, pool, tries, tick, gives_back):
+        self.floor, self.ident, self.desk, self.pool, self.gives_back = floor, ident, desk, pool, gives_back
         self.tries, self.tick, self.most, self.bundle = tries, tick, 1, 1e9
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
         self.wanting, self.wake_at, self.held, self.came, self.load, self.round = False, 0.0, 0, 0, 0.0, 0
@@ -524,11 +524,11 @@
     """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
 
     def __init__(self, *, seed, number, senders, tick, slots, room, tries, products, partners, fail_back,
-                 settle=0.0, most_advice=0.0, idle_close=0.0, asks=False, ask_within=10000.0,
+                 settle=0.0, most_advice=0.0, gives_back=False, asks=False, ask_within=10000.0,
                  restarted=-1e12):
         self.floor = Floor(number, seed)
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
-        self.products, self.ask_within, self.misses, self.idle_close = products, ask_within, 0, idle_close
+        self.products, self.ask_within, self.misses, self.gives_back = products, ask_within, 0, gives_back
         self.kinds = [Kind(partner) for partner in partners]
         self.pool = Pool(self.floor, slots)
         self.desk = Desk(self.floor, room, tick, settle, most_advice, restarted)
@@ -539,7 +539,7 @@
 
     def dest(self, ident):
         return self.dests.get(ident) or self.dests.setdefault(ident, Destination(
-            self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.idle_close))
+            self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.gives_back))
 
     def handle(self, now, events):
         floor = self.floor
--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -218,6 +218,41 @@
     click.echo(tomli_w.dumps(tables), nl=False)
 
 
+@main.command("migrate")
+@click.argument("old", type=click.Path(dir_okay=False))
+@click.option("-o", "--output", type=click.Path(dir_okay=False), help="The new file; it must not exist yet.")
+@click.option("--senders", type=click.IntRange(min=1), required=True, help="How many couriers send to the same partners from now on.")
+@click.option("--reports/--no-reports", default=None, help="Whether partners' answers tell their limits from now on; as before without it.")
+@click.option("--once-only", multiple=True, metavar="PRODUCT", help="A product that must not run twice from now on.")
+@click.option("--dry-run", is_flag=True, help="Shows what would be written and changes nothing.")
+def migrate_(old, output, senders, reports, once_only, dry_run):
+    """Reads OLD, a file for few couriers, and writes its counterpart for many; lists what it could not carry over.
+
+    OLD is never changed. Exit codes: 0 written, 1 the counterpart would not be sound, 2 something cannot be read or written.
+    """
+    from calicopin.configuration import migrate
+    if not dry_run and output is None:
+        raise click.UsageError("give the new file with -o, or --dry-run to see it")
+    try:
+        told = read(old, {}, ())
+        sheet, lost = migrate.migrate(told, senders, reports, once_only)
+    except Unusable as fault:
+        stop(fault.faults)
+    for key, before, after, _ in compare.changes(told.sheet, sheet):
+        click.echo(f"changed: {key}: {'-' if before is None else json.dumps(before)} -> {'-' if after is None else json.dumps(after)}")
+    for place, why in lost:
+        click.echo(f"not carried over: {place}: {why}")
+    if faults := migrate.faults(sheet, told):
+        stop([*faults, f"nothing written: the counterpart of {old} would not be sound"], 1)
+    if dry_run:
+        click.echo(migrate.written(sheet), nl=False)
+        return
+    if os.path.exists(output):
+        stop([f"{output}: is there already; nothing written, give another name or move it away"])
+    replace_file(output, migrate.written(sheet).encode())
+    click.echo(f"{output} written")
+
+
 @main.command("seal")
 @click.argument("file", type=click.Path())
 def seal(file):
--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -155,6 +155,9 @@
         if idle <= connect:
             self.doubt("courier.idle", f"connections idle for {courier.idle} are closed in the time that one takes to open, {courier.connect}",
                        "few calls will find one")
+        if courier.give_back and idle <= 0.0:
+            self.fault("courier.give_back", f"partners close idle connections after {courier.idle}, so there is none to give back",
+                       "take it out, or say how long partners keep them")
         if self.ms["courier.tick"] <= 0.0 or self.ms["courier.tick"] > 1000.0:
             self.fault("courier.tick", f"{courier.tick} is no time between two turns", "give 1ms to 1s; 5ms is usual")
         if courier.durability == "machine" and courier.store != "segments":
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -36,6 +36,8 @@
                    fall=seconds(returning.span), orderSettle=seconds(courier.settle), askWithin=10.0),
         loadInfo=dict(columns=["x0", "x1"] if sheet.reports else [], source="piggyback" if sheet.reports else "silent"),
         weights="nominal" if sheet.limits_listed else "silent", discovery="push")
+    if not courier.give_back:  # on the platform they are given back unless it says otherwise
+        told["ceilings"]["giveBack"] = False
     return merge(told, copy.deepcopy(sheet.platform.get("settings", {})))
 
 
@@ -94,7 +96,7 @@
                 number=env["slotNo"], senders=env["groupSize"], seed=int(str(told.get("seed") or "0"), 16), slots=family["workers"],
                 held=ceilings["mostHeld"], tries=ceilings["tryLimit"], descriptors=int(limits.get("sockets") or 1024),
                 disk=units.spell_size(float(limits.get("disk_mb") or 3) * 1e6), connect=time_word(ceilings.get("connectTimeout", 1.0)),
-                idle=time_word(ceilings.get("idleClose", 10.0)),
+                idle=time_word(ceilings.get("idleClose", 10.0)), give_back=bool(ceilings.get("giveBack", ceilings.get("idleClose"))),
                 advice=time_word(ceilings.get("maxRetryAfter") if ceilings.get("retryAfter") else 0.0),
                 settle=time_word(rules.get("orderSettle")), tick=time_word(env["tick"])),
             returning=ReturnPart(cold_from=rules["coldFrom"], cold=time_word(rules["cold"]), multiple=rules["tipMultiple"],
--- a/calicopin/configuration/sheet.py
+++ b/calicopin/configuration/sheet.py
@@ -36,6 +36,7 @@
     disk: Annotated[str, about("what its folder may hold")] = "100MB"
     connect: Annotated[str, about("after which a connection that does not come up is given up")] = "1.5s"
     idle: Annotated[str, about("after which partners close idle connections")] = "10s"
+    give_back: Annotated[bool, about("whether idle connections are closed after their call where a partner of that kind refused one: for many couriers at partners that take few")] = False
     advice: Annotated[str, about("the longest wait that clients are advised; 0s for none")] = "2s"
     settle: Annotated[str, about("the rest of an order key after a submit that may still run")] = "700ms"
     tick: Annotated[str, about("the time between two turns that decisions count with")] = "5ms"
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -69,7 +69,7 @@
         products=[product(grade, family.get("fades")) for grade in env["grades"]], partners=partners(env),
         fail_back=FailBack(cold_from=rules["coldFrom"], cold=ms(rules["cold"]),
                            multiple=rules["tipMultiple"], span=ms(rules["fall"])),
-        settle=ms(rules.get("orderSettle")), idle_close=ms(ceilings.get("idleClose")),
+        settle=ms(rules.get("orderSettle")), gives_back=ceilings.get("giveBack", bool(ceilings.get("idleClose"))),
         most_advice=ms(ceilings.get("maxRetryAfter")) if ceilings.get("retryAfter") else 0.0,
         asks=env.get("discovery") == "ask", ask_within=ms(rules.get("askWithin", 10.0)))
     return Courier(**(told | other))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -289,7 +289,7 @@
 
 
 def test_where_one_endpoint_refused_a_connection_its_kind_gets_idle_ones_back():
-    stand = Stand(idle_close=15000.0, entries=[Entry(0, 0), Entry(1, 1), Entry(2, 2, kind=1)], partners=[Partner(), Partner()])
+    stand = Stand(gives_back=True, entries=[Entry(0, 0), Entry(1, 1), Entry(2, 2, kind=1)], partners=[Partner(), Partner()])
     for _ in range(40):
         for dest in (0, 2):
             stand.outcome(submits(stand.take(1, dest=dest))[0])
