The full store moves up the line that earns least; hopeless goes by the bucket's opening, under a fifth

Now the line that earns least gives up its oldest, and hopeless is what earns under a fifth when the bucket opens.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -352,11 +352,12 @@
             yield text, at + place * step
 
     def despair(self):
-        """What would earn under half by its turn is given up at once, not held until then: its program can
-        ask elsewhere. Where answers name a limit, what is left of it may change the turn at any of them."""
+        """What would earn under a fifth once the bucket opens is given up at once, not held until then: its
+        program can ask elsewhere. Where answers name a limit, any of them may open the bucket sooner."""
         told = any(endpoint.route.limit for endpoint in self.endpoints.values())
-        for text, at in [] if told else list(self.turns()):
-            if text.earns(at) < 0.5:
+        at = self.opens() + self.usual()
+        for text in [] if told else list(self.queue):
+            if text.earns(at) < 0.2:
                 self.queue.remove(text)
                 self.floor.post(self.desk, "give_up", text, at - self.floor.now)
 
@@ -467,7 +468,9 @@
         turns = [turn for dest in dests for turn in dest.turns()]
         if turns:
             least, at = min(turns, key=lambda turn: turn[0].product.revenue * turn[0].earns(turn[1]))
-            self.on_lapse(least, at - self.floor.now)
+            line = least.dest.queue  # first in, first out: all behind it move up
+            oldest = next(text for text in line if text.product.revenue <= least.product.revenue)
+            self.on_lapse(oldest, at - self.floor.now)
 
     def turn(self, text):
         """Whether a text may go now. Guards the order per key: its first unfinished text, after its rest."""
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -366,3 +366,13 @@
     stand.outcome(submits(stand.take(1, validity=6000.0))[0], How.FULL, limit=4.0, left=0.0)
     stand.take(3, validity=6000.0)
     assert not any(isinstance(action, Nack) for action in stand.done)
+
+
+def test_a_full_store_moves_the_line_up_that_earns_least():
+    """It gave up the last of the line, which earns least, and left all before it as late as they were: lahore-senders overload .82 to .75."""
+    one = Product(Repeat.RESENDABLE, 4000.0, 60000.0, 1.0, 0.1)
+    stand = Stand([one], senders=1, room=6, slots=1, entries=[Entry(0, 0)])
+    stand.outcome(submits(stand.take(1, validity=60000.0))[0], How.FULL, limit=1.0, left=0.0)
+    for _ in range(4):
+        stand.take(1, validity=60000.0)
+    assert [action.text for action in stand.done if isinstance(action, Nack)] == [0]
