The emulator's late final answer is a late answer again, shown by the outage scenario

The fault's own on_lapse took one argument, where handed-back and shed texts bring two: on the mixed scenario it was seen by the TypeError, not by a late answer.

--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -166,10 +166,10 @@
     change(brain.Desk, "on_settle", lambda desk, text, how: None)
 
 
-@fault("late-final-answer", "mixed", ANSWER)
+@fault("late-final-answer", "outage", ANSWER)
 def _(change):
     lapse = brain.Desk.on_lapse
-    change(brain.Desk, "on_lapse", lambda desk, text: desk.floor.later(desk.floor.now + 900.0, desk, "lapsed", text))
+    change(brain.Desk, "on_lapse", lambda desk, text, *back: desk.floor.later(desk.floor.now + 900.0, desk, "lapsed", text, *back))
     change(brain.Desk, "on_lapsed", lapse)
 
 
