Read once more: one way to give up what earns too little, one rule on give_back, one writer of files

Destination.cull serves weed and despair, which copied its loop; the bucket's opening is not reckoned twice a pump. terms.gives_back is the one rule for module and conversion; convert.as_toml writes files for convert and migrate; check.calls_each is the limit's share for check and migrate; the handover's put takes the rest after a refused connection, as it passes over what an older version lacks; LONG names the five cooldowns in both places; a dead check and a copied play of two tests are out. All test files pass, run by groups.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -85,7 +85,7 @@
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
     BURST, COOLDOWN, CUT, STEP, FLOOR, IDLE = 300.0, 4000.0, 0.7, 0.1, 0.001, 60000.0
-    STREAK, RARE, FEW = 5, 12.0, 4
+    STREAK, RARE, FEW, LONG = 5, 12.0, 4, 20000.0
 
     def __init__(self, floor, name, senders, fail_back):
         self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
@@ -121,7 +121,7 @@
         if that is longer: 200 senders that each count one call in a cooldown use a limit up for good."""
         now, span = self.floor.now, self.COOLDOWN
         if not (self.limit or self.agreed):
-            span = max(span, now - self.sends[0] if len(self.sends) >= self.FEW else 5 * span)
+            span = max(span, now - self.sends[0] if len(self.sends) >= self.FEW else self.LONG)
         return sum(at > now - span - 1e-6 for at in self.sends) / min(span, max(SECOND, now - self.born))
 
     def speed(self):
@@ -213,7 +213,7 @@
 
     def look(self, rounds):
         now = self.floor.now
-        while self.sends and (self.sends[0] <= now - 5 * self.COOLDOWN or (
+        while self.sends and (self.sends[0] <= now - self.LONG or (
                 self.sends[0] <= now - self.COOLDOWN and len(self.sends) > self.FEW)):
             self.sent_at = self.sends.popleft()
         if not self.sends and now - self.sent_at > self.IDLE and self.mode == "well":
@@ -351,15 +351,17 @@
         for place, text in enumerate(self.queue):
             yield text, at + place * step
 
-    def despair(self):
+    def cull(self, texts, at, least):
+        """Gives up those of them that would earn less than `least`, answered at that time."""
+        for text in [text for text in texts if text.earns(at) < least]:
+            self.queue.remove(text)
+            self.floor.post(self.desk, "give_up", text, at - self.floor.now)
+
+    def despair(self, opens):
         """What would earn under a fifth once the bucket opens is given up at once, not held until then: its
         program can ask elsewhere. Where answers name a limit, any of them may open the bucket sooner."""
-        told = any(endpoint.route.limit for endpoint in self.endpoints.values())
-        at = self.opens() + self.usual()
-        for text in [] if told else list(self.queue):
-            if text.earns(at) < 0.2:
-                self.queue.remove(text)
-                self.floor.post(self.desk, "give_up", text, at - self.floor.now)
+        if not any(endpoint.route.limit for endpoint in self.endpoints.values()):
+            self.cull(self.queue, opens + self.usual(), 0.2)
 
     def opens(self):
         return min((endpoint.opens() for endpoint in self.endpoints.values()), default=self.floor.now)
@@ -384,7 +386,7 @@
             return
         opens = self.opens()
         if opens > self.floor.now:
-            self.despair()
+            self.despair(opens)
             for endpoint in self.endpoints.values():
                 endpoint.route.waited = True
             if not self.floor.now < self.wake_at <= opens:
@@ -403,9 +405,7 @@
         under half while the newest earns in full, goes at once. It may hurt where the load just falls."""
         at = self.floor.now + self.usual()
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
-        for text in [text for text in list(self.queue)[:-1] if text.earns(at) < least]:
-            self.queue.remove(text)
-            self.floor.post(self.desk, "give_up", text, at - self.floor.now)
+        self.cull(list(self.queue)[:-1], at, least)
 
     def on_grant(self):
         """A slot: texts from the head of the line share the call as far as the destination takes it."""
--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -158,6 +158,11 @@
         stop([f"{path}: {fault.strerror}"])
 
 
+def change(key, before, after):
+    """One key that differs between two files."""
+    return f"{key}: {'-' if before is None else json.dumps(before)} -> {'-' if after is None else json.dumps(after)}"
+
+
 @main.command()
 @click.argument("old", type=click.Path())
 @click.argument("new", type=click.Path())
@@ -165,7 +170,7 @@
     """What changes from OLD to NEW, and whether SIGHUP is enough or a restart is needed."""
     some = compare.changes(sheet_of(old).sheet, sheet_of(new).sheet)
     for key, before, after, when in some:
-        click.echo(f"{when:8} {key}: {'-' if before is None else json.dumps(before)} -> {'-' if after is None else json.dumps(after)}")
+        click.echo(f"{when:8} {change(key, before, after)}")
     if not some:
         click.echo("no difference")
     sys.exit(1 if some else 0)
@@ -198,7 +203,6 @@
 @click.argument("file", type=click.Path())
 def convert_(file):
     """An operator's .toml as the platform's JSON, or the platform's JSON as an operator's file."""
-    import tomli_w
     if file.endswith(".toml"):
         told = sheet_of(file)
         faults, _ = checks.examine(told)
@@ -213,9 +217,7 @@
         stop([f"{file}: {fault.strerror}"])
     except ValueError as fault:
         stop([f"{file}: {fault}"])
-    import msgspec
-    tables = {"version": 1} | msgspec.to_builtins(sheet)
-    click.echo(tomli_w.dumps(tables), nl=False)
+    click.echo(convert.as_toml(sheet), nl=False)
 
 
 @main.command("migrate")
@@ -239,7 +241,7 @@
     except Unusable as fault:
         stop(fault.faults)
     for key, before, after, _ in compare.changes(told.sheet, sheet):
-        click.echo(f"changed: {key}: {'-' if before is None else json.dumps(before)} -> {'-' if after is None else json.dumps(after)}")
+        click.echo(f"changed: {change(key, before, after)}")
     for place, why in lost:
         click.echo(f"not carried over: {place}: {why}")
     if faults := migrate.faults(sheet, told):
--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -226,7 +226,7 @@
         for number, partner in enumerate(some):
             if partner.limit > 0.0:
                 longest = max(self.ms[f"product[{at}].validity"] for at, _ in enumerate(sheet.product))
-                each = partner.limit / sheet.courier.senders * longest / 1000.0
+                each = calls_each(partner.limit, sheet.courier.senders, longest)
                 if each < 1.0:
                     self.fault(place(f"partner[{number}].limit").rpartition(": ")[2] if not sheet.partners_file else "partners_file",
                                f"{partner.limit:g} calls a second of {sheet.courier.senders} senders are {each:.2f} calls of this one "
@@ -241,6 +241,11 @@
                            "give a partner that kind, or allow another")
 
 
+def calls_each(limit, senders, longest):
+    """Calls of one sender at a limit in calls a second of all, in the longest validity period in milliseconds."""
+    return limit / senders * longest / 1000.0
+
+
 def units_or(word):
     try:
         return units.milliseconds(word)
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -7,6 +7,7 @@
 from calicopin.configuration import units
 from calicopin.configuration.read import Read, merge
 from calicopin.configuration.sheet import CourierPart, KindPart, ProductPart, ReturnPart, Sheet
+from calicopin.terms import gives_back
 
 REPEATS = {"resendable": "read_like", "referenced": "idempotency_key", "once-only": "non_idempotent"}
 BACK = {value: key for key, value in REPEATS.items()}
@@ -96,7 +97,7 @@
                 number=env["slotNo"], senders=env["groupSize"], seed=int(str(told.get("seed") or "0"), 16), slots=family["workers"],
                 held=ceilings["mostHeld"], tries=ceilings["tryLimit"], descriptors=int(limits.get("sockets") or 1024),
                 disk=units.spell_size(float(limits.get("disk_mb") or 3) * 1e6), connect=time_word(ceilings.get("connectTimeout", 1.0)),
-                idle=time_word(ceilings.get("idleClose", 10.0)), give_back=bool(ceilings.get("giveBack", ceilings.get("idleClose"))),
+                idle=time_word(ceilings.get("idleClose", 10.0)), give_back=gives_back(ceilings),
                 advice=time_word(ceilings.get("maxRetryAfter") if ceilings.get("retryAfter") else 0.0),
                 settle=time_word(rules.get("orderSettle")), tick=time_word(env["tick"])),
             returning=ReturnPart(cold_from=rules["coldFrom"], cold=time_word(rules["cold"]), multiple=rules["tipMultiple"],
@@ -115,3 +116,9 @@
     sheet.platform = difference(told, ours)
     return sheet
 
+
+def as_toml(sheet):
+    """An operator's file. Its libraries are read in here: a courier that starts from one never writes one."""
+    import msgspec
+    import tomli_w
+    return tomli_w.dumps({"version": 1} | msgspec.to_builtins(sheet))
--- a/calicopin/configuration/migrate.py
+++ b/calicopin/configuration/migrate.py
@@ -5,10 +5,7 @@
 import copy
 import os
 
-import msgspec
-import tomli_w
-
-from calicopin.configuration import check, units
+from calicopin.configuration import check, convert, units
 from calicopin.configuration.read import PREFIX, Fault, Read, Unusable
 
 STANDS_OVER = {("settings", "groupSize"): "courier.senders", ("settings", "loadInfo"): "reports", ("settings", "weights"): "limits_listed",
@@ -17,7 +14,7 @@
 
 def taken_out(tables, way):
     """Removes the key at `way`, with tables that it leaves empty; whether it was there."""
-    if way[0] not in tables or not isinstance(tables, dict):
+    if way[0] not in tables:
         return False
     if len(way) == 1:
         del tables[way[0]]
@@ -65,7 +62,7 @@
         sheet.reports = reports
     longest = max(units.milliseconds(product.validity) for product in sheet.product)
     for partner in sheet.partner:
-        if 0.0 < partner.limit / senders * longest / 1000.0 < 1.0:
+        if partner.limit > 0.0 and check.calls_each(partner.limit, senders, longest) < 1.0:
             lost.append((f"partner[{partner.name}].limit", f"{partner.limit:g} calls a second of {senders} senders are under one call of this courier "
                          "in the longest validity period: it learns the pace from refusals instead"))
             partner.limit = 0.0
@@ -75,9 +72,8 @@
 
 
 def written(sheet):
-    """The file's text. Defaults stay out, but for the keys that the move is about."""
-    tables = {"version": sheet.version} | msgspec.to_builtins(sheet)
-    return "# Written by `calicopin migrate`; docs/migration.md has the steps of the move.\n" + tomli_w.dumps(tables)
+    """The file's text; defaults stay out."""
+    return "# Written by `calicopin migrate`; docs/migration.md has the steps of the move.\n" + convert.as_toml(sheet)
 
 
 def faults(sheet, told):
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -50,13 +50,12 @@
         dests.append(told)
     known = [dict(ident=endpoints[number], dest=facade.dests.ident[endpoint.dest.ident], zone=facade.zones.ident.get(endpoint.zone, ""),
                   misses=endpoint.misses, missed=[endpoint.missed[product] for product in module.products], shy=endpoint.shy,
-                  kind=module.kinds.index(endpoint.kind),
-                  seen=endpoint.seen, apart=endpoint.route is not endpoint.dest.routes.get(None))
+                  kind=module.kinds.index(endpoint.kind), seen=endpoint.seen, apart=endpoint.route is not endpoint.dest.routes.get(None))
              for number, endpoint in module.endpoints.items() if number in endpoints]
     named = {id(known): held[number].ident for number, known in desk.texts.items() if number in held}
     return dict(
-        form=FORM, crowded=[kind.crowded for kind in module.kinds], places=[asdict(place) for place in facade.places.values()], dests=dests, endpoints=known, texts=texts, ghosts=ghosts,
-        calm=desk.calm, rests=[[key, until, named.get(id(text))] for key, (until, text) in desk.rests.items()],
+        form=FORM, places=[asdict(place) for place in facade.places.values()], dests=dests, endpoints=known, texts=texts, ghosts=ghosts,
+        crowded=[kind.crowded for kind in module.kinds], calm=desk.calm, rests=[[key, until, named.get(id(text))] for key, (until, text) in desk.rests.items()],
         calls=[out(facade, call) for call in calls],
         due=[[at, number, text.ident] for at, _, call, text in facade.due for number, one in enumerate(calls) if one is call])
 
@@ -145,8 +144,7 @@
         route = route_of(facade, dest, number if one["apart"] else None)
         kind = module.kinds[min(one.get("kind", 0), len(module.kinds) - 1)]
         module.endpoints[number] = brain.Endpoint(module.floor, number, facade.zones(one["zone"]), dest, route, kind)
-    put(module.endpoints[number], ("misses", "seen"), one)
-    module.endpoints[number].shy = one.get("shy", 0.0)
+    put(module.endpoints[number], ("misses", "seen", "shy"), one)
     module.endpoints[number].missed.update(dict(zip(module.products, one.get("missed", []))))
 
 
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -56,6 +56,11 @@
     return env.get("weights") in ("nominal", "rough", "live")
 
 
+def gives_back(ceilings):
+    """Whether idle connections are given back: unless it says otherwise, wherever partners keep them at all."""
+    return bool(ceilings.get("giveBack", ceilings.get("idleClose")))
+
+
 def reports(env):
     return env.get("loadInfo", {}).get("columns") or []
 
@@ -69,7 +74,7 @@
         products=[product(grade, family.get("fades")) for grade in env["grades"]], partners=partners(env),
         fail_back=FailBack(cold_from=rules["coldFrom"], cold=ms(rules["cold"]),
                            multiple=rules["tipMultiple"], span=ms(rules["fall"])),
-        settle=ms(rules.get("orderSettle")), gives_back=ceilings.get("giveBack", bool(ceilings.get("idleClose"))),
+        settle=ms(rules.get("orderSettle")), gives_back=gives_back(ceilings),
         most_advice=ms(ceilings.get("maxRetryAfter")) if ceilings.get("retryAfter") else 0.0,
         asks=env.get("discovery") == "ask", ask_within=ms(rules.get("askWithin", 10.0)))
     return Courier(**(told | other))
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -543,31 +543,31 @@
     assert len(call.texts) == 2 and call.timeout == pytest.approx(2000.0)
 
 
-def test_idle_connections_to_a_kind_that_refused_one_are_named_for_closing():
-    """On sockets as on the bench: the decisions say which, the wire closes them."""
-    house = facade(places=[place("s-1"), place("s-2", dest=8), place("s-3", dest=9, kind="many")])
-    for now, (dest, told) in enumerate(((7, Answer(Far.UNCONNECTED)), (8, Answer(Far.ANSWERED, status=200)), (9, Answer(Far.ANSWERED, status=200)))):
+def named_for_closing(house, *told):
+    """The endpoints whose idle connections are given back after one call to each of these destinations ended so."""
+    for now, (dest, answered) in enumerate(told):
         house.hand_in(text(f"t-{dest}", dest=dest, until=900.0))
         house.tick(float(now))
         for call in picked(house):
-            house.report(call, told, 5.0)
+            house.report(call, answered, 5.0)
         house.tick(now + 0.5)
     named = set()
-    for now in range(3, 200):
+    for now in range(len(told), 200):
         house.tick(float(now))
         while (back := house.given_back()) is not None:
             named.add(back.ident)
+    return named
+
+
+def test_idle_connections_to_a_kind_that_refused_one_are_named_for_closing():
+    """On sockets as on the bench: the decisions say which, the wire closes them."""
+    house = facade(places=[place("s-1"), place("s-2", dest=8), place("s-3", dest=9, kind="many")])
+    delivered = Answer(Far.ANSWERED, status=200)
+    named = named_for_closing(house, (7, Answer(Far.UNCONNECTED)), (8, delivered), (9, delivered))
     assert "s-2" in named and "s-3" not in named
 
 
 def test_no_connection_is_given_back_where_the_settings_say_so():
     ceilings = terms()["ceilings"] | {"giveBack": False}
     house = facade(places=[place("s-1"), place("s-2", dest=8)], ceilings=ceilings)
-    for now, (dest, told) in enumerate(((7, Answer(Far.UNCONNECTED)), (8, Answer(Far.ANSWERED, status=200)))):
-        house.hand_in(text(f"t-{dest}", dest=dest, until=900.0))
-        house.tick(float(now))
-        for call in picked(house):
-            house.report(call, told, 5.0)
-    for now in range(3, 200):
-        house.tick(float(now))
-    assert house.given_back() is None
+    assert not named_for_closing(house, (7, Answer(Far.UNCONNECTED)), (8, Answer(Far.ANSWERED, status=200)))
