A start asks the agent for its list at once and calls nobody before it is heard

Lines at fault: wire/discovery.py talk, which waits asking.first() at a start: 100 ms times the sender count by chance, ten seconds at 186. That is for a discovery that is asked and serves few calls; here an agent beside the courier is sent the list, and the settings say so (push, ask). Change: where the list is pushed its whole list is asked for at once, again after 100 ms at any sender count, and nothing is decided before the first call has ended (0.25 s at most where it is silent). Texts are taken on meanwhile. Asked-for lists wait for their turn as before.

--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -5,7 +5,7 @@
 
 from calicopin.facade import Answer, Far
 from calicopin.wire.endpoints import Flight, go_on, submit
-from calicopin.wire.loop import Until
+from calicopin.wire.loop import FOREVER, Until
 
 SWEEP = 1000.0
 REPORT = 10000.0
@@ -17,6 +17,7 @@
     def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
+        self.agent = None  # where it is told: nothing is decided before its first call for the list has ended
         self.waiting, self.calls, self.given_up, self.calling, self.refusing = [], [], [], True, False
         self.flights, self.ledger = {}, ledger
         self.stuck, self.told_at = 0, -REPEAT  # turns in a row that ended by a fault: until one succeeds nothing is taken on
@@ -82,7 +83,8 @@
     def turn(self):
         """Decides on all that a pass brought; a fault in that is logged and the courier serves on."""
         try:
-            due = self.facade.tick(self.loop.now())
+            # guards drains against a start: what came since the last process is told already, and its list is old
+            due = self.facade.tick(self.loop.now()) if self.agent is None or self.agent.tried else FOREVER
             self.note_down()
         except Exception:
             self.stuck += 1
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -18,6 +18,7 @@
 from calicopin.held.journal import Journal
 from calicopin.held.ledger import Ledger
 from calicopin.system import HERE
+from calicopin.terms import pushed
 from calicopin.wire.clients import Clients
 from calicopin.wire.discovery import Discovery, read
 from calicopin.wire.loop import Loop
@@ -116,15 +117,18 @@
         version, _, places = read(post.known)
         facade.listed(places, True)
         shift.restore()
-        shift.turn()
     wait = min(60000.0, terms["rules"].get("askWithin", 10.0) * 200.0)  # a call met by silence costs so long
     if post.discovery:
-        discovery = Discovery(loop, post.discovery, version, wait, shift.listed, terms["groupSize"], post.seed,
-                              spread=bool(places))
+        told = pushed(terms)
+        discovery = Discovery(loop, post.discovery, None if told and not taker else version, wait, shift.listed, terms["groupSize"],
+                              post.seed, spread=bool(places), pushed=told)
+        shift.agent = discovery if told and not taker else None
     else:
         from calicopin.configuration.posting import lister
         shift.current = True
         discovery = ListFile(loop, post.watched, lister(post.sheet), shift.listed) if post.watched else None
+    if not taker:
+        shift.turn()
     products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
     listener = loop.system.passed(post.passed) if post.passed else None
     clients = Clients(loop, post.listen, products, budget, shift, listener)
--- a/calicopin/emulator/day.py
+++ b/calicopin/emulator/day.py
@@ -35,7 +35,8 @@
                       idleClose=couriers.idle_s, retryAfter=couriers.advice_s > 0, maxRetryAfter=couriers.advice_s),
         rules=dict(coldFrom=rules.cold_from, cold=rules.cold_s, tipMultiple=rules.multiple, fall=rules.span_s,
                    orderSettle=couriers.settle_ms / 1000.0, askWithin=10.0),
-        loadInfo=dict(columns=["x0", "x1"], source="piggyback"), weights="silent", discovery="push")
+        loadInfo=dict(columns=["x0", "x1"], source="piggyback"), weights="silent",
+        discovery="push" if couriers.lists == "pushed" else "ask")
 
 
 def shares(scenario):
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -41,7 +41,8 @@
 
 
 class Couriers(Strict):
-    """`front` deals clients out to any courier; without it each client sits beside one."""
+    """`front` deals clients out to any courier; without it each client sits beside one. `lists`: whether an agent beside each
+    courier is sent the list of partners, or discovery is asked for it."""
     count: Count = 2
     slots: Count = 24
     held: Count = 400
@@ -51,6 +52,7 @@
     pass_ms: Span = 0.3
     short: Odds = 0.0
     front: bool = False
+    lists: Literal["pushed", "asked"] = "pushed"
     restart_ms: Positive = 700.0
     connect_ms: Positive = 1500.0
     idle_s: Positive = 10.0
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -56,6 +56,11 @@
     return env.get("weights") in ("nominal", "rough", "live")
 
 
+def pushed(env):
+    """Whether an agent beside the courier is sent the list, and answers at once and at no cost with what it has."""
+    return env.get("discovery") != "ask"
+
+
 def gives_back(ceilings):
     """Whether idle connections are given back: unless it says otherwise, wherever partners keep them at all."""
     return bool(ceilings.get("giveBack", ceilings.get("idleClose")))
--- a/calicopin/wire/asking.py
+++ b/calicopin/wire/asking.py
@@ -9,10 +9,13 @@
     """Guards a discovery that serves few calls at a time against all couriers together: each waits for its turn by chance,
     over a time that grows with the sender count and with each refusal. A refused call still costs the one who refuses it, so
     whatever makes it ask sooner keeps it from serving anybody. It hurts where just then an endpoint leaves: that is heard late.
-    `senders` is the told count, `most` the longest time in which one call falls due, `seed` that of the draws; milliseconds."""
+    Where the list is `pushed`, an agent of this courier's own answers at no cost, and what it has counts as told from the first
+    moment: it is asked at once, and again without a draw. `senders` is the told count, `most` the longest time in which one call
+    falls due, `seed` that of the draws; milliseconds."""
 
-    def __init__(self, senders, most, seed):
+    def __init__(self, senders, most, seed, pushed=False):
         self.senders, self.most, self.seed, self.draws, self.refusals = senders, most, seed, count(), 0
+        self.pushed = pushed
 
     def chance(self):
         return zlib.crc32(f"{self.seed}:list:{next(self.draws)}".encode()) / 2**32
@@ -22,7 +25,7 @@
 
     def first(self):
         """Until the first call of a start: all may have started together."""
-        return self.over(1.0)
+        return 0.0 if self.pushed else self.over(1.0)
 
     def answered(self):
         self.refusals = 0
@@ -36,4 +39,4 @@
 
     def again(self):
         """Until the next call."""
-        return self.over(2.0 ** min(self.refusals, 16)) if self.refusals else AGAIN
+        return self.over(2.0 ** min(self.refusals, 16)) if self.refusals and not self.pushed else AGAIN
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -29,12 +29,13 @@
 
 class Discovery(Agent):
     """`version` is that of the list as it is known; None asks for the whole of it. `senders` and `seed` are the asking's;
-    where `spread`, the first call waits for its turn too."""
+    where `spread`, the first call waits for its turn too. `pushed`: an agent beside this courier has the list. `tried` once
+    the first call has ended, heard or not."""
 
-    def __init__(self, loop, address, version, wait, heard, senders=1, seed=0, spread=False):
-        self.version, self.wait, self.heard, self.spread = version, wait, heard, spread
+    def __init__(self, loop, address, version, wait, heard, senders=1, seed=0, spread=False, pushed=False):
+        self.version, self.wait, self.heard, self.spread, self.tried = version, wait, heard, spread, False
         self.silent = False  # while it is, short calls only: what it has to tell is told once it is back
-        self.asking = Asking(senders, MOST_WAITS * wait, seed)
+        self.asking = Asking(senders, MOST_WAITS * wait, seed, pushed)
         super().__init__(loop, address)
 
     def move(self, address):
@@ -58,6 +59,8 @@
             except (ValueError, RecursionError) as fault:
                 logger.warning("discovery's answer cannot be read: {fault}", event="discovery.unread", fault=fault)
                 told = None
+            finally:
+                self.tried = True
             if told is None or not line.again():
                 self.hang_up()
             self.silent = told is None and not self.refused
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -221,15 +221,24 @@
 class House:
     """A courier on loopback with stand-ins of an endpoint and of the platform; `kill` leaves just its folder."""
 
-    def __init__(self, folder, clock=None, endpoint=None, disk=3_000_000):
+    def __init__(self, folder, clock=None, endpoint=None, disk=3_000_000, asked=True):
         self.loop = Loop(now=clock or Clock(), system=Rebooted())
         self.endpoint, self.platform = endpoint or Door(self.loop), Door(self.loop)
         self.endpoint.loop = self.loop
         self.listen = free_address()
-        known = {"version": 4, "full": True, "servers": [
+        self.known = {"version": 4, "full": True, "servers": [
             {"id": "s-1", "addr": self.endpoint.address, "zone": "a", "kind": "one", "cell": 7, "state": "active"}]}
-        self.posts = [Post("n0", self.listen, self.platform.address, str(folder), 5, 256, disk, known, terms())]
+        self.posts = [Post("n0", self.listen, self.platform.address, str(folder), 5, 256, disk, self.known, terms())]
         self.shift = build(self.posts[0], self.loop, Ear(), lambda: self.again())
+        if asked:
+            self.tell(self.known)
+
+    def tell(self, known):
+        """The platform's agent answers the first call for the list."""
+        self.watch = self.platform.meet()
+        assert b"GET /api/targets HTTP" in self.watch.wait(b"\r\n\r\n"), "the whole list, and at once"
+        self.watch.say(answer(200, json.dumps(known).encode()))
+        assert b"index=4&wait=2000" in self.watch.wait(b"\r\n\r\n")
 
     def again(self):
         return self.posts[-1]
@@ -305,7 +314,7 @@
     house.post("a", left=0.0)
     spin(house.loop, lambda: house.shift.notices.owed)
     house.kill()
-    assert House(tmp_path).notice() == [{"ref": "a", "result": "bounced"}]
+    assert House(tmp_path, asked=False).notice() == [{"ref": "a", "result": "bounced"}]
 
 
 def test_the_id_of_another_text_neither_replaces_nor_withdraws_it_nor_sends_it_again(tmp_path):
@@ -325,14 +334,40 @@
 
 def test_a_destination_never_listed_is_not_taken_on(tmp_path):
     """It was held to its end, and took a place in every table for good."""
-    house = House(tmp_path)
+    house = House(tmp_path, asked=False)
     assert house.post("a", dest=9) == b"503"
-    house.loop.now.now += 1000.0  # the first call for the list waits for its turn
+    house.tell(house.known)
+    assert house.post("b", dest=9) == b"404" and house.post("c") == b"202" and house.shift.facade.dests.index == {7: 0}
+
+
+def test_a_start_calls_nobody_by_an_old_list_where_an_agent_has_a_newer_one(tmp_path):
+    """In a roll of 186 couriers a new process asked up to ten seconds late, and called endpoints announced as leaving before it began."""
+    house = House(tmp_path, asked=False)
+    other = Door(house.loop)
+    assert house.post("a") == b"202", "taken on at once all the same"
+    house.tell({"version": 4, "full": True, "servers": [
+        house.known["servers"][0] | {"state": "leaving"}, house.known["servers"][0] | {"id": "s-2", "addr": other.address}]})
+    assert b"\xfe\xfe\xfe" in other.meet().wait(b"\xfe\xfe\xfe")
+    with pytest.raises(BlockingIOError):
+        house.endpoint.sock.accept()
+
+
+@pytest.mark.parametrize("trouble", ["silent", "turns away", "garbles"])
+def test_a_start_whose_agent_tells_no_list_goes_by_the_one_it_knows(tmp_path, trouble):
+    house = House(tmp_path, asked=False)
+    assert house.post("a") == b"202"
     watch = house.platform.meet()
     watch.wait(b"\r\n\r\n")
-    watch.say(answer(200, b'{"version": 5, "full": false, "servers": []}'))
-    watch.wait(b"\r\n\r\n")
-    assert house.post("b", dest=9) == b"404" and house.post("c") == b"202" and house.shift.facade.dests.index == {7: 0}
+    with pytest.raises(BlockingIOError):
+        house.endpoint.sock.accept()
+    if trouble == "silent":
+        house.loop.now.now += 251.0
+    else:
+        watch.say(answer(503) if trouble == "turns away" else answer(200, b"{"))
+    house.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    house.loop.now.now += 100.0
+    again = house.platform.meet()
+    assert b"GET /api/targets HTTP" in again.wait(b"\r\n\r\n"), "asked again soon, for the whole list"
 
 
 def test_an_endpoint_that_left_is_forgotten_with_its_connections(tmp_path):
@@ -467,10 +502,7 @@
 
 def test_a_configuration_that_cannot_be_read_changes_nothing(tmp_path):
     house = House(tmp_path)
-    house.loop.once(house.loop.now())
-    house.loop.now.now += 1000.0  # the first call for the list waits for its turn
-    old = house.platform.meet()
-    old.wait(b"\r\n\r\n")
+    old = house.watch
     before = house.shift.notices.task
     for broken in ({}, {"discovery": 7}, {"discovery": "nowhere"}, "[", {"settings": terms(), "discovery": "1.2.3.4:x"}):
         (tmp_path / "c.json").write_text(broken if broken == "[" else json.dumps({"listen": "x", "state": "y"} | broken))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -141,17 +141,21 @@
                     sock.sendall(b"HTTP/1.1 204 X\r\n\r\n")
                 else:
                     self.watches += 1
-                    time.sleep(2.0)  # nothing new
-                    answer = b'{"version": 4, "full": false, "servers": []}'
+                    answer = json.dumps(self.known()).encode()
+                    if "index" in target:
+                        time.sleep(2.0)  # nothing new
+                        answer = b'{"version": 4, "full": false, "servers": []}'
                     sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
         except OSError:
             pass
 
+    def known(self):
+        return {"version": 4, "full": True, "servers": [
+            {"id": "s-1", "addr": "127.0.0.1:%d" % self.door.getsockname()[1], "zone": "a", "kind": "one", "cell": 7, "state": "active"}]}
+
     def start(self, role=None, at=0, **env):
         """A process, with its admin address; killed at a step of the handover where `role` is told."""
-        known = {"version": 4, "full": True, "servers": [
-            {"id": "s-1", "addr": "127.0.0.1:%d" % self.door.getsockname()[1], "zone": "a", "kind": "one", "cell": 7, "state": "active"}]}
-        config = dict(name="n0", listen=self.address, discovery="127.0.0.1:%d" % self.agent.getsockname()[1], seed="5", known=known,
+        config = dict(name="n0", listen=self.address, discovery="127.0.0.1:%d" % self.agent.getsockname()[1], seed="5", known=self.known(),
                       limits=dict(sockets=256, disk_mb=3), settings=terms())
         (self.folder / "config.json").write_text(json.dumps(config))
         admin = free_address()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -28,6 +28,7 @@
         self.listen = free_address()
         self.posts = [replace(self.posts[0], listen=self.listen, admin=self.admin)]
         self.shift = build(self.posts[0], self.loop, self.ear(), lambda: self.again())
+        self.tell(self.known)
 
     @staticmethod
     def ear():
@@ -68,6 +69,7 @@
         heard = peer.wait(b"\xfe\xfe\xfe")
         peer.say(answer(200) if b"c" != heard.split(b"X-Request-ID: ")[-1][:1] and b" c\r" not in heard else answer(500))
     spin(house.loop, lambda: len(house.shift.facade.texts) == 0)
+    house.shift.current = False  # as before the first list was heard
     assert house.post("d", dest=9) == b"503"
     told = house.stats()
     assert told["succeeded"] == {"notice": 1, "order": 1, "once": 0} and told["aborted"] == {"notice": 0, "order": 0, "once": 1}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -600,6 +600,16 @@
     assert max(alone.again() for _ in range(400)) <= 200.0, "a few couriers are no herd"
 
 
+def test_an_agent_that_is_sent_the_list_is_asked_at_once_at_any_sender_count():
+    """What it has counts as told from the first moment of a process; at 186 senders the draw took up to ten seconds."""
+    for senders in (1, 3, 230, 1024):
+        asking = Asking(senders, 10000.0, 1, pushed=True)
+        assert asking.first() == 0.0
+        asking.refused()
+        asking.refused()
+        assert asking.again() == 100.0, "it costs nobody else anything"
+
+
 def test_whoever_is_turned_away_asks_later_and_then_waits_for_its_answer():
     """Turned away, a courier once hung up after 0.25 s and asked anew; at a discovery with a line each such call is work for nothing."""
     loop = Loop(now=Clock())
