--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -1,5 +1,4 @@
 """Small faults that can be put into the program one at a time, to show that the referee sees them."""
-import heapq
 import itertools
 from contextlib import contextmanager
 from dataclasses import replace
@@ -245,14 +244,22 @@
 
 @fault("two-copies-out", "slow-later", EFFECT, 2)
 def _(change):
-    hand_over = Facade._submit
+    hand_over, tick, due = Facade._submit, Facade.tick, []
 
     def hasty(house, now, action, shared):
         hand_over(house, now, action, shared)
         call = shared.get(action.endpoint)
         if call is not None and call.texts:
-            heapq.heappush(house.due, (now + action.timeout * 0.5, next(house.order), call, call.texts[-1]))
+            due.append((now + action.timeout * 0.5, house, call, call.texts[-1]))
+
+    def hastily(house, now):
+        for one in [one for one in due if one[0] <= now and one[1] is house]:
+            due.remove(one)
+            if one[3].number in one[2].open:
+                house._outcome(one[2], one[3], How.TIMEOUT, now - one[3].out_at, False)
+        return min([tick(house, now), *(at for at, whose, *_ in due if whose is house)])
     change(Facade, "_submit", hasty)
+    change(Facade, "tick", hastily)
 
 
 @fault("client-cut-off", "calm", ANSWER, 1)
--- a/calicopin/emulator/standins.py
+++ b/calicopin/emulator/standins.py
@@ -5,6 +5,7 @@
 """
 import base64
 import json
+import re
 import zlib
 from collections import deque
 
@@ -188,7 +189,7 @@
         if reply.spoilt:
             at = self.rng.randrange(1, len(data))
             data = data[:at] + bytes(self.rng.randrange(256) for _ in range(4)) + data[at:][: self.rng.randrange(1, 20)]
-            told = data[:12] == b"HTTP/1.1 200" and data[12:13] in (b" ", b"\r", b"\n") and not bulk
+            told = re.match(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n", data) and not bulk
             status = 200 if told else -abs(status)  # alone in its call, a 200 counts from its first line on
         self.world.note("reply", number, status, 0.0 if reply.spoilt else reply.wait, tuple((states or {}).items()))
         server.reply(data, lambda: self.world.note("heard", number))
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -2,11 +2,9 @@
 
 The code around it never sees the module's events or actions. Nothing here decides anything.
 """
-import heapq
 from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum
-from itertools import count
 
 from calicopin import terms
 from calicopin.brain import HARMLESS
@@ -58,7 +56,6 @@
     endpoint: int = -1
     told: bool = False  # whether an outcome was reported, and with what wait
     waited: float = 0.0
-    cut: float = float("inf")  # the first time-out that comes before the end of its text
     open: set = field(default_factory=set)  # texts of which nothing was reported yet
 
 
@@ -103,10 +100,9 @@
         last = {"restarted": now} if restarted else {}
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
-        self.ordered = [bool(grade.get("inOrder")) for grade in settings["grades"]]
         self.texts, self.places, self.events = {}, {}, []
         self.calls, self.backs, self.ends, self.lines, self.spare = deque(), deque(), deque(), deque(), deque()
-        self.next_number, self.due, self.order, self.wake = 0, [], count(), None
+        self.next_number, self.wake = 0, None
         self.tick(now)
 
     # What comes in.
@@ -208,17 +204,13 @@
 
     def tick(self, now):
         """Everything that came in since the last tick is decided; returns when the next one is due."""
-        while self.due and self.due[0][0] <= now:
-            _, _, call, text = heapq.heappop(self.due)
-            if text.number in call.open:
-                self._outcome(call, text, How.TIMEOUT, now - text.out_at, False)
         if self.wake and self.wake[0] <= now:
             self.events.append(Woken(self.wake[1]))
             self.wake = None
         if self.events:
             events, self.events = self.events, []
             self._carry_out(now, self.module.handle(now, events))
-        return min(self.wake[0] if self.wake else float("inf"), self.due[0][0] if self.due else float("inf"))
+        return self.wake[0] if self.wake else float("inf")
 
     def _carry_out(self, now, actions):
         shared = {}
@@ -240,9 +232,10 @@
                 self.lines.append(action.line)
 
     def _submit(self, now, action, shared):
-        """Submits of one tick to one endpoint travel as one call, as far as the settings allow. A text whose
-        time is up meanwhile does not wait for the rest. Any other time-out ends the whole call: a text that
-        went again while the call is still out would be a second copy, and one behind a text of its key out of turn."""
+        """Submits of one tick to one endpoint travel as one call, as far as the settings allow. The first of their time-outs
+        ends the whole call. Guards the one final answer: a text whose time was up while its call went on for the others might
+        yet have run, and an endpoint that sees its time up may let go of all of them. A text that went again meanwhile would
+        be a second copy, and one behind a text of its key out of turn. It may hurt where much shares calls near its end."""
         text, place = self.texts.get(action.text), self.places[action.endpoint]
         if text is None:  # withdrawn meanwhile
             self.events.append(Outcome(action.text, action.endpoint, How.NOT_SENT, ended=True))
@@ -250,29 +243,19 @@
         bundle = self.partners[min(self.kinds(place.kind), len(self.partners) - 1)].bundle
         call = shared.get(action.endpoint)
         if call is None or len(call.texts) >= bundle:
-            call = shared[action.endpoint] = Call(place, [], 0.0, action.endpoint)
+            call = shared[action.endpoint] = Call(place, [], action.timeout, action.endpoint)
             self.calls.append(call)
         call.texts.append(text)
         call.open.add(text.number)
-        if now + action.timeout < text.until - 1.0 or text.key is not None and self.ordered[text.product]:
-            call.cut = min(call.cut, action.timeout)
-        elif bundle > 1:
-            self.remind(now + action.timeout, call, text)
-        call.timeout = min(call.cut, max(call.timeout, action.timeout))
-
-    def remind(self, at, call, text):
-        """The time of a text in a shared call is up then."""
-        heapq.heappush(self.due, (at, next(self.order), call, text))
+        call.timeout = min(call.timeout, action.timeout)
 
     def pick(self):
         """The next call to make, or None."""
         return self.calls.popleft() if self.calls else None
 
     def still(self, call, now):
-        """Whether a call that was picked and took its time to connect may begin now, without the texts whose time was up
-        meanwhile: each has had its final answer."""
-        call.texts = [text for text in call.texts if text.number in call.open]
-        return bool(call.texts) and bool(self.module.still(now, call.endpoint, [text.number for text in call.texts]))
+        """Whether a call that was picked and took its time to connect may begin now."""
+        return bool(self.module.still(now, call.endpoint, [text.number for text in call.texts]))
 
     def back(self):
         """The next text whose submit came back without an end, and whether that may have run; or None."""
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -11,7 +11,7 @@
 ROUTE = ("rate", "start", "agreed", "limit", "tokens", "filled", "pause", "cut_at", "changed", "waited", "left", "sent_at", "usual", "flow",
          "gap", "cut_off", "warm_at", "mode", "since", "fails", "fail_since", "failed_at")
 DESTINATION = ("most", "bundle", "came", "load")
-CALL = ("timeout", "told", "waited", "cut")
+CALL = ("timeout", "told", "waited")
 
 
 def picked(part, names):
@@ -56,8 +56,7 @@
     return dict(
         form=FORM, places=[asdict(place) for place in facade.places.values()], dests=dests, endpoints=known, texts=texts, ghosts=ghosts,
         crowded=[kind.crowded for kind in module.kinds], calm=desk.calm, rests=[[key, until, named.get(id(text))] for key, (until, text) in desk.rests.items()],
-        calls=[out(facade, call) for call in calls],
-        due=[[at, number, text.ident] for at, _, call, text in facade.due for number, one in enumerate(calls) if one is call])
+        calls=[out(facade, call) for call in calls], due=[])  # due: an older version of the same form reads it
 
 
 def out(facade, call):
@@ -67,7 +66,7 @@
     patient = known is not None and known.endpoint.route.patient is known
     return picked(call, CALL) | dict(
         place=asdict(call.place), texts=[text.ident for text in call.texts], open=[text.ident for text in call.texts if text.number in call.open],
-        sent=known.sent if known else 0.0, size=known.size if known else len(call.texts), mode=known.told if known else None, patient=patient)
+        cut=call.timeout, sent=known.sent if known else 0.0, size=known.size if known else len(call.texts), mode=known.told if known else None, patient=patient)
 
 
 # Taking.
@@ -106,8 +105,6 @@
         module.desk.rests[key] = (until, known.get(text.number) if text else object())
         floor.later(until, module.desk, "rested", key)
     calls = [under_way(facade, one, by_ident) for one in told["calls"]]
-    for at, number, ident in told["due"]:
-        facade.remind(at, calls[number], by_ident[ident])
     facade.listed([], False)  # no news: the first turn empties the inboxes
     for dest in module.dests.values():
         if not dest.idle() and dest not in module.live:
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -61,7 +61,9 @@
 
     def call(self, loop, shift, clients, one, sock):
         number, call = one["call"], self.flights.pop(one["call"])
-        flight = Flight(call, self.told["until"][number])
+        # an older version lets each text of a shared call end for itself: here the first of them ends it
+        ends = [at for at, shared, _ in self.told.get("due", ()) if shared == number]
+        flight = Flight(call, min([self.told["until"][number], *ends]))
         flight.began = self.told["began"][number]
         shift.go_on(flight, Line(loop, sock, h11.CLIENT), base64.b64decode(one["heard"]))
 
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -13,7 +13,7 @@
 MOST_LINE = 1024  # of a first line
 MOST_INTERIM = 16  # 1xx answers before the one that counts
 REST = 1000.0  # for the rest of an answer once it has begun: guards slots against answers that never end
-STATUS = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?=[ \r\n])")
+STATUS = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: [^\r\n]*)?\r?\n")  # a whole line: one that stops short tells nothing
 
 
 def number(word, least=0.0):
