--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -72,8 +72,11 @@
         self.facade.withdraw(text)
 
     def listed(self, places, whole):
-        """News of discovery's."""
+        """News of discovery's. Guards all texts against an agent that has no list yet and says so with an empty one."""
         self.current = True
+        if whole and not places and self.facade.places:
+            logger.warning("an empty list is passed over, {endpoints} endpoints serve on", event="discovery.empty", endpoints=len(self.facade.places))
+            return
         if whole or places:
             self.facade.listed(places, whole)
             self.lines.list(self.facade.places.values())
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -90,6 +90,16 @@
         sheet=sheet, watched=told.get("watched", ""), notices=told.get("notices", ""), status=bool(told.get("status")), log=told.get("log", "lines"), store=told.get("store", "file"), durable=told.get("durability") == "machine")
 
 
+def listed(known):
+    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has the whole of it."""
+    try:
+        version, _, places = read(known)
+    except ValueError as fault:
+        logger.warning("the list known at the start is passed over: {fault}", event="discovery.unread", fault=fault)
+        return None, []
+    return version, places
+
+
 def build(post, loop, ear, again, lock=None, taker=None):
     """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
     more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
@@ -114,7 +124,7 @@
         version, places = taker.told["version"], ()
         shift.inherit(taker)
     else:
-        version, _, places = read(post.known)
+        version, places = listed(post.known)
         facade.listed(places, True)
         shift.restore()
     wait = min(60000.0, terms["rules"].get("askWithin", 10.0) * 200.0)  # a call met by silence costs so long
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -1,5 +1,6 @@
 """The watch on the list of endpoints: goes on at once, and is begun again when it is silent or broken."""
 import json
+from collections import Counter
 
 import h11
 from loguru import logger
@@ -12,19 +13,29 @@
 
 GRACE = 250.0  # beyond the wait that was asked for: the agent is on this machine and answers at once
 MOST_LIST = 8 << 20
+STATES = ("active", "leaving", "left")
 MOST_WAITS = 5.0  # of an asked wait: the time after which the platform takes a courier that asks for told
 
 
 def read(data):
-    """(version, whole, places) from the list's own form; raises ValueError where it cannot be read."""
+    """(version, whole, places) from the list's own form; raises ValueError where it cannot be read. Of changes the same
+    endpoint may have several: the last one holds."""
     try:
-        return int(data["version"]), bool(data["full"]), [
+        whole, places = bool(data["full"]), [
             Place(str(entry["id"]), str(entry["addr"]), int(entry["cell"]), str(entry.get("kind", "")),
                   str(entry.get("zone", "")), entry["state"] == "active", float(entry.get("weight") or 0.0),
                   entry["state"] == "left")
             for entry in data["servers"]]
+        states = {str(entry["state"]) for entry in data["servers"]}.difference(STATES)
+        version = int(data["version"])
     except (KeyError, TypeError, AttributeError, OverflowError) as fault:
         raise ValueError(f"the list lacks or garbles {fault}") from None
+    if states:
+        raise ValueError(f"{min(states)[:40]!r} is no state of an endpoint; there are {', '.join(STATES)}")
+    ident, times = max(Counter(place.ident for place in places).items(), key=lambda pair: pair[1], default=("", 0))
+    if whole and times > 1:
+        raise ValueError(f"endpoint {ident[:40]!r} stands in the list {times} times")
+    return version, whole, places
 
 
 class Discovery(Agent):
@@ -34,6 +45,7 @@
 
     def __init__(self, loop, address, version, wait, heard, senders=1, seed=0, spread=False, pushed=False):
         self.version, self.wait, self.heard, self.spread, self.tried = version, wait, heard, spread, False
+        self.unread = None  # the fault that was last told: it may come ten times a second
         self.silent = False  # while it is, short calls only: what it has to tell is told once it is back
         self.asking = Asking(senders, MOST_WAITS * wait, seed, pushed)
         super().__init__(loop, address)
@@ -57,8 +69,9 @@
                 self.refused = not line and self.loop.now() < until
                 told = (yield from self.ask(line)) if line else None
             except (ValueError, RecursionError) as fault:
-                logger.warning("discovery's answer cannot be read: {fault}", event="discovery.unread", fault=fault)
-                told = None
+                if self.unread != str(fault):
+                    logger.warning("discovery's answer cannot be read, the list known serves on: {fault}", event="discovery.unread", fault=fault)
+                told, self.unread = None, str(fault)
             finally:
                 self.tried = True
             if told is None or not line.again():
@@ -76,6 +89,7 @@
             if self.asking.refusals:
                 logger.info("discovery answers again", event="discovery.again")
             self.asking.answered()
+            self.unread = None
             version, whole, places = told
             self.heard(places, whole)
             self.version = version
@@ -90,4 +104,6 @@
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         status, body = (yield from line.ask(request, b"", MOST_LIST, until)) or (0, b"")
         self.refused = status in (429, 503)
-        return read(json.loads(body)) if status == 200 and body is not TOO_LONG else None
+        if body is TOO_LONG:
+            raise ValueError(f"it is over {MOST_LIST >> 20} MiB")
+        return read(json.loads(body)) if status == 200 else None
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -8,7 +8,7 @@
 
 from calicopin import brain
 from calicopin.boot.ear import Ear
-from calicopin.boot.start import Post, build, posted
+from calicopin.boot.start import Post, build, listed, posted
 from calicopin.boot.leave import LAST_CALL, LAST_TEXT, LEAVE, LISTEN
 from calicopin.boot.stop import STEP
 from calicopin.facade import Answer, Facade, Far, Place, how
@@ -394,6 +394,15 @@
     assert len(house.shift.facade.places) == 1025 and len(asked) < 40
 
 
+def test_an_empty_list_is_passed_over_and_a_list_known_that_cannot_be_read_stops_no_start(tmp_path):
+    house = House(tmp_path)
+    house.watch.say(answer(200, b'{"version": 9, "full": true, "servers": []}'))
+    house.watch.wait(b"index=9")
+    assert house.post("a") == b"202" and house.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    for known in ({}, {"version": 1, "full": True, "servers": [house.known["servers"][0]] * 2}, {"version": 1, "full": True, "servers": [{}]}):
+        assert listed(known) == (None, [])
+
+
 def test_an_endpoint_that_left_is_forgotten_with_its_connections(tmp_path):
     """Each once kept its place in the tables, and its connections, for good."""
     house = House(tmp_path)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+from loguru import logger
 
 from calicopin.facade import Call, Far, Place
 from calicopin.held.connections import Budget, Lines
@@ -656,6 +657,36 @@
         assert b"index=43&wait=5000" in peer.wait(b"\r\n\r\n")
 
 
+@pytest.mark.parametrize("servers, told", [
+    ([LIST["servers"][0] | {"state": "resting"}], "'resting' is no state of an endpoint; there are active, leaving, left"),
+    ([LIST["servers"][0]] * 2, "endpoint 's-5' stands in the list 2 times"), ([{"id": "s-5"}], "lacks or garbles"), ("none", "lacks or garbles"),
+    ([LIST["servers"][0] | {"id": "x" * (9 << 20)}], "over 8 MiB")])
+def test_a_list_that_cannot_be_read_leaves_the_last_one_and_is_told_in_one_line(loop, servers, told):
+    door, heard, lines = Door(loop), [], []
+    sink = logger.add(lines.append, format="{message}", level="WARNING")
+    Discovery(loop, door.address, None, 2000.0, lambda places, whole: heard.append(places), pushed=True)
+    for _ in range(3):
+        peer = door.meet()
+        peer.wait(b"\r\n\r\n")
+        data = answer(200, json.dumps({"version": 43, "full": True, "servers": servers}).encode())
+        while data:
+            try:
+                data = data[peer.sock.send(data):]
+            except BlockingIOError:
+                loop.once(loop.now())
+            except OSError:
+                break
+        spin(loop, lambda: loop.due and loop.due[0][0] == loop.now() + 100.0)
+        loop.now.now += 100.0
+    logger.remove(sink)
+    assert not heard and len(lines) == 1 and told in lines[0] and "the list known serves on" in lines[0]
+    peer = door.meet()
+    peer.wait(b"\r\n\r\n")
+    peer.say(answer(200, json.dumps(LIST, indent=4).encode()))
+    spin(loop, lambda: heard)
+    assert [place.ident for place in heard[0]] == ["s-5"]
+
+
 def test_notices_gather_and_are_sent_until_heard(loop):
     door, heard = Door(loop), []
     notices = Notices(loop, door.address, lambda text: heard.append(text.ident))
