--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -43,7 +43,7 @@
         self.stopping = True
         self.end_drain()
         yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
-        self.loop.running = False
+        shift.calling = self.loop.running = False  # guards the last turn's texts where the process stood still through the steps
 
     def end_drain(self):
         if self.task:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -480,6 +480,27 @@
     assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202") and house.shift.out == 1
 
 
+def test_sigterm_before_the_first_list_and_again_ends_once_and_in_order_behind_a_torn_record(tmp_path):
+    house = House(tmp_path, asked=False)
+    assert house.post("a") == b"202"
+    for _ in range(2):
+        os.kill(os.getpid(), signal.SIGTERM)
+        spin(house.loop, lambda: any(at == house.loop.now() + STEP for at, *_ in house.loop.due))
+    assert house.loop.running and house.post("b") == b"202", "what still comes is served"
+    with pytest.raises(BlockingIOError):
+        house.endpoint.sock.accept()
+    house.loop.now.now += LEAVE + 1.0
+    spin(house.loop, lambda: not house.loop.running)
+    assert {ident: text.tries for ident, text in house.shift.journal.texts.items()} == {"a": 0, "b": 0}
+    house.kill()
+    with open(tmp_path / "journal", "ab") as file:
+        file.write(b"\x40\x00\x00\x00torn")
+    back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
+    peers = [back.endpoint.meet() for _ in range(2)]
+    heard = {peer.wait(b"\xfe\xfe\xfe").split(b"X-Request-ID: ")[-1][:1] for peer in peers}
+    assert heard == {b"a", b"b"} and {text.tries for text in back.shift.journal.texts.values()} == {1}
+
+
 def test_sigterm_finishes_what_it_can_and_leaves_the_rest_journalled(tmp_path):
     house = House(tmp_path)
     house.post("a")
