Each last answer reaches its client and each early answer or wait its courier

Change: orderly close with a bounded reading on, the queue served first, one more turn and a refusal for the rest at the end, endpoints heeded while a call is written.

--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -43,7 +43,13 @@
         self.stopping = True
         self.end_drain()
         yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
-        shift.calling = self.loop.running = False  # guards the last turn's texts where the process stood still through the steps
+        # guards the last turn's texts where the process stood still through the steps: one turn keeps what was taken on and its
+        # answers go out, and what is read from here on is refused, since nothing would keep it
+        shift.calling, shift.refusing = False, True
+        self.clients.close_between_requests()
+        yield Until(self.loop.now())
+        self.clients.end()
+        self.loop.running = False
 
     def end_drain(self):
         if self.task:
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -160,8 +160,7 @@
         for text in call.texts:
             if text.number in call.open:
                 outcome, ended = how(answer, text.ident)
-                wait = answer.wait if answer.far == Far.ANSWERED else 0.0
-                self._outcome(call, text, outcome, elapsed, ended, wait, told)
+                self._outcome(call, text, outcome, elapsed, ended, answer.wait, told)
         if answer.wait > call.waited:
             if not call.open and call.told:  # the head came whole only after the first line had told the outcome
                 self.module.halt(call.endpoint, answer.wait)
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -95,20 +95,24 @@
 
     def accept(self):
         while True:
-            for _ in range(AT_ONCE):
-                try:
-                    sock, _ = self.listener.accept()
-                except BlockingIOError:
-                    yield Until(FOREVER, self.listener.fileno(), READ)
-                    break
-                except OSError as fault:  # no descriptor left, or the client is gone
-                    logger.warning("accept failed: {fault}", event="accept.failed", fault=fault)
-                    self.relieve()
-                    yield Until(self.loop.now() + AGAIN)
-                    break
-                self.admit(Line(self.loop, sock, h11.SERVER))
-            else:
-                yield Until(self.loop.now())
+            try:
+                more = self.accept_some()
+            except OSError as fault:  # no descriptor left, or the client is gone
+                logger.warning("accept failed: {fault}", event="accept.failed", fault=fault)
+                self.relieve()
+                yield Until(self.loop.now() + AGAIN)
+                continue
+            yield Until(self.loop.now()) if more else Until(FOREVER, self.listener.fileno(), READ)
+
+    def accept_some(self):
+        """Whether more may wait to be accepted."""
+        for _ in range(AT_ONCE):
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return False
+            self.admit(Line(self.loop, sock, h11.SERVER))
+        return True
 
     def admit(self, line):
         """A new connection is served; where there is no room at all it is turned away, not left to wait."""
@@ -176,9 +180,11 @@
                 visit.fresh = visit.whole = False
                 # one after the other: a client that never pauses does not hold up the rest
                 yield Until(self.loop.now() + visit.pause)
+            yield from self.show_out(line)
         except Exception:  # guards the program, and the client that would wait for nothing
             logger.exception("a client's request ended by a fault", event="request.fault")
             yield from self.fault(line, 500, "a fault of the courier")
+            yield from self.show_out(line)
         finally:
             self.idle.pop(visit, None)
             self.lingering.pop(line, None)
@@ -261,8 +267,15 @@
     def fault(self, line, status, why):
         self.complain(status, why)
         yield from self.reply(line, status, why.encode("latin-1", "replace"), [("Connection", "close")])
-        self.lingering[line] = self.loop.current
-        yield from line.linger(self.loop.now() + LINGER)
+
+    def show_out(self, line):
+        """The last answer on a connection is out: the client is given time to read it and to close. Where descriptors are
+        short only one that has sent more, since over unread bytes the connection would be reset and take the answer with it."""
+        if line.ended or line.h11.our_state is h11.IDLE:
+            return
+        if self.open < self.budget.clients or not line.quiet():
+            self.lingering[line] = self.loop.current
+            yield from line.linger(self.loop.now() + LINGER)
 
     def complain(self, status, why):
         """One line a second at the most: those that come at full speed are counted."""
@@ -286,8 +299,31 @@
         return None if done < len(data) else line.again()
 
     def stop_listening(self):
+        """Who has connected by then is still served. Once more does no harm."""
+        if self.listener.fileno() < 0:
+            return
         self.loop.cancel(self.accepting)
-        self.loop.close(self.listener)  # once more does no harm
+        try:
+            while self.accept_some():
+                pass
+        except OSError as fault:
+            logger.warning("accept failed: {fault}", event="accept.failed", fault=fault)
+        self.loop.close(self.listener)
+
+    def end(self):
+        """No turn follows that would keep a message: what was asked and has no answer is refused, which does no harm."""
+        refusal = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+        for visit in self.visits:
+            line = visit.line
+            if line.ended or line.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+                continue
+            try:
+                if visit not in self.idle or not line.quiet():
+                    line.sock.send(refusal)
+                line.sock.shutdown(socket.SHUT_WR)
+                line.sock.recv(MOST_BODY)  # over unread bytes the end of the process would reset it
+            except OSError:
+                pass
 
     def close_between_requests(self):
         """Idle connections go now, the others with their next answer."""
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -11,6 +11,7 @@
 
 MOST_ANSWER = 65536
 MOST_LINE = 1024  # of a first line
+NEVER_RAN = (429, 503, 504, 410)  # statuses that say so
 MOST_INTERIM = 16  # 1xx answers before the one that counts
 REST = 1000.0  # for the rest of an answer once it has begun: guards slots against answers that never end
 STATUS = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: [^\r\n]*)?\r?\n")  # a whole line: one that stops short tells nothing
@@ -104,9 +105,9 @@
         flight.line, flight.began = line, loop.now()
         head, body = encode(call, max(1.0, until - loop.now()))
         data = line.encode(head, body)
-        done = yield from line.write(data, until)
+        done = yield from line.write(data, until, heed=True)
         if done < len(data):
-            return Answer(Far.UNSENT)
+            return (yield from early(line, call, until))
         written()
         outcome, keep = yield from hear(loop, lines, flight, tell)
         return outcome
@@ -177,16 +178,27 @@
     return outcome, told is not None and told is not TOO_LONG
 
 
+def early(line, call, until):
+    """The outcome of a call whose last byte never went out. It has not run, but an answer may lie there, and a wait in it binds."""
+    if not line.peek():
+        return Answer(Far.UNSENT)
+    outcome, _ = yield from read(line, call, until)
+    if outcome.far == Far.ANSWERED and (outcome.status in NEVER_RAN or outcome.status == 200):
+        return outcome
+    return Answer(Far.UNSENT, wait=outcome.wait)
+
+
 def read(line, call, until):
-    """Any other answer counts only as a whole: a spoilt one may stand for a call that has run."""
+    """Any other answer counts only as a whole: a spoilt one may stand for a call that has run. A wait in its head binds all the same."""
     rest = min(until, line.loop.now() + REST)
     event = yield from line.event(rest)
-    told = (yield from line.body(MOST_ANSWER, rest)) if isinstance(event, h11.Response) else None
-    if told is None or told is TOO_LONG:
+    if not isinstance(event, h11.Response):
         return Answer(Far.SENT, late=line.loop.now() >= until), False
-    outcome = answer(event)
+    outcome, told = answer(event), (yield from line.body(MOST_ANSWER, rest))
+    if told is None or told is TOO_LONG:
+        return Answer(Far.SENT, late=line.loop.now() >= until, wait=outcome.wait), False
     if len(call.texts) > 1 and outcome.status == 200:
         outcome.ends = ends(told)
         if outcome.ends is None:  # nothing is known of any text: each may have run
-            return Answer(Far.SENT), False
+            return Answer(Far.SENT, wait=outcome.wait), False
     return outcome, True
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -73,23 +73,29 @@
         return event
 
     def _read(self, until):
+        """What lies there, also where it came in the instant in which the time was up; None where nothing did."""
+        waited = True
         while True:
             try:
                 return self.sock.recv(CHUNK)
             except BlockingIOError:
-                if not (yield Until(until, self.sock.fileno(), READ)):
+                if not waited:
                     return None
+                waited = yield Until(until, self.sock.fileno(), READ)
             except OSError:
                 return b""
 
-    def write(self, data, until):
-        """How many bytes were taken on before the connection broke or the time was up."""
+    def write(self, data, until, heed=False):
+        """How many bytes were taken on before the connection broke or the time was up; where the other side is to be
+        heeded, before it said something. Guards against waiting for one that has answered and reads no more."""
         done = 0
         while done < len(data):
             try:
                 done += self.sock.send(data[done:] if done else data)
             except BlockingIOError:
-                if not (yield Until(until, self.sock.fileno(), WRITE)):
+                if heed and self.peek() is not None:
+                    break
+                if not (yield Until(until, self.sock.fileno(), WRITE | READ if heed else WRITE)):
                     break
             except OSError:
                 break
