--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/shift.py
@@ -30,7 +30,7 @@
             if text.verdict is not None:
                 self.notices.owe(text)
             else:
-                self.facade.hand_in(text)
+                self.facade.hand_in(text, restored=True)
         if back:
             logger.info("{texts} texts restored, {ran} of them may have run", event="restored", texts=len(back),
                         ran=sum(text.ran_at is not None for text in back))
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -18,7 +18,8 @@
 from calicopin.held.journal import Journal
 from calicopin.held.ledger import Ledger
 from calicopin.system import HERE
-from calicopin.terms import pushed
+from calicopin.terms import check, pushed
+from calicopin.wire.asking import longest_wait
 from calicopin.wire.clients import Clients
 from calicopin.wire.discovery import Discovery, read
 from calicopin.wire.loop import Loop
@@ -71,6 +72,8 @@
         environ = {}
     else:
         told = json.loads(system.read(path))
+        if "settings" in told:
+            check(told["settings"])
     discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
     first, other = reversed(discovery) if renewed else discovery
     second = second or told.get("admin_addr")
@@ -105,8 +108,8 @@
     more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
     terms = post.terms
     ceilings = terms["ceilings"]
-    connect = ceilings.get("connectTimeout", 1.0) * 1000.0
-    idle = ceilings.get("idleClose", 10.0) * 1000.0
+    connect = (ceilings.get("connectTimeout") or 1.0) * 1000.0
+    idle = (ceilings.get("idleClose") or 10.0) * 1000.0
     lasting = max(grade["giveUp"] for grade in terms["grades"]) * 1000.0
     budget = Budget(post.descriptors, terms["familyInfo"]["workers"], bool(post.admin))
     offset, boot, out = loop.system.wall() - loop.now(), loop.system.boot(), taker.flying if taker else None
@@ -127,7 +130,7 @@
         version, places = listed(post.known)
         facade.listed(places, True)
         shift.restore()
-    wait = min(60000.0, terms["rules"].get("askWithin", 10.0) * 200.0)  # a call met by silence costs so long
+    wait = longest_wait((terms["rules"].get("askWithin") or 10.0) * 1000.0)
     if post.discovery:
         told = pushed(terms)
         anew = told and not taker  # its list is old, and the agent has the whole of it
@@ -166,7 +169,10 @@
 
 def serve(environ, ear, system=HERE):
     """One courier from its start to its end; its ends are signals."""
-    post = posted(environ, system=system)
+    try:
+        post = posted(environ, system=system)
+    except (KeyError, TypeError, AttributeError) as fault:
+        raise ValueError(f"{environ.get('LB_CONFIG', 'LB_CONFIG')}: what it tells cannot be read: {fault!r}") from None
     lock = taker = None
     if post.passed:
         system.passed(post.passed).detach()  # one that is none is told before anything is taken
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -55,6 +55,7 @@
         self.ident, self.dest, self.product, self.tries = event.text, dest, product, event.tries
         self.key, self.taken, self.until = event.key if product.in_order else None, taken, event.valid_until
         self.call, self.ran_at, self.ran_zone, self.over = None, event.ran_at, event.ran_zone, False
+        self.restored = event.restored
 
     def last_submit(self):
         """Guards 'no double effect': the time after which nothing more may be sent."""
@@ -71,6 +72,10 @@
         return max(product.late_revenue, 0.5 ** (past / product.sla)) if product.late_halves else (
             1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla))
 
+    def owed_a_call(self):
+        """What a restart found taken on and untried is tried before it is given up early."""
+        return self.restored and not self.tries and self.ran_at is None
+
     def nackable(self):
         return self.ran_at is None or self.product.repeat == Repeat.RESENDABLE or (
             self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone)
@@ -95,6 +100,7 @@
         self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
         self.sends, self.sent_at, self.born = deque(), floor.now, floor.now
         self.usual = self.flow = self.cut_off = self.warm_at = 0.0
+        self.doubted, self.refused = None, False  # refused: all failures since the last delivery were refusals
         self.gap, self.fastest = 0.0, float("inf")  # failures between deliveries; the quickest of those
         self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
 
@@ -125,14 +131,18 @@
             span = max(span, now - self.sends[0] if len(self.sends) >= self.FEW else self.LONG)
         return sum(at > now - span - 1e-6 for at in self.sends) / min(span, max(SECOND, now - self.born))
 
+    def doubtful(self):
+        """Whether failures without an end last for the rule's span; one refusal alone is how a limit shows."""
+        return self.fails > self.refused and self.floor.now - self.fail_since >= self.fail_back.span
+
     def speed(self):
-        """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage."""
+        """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage. Failures
+        without an end that last for the rule's span count as met too: this sender may see little of it."""
         now, fail_back = self.floor.now, self.fail_back
-        passed, lasted = now - self.since, now - self.fail_since
-        if self.mode == "well":  # failures without an end may be an outage that this sender sees little of
-            doubt = self.fails > 1 and lasted >= fail_back.span
-            return min(self.pace_now() or 1.0, 1.0 / lasted) if doubt else self.pace_now()
-        warm = 0.0 if self.mode == "out" else min(1.0, passed / fail_back.cold)
+        if self.mode == "well" and not self.doubtful():
+            return self.pace_now()
+        passed = now - (self.fail_since if self.mode == "well" else self.since)
+        warm = min(1.0, passed / fail_back.cold) if self.mode == "cold" else 0.0
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
         held = max(2.0 / fail_back.span / self.senders, could * fail_back.multiple ** 0.5
                    * max(self.share(), 1.0 / (passed + fail_back.span)))
@@ -199,6 +209,7 @@
     def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for the rule's span."""
         now = self.floor.now
+        self.refused = why == "full" and (self.refused or not self.fails)
         self.fail_since, self.fails = self.fail_since if self.fails else now, self.fails + 1
         self.failed_at, streak = now, max(self.STREAK, self.RARE / log(1.0 + 1.0 / max(1e-9, self.gap)))
         lasted = now - self.fail_since
@@ -219,7 +230,10 @@
             self.sent_at = self.sends.popleft()
         if not self.sends and now - self.sent_at > self.IDLE and self.mode == "well":
             self.rate = None
-        if self.mode == "well":
+        if self.mode == "well" and self.doubtful():
+            if self.doubted != self.fail_since:  # so that whole first calls of many add up to what each may send
+                self.doubted, self.tokens = self.fail_since, min(self.tokens, self.floor.chance(self.name))
+        elif self.mode == "well":
             self.flow += (1.0 - 0.95 ** rounds) * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now >= self.warm_at:
             self.turn("well", "warm again")
@@ -378,7 +392,7 @@
 
     def cull(self, texts, at, least):
         """Gives up those of them that would earn less than `least`, answered at that time."""
-        for text in [text for text in texts if text.earns(at) < least]:
+        for text in [text for text in texts if text.earns(at) < least and not text.owed_a_call()]:
             self.queue.remove(text)
             self.floor.post(self.desk, "give_up", text, at - self.floor.now)
 
@@ -499,11 +513,12 @@
     def on_shed(self):
         """The store is nearly full: what earns least by its turn makes room for texts that can still go."""
         dests = dict.fromkeys(t.dest for t in self.texts.values() if t.call is None and not t.over)
-        turns = [turn for dest in dests for turn in dest.turns()]
+        turns = [turn for dest in dests for turn in dest.turns() if not turn[0].owed_a_call()]
         if turns:
             least, at = min(turns, key=lambda turn: turn[0].product.revenue * turn[0].earns(turn[1]))
             line = least.dest.queue  # first in, first out: all behind it move up
-            oldest = next(text for text in line if text.product.revenue <= least.product.revenue)
+            oldest = next(text for text in line if text.product.revenue <= least.product.revenue
+                          and not text.owed_a_call())
             self.on_lapse(oldest, at - self.floor.now)
 
     def turn(self, text):
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -115,13 +115,13 @@
         """The milliseconds after which a text that is turned away may come again (0: none told)."""
         return self.module.advice(self.dests(text.dest))
 
-    def hand_in(self, text):
+    def hand_in(self, text, restored=False):
         """A new text, or one that a restart brought back."""
         text.number, self.next_number = self.next_number, self.next_number + 1
         self.texts[text.number] = text
         zone = None if text.ran_zone is None else self.zones(text.ran_zone)
         self.events.append(Taken(text.number, self.dests(text.dest), text.product, text.until, text.key,
-                                 tries=text.tries, ran_at=text.ran_at, ran_zone=zone))
+                                 tries=text.tries, ran_at=text.ran_at, ran_zone=zone, restored=restored))
 
     def withdraw(self, text):
         """Nothing more is owed for it."""
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -70,6 +70,7 @@
     tries: int = 0
     ran_at: float | None = None
     ran_zone: int | None = None
+    restored: bool = False
 
 
 @dataclass(slots=True)
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -7,11 +7,11 @@
 
 from calicopin.facade import Place
 from calicopin.wire.agent import Agent
-from calicopin.wire.asking import Asking
+from calicopin.wire.asking import Asking, longest_pause
 from calicopin.wire.http import TOO_LONG
 from calicopin.wire.loop import Until
 
-GRACE = 250.0  # beyond the wait that was asked for: the agent is on this machine and answers at once
+GRACE = 250.0  # to connect, and beyond the wait that was asked for: the agent is on this machine and answers at once
 MOST_LIST = 8 << 20
 STATES = ("active", "leaving", "left")
 MOST_WAITS = 5.0  # of an asked wait: the time after which the platform takes a courier that asks for told
@@ -46,8 +46,8 @@
     def __init__(self, loop, address, version, wait, heard, senders=1, seed=0, spread=False, pushed=False):
         self.version, self.wait, self.heard, self.spread, self.tried = version, wait, heard, spread, False
         self.unread = None  # the fault that was last told: it may come ten times a second
-        self.silent = False  # while it is, short calls only: what it has to tell is told once it is back
-        self.asking = Asking(senders, MOST_WAITS * wait, seed, pushed)
+        self.silent = 0  # calls in a row that met silence: meanwhile short ones only, what it has to tell is told once it is back
+        self.asking = Asking(senders, MOST_WAITS * wait, seed, pushed, longest_pause(wait, GRACE))
         super().__init__(loop, address)
 
     def move(self, address):
@@ -76,7 +76,7 @@
                 self.tried = True
             if told is None or not line.again():
                 self.hang_up()
-            self.silent = told is None and not self.refused
+            self.silent = self.silent + 1 if told is None and not self.refused else 0
             if told is None:
                 if self.refused:
                     if not self.asking.refusals:
@@ -94,13 +94,20 @@
             self.heard(places, whole)
             self.version = version
 
+    def patience(self):
+        """For an answer beyond the wait. Guards against a discovery that answers each call late, since it is asked by many, and was
+        never heard: three calls after a watch that fell silent one is as patient as the watch, within the 6 s."""
+        if self.asking.pushed or not self.silent:
+            return GRACE
+        return min(self.wait + GRACE, GRACE * 4.0 ** (self.silent - 1))
+
     def ask(self, line):
         """One call; None where it was not answered in time or broke."""
         wait, target = 0.0, "/api/targets"
         if self.version is not None:
             wait = 0.0 if self.silent else self.wait
             target = f"{target}?index={self.version}&wait={wait:.0f}"
-        until = self.loop.now() + wait + GRACE
+        until = self.loop.now() + wait + self.patience()
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         status, body = (yield from line.ask(request, b"", MOST_LIST, until)) or (0, b"")
         self.refused = status in (429, 503)
