--- a/calicopin/admin/office.py
+++ b/calicopin/admin/server.py
@@ -14,7 +14,7 @@
 REST = 1000.0  # between two lines on calls turned away
 
 
-class Office:
+class AdminServer:
     """Listens on `address`. `calls` holds, by path, the method and a function that returns the body. At most `most` callers are
     heard at once; one more closes the one that has been silent longest, so that callers who say nothing keep nobody out."""
 
--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -11,17 +11,17 @@
 class Renewal:
     """Hears the signals. What a new file says of discovery, descriptors and disk holds at once."""
 
-    def __init__(self, loop, ear, post, again, stop, discovery, clients, shift):
-        self.loop, self.ear, self.post, self.again, self.stop = loop, ear, post, again, stop
-        self.discovery, self.clients, self.shift, self.renewed = discovery, clients, shift, False
+    def __init__(self, loop, signal_reader, post, again, stop, discovery, clients, runtime):
+        self.loop, self.signal_reader, self.post, self.again, self.stop = loop, signal_reader, post, again, stop
+        self.discovery, self.clients, self.runtime, self.renewed = discovery, clients, runtime, False
 
     def wait(self):
         while True:
-            yield Until(FOREVER, self.ear.fd, READ)
-            signs = self.ear.heard()
-            if signs.intersection(self.ear.STOPS):
-                self.stop.asked.ring()
-            if signs.difference(self.ear.STOPS) and not self.stop.retired:  # then another process has heard it
+            yield Until(FOREVER, self.signal_reader.fd, READ)
+            signs = self.signal_reader.heard()
+            if signs.intersection(self.signal_reader.STOPS):
+                self.stop.asked.set()
+            if signs.difference(self.signal_reader.STOPS) and not self.stop.retired:  # then another process has heard it
                 self.renew()
 
     def relist(self, post, old):
@@ -31,7 +31,7 @@
             self.discovery.take()
         elif post.known != old.known:
             _, _, places = read(post.known)
-            self.shift.listed(places, True)
+            self.runtime.listed(places, True)
 
     def renew(self):
         """A file that cannot be read changes nothing."""
@@ -42,20 +42,20 @@
             return
         old, self.post, self.renewed = self.post, post, True
         logger.info("SIGHUP: discovery at {agent}, {notices} notices unheard", event="reload", agent=post.discovery,
-                    notices=len(self.shift.notices.owed))
+                    notices=len(self.runtime.notices.owed))
         if post.discovery and old.discovery:
             self.discovery.move(post.discovery)
-            self.shift.notices.move(post.discovery)
+            self.runtime.notices.move(post.discovery)
         elif post.notices and old.notices:
-            self.shift.notices.move(post.notices)
+            self.runtime.notices.move(post.notices)
         if post.sheet and not post.discovery and not old.discovery:
             self.relist(post, old)
         if post.descriptors != old.descriptors:
             budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"], bool(old.admin))
-            self.clients.budget, self.shift.lines.most = budget, budget.endpoints
+            self.clients.budget, self.runtime.lines.most = budget, budget.endpoints
             logger.info("SIGHUP: {now} descriptors, {before} before", event="reload.descriptors", now=post.descriptors, before=old.descriptors)
         if post.disk != old.disk:
-            self.shift.journal.limit(post.disk)
+            self.runtime.journal.limit(post.disk)
             logger.info("SIGHUP: {now} bytes of disk, {before} before", event="reload.disk", now=post.disk, before=old.disk)
         waits = [name for name in LASTING if getattr(post, name) != getattr(old, name)]
         waits += sorted(name for name in {**old.terms, **post.terms} if post.terms.get(name) != old.terms.get(name))
--- a/calicopin/boot/shift.py
+++ b/calicopin/boot/runtime.py
@@ -13,7 +13,7 @@
 REPEAT = 1000.0  # between two lines on such faults
 
 
-class Shift:
+class Runtime:
     def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
@@ -46,7 +46,7 @@
         """A call whose connection did not come over: it may have run."""
         self.facade.report(call, Answer(Far.SENT), 0.0)
 
-    # What clients ask of the desk.
+    # What clients ask of the acceptor.
 
     def take(self, text):
         """None where the text is taken on, else the status that refuses it and the milliseconds after which to
@@ -64,9 +64,9 @@
         self.ledger.taken += 1
         return None
 
-    def kept(self, bell):
-        self.waiting.append(bell)
-        return bell
+    def kept(self, event):
+        self.waiting.append(event)
+        return event
 
     def withdraw(self, text):
         self.facade.withdraw(text)
@@ -108,8 +108,8 @@
         while line := self.facade.said():
             logger.info("{line}", event="decided", line=line)
         waiting, self.waiting = self.waiting, []
-        for bell in waiting:
-            bell.ring()
+        for event in waiting:
+            event.set()
         given_up, self.given_up = self.given_up, []
         for text in given_up:
             self.notices.owe(text)
--- a/calicopin/boot/ear.py
+++ b/calicopin/boot/signals.py
@@ -3,7 +3,7 @@
 import signal
 
 
-class Ear:
+class SignalReader:
     """SIGHUP calls for the configuration anew, SIGTERM and SIGINT for the stop. Made before anything else of the
     program, so that none of them ends it by default; what comes before the loop runs is not lost."""
     STOPS = (signal.SIGTERM, signal.SIGINT)
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -8,10 +8,10 @@
 
 from loguru import logger
 
-from calicopin.admin.office import Office
-from calicopin.boot.ear import Ear
+from calicopin.admin.server import AdminServer
+from calicopin.boot.signals import SignalReader
 from calicopin.boot.renewal import Renewal
-from calicopin.boot.shift import Shift
+from calicopin.boot.runtime import Runtime
 from calicopin.boot.stop import Stop
 from calicopin.facade import Facade
 from calicopin.held.connections import Budget, Lines
@@ -103,7 +103,7 @@
     return version, places
 
 
-def build(post, loop, ear, again, lock=None, taker=None):
+def build(post, loop, signal_reader, again, lock=None, taker=None):
     """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
     more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
     terms = post.terms
@@ -120,54 +120,54 @@
         journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot, out)
     facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again and not taker)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
-    shift = Shift(loop, facade, journal, lines, connect, Ledger(grade["name"] for grade in terms["grades"]))
+    runtime = Runtime(loop, facade, journal, lines, connect, Ledger(grade["name"] for grade in terms["grades"]))
     teller = post.discovery or post.notices
-    shift.notices = Notices(loop, teller, shift.told) if teller else NoticeLines(loop, shift.told)
+    runtime.notices = Notices(loop, teller, runtime.told) if teller else NoticeLines(loop, runtime.told)
     if taker:
         version, places = taker.told["version"], ()
-        shift.inherit(taker)
+        runtime.inherit(taker)
     else:
         version, places = listed(post.known)
         facade.listed(places, True)
-        shift.restore()
+        runtime.restore()
     wait = longest_wait((terms["rules"].get("askWithin") or 10.0) * 1000.0)
     if post.discovery:
         told = pushed(terms)
         anew = told and not taker  # its list is old, and the agent has the whole of it
-        discovery = Discovery(loop, post.discovery, None if anew else version, wait, shift.listed, terms["groupSize"], post.seed,
+        discovery = Discovery(loop, post.discovery, None if anew else version, wait, runtime.listed, terms["groupSize"], post.seed,
                               spread=bool(places), pushed=told)
-        shift.agent = discovery if anew else None
+        runtime.agent = discovery if anew else None
     else:
         from calicopin.configuration.posting import lister
-        shift.current = True
-        discovery = ListFile(loop, post.watched, lister(post.sheet), shift.listed) if post.watched else None
+        runtime.current = True
+        discovery = ListFile(loop, post.watched, lister(post.sheet), runtime.listed) if post.watched else None
     if not taker:
-        shift.turn()
+        runtime.turn()
     products = {grade["name"]: number for number, grade in enumerate(terms["grades"])}
     listener = loop.system.passed(post.passed) if post.passed else None
-    clients = Clients(loop, post.listen, products, budget, shift, listener)
-    clients.status = shift.status if post.status else None
-    stop = Stop(loop, shift, clients)
+    clients = Clients(loop, post.listen, products, budget, runtime, listener)
+    clients.status = runtime.status if post.status else None
+    stop = Stop(loop, runtime, clients)
     if post.admin:
-        Office(loop, post.admin, {
-            "/admin/health": ("GET", lambda: {"serving": True}), "/admin/stats": ("GET", shift.figures),
+        AdminServer(loop, post.admin, {
+            "/admin/health": ("GET", lambda: {"serving": True}), "/admin/stats": ("GET", runtime.figures),
             "/admin/quiesce": ("POST", stop.quiesce), "/admin/resume": ("POST", stop.resume)}, budget.admin - 1)
-    renewal = Renewal(loop, ear, post, again, stop, discovery, clients, shift)
+    renewal = Renewal(loop, signal_reader, post, again, stop, discovery, clients, runtime)
     if taker:
-        lock = taker.take(loop, shift, clients)
+        lock = taker.take(loop, runtime, clients)
         journal.begin()
         if taker.told["drained"] is not None:
             stop.begin_drain(taker.told["drained"])
     if post.passed:
         from calicopin.handover.giver import Giver
         from calicopin.handover.meeting import Place
-        Giver(Place(post.meeting or post.folder, post.folder), lock, loop.system.again, loop, shift, clients, discovery, renewal, stop)
-    for begin in (shift.keep_house, clients.keep_house, stop.wait, renewal.wait):
+        Giver(Place(post.meeting or post.folder, post.folder), lock, loop.system.again, loop, runtime, clients, discovery, renewal, stop)
+    for begin in (runtime.keep_house, clients.keep_house, stop.wait, renewal.wait):
         loop.keep(begin)
-    return shift
+    return runtime
 
 
-def serve(environ, ear, system=HERE):
+def serve(environ, signal_reader, system=HERE):
     """One courier from its start to its end; its ends are signals."""
     try:
         post = posted(environ, system=system)
@@ -176,14 +176,14 @@
     lock = taker = None
     if post.passed:
         system.passed(post.passed).detach()  # one that is none is told before anything is taken
-        lock, taker, post = follow(post, environ, ear, system)
+        lock, taker, post = follow(post, environ, signal_reader, system)
         if post is None:
             return
     elif post.sheet:  # the platform gives each courier a folder of its own
         lock = system.lock(post.folder)
     loop = Loop(system=system)
     try:
-        shift = build(post, loop, ear, lambda: posted(environ, renewed=True, system=system), lock, taker)
+        runtime = build(post, loop, signal_reader, lambda: posted(environ, renewed=True, system=system), lock, taker)
     except ConnectionAbortedError as fault:
         logger.warning("nothing was taken over, this process begins again: {fault}", event="handover.again", fault=fault)
         system.again()
@@ -191,18 +191,18 @@
         log_as_json(post.name)
     system.settle()
     logger.info("{name} ready on {listen}, {endpoints} endpoints known", event="ready", name=post.name, listen=post.listen,
-                endpoints=len(shift.facade.places))
+                endpoints=len(runtime.facade.places))
     loop.run()
-    logger.info("{name} stopped, {texts} texts left in the journal", event="stopped", name=post.name, texts=len(shift.journal.texts))
+    logger.info("{name} stopped, {texts} texts left in the journal", event="stopped", name=post.name, texts=len(runtime.journal.texts))
 
 
-def follow(post, environ, ear, system):
+def follow(post, environ, signal_reader, system):
     """(lock, what another process gives, the post): waits until the folder is free or the one that holds it gives it. A post
     of None where a signal comes first."""
     from calicopin.handover.meeting import Place
     from calicopin.handover.taker import Told, begin
     try:
-        lock, taker = begin(Place(post.meeting or post.folder, post.folder), post.folder, ear, system)
+        lock, taker = begin(Place(post.meeting or post.folder, post.folder), post.folder, signal_reader, system)
     except Told:
         logger.info("{name} ends before it has taken anything", event="stopped", name=post.name, texts=0)
         return None, None, None
@@ -224,12 +224,12 @@
     logger.add(write, format="{message}", level="INFO", backtrace=False, catch=True)
 
 
-def main(ear=None):
-    ear = ear or Ear()
+def main(signal_reader=None):
+    signal_reader = signal_reader or SignalReader()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
     try:
-        serve(os.environ, ear)
+        serve(os.environ, signal_reader)
     except BlockingIOError:
         print(f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own", file=sys.stderr)
         return 2
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -2,7 +2,7 @@
 from loguru import logger
 
 from calicopin.boot.leave import DRAIN, RETIRED, STOP, Leave
-from calicopin.wire.loop import Bell, Until
+from calicopin.wire.loop import Event, Until
 
 STEP = 20.0
 
@@ -10,42 +10,42 @@
 class Stop:
     """`asked` rings for the stop. A courier that was quiesced stays so until it is told to resume, or ends."""
 
-    def __init__(self, loop, shift, clients):
-        self.loop, self.shift, self.clients = loop, shift, clients
-        self.asked, self.drain, self.stopping, self.task = Bell(loop), None, False, None
+    def __init__(self, loop, runtime, clients):
+        self.loop, self.runtime, self.clients = loop, runtime, clients
+        self.asked, self.drain, self.stopping, self.task = Event(loop), None, False, None
         self.retired = False  # another process serves in its place
 
     def busy(self):
         """What is under way."""
-        shift = self.shift
-        under_way = dict(clients=self.clients.open, texts=shift.facade.texts, notices=shift.notices.owed, calls=shift.out)
+        runtime = self.runtime
+        under_way = dict(clients=self.clients.open, texts=runtime.facade.texts, notices=runtime.notices.owed, calls=runtime.out)
         return frozenset(name for name, what in under_way.items() if what)
 
     def walk(self, leave):
         """Through the steps, to the end of the last."""
         now = self.loop.now
         while step := leave.at(now(), self.busy()):
-            self.clients.leaving, self.shift.calling = True, step.calling
-            self.shift.refusing = self.shift.refusing or step.refusing
+            self.clients.leaving, self.runtime.calling = True, step.calling
+            self.runtime.refusing = self.runtime.refusing or step.refusing
             if not step.listening:
                 self.clients.stop_listening()
             if step.closing:
                 self.clients.close_between_requests()
-            if step.emptying and self.shift.facade.texts:
-                self.shift.facade.hand_back()
+            if step.emptying and self.runtime.facade.texts:
+                self.runtime.facade.hand_back()
             yield Until(now() + STEP)
 
     def wait(self):
         """Waits until it is asked to, then leaves in order."""
-        yield Until(bell=self.asked)
-        shift = self.shift
-        logger.info("SIGTERM: {held} texts held, {out} calls out", event="stopping", held=len(shift.facade.texts), out=shift.out)
+        yield Until(event=self.asked)
+        runtime = self.runtime
+        logger.info("SIGTERM: {held} texts held, {out} calls out", event="stopping", held=len(runtime.facade.texts), out=runtime.out)
         self.stopping = True
         self.end_drain()
         yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
         # guards the last turn's texts where the process stood still through the steps: one turn keeps what was taken on and its
         # answers go out, and what is read from here on is refused, since nothing would keep it
-        shift.calling, shift.refusing = False, True
+        runtime.calling, runtime.refusing = False, True
         self.clients.close_between_requests()
         yield Until(self.loop.now())
         self.clients.end()
@@ -60,7 +60,7 @@
         """Empties the courier; once more changes nothing."""
         self.check()
         if self.drain is None and not self.stopping:
-            logger.info("quiesced: {held} texts held, {out} calls out", event="quiesced", held=len(self.shift.facade.texts), out=self.shift.out)
+            logger.info("quiesced: {held} texts held, {out} calls out", event="quiesced", held=len(self.runtime.facade.texts), out=self.runtime.out)
             self.begin_drain(self.loop.now())
         return self.told()
 
@@ -76,13 +76,13 @@
         """Back to work, at any moment of a drain; without one it changes nothing."""
         self.check()
         if self.drain is not None:
-            logger.info("resumed: {held} texts held", event="resumed", held=len(self.shift.facade.texts))
+            logger.info("resumed: {held} texts held", event="resumed", held=len(self.runtime.facade.texts))
             self.end_drain()
-            self.clients.leaving = self.clients.closing = self.shift.refusing = False
+            self.clients.leaving = self.clients.closing = self.runtime.refusing = False
         return self.told()
 
     def told(self):
         """What the calls at the admin address answer."""
         step = self.drain and self.drain.at(self.loop.now(), self.busy())
         return {"quiesced": self.drain is not None, "step": step.name if step else "stopping" if self.stopping else "at work",
-                "held": len(self.shift.facade.texts), "clients": self.clients.open}
+                "held": len(self.runtime.facade.texts), "clients": self.clients.open}
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -396,7 +396,7 @@
             self.queue.remove(text)
             self.floor.post(self.desk, "give_up", text, at - self.floor.now)
 
-    def despair(self, opens):
+    def expire_early(self, opens):
         """What would earn under a fifth once the bucket opens is given up at once, not held until then: its
         program can ask elsewhere. Where answers name a limit, any of them may open the bucket sooner."""
         if not any(route.limit for route in self.ways()):
@@ -434,7 +434,7 @@
             return
         opens = self.opens()
         if opens > self.floor.now:
-            self.despair(opens)
+            self.expire_early(opens)
             for route in self.ways():
                 route.waited = True
             if not self.floor.now < self.wake_at <= opens:
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -6,9 +6,9 @@
 import h11
 
 from calicopin import brain, facade, terms
-from calicopin.boot import shift as shift_module
+from calicopin.boot import runtime as shift_module
 from calicopin.boot import start as start_module
-from calicopin.boot.shift import Shift
+from calicopin.boot.runtime import Runtime
 from calicopin.emulator.referee import ANSWER, DRAIN, EFFECT, ORDER, PUSH, SERVICE, SOUND, WAIT
 from calicopin.facade import Facade
 from calicopin.held.journal import Journal
@@ -56,10 +56,10 @@
 
 @fault("ack-before-journal", "kills", ANSWER, 60)
 def _(change):
-    def kept(shift, bell):
-        bell.ring()
-        return bell
-    change(Shift, "kept", kept)
+    def kept(runtime, event):
+        event.set()
+        return event
+    change(Runtime, "kept", kept)
 
 
 @fault("taken-not-journalled", "kills", ANSWER)
@@ -181,14 +181,14 @@
 
 @fault("two-verdicts", "outage", ANSWER)
 def _(change):
-    told = Shift.told
+    told = Runtime.told
 
-    def again(shift, text):
-        told(shift, text)
+    def again(runtime, text):
+        told(runtime, text)
         if not text.key:
             text.key, text.verdict = "told", {"dead": "bounced", "bounced": "dead"}[text.verdict]
-            shift.notices.owe(text)
-    change(Shift, "told", again)
+            runtime.notices.owe(text)
+    change(Runtime, "told", again)
 
 
 @fault("notice-after-delivery", "calm", ANSWER, 1)
--- a/calicopin/emulator/process.py
+++ b/calicopin/emulator/process.py
@@ -216,8 +216,8 @@
         return ready
 
 
-class Ear(Handle):
-    """Signals, as `boot/ear.py` hears them."""
+class SignalReader(Handle):
+    """Signals, as `boot/signals.py` hears them."""
     STOPS = (signal.SIGTERM, signal.SIGINT)
 
     def __init__(self, calls):
@@ -348,13 +348,13 @@
 
 
 class Process:
-    """A courier's machine and the process that runs on it; `begin(environ, ear, system)` is the real program."""
+    """A courier's machine and the process that runs on it; `begin(environ, signal_reader, system)` is the real program."""
 
     def __init__(self, world, net, name, host, begin, environ, descriptors, rng, pass_ms=0.0, short_odds=0.0):
         self.world, self.net, self.name, self.host, self.begin, self.environ = world, net, name, host, begin, environ
         self.descriptors, self.rng, self.pass_ms, self.short_odds = descriptors, rng, pass_ms, short_odds
         self.disk = Disk(world.chance(f"{name} disk"))
-        self.over, self.green, self.calls, self.ear, self.serial, self.waits = True, None, None, None, 0, False
+        self.over, self.green, self.calls, self.signal_reader, self.serial, self.waits = True, None, None, None, 0, False
         self.stands_until = 0.0
         self.number = 0  # of starts
         self.planned, self.replaced = deque(), None  # calls at which its next processes are killed; what starts the one after
@@ -372,8 +372,8 @@
 
     def _body(self):
         try:
-            self.ear = Ear(self.calls)
-            self.begin(self.environ, self.ear, self.calls)
+            self.signal_reader = SignalReader(self.calls)
+            self.begin(self.environ, self.signal_reader, self.calls)
             self._end("exit")
         except Killed:
             pass
@@ -412,8 +412,8 @@
     # Signals and ends.
 
     def signal(self, sign):
-        if not self.over and self.ear is not None:
-            self.ear.hear(sign)
+        if not self.over and self.signal_reader is not None:
+            self.signal_reader.hear(sign)
 
     def stand(self, ms):
         """SIGSTOP for so long."""
--- a/calicopin/emulator/world.py
+++ b/calicopin/emulator/world.py
@@ -21,7 +21,7 @@
         self.wall_step = 0.0  # what the wall clock was set forward or back by
 
     def chance(self, name):
-        """A stream of random numbers of its own, so that one party's draws do not shift another's."""
+        """A stream of random numbers of its own, so that one party's draws do not runtime another's."""
         return random.Random(f"{self.seed}/{name}")
 
     def at(self, when, act, *args):
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -24,9 +24,9 @@
 class Giver:
     """Gives away the courier whose parts it is handed. `lock` is the folder's; `again` begins this process anew."""
 
-    def __init__(self, place, lock, again, loop, shift, clients, discovery, renewal, stop):
+    def __init__(self, place, lock, again, loop, runtime, clients, discovery, renewal, stop):
         self.lock, self.again = lock, again
-        self.loop, self.shift, self.clients, self.discovery, self.renewal, self.stop = loop, shift, clients, discovery, renewal, stop
+        self.loop, self.runtime, self.clients, self.discovery, self.renewal, self.stop = loop, runtime, clients, discovery, renewal, stop
         self.listener = place.listen()
         self.task = loop.keep(self.host)
 
@@ -58,7 +58,7 @@
     def fit(self, sock, data):
         """Whether all may be given to whoever said so."""
         why = ("another user's" if not ours(sock) else "it says nothing that can be read" if data != b"calicopin %d\n" % FORM
-               else "a stop is under way" if self.stop.stopping else "the journal cannot be written" if self.shift.stuck else None)
+               else "a stop is under way" if self.stop.stopping else "the journal cannot be written" if self.runtime.stuck else None)
         if why:
             logger.warning("a new version is given nothing: {why}", event="handover.refused", why=why)
         return not why
@@ -67,34 +67,34 @@
         """Calls that have not begun come back, what is decided is in the journal, and answers are on their way."""
         for _ in range(8):
             self.loop.step()
-            for flight in [flight for flight in self.shift.flights if not flight.far]:
+            for flight in [flight for flight in self.runtime.flights if not flight.far]:
                 self.loop.cancel(flight.task)
-            self.shift.turn()
-            if self.shift.stuck or not self.loop.ready:
+            self.runtime.turn()
+            if self.runtime.stuck or not self.loop.ready:
                 break
 
     def give(self, sock):
-        shift, began = self.shift, self.loop.now()
+        runtime, began = self.runtime, self.loop.now()
         self.loop.forget(sock)
-        calling, shift.calling = shift.calling, False
+        calling, runtime.calling = runtime.calling, False
         try:
             talk = Talk(sock, PATIENCE)
             self.settle()
-            if shift.stuck:
+            if runtime.stuck:
                 raise Broken("the journal cannot be written")
-            flights = [flight for flight in shift.flights if flight.call.open]
+            flights = [flight for flight in runtime.flights if flight.call.open]
             talk.say(self.told(flights))
             if talk.hear()[0].get("ready") is not True:
                 raise Broken("it is not ready")
-            if self.stop.stopping or shift.journal.buffer:
+            if self.stop.stopping or runtime.journal.buffer:
                 raise Broken("this process has gone on")
             talk.say({"go": True, "fds": 1}, [self.lock])
         except Exception as fault:  # whatever it is, this process serves on
             logger.warning("a new version takes nothing over, this one serves on: {fault!r}", event="handover.refused", fault=fault)
-            shift.calling = calling
+            runtime.calling = calling
             sock.close()
             return
-        held = len(shift.facade.texts)
+        held = len(runtime.facade.texts)
         try:
             self.part(talk, flights)
         except Exception as fault:  # behind `go` nothing may bring this process to serve on
@@ -105,28 +105,28 @@
 
     def told(self, flights):
         stop, calls = self.stop, [flight.call for flight in flights]
-        lines = self.shift.lines
-        return written(self.shift.facade, calls) | dict(
+        lines = self.runtime.lines
+        return written(self.runtime.facade, calls) | dict(
             until=[flight.until for flight in flights], began=[flight.began for flight in flights], version=getattr(self.discovery, "version", None),
-            current=self.shift.current, renewed=self.renewal.renewed, trust=lines.trust,
+            current=self.runtime.current, renewed=self.renewal.renewed, trust=lines.trust,
             fastest=[[*shelf, best] for shelf, best in lines.fastest.items()], drained=stop.drain.began if stop.drain else None)
 
     def part(self, talk, flights):
         """Connections, a few at a time; each is closed here as soon as it is on its way."""
-        shift, clients = self.shift, self.clients
+        runtime, clients = self.runtime, self.clients
         moved = []
         for number, flight in enumerate(flights):
             flight.given = True
             moved.append(("call", dict(call=number, heard=coded(flight.line.heard)), flight.line))
             self.loop.cancel(flight.task)
-        for flight in list(shift.flights):  # its texts have all ended, the rest of its answer is nobody's
+        for flight in list(runtime.flights):  # its texts have all ended, the rest of its answer is nobody's
             self.loop.cancel(flight.task)
         for visit in list(clients.visits):
             if line := clients.give(visit):
                 moved.append(("client", dict(heard=coded(line.heard), fresh=visit.fresh, since=visit.since, until=min(visit.until, 1e15)), line))
-        for shelf, kept in shift.lines.idle.items():
+        for shelf, kept in runtime.lines.idle.items():
             moved += [("idle", dict(shelf=shelf, since=since), line) for line, since in kept]
-        shift.lines.idle = {}
+        runtime.lines.idle = {}
         for at in range(0, len(moved), AT_ONCE):
             some = moved[at:at + AT_ONCE]
             talk.say({"connections": [dict(what, kind=kind) for kind, what, _ in some], "fds": len(some)},
@@ -137,18 +137,18 @@
 
     def retire(self, sock):
         """From here on this process decides nothing."""
-        loop, shift = self.loop, self.shift
+        loop, runtime = self.loop, self.runtime
         loop.turn = lambda: FOREVER
         for task in (self.clients.accepting, self.task):
             loop.cancel(task)
-        for part in filter(None, (self.discovery, shift.notices)):
+        for part in filter(None, (self.discovery, runtime.notices)):
             part.retire()
         loop.close(self.listener)
         loop.system.close(self.lock)
-        if shift.journal.file is not None:
-            loop.system.close(shift.journal.file)
-        shift.journal.file, shift.journal.texts, shift.facade.texts, shift.notices.owed = None, {}, {}, []
-        shift.refusing = self.stop.retired = True
+        if runtime.journal.file is not None:
+            loop.system.close(runtime.journal.file)
+        runtime.journal.file, runtime.journal.texts, runtime.facade.texts, runtime.notices.owed = None, {}, {}, []
+        runtime.refusing = self.stop.retired = True
         self.stop.end_drain()
         self.clients.closing = self.clients.leaving = True
         sock.setblocking(False)
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -38,7 +38,7 @@
         self.calls = read(facade, self.told, live, now)
         return [text for text in journal.texts.values() if text.verdict is not None]
 
-    def take(self, loop, shift, clients):
+    def take(self, loop, runtime, clients):
         """From here on this process decides. Returns the folder's lock. Broken where it does not come to that."""
         self.talk.say({"ready": True})
         go, fds = self.talk.hear()
@@ -52,22 +52,22 @@
                 if what.get("end"):
                     break
                 for one, fd in zip(what["connections"], fds):
-                    kinds[one["kind"]](loop, shift, clients, one, socket.socket(fileno=fd))
+                    kinds[one["kind"]](loop, runtime, clients, one, socket.socket(fileno=fd))
         except Broken as fault:  # it died on the way: what did not come is broken, as after a crash
             logger.warning("the old process broke off: {fault}", event="handover.broken", fault=fault)
         for call in self.flights.values():
-            shift.lost(call)
+            runtime.lost(call)
         return lock
 
-    def call(self, loop, shift, clients, one, sock):
+    def call(self, loop, runtime, clients, one, sock):
         number, call = one["call"], self.flights.pop(one["call"])
         # an older version lets each text of a shared call end for itself: here the first of them ends it
         ends = [at for at, shared, _ in self.told.get("due", ()) if shared == number]
         flight = Flight(call, min([self.told["until"][number], *ends]))
         flight.began = self.told["began"][number]
-        shift.go_on(flight, Line(loop, sock, h11.CLIENT), base64.b64decode(one["heard"]))
+        runtime.go_on(flight, Line(loop, sock, h11.CLIENT), base64.b64decode(one["heard"]))
 
-    def client(self, loop, shift, clients, one, sock):
+    def client(self, loop, runtime, clients, one, sock):
         line = Line(loop, sock, h11.SERVER)
         if one["heard"]:
             line.hear(base64.b64decode(one["heard"]))
@@ -75,11 +75,11 @@
         visit.fresh, visit.since, visit.until = one["fresh"], one["since"], one["until"]
         clients.receive(visit)
 
-    def idle(self, loop, shift, clients, one, sock):
-        shift.lines.idle.setdefault(tuple(one["shelf"]), []).append((Line(loop, sock, h11.CLIENT), one["since"]))
+    def idle(self, loop, runtime, clients, one, sock):
+        runtime.lines.idle.setdefault(tuple(one["shelf"]), []).append((Line(loop, sock, h11.CLIENT), one["since"]))
 
 
-def begin(place, folder, ear, system):
+def begin(place, folder, signal_reader, system):
     """(the folder's lock, None) where no other process holds it, else (None, a Taker) once the other has told all.
     Told where a signal comes first."""
     said = -TELL
@@ -94,7 +94,7 @@
         if time.monotonic() >= said + TELL:
             logger.info("another process holds the folder and gives nothing yet; waiting", event="handover.waiting")
             said = time.monotonic()
-        if ear.heard().intersection(ear.STOPS):
+        if signal_reader.heard().intersection(signal_reader.STOPS):
             raise Told
         time.sleep(STEP)
 
--- a/calicopin/system.py
+++ b/calicopin/system.py
@@ -1,6 +1,6 @@
 """The one narrow place through which the courier asks its surroundings: clocks, waiting, sockets and files.
 
-The emulator puts a world of its own in its place; signals come through `boot/ear.py`, which has to be there before
+The emulator puts a world of its own in its place; signals come through `boot/signals.py`, which has to be there before
 anything else. Nothing here decides anything, and faults come as the operating system's own OSError.
 """
 import errno
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -8,7 +8,7 @@
 
 from calicopin.held.texts import Text
 from calicopin.wire.http import TOO_LONG, Line
-from calicopin.wire.loop import AGAIN, FOREVER, READ, Bell, Until
+from calicopin.wire.loop import AGAIN, FOREVER, READ, Event, Until
 
 MOST_BODY = 65536
 PATIENCE = 2500.0  # for a whole request: guards descriptors against clients that go silent in it or before it
@@ -80,11 +80,11 @@
 class Clients:
     """Accepts connections as far as descriptors allow and serves what comes on them.
 
-    `desk` takes the texts: `desk.take(text)` is None where it is taken on, else the status that refuses it and
-    the wait that is advised; a text taken on is kept once the bell handed to `desk.kept` has rung."""
+    `acceptor` takes the texts: `acceptor.take(text)` is None where it is taken on, else the status that refuses it and
+    the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept` has rung."""
 
-    def __init__(self, loop, address, products, budget, desk, listener=None):
-        self.loop, self.products, self.budget, self.desk = loop, products, budget, desk
+    def __init__(self, loop, address, products, budget, acceptor, listener=None):
+        self.loop, self.products, self.budget, self.acceptor = loop, products, budget, acceptor
         host, _, port = address.rpartition(":")
         self.listener = listener or (loop.system.listen_path(port) if host == "unix" else loop.system.listen(host, int(port)))
         self.status = None  # where it is told, a function that returns its body
@@ -234,7 +234,7 @@
             return (yield from self.reply(line, fault.status, str(fault).encode()))
         if line.left():  # it waited too long and hands the text in elsewhere; else a refusal does no harm
             return (yield from self.reply(line, 503))
-        refusal = self.desk.take(text)
+        refusal = self.acceptor.take(text)
         if refusal is not None:
             status, wait = refusal
             if status != 503:
@@ -242,10 +242,10 @@
                 self.complain(status, f"dest {text.dest}, id {text.ident[:40]!r}")
             extra = [("Retry-After", f"{wait / 1000.0:.3f}")] if wait > 0.0 else []
             return (yield from self.reply(line, status, b"", extra))
-        yield Until(bell=self.desk.kept(Bell(self.loop)))
+        yield Until(event=self.acceptor.kept(Event(self.loop)))
         more = yield from self.reply(line, 202)
         if more is None:  # the client did not hear that it was taken on: it hands the text in again
-            self.desk.withdraw(text)
+            self.acceptor.withdraw(text)
         return bool(more)
 
     def next_head(self, visit):
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -17,23 +17,23 @@
 
 @dataclass(slots=True, frozen=True)
 class Until:
-    """What a coroutine yields to wait: for a descriptor, for a bell, or for a time alone.
+    """What a coroutine yields to wait: for a descriptor, for a event, or for a time alone.
     It is resumed with True, or with False once the time has come first."""
     at: float = FOREVER
     fd: int = -1
     mask: int = 0
-    bell: object = None
+    event: object = None
 
 
-class Bell:
+class Event:
     """Wakes the coroutine that waits for it; rung before that, it is not forgotten."""
 
     def __init__(self, loop):
-        self.loop, self.task, self.rung = loop, None, False
+        self.loop, self.task, self.is_set = loop, None, False
 
-    def ring(self):
+    def set(self):
         if self.task is None:
-            self.rung = True
+            self.is_set = True
         else:
             self.loop.resume(self.task, True)
 
@@ -99,8 +99,8 @@
     def _disarm(self, task):
         """What a coroutine waited for no longer wakes it."""
         wait, task.wait = task.wait, None
-        if wait.bell is not None:
-            wait.bell.task = None
+        if wait.event is not None:
+            wait.event.task = None
         if self.fds.get(wait.fd) is task:
             self.fds[wait.fd] = None
 
@@ -136,10 +136,10 @@
             logger.exception("a coroutine ended by a fault", event="coroutine.fault")
             return
         task.wait = wait
-        if wait.bell is not None:
-            wait.bell.task = task
-            if wait.bell.rung:
-                wait.bell.rung = False
+        if wait.event is not None:
+            wait.event.task = task
+            if wait.event.is_set:
+                wait.event.is_set = False
                 self.resume(task, True)
                 return
         if wait.fd >= 0:
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from calicopin.wire.agent import Agent
-from calicopin.wire.loop import AGAIN, Bell, Until
+from calicopin.wire.loop import AGAIN, Event, Until
 
 PATIENCE = 200.0  # for an answer, which is owed at once: a notice that waits longer on a silent connection comes too late
 MOST_PATIENCE = 2000.0  # doubled up to this each time: guards an agent that is slow against the same notices over and over
@@ -26,12 +26,12 @@
     line, address = None, ""
 
     def __init__(self, loop, heard):
-        self.loop, self.heard, self.owed, self.bell = loop, heard, [], Bell(loop)
+        self.loop, self.heard, self.owed, self.event = loop, heard, [], Event(loop)
         loop.keep(self.talk)
 
     def owe(self, text):
         self.owed.append(text)
-        self.bell.ring()
+        self.event.set()
 
     def move(self, address):
         """There is no address."""
@@ -46,7 +46,7 @@
                 logger.warning("text {text} for {destination} ends {end}", event="text.ended", text=text.ident, destination=text.dest,
                                end={"dead": "undeliverable", "bounced": "nacked"}[text.verdict])
                 self.heard(text)
-            yield Until(bell=self.bell)
+            yield Until(event=self.event)
 
 
 class Notices(Agent):
@@ -54,19 +54,19 @@
     at the next one, at once."""
 
     def __init__(self, loop, address, heard):
-        self.heard, self.owed, self.bell, self.patience, self.told = heard, [], Bell(loop), PATIENCE, -REPEAT
+        self.heard, self.owed, self.event, self.patience, self.told = heard, [], Event(loop), PATIENCE, -REPEAT
         super().__init__(loop, address)
 
     def owe(self, text):
         self.owed.append(text)
-        self.bell.ring()
+        self.event.set()
 
     def talk(self):
         """For ever, on a new connection after a fault."""
         self.hang_up()
         while True:
             while not self.owed:
-                yield Until(bell=self.bell)
+                yield Until(event=self.event)
             batch = self.owed[:MOST]
             until = self.loop.now() + self.patience
             if self.line is not None and not self.line.quiet():
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -234,10 +234,10 @@
 
 def start(path, loop=None):
     """A courier from a file, in this process."""
-    loop, ear = loop or Loop(now=Clock(), system=Rebooted()), Quiet()
+    loop, signal_reader = loop or Loop(now=Clock(), system=Rebooted()), Quiet()
     post = posted({"LB_CONFIG": str(path)})
     os.makedirs(post.folder, exist_ok=True)
-    return build(post, loop, ear, lambda: posted({"LB_CONFIG": str(path)}, renewed=True)), loop, ear
+    return build(post, loop, signal_reader, lambda: posted({"LB_CONFIG": str(path)}, renewed=True)), loop, signal_reader
 
 
 def ready(loop, address):
@@ -251,10 +251,10 @@
     rng = random.Random(6)
     for _ in range(500):
         listen = free_address()
-        shift, loop, ear = start(valid(rng, tmp_path, listen))
-        assert ready(loop, listen) and shift.facade.places
+        runtime, loop, signal_reader = start(valid(rng, tmp_path, listen))
+        assert ready(loop, listen) and runtime.facade.places
         loop.epoll.close()
-        ear.close()
+        signal_reader.close()
         for name in os.listdir(tmp_path / "state"):
             os.unlink(tmp_path / "state" / name)
 
@@ -285,13 +285,13 @@
         assert result.exit_code == 0, result.output
         assert "#" in made.read_text() and CliRunner().invoke(main, ["check", str(made)]).exit_code == 0
         sheet = read(str(made)).sheet
-        shift, loop, ear = start(made)
+        runtime, loop, signal_reader = start(made)
         peer = client(loop, sheet.courier.listen)
         peer.say(f"POST /{sheet.product[0].name} HTTP/1.1\r\nHost: x\r\nX-Request-ID: a{number}\r\nX-Timeout: 9\r\n"
                  f"X-Envelope: dest={sheet.partner[0].destination}\r\nContent-Length: 0\r\n\r\n".encode())
         assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
         loop.epoll.close()
-        ear.close()
+        signal_reader.close()
         for name in os.listdir(tmp_path / "state"):
             os.unlink(tmp_path / "state" / name)
 
@@ -396,7 +396,7 @@
     """Partners come and go under traffic; nobody listens at their addresses, so each text ends in a notice."""
     sheet, rng, listen = watched(tmp_path), random.Random(9), free_address()
     (tmp_path / "c.toml").write_text((tmp_path / "c.toml").read_text().replace("127.0.0.1:5000", listen))
-    shift, loop, ear = start(tmp_path / "c.toml")
+    runtime, loop, signal_reader = start(tmp_path / "c.toml")
     peer, path, taken, refused = client(loop, listen), tmp_path / "list.toml", 0, 0
     whole = [partner_list(number) for number in range(1, 6)]
     for number in range(300):
@@ -410,13 +410,13 @@
         taken, refused = taken + heard.startswith(b"HTTP/1.1 202"), refused + heard.startswith(b"HTTP/1.1 503")
         loop.now.now += 50.0
         loop.once(loop.now())
-        assert sorted(place.address for place in shift.facade.places.values()) in [
+        assert sorted(place.address for place in runtime.facade.places.values()) in [
             sorted(f"127.0.0.1:{6101 + i}" for i in range(n)) for n in range(1, 6)]
     for _ in range(300):
         loop.now.now += 20.0
         loop.once(loop.now())
-    assert taken + refused == 300 and taken > 100 and shift.ledger.noticed == taken and not shift.journal.texts and sheet
-    ear.close()
+    assert taken + refused == 300 and taken > 100 and runtime.ledger.noticed == taken and not runtime.journal.texts and sheet
+    signal_reader.close()
 
 
 def test_a_list_that_removes_a_partner_is_taken_up_while_texts_to_it_are_out(tmp_path):
@@ -424,8 +424,8 @@
     listen = free_address()
     text = put("127.0.0.1:5000", listen).replace("zones =", "partners_file = \"list.toml\"\nzones =").split("[[partner]]")[0]
     (tmp_path / "c.toml").write_text(text)
-    shift, loop, ear = start(tmp_path / "c.toml")
-    assert len(shift.facade.places) == 2
+    runtime, loop, signal_reader = start(tmp_path / "c.toml")
+    assert len(runtime.facade.places) == 2
     peer = client(loop, listen)
     for ident, dest in (("a", 0), ("b", 1)):
         peer.say(f"POST /stock HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: 3\r\nX-Envelope: dest={dest}\r\n"
@@ -433,30 +433,30 @@
         assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
     (tmp_path / "list.toml").write_bytes(partner_list(1))
     loop.now.now += LOOK + 1.0
-    spin(loop, lambda: len(shift.facade.places) == 1)
+    spin(loop, lambda: len(runtime.facade.places) == 1)
     for _ in range(200):
         loop.now.now += 20.0
         loop.once(loop.now())
-    assert not shift.facade.texts and not shift.journal.texts and shift.ledger.noticed == 2
-    ear.close()
+    assert not runtime.facade.texts and not runtime.journal.texts and runtime.ledger.noticed == 2
+    signal_reader.close()
 
 
 def test_a_sighup_with_a_broken_file_changes_nothing_and_with_a_sound_one_its_partners(tmp_path):
     path, listen = tmp_path / "c.toml", free_address()
     path.write_text(put("127.0.0.1:5000", listen))
-    shift, loop, ear = start(path)
+    runtime, loop, signal_reader = start(path)
     environ = {"LB_CONFIG": str(path)}
-    renewal = Renewal(loop, ear, posted(environ), lambda: posted(environ, renewed=True), None, None, None, shift)
+    renewal = Renewal(loop, signal_reader, posted(environ), lambda: posted(environ, renewed=True), None, None, None, runtime)
 
     def addresses():
-        return sorted(place.address[-4:] for place in shift.facade.places.values())
+        return sorted(place.address[-4:] for place in runtime.facade.places.values())
     assert addresses() == ["6001", "6002", "6003"]
     for text, after in ((path.read_text().replace("6003", "6001"), ["6001", "6002", "6003"]), ("version = ", ["6001", "6002", "6003"]),
                         (path.read_text().replace("6003", "6009"), ["6001", "6002", "6009"])):
         path.write_text(text)
         renewal.renew()
         assert addresses() == after
-    ear.close()
+    signal_reader.close()
 
 
 # The command line, as a process.
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -7,7 +7,7 @@
 import pytest
 
 from calicopin import brain
-from calicopin.boot.ear import Ear
+from calicopin.boot.signals import SignalReader
 from calicopin.boot.start import Post, build, listed, posted
 from calicopin.boot.leave import LAST_CALL, LAST_TEXT, LEAVE, LISTEN
 from calicopin.boot.stop import STEP
@@ -233,7 +233,7 @@
         self.known = {"version": 4, "full": True, "servers": [
             {"id": "s-1", "addr": self.endpoint.address, "zone": "a", "kind": "one", "cell": 7, "state": "active"}]}
         self.posts = [Post("n0", self.listen, self.platform.address, str(folder), 5, 256, disk, self.known, terms(**settings))]
-        self.shift = build(self.posts[0], self.loop, Ear(), lambda: self.again())
+        self.runtime = build(self.posts[0], self.loop, SignalReader(), lambda: self.again())
         if asked:
             self.tell(self.known)
 
@@ -273,8 +273,8 @@
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
     peer.say(answer(200))
-    spin(house.loop, lambda: not house.shift.journal.texts and not house.shift.out)
-    assert house.shift.lines.count == 1 and not house.shift.facade.texts
+    spin(house.loop, lambda: not house.runtime.journal.texts and not house.runtime.out)
+    assert house.runtime.lines.count == 1 and not house.runtime.facade.texts
 
 
 def test_a_text_is_on_disk_before_its_202_and_its_submit_before_the_first_byte(tmp_path):
@@ -293,21 +293,21 @@
         heard = peer.wait(b"\xfe\xfe\xfe")
         if b"done" in heard:
             peer.say(answer(200))
-    spin(house.loop, lambda: len(house.shift.journal.texts) == 2)
+    spin(house.loop, lambda: len(house.runtime.journal.texts) == 2)
     house.kill()
     back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
-    assert {ident: kept.tries for ident, kept in back.shift.journal.texts.items()} == {"again": 2, "once": 1}
+    assert {ident: kept.tries for ident, kept in back.runtime.journal.texts.items()} == {"again": 2, "once": 1}
     peer = back.endpoint.meet()
     assert b"again" in peer.wait(b"\xfe\xfe\xfe")
     assert back.notice() == [{"ref": "once", "result": "dead"}]
     peer.say(answer(200))
-    spin(back.loop, lambda: not back.shift.journal.texts)
+    spin(back.loop, lambda: not back.runtime.journal.texts)
 
 
 def test_a_notice_not_yet_heard_is_owed_after_a_restart(tmp_path):
     house = House(tmp_path)
     house.post("a", left=0.0)
-    spin(house.loop, lambda: house.shift.notices.owed)
+    spin(house.loop, lambda: house.runtime.notices.owed)
     house.kill()
     assert House(tmp_path, asked=False).notice() == [{"ref": "a", "result": "bounced"}]
 
@@ -318,13 +318,13 @@
     assert house.post("a") == b"202"
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
-    assert house.post("a", size=9) == b"409" and len(house.shift.journal.texts["a"].body) == 3
+    assert house.post("a", size=9) == b"409" and len(house.runtime.journal.texts["a"].body) == 3
     peer.say(answer(200))
-    spin(house.loop, lambda: not house.shift.journal.texts)
-    assert house.post("a") == b"409" and house.shift.ledger.taken == 1
+    spin(house.loop, lambda: not house.runtime.journal.texts)
+    assert house.post("a") == b"409" and house.runtime.ledger.taken == 1
     house.loop.now.now += 20_001.0
-    house.shift.journal.past.add("b", house.loop.now())
-    assert "a" not in house.shift.journal.past
+    house.runtime.journal.past.add("b", house.loop.now())
+    assert "a" not in house.runtime.journal.past
 
 
 def test_a_destination_never_listed_is_not_taken_on(tmp_path):
@@ -332,7 +332,7 @@
     house = House(tmp_path, asked=False)
     assert house.post("a", dest=9) == b"503"
     house.tell(house.known)
-    assert house.post("b", dest=9) == b"404" and house.post("c") == b"202" and house.shift.facade.dests.index == {7: 0}
+    assert house.post("b", dest=9) == b"404" and house.post("c") == b"202" and house.runtime.facade.dests.index == {7: 0}
 
 
 def test_a_start_calls_nobody_by_an_old_list_where_an_agent_has_a_newer_one(tmp_path):
@@ -375,14 +375,14 @@
     many = [entry | {"id": f"s-{number}"} for number in range(1024)]
     house.tell({"version": 4, "full": True, "servers": many})
     house.endpoint.meet().wait(b"\xfe\xfe\xfe")
-    assert len(house.shift.facade.places) == len(house.shift.facade.module.dests[0].endpoints) == 1024
+    assert len(house.runtime.facade.places) == len(house.runtime.facade.module.dests[0].endpoints) == 1024
     assert len(asked) < 20, "the route that they share is asked a few times, not for each of them"
     change = {"version": 5, "full": False, "servers": [one | {"state": "leaving"} for one in many] + [entry | {"id": "s-new", "addr": other.address}]}
     house.watch.say(answer(200, json.dumps(change, indent=1).encode()))
     house.watch.wait(b"index=5")
     assert house.post("b") == b"202"
     assert b"\xfe\xfe\xfe" in other.meet().wait(b"\xfe\xfe\xfe")
-    assert len(house.shift.facade.places) == 1025 and len(asked) < 40
+    assert len(house.runtime.facade.places) == 1025 and len(asked) < 40
 
 
 def test_an_empty_list_is_passed_over_and_a_list_known_that_cannot_be_read_stops_no_start(tmp_path):
@@ -401,14 +401,14 @@
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
     peer.say(answer(200))
-    spin(house.loop, lambda: house.shift.lines.count)
-    facade = house.shift.facade
+    spin(house.loop, lambda: house.runtime.lines.count)
+    facade = house.runtime.facade
     for number in range(200):
-        house.shift.listed([place(f"t-{number}", house.endpoint.address), place("s-1", ready=False, left=True)], False)
-        house.shift.listed([place(f"t-{number}", ready=False, left=True)], False)
+        house.runtime.listed([place(f"t-{number}", house.endpoint.address), place("s-1", ready=False, left=True)], False)
+        house.runtime.listed([place(f"t-{number}", ready=False, left=True)], False)
         house.loop.now.now += 1000.0
         house.loop.once(house.loop.now())
-    assert not house.shift.lines.count and not peer.wait_end() and not facade.places
+    assert not house.runtime.lines.count and not peer.wait_end() and not facade.places
     assert max(len(table) for table in (
         facade.endpoints.index, facade.endpoints.ident, facade.module.endpoints)) <= 62
 
@@ -419,17 +419,17 @@
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
     peer.say(b"HTTP/1.1 200 OK\r\n")
-    spin(house.loop, lambda: not house.shift.journal.texts)
-    assert house.shift.out == 1
+    spin(house.loop, lambda: not house.runtime.journal.texts)
+    assert house.runtime.out == 1
     peer.say(b"X-Retry-In-Ms: 700\r\nContent-Length: 0\r\n\r\n")
-    spin(house.loop, lambda: not house.shift.out)
+    spin(house.loop, lambda: not house.runtime.out)
     house.post("b")
     for at in (0.0, 699.0):
-        assert not house.shift.out
+        assert not house.runtime.out
         house.loop.now.now += at
         house.loop.once(house.loop.now())
     house.loop.now.now += 6.0
-    spin(house.loop, lambda: house.shift.out)
+    spin(house.loop, lambda: house.runtime.out)
 
 
 def test_without_room_for_the_body_a_text_is_refused(tmp_path):
@@ -446,29 +446,29 @@
 
 def test_a_fault_in_the_decisions_does_not_stop_the_program(tmp_path, monkeypatch):
     house = House(tmp_path)
-    tick, house.shift.facade.tick = house.shift.facade.tick, None
+    tick, house.runtime.facade.tick = house.runtime.facade.tick, None
     house.loop.once(house.loop.now())
-    assert house.post("a") == b"503" and house.post("b") == b"503" and not house.shift.ledger.taken
-    house.shift.facade.tick = tick
+    assert house.post("a") == b"503" and house.post("b") == b"503" and not house.runtime.ledger.taken
+    house.runtime.facade.tick = tick
     house.loop.once(house.loop.now())
-    assert house.post("a") == b"202" and not house.shift.stuck
+    assert house.post("a") == b"202" and not house.runtime.stuck
 
 
 def test_a_disk_that_fails_keeps_answers_and_calls_back(tmp_path, monkeypatch):
     """Nothing may go out that the journal does not hold."""
     house = House(tmp_path)
-    flush, house.shift.journal.flush = house.shift.journal.flush, lambda: os.write(-1, b"")
+    flush, house.runtime.journal.flush = house.runtime.journal.flush, lambda: os.write(-1, b"")
     peer = client(house.loop, house.listen)
     peer.say(b"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: a\r\nX-Timeout: 9\r\nX-Envelope: dest=7\r\n"
              b"Content-Length: 0\r\n\r\n")
-    spin(house.loop, lambda: house.shift.ledger.taken)
-    house.shift.take(Text("late", 7, 0, None, None, 0.0, b""))
+    spin(house.loop, lambda: house.runtime.ledger.taken)
+    house.runtime.take(Text("late", 7, 0, None, None, 0.0, b""))
     for _ in range(20):
         house.loop.once(house.loop.now())
-    assert not peer.hear() and not house.shift.out and not house.shift.notices.owed
-    house.shift.journal.flush = flush
+    assert not peer.hear() and not house.runtime.out and not house.runtime.notices.owed
+    house.runtime.journal.flush = flush
     house.loop.now.now += 100.0
-    assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202") and house.shift.out == 1
+    assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202") and house.runtime.out == 1
 
 
 def test_sigterm_before_the_first_list_and_again_ends_once_and_in_order_behind_a_torn_record(tmp_path):
@@ -482,14 +482,14 @@
         house.endpoint.sock.accept()
     house.loop.now.now += LEAVE + 1.0
     spin(house.loop, lambda: not house.loop.running)
-    assert {ident: text.tries for ident, text in house.shift.journal.texts.items()} == {"a": 0, "b": 0}
+    assert {ident: text.tries for ident, text in house.runtime.journal.texts.items()} == {"a": 0, "b": 0}
     house.kill()
     with open(tmp_path / "journal", "ab") as file:
         file.write(b"\x40\x00\x00\x00torn")
     back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
     peers = [back.endpoint.meet() for _ in range(2)]
     heard = {peer.wait(b"\xfe\xfe\xfe").split(b"X-Request-ID: ")[-1][:1] for peer in peers}
-    assert heard == {b"a", b"b"} and {text.tries for text in back.shift.journal.texts.values()} == {1}
+    assert heard == {b"a", b"b"} and {text.tries for text in back.runtime.journal.texts.values()} == {1}
 
 
 def test_sigterm_finishes_what_it_can_and_leaves_the_rest_journalled(tmp_path):
@@ -506,16 +506,16 @@
     house.loop.now.now += LISTEN + 1.0
     assert house.post("c") == b"202"
     peer.say(answer(200))
-    spin(house.loop, lambda: set(house.shift.journal.texts) == {"b", "c"})
+    spin(house.loop, lambda: set(house.runtime.journal.texts) == {"b", "c"})
     house.loop.now.now += LAST_CALL - LISTEN
-    spin(house.loop, lambda: not house.shift.calling)
-    out = house.shift.out
-    assert house.post("d") == b"202" and house.shift.out == out, "taken on for the time after the restart"
+    spin(house.loop, lambda: not house.runtime.calling)
+    out = house.runtime.out
+    assert house.post("d") == b"202" and house.runtime.out == out, "taken on for the time after the restart"
     house.loop.now.now += LAST_TEXT - LAST_CALL
     assert not peer2.wait_end() and refused(house)
     house.loop.now.now += LEAVE
     spin(house.loop, lambda: not house.loop.running)
-    assert set(house.shift.journal.texts) == {"b", "c", "d"}
+    assert set(house.runtime.journal.texts) == {"b", "c", "d"}
 
 
 def renew(house, **other):
@@ -530,39 +530,39 @@
     house.post("a", left=0.0)
     old = house.platform.meet()
     old.wait(b"\r\n\r\n")
-    spin(house.loop, lambda: house.shift.notices.owed)
+    spin(house.loop, lambda: house.runtime.notices.owed)
     new = Door(house.loop)
     renew(house, discovery=new.address, descriptors=40, disk=6_000_000)
     heard = {peer.wait(b"\r\n\r\n")[:8]: peer for peer in (new.meet(), new.meet())}
     old.wait_end()
     watch, notices = heard[b"GET /api"], heard[b"POST /v1"]
     notices.say(answer(204))
-    spin(house.loop, lambda: not house.shift.journal.texts)
+    spin(house.loop, lambda: not house.runtime.journal.texts)
     other = {"id": "s-2", "addr": "127.0.0.1:9", "zone": "a", "kind": "one", "cell": 8, "state": "active"}
     watch.say(answer(200, json.dumps({"version": 2, "full": True, "servers": [other]}).encode()))
     assert b"index=2&wait=2000" in watch.wait(b"\r\n\r\n")
-    assert house.shift.lines.most == Budget(40, 8).endpoints < Budget(256, 8).endpoints and house.shift.journal.most == 3_000_000
+    assert house.runtime.lines.most == Budget(40, 8).endpoints < Budget(256, 8).endpoints and house.runtime.journal.most == 3_000_000
     assert house.loop.running and house.post("b") == b"202"
 
 
 def test_a_configuration_that_cannot_be_read_changes_nothing(tmp_path):
     house = House(tmp_path)
     old = house.watch
-    before = house.shift.notices.task
+    before = house.runtime.notices.task
     for broken in ({}, {"discovery": 7}, {"discovery": "nowhere"}, "[", {"settings": terms(), "discovery": "1.2.3.4:x"}):
         (tmp_path / "c.json").write_text(broken if broken == "[" else json.dumps({"listen": "x", "state": "y"} | broken))
         house.again = lambda: posted({"LB_CONFIG": str(tmp_path / "c.json")}, renewed=True)
         os.kill(os.getpid(), signal.SIGHUP)
         for _ in range(10):
             house.loop.once(house.loop.now())
-    assert not old.hear() and not old.ended and house.loop.running and house.shift.notices.task is before
+    assert not old.hear() and not old.ended and house.loop.running and house.runtime.notices.task is before
 
 
 def test_a_signal_before_the_start_is_not_lost(tmp_path):
-    ear = Ear()
+    signal_reader = SignalReader()
     os.kill(os.getpid(), signal.SIGHUP)
     os.kill(os.getpid(), signal.SIGTERM)
-    assert ear.heard() == {signal.SIGHUP, signal.SIGTERM} and not ear.heard()
+    assert signal_reader.heard() == {signal.SIGHUP, signal.SIGTERM} and not signal_reader.heard()
 
 
 def refused(house):
@@ -587,15 +587,15 @@
 def test_a_call_that_the_journal_held_up_is_decided_anew(tmp_path):
     """It once went out when the disk was back, after its text's time and beyond the memory of its reference."""
     house = House(tmp_path)
-    flush, house.shift.journal.flush = house.shift.journal.flush, lambda: os.write(-1, b"")
-    house.shift.take(Text("a", 7, 0, None, None, house.loop.now() + 5000.0, b""))
-    house.shift.take(Text("b", 7, 0, None, None, house.loop.now() + 90000.0, b""))
+    flush, house.runtime.journal.flush = house.runtime.journal.flush, lambda: os.write(-1, b"")
+    house.runtime.take(Text("a", 7, 0, None, None, house.loop.now() + 5000.0, b""))
+    house.runtime.take(Text("b", 7, 0, None, None, house.loop.now() + 90000.0, b""))
     for _ in range(5):
         house.loop.once(house.loop.now())
     house.loop.now.now += 6000.0
-    house.shift.journal.flush = flush
+    house.runtime.journal.flush = flush
     assert b"X-Request-ID: b" in house.endpoint.meet().wait(b"\r\n\r\n")
-    assert house.notice() == [{"ref": "a", "result": "bounced"}] and house.shift.out == 1
+    assert house.notice() == [{"ref": "a", "result": "bounced"}] and house.runtime.out == 1
 
 
 def test_a_text_whose_time_is_up_is_not_in_a_call_that_comes_up_later():
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -24,13 +24,13 @@
     house, address = clients(loop)
     peer = client(loop, address)
     peer.say(request())
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
     house.closing = True
     peer.say(request(X_Request_ID="behind"))
-    house.desk.keep()
+    house.acceptor.keep()
     peer.wait_end()
     assert peer.heard.startswith(b"HTTP/1.1 202") and peer.heard.count(b"HTTP/1.1") == 1
-    assert [text.ident for text in house.desk.texts] == ["9b1f"], "what is read after the shutdown goes nowhere"
+    assert [text.ident for text in house.acceptor.texts] == ["9b1f"], "what is read after the shutdown goes nowhere"
     assert house.open == 1, "the client has time to read and to close"
     peer.sock.close()
     spin(loop, lambda: house.open == 0)
@@ -40,8 +40,8 @@
     house, address = clients(loop)
     peer = client(loop, address)
     peer.say(request(Connection="close"))
-    spin(loop, lambda: house.desk.bells)
-    house.desk.keep()
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
     peer.wait_end()
     assert house.open == 1 and house.lingering
     loop.now.now += LINGER + 1.0
@@ -56,7 +56,7 @@
         peer.say(request())
     house.stop_listening()
     house.stop_listening()
-    spin(loop, lambda: len(house.desk.bells) == 8)
+    spin(loop, lambda: len(house.acceptor.events) == 8)
     with pytest.raises(OSError):
         client(loop, address)
 
@@ -98,11 +98,11 @@
     house.loop.now.now += STEP
     last.say(b"c")
     house.loop.once(house.loop.now())
-    assert house.loop.running and set(house.shift.journal.texts) == {"last"}
+    assert house.loop.running and set(house.runtime.journal.texts) == {"last"}
     late.say(b"c")
     spin(house.loop, lambda: not house.loop.running)
     assert last.wait_end().startswith(b"HTTP/1.1 202") and late.wait_end().startswith(b"HTTP/1.1 503")
-    assert set(house.shift.journal.texts) == {"last"}
+    assert set(house.runtime.journal.texts) == {"last"}
 
 
 def test_a_request_that_is_not_whole_at_the_end_is_refused_and_not_left_without_a_word(house):
@@ -110,15 +110,15 @@
     passed(house, LEAVE - LAST_TEXT + 99.0)
     house.loop.now.now += STEP
     spin(house.loop, lambda: not house.loop.running)
-    assert half.wait_end().startswith(b"HTTP/1.1 503") and silent.wait_end() == b"" and not house.shift.journal.texts
+    assert half.wait_end().startswith(b"HTTP/1.1 503") and silent.wait_end() == b"" and not house.runtime.journal.texts
 
 
 def test_a_message_that_the_disk_never_took_is_refused_at_the_end(house):
     """No 202 had gone out for it; its client was left without an answer."""
     peer = begun(house, "a")
-    house.shift.journal.flush = lambda: os.write(-1, b"")
+    house.runtime.journal.flush = lambda: os.write(-1, b"")
     peer.say(b"c")
-    spin(house.loop, lambda: house.shift.stuck)
+    spin(house.loop, lambda: house.runtime.stuck)
     passed(house, LEAVE - LAST_TEXT + 99.0)
     house.loop.now.now += STEP
     spin(house.loop, lambda: not house.loop.running)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,8 +21,8 @@
 DRIVER = """
 import os, signal, socket, sys
 from calicopin import system
-from calicopin.boot.ear import Ear
-ear = Ear()
+from calicopin.boot.signals import SignalReader
+signal_reader = SignalReader()
 from calicopin.handover import giver, meeting, state, taker
 if sys.argv[1] == "forgets-waits":
     state.ROUTE = tuple(name for name in state.ROUTE if name not in ("pause", "tokens", "mode"))
@@ -68,7 +68,7 @@
 system.System.again = staticmethod(lambda: os.execv(sys.executable, [sys.executable, "-m", "calicopin"]))
 sys.argv = sys.argv[:1]
 from calicopin.boot.start import main
-sys.exit(main(ear))
+sys.exit(main(signal_reader))
 """
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,19 +17,19 @@
     def __init__(self, folder, **other):
         super().__init__(folder, **other)
         self.admin = free_address()
-        self.shift.journal.system.close(self.shift.journal.file)
+        self.runtime.journal.system.close(self.runtime.journal.file)
         self.kill()
         self.loop = type(self.loop)(now=self.loop.now, system=self.loop.system)
         self.endpoint.loop = self.platform.loop = self.loop
         self.listen = free_address()
         self.posts = [replace(self.posts[0], listen=self.listen, admin=self.admin)]
-        self.shift = build(self.posts[0], self.loop, self.ear(), lambda: self.again())
+        self.runtime = build(self.posts[0], self.loop, self.signal_reader(), lambda: self.again())
         self.tell(self.known)
 
     @staticmethod
-    def ear():
-        from calicopin.boot.ear import Ear
-        return Ear()
+    def signal_reader():
+        from calicopin.boot.signals import SignalReader
+        return SignalReader()
 
     def call(self, path, method="GET", body=b"", extra=""):
         """(status, body) of one call."""
@@ -64,8 +64,8 @@
     for peer in peers:
         heard = peer.wait(b"\xfe\xfe\xfe")
         peer.say(answer(200) if b"c" != heard.split(b"X-Request-ID: ")[-1][:1] and b" c\r" not in heard else answer(500))
-    spin(house.loop, lambda: len(house.shift.facade.texts) == 0)
-    house.shift.current = False  # as before the first list was heard
+    spin(house.loop, lambda: len(house.runtime.facade.texts) == 0)
+    house.runtime.current = False  # as before the first list was heard
     assert house.post("d", dest=9) == b"503"
     told = house.stats()
     assert told["succeeded"] == {"notice": 1, "order": 1, "once": 0} and told["aborted"] == {"notice": 0, "order": 0, "once": 1}
@@ -140,12 +140,12 @@
     peer.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
     assert b"503" in peer.wait_end(), "and its connection is given back"
     house.pass_time(leave.QUIET - leave.LISTEN)
-    assert house.post("refused") == b"503" and set(house.shift.facade.texts)
+    assert house.post("refused") == b"503" and set(house.runtime.facade.texts)
     silent = client(house.loop, house.listen)
     house.pass_time(0.0)
     house.pass_time(leave.HAND_BACK - leave.QUIET)
     silent.wait_end()
-    spin(house.loop, lambda: house.pass_time(20.0) or not house.shift.facade.texts)
+    spin(house.loop, lambda: house.pass_time(20.0) or not house.runtime.facade.texts)
     assert house.notice()[0] == {"ref": "waits", "result": "bounced"} and house.stats()["declined"]["notice"] == 3
     assert house.call("quiesce", "POST")[1] == {"quiesced": True, "step": "empty", "held": 0, "clients": 0}
     house.pass_time(60_000.0)
@@ -167,7 +167,7 @@
 
 
 def test_what_may_have_run_and_must_not_run_twice_is_not_handed_back(house):
-    products = house.shift.facade.module.products
+    products = house.runtime.facade.module.products
     products[2] = replace(products[2], sla=10000.0)  # its time-out before any answer: well after all is handed back
     house.post("once", "once")
     peer = house.endpoint.meet()
@@ -194,7 +194,7 @@
 def test_an_address_that_is_taken_or_the_clients_is_a_refusal(house):
     host, _, port = house.listen.rpartition(":")
     with pytest.raises(OSError), socket.socket():
-        build(replace(house.posts[0], listen=free_address(), admin=house.listen), house.loop, house.ear(), house.again)
+        build(replace(house.posts[0], listen=free_address(), admin=house.listen), house.loop, house.signal_reader(), house.again)
 
 
 def test_a_quiesced_courier_still_heeds_sigterm(house):
@@ -214,7 +214,7 @@
     """They come with the log's library and are a quarter of the memory of a courier; two of them stand side by side in an upgrade."""
     import subprocess
     import sys
-    script = ("import sys; from calicopin.boot.light import load_logging; load_logging(); import calicopin.boot.start, calicopin.handover.giver;"
+    script = ("import sys; from calicopin.boot.log_import import load_logging; load_logging(); import calicopin.boot.start, calicopin.handover.giver;"
               "assert not {'ssl', 'asyncio', 'subprocess', 'concurrent'} & set(sys.modules), 'read in';"
               "from loguru import logger; logger.info('said'); import asyncio; asyncio.run(asyncio.sleep(0))")
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from calicopin.boot.ear import Ear
+from calicopin.boot.signals import SignalReader
 from calicopin.boot.start import main, posted
 from calicopin.facade import Answer, Facade, Far
 from calicopin.terms import check
@@ -47,14 +47,14 @@
     assert str(fault.value).startswith(named) and "\n" not in str(fault.value)
     (tmp_path / "c.json").write_text(json.dumps({"listen": "127.0.0.1:1", "state": str(tmp_path), "settings": told}))
     monkeypatch.setattr("os.environ", {"LB_CONFIG": str(tmp_path / "c.json")})
-    assert main(Ear()) == 2 and capsys.readouterr().err.strip() == str(fault.value)
+    assert main(SignalReader()) == 2 and capsys.readouterr().err.strip() == str(fault.value)
 
 
 @pytest.mark.parametrize("told", [{}, [], {"listen": "127.0.0.1:1", "state": "x"}, {"listen": "127.0.0.1:1", "settings": terms()}])
 def test_a_file_that_lacks_what_a_start_needs_is_a_plain_refusal(told, tmp_path, monkeypatch, capsys):
     (tmp_path / "c.json").write_text(json.dumps(told))
     monkeypatch.setattr("os.environ", {"LB_CONFIG": str(tmp_path / "c.json")})
-    assert main(Ear()) == 2
+    assert main(SignalReader()) == 2
     assert str(tmp_path / "c.json") in (line := capsys.readouterr().err.strip()) and "\n" not in line
 
 
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -5,7 +5,7 @@
 import pytest
 
 from calicopin.boot.start import Post, build
-from calicopin.boot.ear import Ear
+from calicopin.boot.signals import SignalReader
 from calicopin.facade import Answer, Facade, Far
 from calicopin.interface import Repeat
 from calicopin.terms import check, partners, product, pushed, reports
@@ -64,8 +64,8 @@
 def test_a_courier_starts_on_a_variant(site, tmp_path):
     loop = Loop(now=Clock())
     post = Post("n0", free_address(), free_address(), str(tmp_path), 5, 256, 3_000_000, {"version": 0, "full": True, "servers": []}, told(site))
-    shift = build(post, loop, Ear(), lambda: post)
-    assert shift.facade.room == site["fam"]["least_open"] and not shift.stuck
+    runtime = build(post, loop, SignalReader(), lambda: post)
+    assert runtime.facade.room == site["fam"]["least_open"] and not runtime.stuck
 
 
 def test_the_variants_have_what_the_users_deployments_have_not():
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,7 +13,7 @@
 from calicopin.wire.clients import NEW, PATIENCE, PAUSE, REST, Clients
 from calicopin.wire.discovery import Discovery
 from calicopin.wire.endpoints import Flight, submit
-from calicopin.wire.loop import READ, Bell, Loop, Until
+from calicopin.wire.loop import READ, Event, Loop, Until
 from calicopin.wire.notices import Notices
 from helper import Clock, Door, answer, client, free_address, spin
 
@@ -222,34 +222,34 @@
 
 # Clients.
 
-class Desk:
+class Acceptor:
     """Takes texts as told and keeps them when the test says so."""
 
     def __init__(self):
-        self.texts, self.bells, self.refusal, self.withdrawn = [], [], None, []
+        self.texts, self.events, self.refusal, self.withdrawn = [], [], None, []
 
     def take(self, text):
         if self.refusal is None:
             self.texts.append(text)
         return self.refusal
 
-    def kept(self, bell):
-        self.bells.append(bell)
-        return bell
+    def kept(self, event):
+        self.events.append(event)
+        return event
 
     def withdraw(self, text):
         self.withdrawn.append(text)
 
     def keep(self):
-        for bell in self.bells:
-            bell.ring()
-        self.bells = []
+        for event in self.events:
+            event.set()
+        self.events = []
 
 
 def clients(loop, most=10):
     address, budget = free_address(), Budget(256, 8)
     budget.clients, budget.porch = most, 1
-    return Clients(loop, address, {"notice": 0, "order": 1}, budget, Desk()), address
+    return Clients(loop, address, {"notice": 0, "order": 1}, budget, Acceptor()), address
 
 
 def request(path="/notice", body=b"hello", **other):
@@ -263,20 +263,20 @@
     house, address = clients(loop)
     peer = client(loop, address)
     peer.say(request("/order/van%207", bytes(range(256)), Idempotency_Key="5c0f"))
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
     for _ in range(20):
         loop.once(loop.now())
     assert not peer.hear()
-    house.desk.keep()
+    house.acceptor.keep()
     assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
-    text = house.desk.texts[0]
+    text = house.acceptor.texts[0]
     assert (text.ident, text.dest, text.product, text.reference, text.key, text.until, text.body) == (
         "9b1f", 7, 1, "5c0f", "van 7", 1480.0, bytes(range(256)))
 
 
 def test_a_refused_text_may_come_again(loop):
     house, address = clients(loop)
-    house.desk.refusal = 503, 1500.0
+    house.acceptor.refusal = 503, 1500.0
     peer = client(loop, address)
     peer.say(request())
     heard = peer.wait(b"\r\n\r\n")
@@ -300,9 +300,9 @@
     peer, other = client(loop, address), client(loop, address)
     peer.say(request(**what))
     heard = peer.wait(b"\r\n\r\n")
-    assert int(heard.split()[1]) in (status, 501) and not house.desk.texts
+    assert int(heard.split()[1]) in (status, 501) and not house.acceptor.texts
     other.say(request())
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
 
 
 @pytest.mark.parametrize("garbage", [b"\x16\x03\x01\x02\x00\r\n\r\n", b"POST /notice HTTP/1.1\r\n bad\r\n\r\n",
@@ -349,13 +349,13 @@
     other.say(request())
     for _ in range(3):
         loop.once(loop.now())
-    assert house.desk.bells and busy.hear().count(b"HTTP/1.1 200") < 50
+    assert house.acceptor.events and busy.hear().count(b"HTTP/1.1 200") < 50
     spin(loop, lambda: busy.hear().count(b"HTTP/1.1 200") == 50)
 
 
 def test_a_fault_of_ours_is_answered_too(loop):
     house, address = clients(loop)
-    house.desk.take = None
+    house.acceptor.take = None
     peer, other = client(loop, address), client(loop, address)
     peer.say(request())
     assert peer.wait_end().startswith(b"HTTP/1.1 500")
@@ -374,8 +374,8 @@
     peer.say(b"ab")
     loop.once(loop.now())
     peer.say(b"cd")
-    spin(loop, lambda: house.desk.texts)
-    assert house.desk.texts[0].body == b"abcd"
+    spin(loop, lambda: house.acceptor.texts)
+    assert house.acceptor.texts[0].body == b"abcd"
 
 
 def test_a_client_that_left_before_its_answer_withdraws(loop):
@@ -383,12 +383,12 @@
     house, address = clients(loop)
     peer = client(loop, address)
     peer.say(request())
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
     peer.sock.setsockopt(1, 13, b"\x01\x00\x00\x00\x00\x00\x00\x00")  # leaves with a reset
     peer.sock.close()
-    house.desk.keep()
+    house.acceptor.keep()
     spin(loop, lambda: house.open == 0)
-    assert [text.ident for text in house.desk.withdrawn] == ["9b1f"]
+    assert [text.ident for text in house.acceptor.withdrawn] == ["9b1f"]
 
 
 def test_a_connection_with_a_request_under_way_is_not_closed_for_want_of_descriptors_or_at_the_stop(loop):
@@ -400,7 +400,7 @@
     house.budget.clients = 1
     house.relieve()
     house.close_between_requests()
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
 
 
 def test_a_client_that_left_before_its_text_was_read_is_not_taken_on(loop):
@@ -410,7 +410,7 @@
     spin(loop, lambda: house.idle)
     peer.say(request())
     peer.sock.shutdown(1)
-    assert peer.wait_end().startswith(b"HTTP/1.1 503") and not house.desk.texts
+    assert peer.wait_end().startswith(b"HTTP/1.1 503") and not house.acceptor.texts
 
 
 @pytest.mark.parametrize("part", [request()[:40], request()[:-3]])
@@ -461,7 +461,7 @@
     house.relieve()
     assert not held[0].wait_end() and house.open == 2 and not held[1].ended
     begun.say(request()[40:])
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
 
 
 def test_where_there_is_no_room_at_all_a_client_is_turned_away_at_once(loop):
@@ -472,7 +472,7 @@
     spin(loop, lambda: house.open == 3)
     late, later = client(loop, address), client(loop, address)
     late.say(request())
-    spin(loop, lambda: house.desk.bells)
+    spin(loop, lambda: house.acceptor.events)
     assert not idle.wait_end() and later.wait_end().startswith(b"HTTP/1.1 503") and house.open == 3
     assert not any(peer.hear() or peer.ended for peer in silent)
 
@@ -483,13 +483,13 @@
     one, two = client(loop, address), client(loop, address)
     spin(loop, lambda: house.open == 2)
     one.say(request())
-    spin(loop, lambda: house.desk.bells)
-    house.desk.keep()
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
     heard = one.wait_end()
     assert heard.startswith(b"HTTP/1.1 202") and b"Connection: close" in heard and house.open == 1
     two.say(request(X_Request_ID="b"))
-    spin(loop, lambda: house.desk.bells)
-    house.desk.keep()
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
     assert b"close" not in two.wait(b"\r\n\r\n")
 
 
@@ -510,13 +510,13 @@
     idle, busy, half = (client(loop, address) for _ in range(3))
     busy.say(request())
     half.say(request()[:40])
-    spin(loop, lambda: house.desk.bells and len(house.idle) == 1)
+    spin(loop, lambda: house.acceptor.events and len(house.idle) == 1)
     house.stop_listening()
     house.close_between_requests()
     idle.wait_end()
     half.say(request()[40:])
-    spin(loop, lambda: len(house.desk.bells) == 2)
-    house.desk.keep()
+    spin(loop, lambda: len(house.acceptor.events) == 2)
+    house.acceptor.keep()
     for peer in (busy, half):
         heard = peer.wait_end()
         assert heard.startswith(b"HTTP/1.1 202") and b"close" in heard
@@ -739,19 +739,19 @@
 
 # The loop.
 
-def test_a_bell_rung_early_is_not_forgotten_and_a_late_one_is_no_second_wake(loop):
-    bell, woke = Bell(loop), []
+def test_an_event_set_early_is_not_forgotten_and_a_late_one_is_no_second_wake(loop):
+    event, woke = Event(loop), []
 
     def waits():
-        woke.append((yield Until(bell=bell)))
-        woke.append((yield Until(2000.0, bell=bell)))
+        woke.append((yield Until(event=event)))
+        woke.append((yield Until(2000.0, event=event)))
         woke.append((yield Until(3000.0)))
-    bell.ring()
+    event.set()
     loop.spawn(waits())
     spin(loop, lambda: woke == [True])
     loop.now.now = 2000.0
     spin(loop, lambda: woke == [True, False])
-    bell.ring()
+    event.set()
     for _ in range(5):
         loop.once(loop.now())
     assert woke == [True, False]
