--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -100,7 +100,7 @@
         self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
         self.sends, self.sent_at, self.born = deque(), floor.now, floor.now
         self.usual = self.flow = self.cut_off = self.warm_at = 0.0
-        self.doubted, self.refused = None, False  # refused: all failures since the last delivery were refusals
+        self.doubted, self.refused = None, False  # refused: all failures since a delivery were refusals
         self.gap, self.fastest = 0.0, float("inf")  # failures between deliveries; the quickest of those
         self.mode, self.since, self.fails, self.fail_since, self.failed_at = "well", 0.0, 0, 0.0, 0.0
 
@@ -132,12 +132,12 @@
         return sum(at > now - span - 1e-6 for at in self.sends) / min(span, max(SECOND, now - self.born))
 
     def doubtful(self):
-        """Whether failures without an end last for the rule's span; one refusal alone is how a limit shows."""
+        """Whether failures without an end last for the rule's span; one refusal is how a limit shows."""
         return self.fails > self.refused and self.floor.now - self.fail_since >= self.fail_back.span
 
     def speed(self):
-        """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage. Failures
-        without an end that last for the rule's span count as met too: this sender may see little of it."""
+        """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage.
+        Failures without an end that last for the rule's span count as met: this sender may see little of it."""
         now, fail_back = self.floor.now, self.fail_back
         if self.mode == "well" and not self.doubtful():
             return self.pace_now()
@@ -231,7 +231,7 @@
         if not self.sends and now - self.sent_at > self.IDLE and self.mode == "well":
             self.rate = None
         if self.mode == "well" and self.doubtful():
-            if self.doubted != self.fail_since:  # so that whole first calls of many add up to what each may send
+            if self.doubted != self.fail_since:  # so that whole first calls add up to what all may send
                 self.doubted, self.tokens = self.fail_since, min(self.tokens, self.floor.chance(self.name))
         elif self.mode == "well":
             self.flow += (1.0 - 0.95 ** rounds) * (self.recent() - self.flow) if self.flow else self.recent()
