--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -115,13 +115,13 @@
         """The milliseconds after which a text that is turned away may come again (0: none told)."""
         return self.module.advice(self.dests(text.dest))
 
-    def hand_in(self, text):
+    def hand_in(self, text, restored=False):
         """A new text, or one that a restart brought back."""
         text.number, self.next_number = self.next_number, self.next_number + 1
         self.texts[text.number] = text
         zone = None if text.ran_zone is None else self.zones(text.ran_zone)
         self.events.append(Taken(text.number, self.dests(text.dest), text.product, text.until, text.key,
-                                 tries=text.tries, ran_at=text.ran_at, ran_zone=zone))
+                                 tries=text.tries, ran_at=text.ran_at, ran_zone=zone, restored=restored))
 
     def withdraw(self, text):
         """Nothing more is owed for it."""
@@ -160,8 +160,7 @@
         for text in call.texts:
             if text.number in call.open:
                 outcome, ended = how(answer, text.ident)
-                wait = answer.wait if answer.far == Far.ANSWERED else 0.0
-                self._outcome(call, text, outcome, elapsed, ended, wait, told)
+                self._outcome(call, text, outcome, elapsed, ended, answer.wait, told)
         if answer.wait > call.waited:
             if not call.open and call.told:  # the head came whole only after the first line had told the outcome
                 self.module.halt(call.endpoint, answer.wait)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,25 @@
+"""What all tests share: signals as they were, a loop with a clock that the test moves, and the list of tests known to fail."""
+import signal
+
+import pytest
+
+from calicopin.wire.loop import Loop
+from helper import Clock
+from known_red import pytest_collection_modifyitems, pytest_terminal_summary
+
+__all__ = ["pytest_collection_modifyitems", "pytest_terminal_summary", "signals", "loop"]
+
+
+@pytest.fixture(autouse=True)
+def signals():
+    """Whatever a courier in the test's own process does to them is undone."""
+    before = {sign: signal.getsignal(sign) for sign in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)}
+    yield
+    signal.set_wakeup_fd(-1)
+    for sign, handler in before.items():
+        signal.signal(sign, handler)
+
+
+@pytest.fixture
+def loop():
+    return Loop(now=Clock())
