--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -1,4 +1,5 @@
 """The instants in which something ends and something is still owed: each crossing is made by the test, on loopback."""
+import json
 import os
 import signal
 import socket
@@ -10,9 +11,9 @@
 from calicopin.boot.stop import STEP
 from calicopin.facade import Answer, Far
 from calicopin.wire.asking import TOLD, Asking, longest_pause, longest_wait
-from calicopin.wire.clients import LINGER, Clients
+from calicopin.wire.clients import LINGER, NEW, Clients
 from calicopin.wire.discovery import GRACE, Discovery
-from helper import Door, Peer, answer, client, spin
+from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
 from test_courier import House, endings, facade, picked, text
 from test_wire import Out, call, clients, request
 
@@ -274,3 +275,82 @@
         ends[restored] = sorted(ident for ident, verdict in endings(house) if verdict), sorted(calls)
     assert ends[True] == ([], ["new", "old-0", "old-1", "old-2"]), ends
     assert ends[False] != ends[True]
+
+
+# Descriptors.
+
+class Refusing:
+    """A listener for whose connections no descriptor is left."""
+
+    def __init__(self, listener):
+        self.listener, self.tries = listener, 0
+
+    def accept(self):
+        self.tries += 1
+        raise OSError(24, "Too many open files")
+
+    def __getattr__(self, name):
+        return getattr(self.listener, name)
+
+
+def test_an_accept_without_a_descriptor_is_tried_again_later_and_does_not_spin(loop):
+    house, address = clients(loop)
+    house.listener = refusing = Refusing(house.listener)
+    peer = client(loop, address)
+    for _ in range(50):
+        loop.once(loop.now())
+    assert refusing.tries == 1
+    house.listener = refusing.listener
+    loop.now.now += 101.0
+    peer.say(request())
+    spin(loop, lambda: house.acceptor.events)
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_neither_the_list_nor_a_call_out(tmp_path, monkeypatch):
+    """While discovery is silent; what comes back needs descriptors of its own, and they are not the clients' to fill."""
+    made = []
+    monkeypatch.setattr("calicopin.boot.start.Clients", lambda *told: made.append(Clients(*told)) or made[0])
+    house = House(tmp_path, asked=False)
+    watch = house.platform.meet()
+    watch.wait(b"\r\n\r\n")
+    idle = [client(house.loop, house.listen) for _ in range(250)]
+    budget = made[0].budget
+    spin(house.loop, lambda: made[0].open >= budget.clients + budget.porch)
+    for _ in range(20):
+        house.loop.once(house.loop.now())
+    assert made[0].open == budget.clients + budget.porch < 250 and made[0].open + budget.endpoints + budget.OWN <= 256
+    house.loop.now.now += GRACE + 1.0
+    watch.wait_end()
+    house.loop.now.now += 100.0
+    again = house.platform.meet()
+    again.wait(b"\r\n\r\n")
+    again.say(answer(200, json.dumps(house.known).encode()))
+    spin(house.loop, lambda: house.runtime.current)
+    assert made[0].open == budget.clients + budget.porch, "they were all still there"
+    house.loop.now.now += NEW
+    spin(house.loop, lambda: made[0].open < budget.clients)
+    assert house.post("a") == b"202"
+    assert b"\xfe\xfe\xfe" in house.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    assert len(idle) == 250
+
+
+# Restarts.
+
+@pytest.mark.parametrize("away,again", [(700.0, True), (1200.0, False)])
+def test_a_window_for_repeats_that_is_shorter_than_a_restart_is_over_after_it(tmp_path, monkeypatch, away, again):
+    """One second, as on the users' days of restarts: within it the message goes again, behind it never."""
+    wall = Clock(1e12)
+    monkeypatch.setattr(Rebooted, "wall", staticmethod(wall))
+    grades = [grade | {"keyTtl": 1.0} for grade in terms()["grades"]]
+    house = House(tmp_path, grades=grades)
+    assert house.post("a", product="order") == b"202"
+    house.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    house.kill()
+    wall.now += away
+    back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint, grades=grades)
+    if again:
+        assert b"X-Request-ID: a" in back.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    else:
+        assert back.notice() == [{"ref": "a", "result": "bounced"}] and not back.runtime.out
+        with pytest.raises(BlockingIOError):
+            back.endpoint.sock.accept()
