--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -10,8 +10,9 @@
 from calicopin.boot.leave import LAST_TEXT, LEAVE
 from calicopin.boot.stop import STEP
 from calicopin.facade import Answer, Far
+from calicopin.held.connections import Lines
 from calicopin.wire.asking import TOLD, Asking, longest_pause, longest_wait
-from calicopin.wire.clients import LINGER, NEW, Clients
+from calicopin.wire.clients import LINGER, NEW, PATIENCE, Clients
 from calicopin.wire.discovery import GRACE, Discovery
 from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
 from test_courier import House, endings, facade, picked, text
@@ -49,6 +50,22 @@
     spin(loop, lambda: house.open == 0)
 
 
+def test_a_request_whose_last_byte_comes_in_the_instant_of_its_time_out_is_taken_on(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(request()[:-1])
+    spin(loop, lambda: house.open and not house.idle)
+    for _ in range(5):
+        loop.once(loop.now())
+    task = next(task for visit, task in house.visits.items())
+    loop.now.now += PATIENCE + 1.0
+    peer.say(request()[-1:])
+    loop.resume(task, False)  # as the loop does where nothing had come yet when it looked
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
+    assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
+
+
 def test_who_has_connected_when_listening_ends_is_served(loop):
     """Connections in the queue of the listener were reset."""
     house, address = clients(loop)
@@ -214,6 +231,27 @@
     assert [one.ident for made in picked(house) for one in made.texts] == ["other"]
 
 
+def test_half_a_line_that_comes_behind_the_look_at_an_idle_connection_makes_the_answer_unreadable(loop, monkeypatch):
+    """What stands in front of the answer may be the end of another: the call may have run, and the connection serves no more."""
+    door, lines = Door(loop), Lines(4, 1000.0)
+    first = Out(loop, call(door.address), lines)
+    peer = door.meet()
+    peer.wait(b"\x00\xff")
+    peer.say(answer(200))
+    assert first.end().status == 200 and lines.count == 1
+    good = Lines.good
+
+    def crossed(lines, line, since, now):
+        quiet = good(lines, line, since, now)
+        peer.say(b"HTTP/1.1 2")
+        return quiet
+    monkeypatch.setattr(Lines, "good", crossed)
+    out = Out(loop, call(door.address), lines)
+    peer.wait(b"\x00\xff")
+    peer.say(answer(200))
+    assert out.end().far == Far.SENT and lines.count == 0
+
+
 # The list.
 
 def test_from_any_call_that_failed_the_next_answer_is_heard_within_six_seconds():
