--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -1,4 +1,5 @@
 """The instants in which something ends and something is still owed: each crossing is made by the test, on loopback."""
+import json
 import os
 import signal
 import socket
@@ -9,10 +10,11 @@
 from calicopin.boot.leave import LAST_TEXT, LEAVE
 from calicopin.boot.stop import STEP
 from calicopin.facade import Answer, Far
+from calicopin.held.connections import Lines
 from calicopin.wire.asking import TOLD, Asking, longest_pause, longest_wait
-from calicopin.wire.clients import LINGER, Clients
+from calicopin.wire.clients import LINGER, NEW, PATIENCE, Clients
 from calicopin.wire.discovery import GRACE, Discovery
-from helper import Door, Peer, answer, client, spin
+from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
 from test_courier import House, endings, facade, picked, text
 from test_wire import Out, call, clients, request
 
@@ -48,6 +50,22 @@
     spin(loop, lambda: house.open == 0)
 
 
+def test_a_request_whose_last_byte_comes_in_the_instant_of_its_time_out_is_taken_on(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(request()[:-1])
+    spin(loop, lambda: house.open and not house.idle)
+    for _ in range(5):
+        loop.once(loop.now())
+    task = next(task for visit, task in house.visits.items())
+    loop.now.now += PATIENCE + 1.0
+    peer.say(request()[-1:])
+    loop.resume(task, False)  # as the loop does where nothing had come yet when it looked
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
+    assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
+
+
 def test_who_has_connected_when_listening_ends_is_served(loop):
     """Connections in the queue of the listener were reset."""
     house, address = clients(loop)
@@ -213,6 +231,27 @@
     assert [one.ident for made in picked(house) for one in made.texts] == ["other"]
 
 
+def test_half_a_line_that_comes_behind_the_look_at_an_idle_connection_makes_the_answer_unreadable(loop, monkeypatch):
+    """What stands in front of the answer may be the end of another: the call may have run, and the connection serves no more."""
+    door, lines = Door(loop), Lines(4, 1000.0)
+    first = Out(loop, call(door.address), lines)
+    peer = door.meet()
+    peer.wait(b"\x00\xff")
+    peer.say(answer(200))
+    assert first.end().status == 200 and lines.count == 1
+    good = Lines.good
+
+    def crossed(lines, line, since, now):
+        quiet = good(lines, line, since, now)
+        peer.say(b"HTTP/1.1 2")
+        return quiet
+    monkeypatch.setattr(Lines, "good", crossed)
+    out = Out(loop, call(door.address), lines)
+    peer.wait(b"\x00\xff")
+    peer.say(answer(200))
+    assert out.end().far == Far.SENT and lines.count == 0
+
+
 # The list.
 
 def test_from_any_call_that_failed_the_next_answer_is_heard_within_six_seconds():
@@ -274,3 +313,82 @@
         ends[restored] = sorted(ident for ident, verdict in endings(house) if verdict), sorted(calls)
     assert ends[True] == ([], ["new", "old-0", "old-1", "old-2"]), ends
     assert ends[False] != ends[True]
+
+
+# Descriptors.
+
+class Refusing:
+    """A listener for whose connections no descriptor is left."""
+
+    def __init__(self, listener):
+        self.listener, self.tries = listener, 0
+
+    def accept(self):
+        self.tries += 1
+        raise OSError(24, "Too many open files")
+
+    def __getattr__(self, name):
+        return getattr(self.listener, name)
+
+
+def test_an_accept_without_a_descriptor_is_tried_again_later_and_does_not_spin(loop):
+    house, address = clients(loop)
+    house.listener = refusing = Refusing(house.listener)
+    peer = client(loop, address)
+    for _ in range(50):
+        loop.once(loop.now())
+    assert refusing.tries == 1
+    house.listener = refusing.listener
+    loop.now.now += 101.0
+    peer.say(request())
+    spin(loop, lambda: house.acceptor.events)
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_neither_the_list_nor_a_call_out(tmp_path, monkeypatch):
+    """While discovery is silent; what comes back needs descriptors of its own, and they are not the clients' to fill."""
+    made = []
+    monkeypatch.setattr("calicopin.boot.start.Clients", lambda *told: made.append(Clients(*told)) or made[0])
+    house = House(tmp_path, asked=False)
+    watch = house.platform.meet()
+    watch.wait(b"\r\n\r\n")
+    idle = [client(house.loop, house.listen) for _ in range(250)]
+    budget = made[0].budget
+    spin(house.loop, lambda: made[0].open >= budget.clients + budget.porch)
+    for _ in range(20):
+        house.loop.once(house.loop.now())
+    assert made[0].open == budget.clients + budget.porch < 250 and made[0].open + budget.endpoints + budget.OWN <= 256
+    house.loop.now.now += GRACE + 1.0
+    watch.wait_end()
+    house.loop.now.now += 100.0
+    again = house.platform.meet()
+    again.wait(b"\r\n\r\n")
+    again.say(answer(200, json.dumps(house.known).encode()))
+    spin(house.loop, lambda: house.runtime.current)
+    assert made[0].open == budget.clients + budget.porch, "they were all still there"
+    house.loop.now.now += NEW
+    spin(house.loop, lambda: made[0].open < budget.clients)
+    assert house.post("a") == b"202"
+    assert b"\xfe\xfe\xfe" in house.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    assert len(idle) == 250
+
+
+# Restarts.
+
+@pytest.mark.parametrize("away,again", [(700.0, True), (1200.0, False)])
+def test_a_window_for_repeats_that_is_shorter_than_a_restart_is_over_after_it(tmp_path, monkeypatch, away, again):
+    """One second, as on the users' days of restarts: within it the message goes again, behind it never."""
+    wall = Clock(1e12)
+    monkeypatch.setattr(Rebooted, "wall", staticmethod(wall))
+    grades = [grade | {"keyTtl": 1.0} for grade in terms()["grades"]]
+    house = House(tmp_path, grades=grades)
+    assert house.post("a", product="order") == b"202"
+    house.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    house.kill()
+    wall.now += away
+    back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint, grades=grades)
+    if again:
+        assert b"X-Request-ID: a" in back.endpoint.meet().wait(b"\xfe\xfe\xfe")
+    else:
+        assert back.notice() == [{"ref": "a", "result": "bounced"}] and not back.runtime.out
+        with pytest.raises(BlockingIOError):
+            back.endpoint.sock.accept()
