--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -132,14 +132,14 @@
         return sum(at > now - span - 1e-6 for at in self.sends) / min(span, max(SECOND, now - self.born))
 
     def doubtful(self):
-        """Whether failures without an end that last for the rule's span may be an outage: they come by the usual
-        loss at fewer than one of all senders. One refusal is how a limit shows."""
+        """Whether failures without an end that last for the rule's span may be an outage: they come by the
+        usual loss at fewer than one of all senders. One refusal is how a limit shows."""
         return self.floor.now - self.fail_since >= self.fail_back.span and self.fails > self.refused and (
             self.gap / (1.0 + self.gap)) ** self.fails * self.senders < 1.0
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage.
-        Failures without an end that last for the rule's span count as met: this sender may see little of it."""
+        Failures without an end that last for the rule's span count as met: this sender may see little."""
         now, fail_back = self.floor.now, self.fail_back
         if self.mode == "well" and not self.doubtful():
             lasted = now - self.fail_since
