--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -23,6 +23,7 @@
 MOST_TIME = 86400.0  # seconds; beyond a day no validity period is meant
 SECONDS = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
 NUMBER = re.compile(r"[0-9]{1,9}")
+TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class Refused(Exception):
@@ -81,7 +82,7 @@
     """Accepts connections as far as descriptors allow and serves what comes on them.
 
     `acceptor` takes the texts: `acceptor.take(text)` is None where it is taken on, else the status that refuses it and
-    the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept` has rung."""
+    the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept` is set."""
 
     def __init__(self, loop, address, products, budget, acceptor, listener=None):
         self.loop, self.products, self.budget, self.acceptor = loop, products, budget, acceptor
@@ -128,7 +129,7 @@
             return
         self.complain(503, "no descriptor left for a client")
         try:
-            line.sock.send(b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+            line.sock.send(TURNED_AWAY)
             line.sock.shutdown(socket.SHUT_WR)
             line.sock.recv(MOST_BODY)
         except OSError:
@@ -312,14 +313,13 @@
 
     def end(self):
         """No turn follows that would keep a message: what was asked and has no answer is refused, which does no harm."""
-        refusal = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
         for visit in self.visits:
             line = visit.line
             if line.ended or line.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
                 continue
             try:
                 if visit not in self.idle or not line.quiet():
-                    line.sock.send(refusal)
+                    line.sock.send(TURNED_AWAY)
                 line.sock.shutdown(socket.SHUT_WR)
                 line.sock.recv(MOST_BODY)  # over unread bytes the end of the process would reset it
             except OSError:
