--- a/calicopin/admin/server.py
+++ b/calicopin/admin/server.py
@@ -1,4 +1,5 @@
 """One call to one connection: health, figures, quiesce, resume. Answered ahead of clients, and never with an effect on a text."""
+
 import json
 
 import h11
@@ -7,7 +8,9 @@
 from calicopin.wire.http import TOO_LONG, Line
 from calicopin.wire.loop import AGAIN, FOREVER, READ, Until
 
-PATIENCE = 2000.0  # for a whole call: its answer is owed in 1 s, callers that say nothing may hold on for longer
+PATIENCE = (
+    2000.0  # for a whole call: its answer is owed in 1 s, callers that say nothing may hold on for longer
+)
 LINGER = 300.0
 MOST_BODY = 4096
 AT_ONCE = 16  # connections accepted in one pass
@@ -33,7 +36,9 @@
                     yield Until(FOREVER, self.listener.fileno(), READ)
                     break
                 except OSError as fault:
-                    logger.warning("accept at the admin address failed: {fault}", event="accept.failed", fault=fault)
+                    logger.warning(
+                        "accept at the admin address failed: {fault}", event="accept.failed", fault=fault
+                    )
                     yield Until(self.loop.now() + AGAIN)
                     break
                 if len(self.callers) >= self.most:
@@ -83,7 +88,12 @@
 
     def refuse(self, status, why):
         if self.loop.now() >= self.told + REST:
-            logger.warning("a call at the admin address was turned away with {status}: {why}", event="admin.refused", status=status, why=why)
+            logger.warning(
+                "a call at the admin address was turned away with {status}: {why}",
+                event="admin.refused",
+                status=status,
+                why=why,
+            )
             self.told = self.loop.now()
         return status, {"error": why}
 
@@ -91,8 +101,18 @@
         data = json.dumps(body).encode() + b"\n"
         allow = [("Allow", "GET, POST")] if status == 405 else []
         try:
-            answer = line.encode(h11.Response(status_code=status, headers=[
-                *allow, ("Content-Type", "application/json"), ("Content-Length", str(len(data))), ("Connection", "close")]), data)
+            answer = line.encode(
+                h11.Response(
+                    status_code=status,
+                    headers=[
+                        *allow,
+                        ("Content-Type", "application/json"),
+                        ("Content-Length", str(len(data))),
+                        ("Connection", "close"),
+                    ],
+                ),
+                data,
+            )
         except h11.LocalProtocolError:  # it spoke no HTTP and is gone, or took an interim answer for the last
             return
         if (yield from line.write(answer, until)) == len(answer):
--- a/calicopin/boot/log_import.py
+++ b/calicopin/boot/log_import.py
@@ -1,4 +1,5 @@
 """The log without the event loop that comes with it."""
+
 import importlib
 import sys
 import types
--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -1,4 +1,5 @@
 """SIGHUP: the configuration is read again while the courier serves on."""
+
 from loguru import logger
 
 from calicopin.held.connections import Budget
@@ -12,7 +13,13 @@
     """Hears the signals. What a new file says of discovery, descriptors and disk holds at once."""
 
     def __init__(self, loop, signal_reader, post, again, stop, discovery, clients, runtime):
-        self.loop, self.signal_reader, self.post, self.again, self.stop = loop, signal_reader, post, again, stop
+        self.loop, self.signal_reader, self.post, self.again, self.stop = (
+            loop,
+            signal_reader,
+            post,
+            again,
+            stop,
+        )
         self.discovery, self.clients, self.runtime, self.renewed = discovery, clients, runtime, False
 
     def wait(self):
@@ -21,7 +28,9 @@
             signs = self.signal_reader.heard()
             if signs.intersection(self.signal_reader.STOPS):
                 self.stop.asked.set()
-            if signs.difference(self.signal_reader.STOPS) and not self.stop.retired:  # then another process has heard it
+            if (
+                signs.difference(self.signal_reader.STOPS) and not self.stop.retired
+            ):  # then another process has heard it
                 self.renew()
 
     def relist(self, post, old):
@@ -38,11 +47,19 @@
         try:
             post = self.again()
         except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
-            logger.error("SIGHUP: the configuration cannot be read and changes nothing: {fault!r}", event="reload.refused", fault=fault)
+            logger.error(
+                "SIGHUP: the configuration cannot be read and changes nothing: {fault!r}",
+                event="reload.refused",
+                fault=fault,
+            )
             return
         old, self.post, self.renewed = self.post, post, True
-        logger.info("SIGHUP: discovery at {agent}, {notices} notices unheard", event="reload", agent=post.discovery,
-                    notices=len(self.runtime.notices.owed))
+        logger.info(
+            "SIGHUP: discovery at {agent}, {notices} notices unheard",
+            event="reload",
+            agent=post.discovery,
+            notices=len(self.runtime.notices.owed),
+        )
         if post.discovery and old.discovery:
             self.discovery.move(post.discovery)
             self.runtime.notices.move(post.discovery)
@@ -53,11 +70,25 @@
         if post.descriptors != old.descriptors:
             budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"], bool(old.admin))
             self.clients.budget, self.runtime.lines.most = budget, budget.endpoints
-            logger.info("SIGHUP: {now} descriptors, {before} before", event="reload.descriptors", now=post.descriptors, before=old.descriptors)
+            logger.info(
+                "SIGHUP: {now} descriptors, {before} before",
+                event="reload.descriptors",
+                now=post.descriptors,
+                before=old.descriptors,
+            )
         if post.disk != old.disk:
             self.runtime.journal.limit(post.disk)
-            logger.info("SIGHUP: {now} bytes of disk, {before} before", event="reload.disk", now=post.disk, before=old.disk)
+            logger.info(
+                "SIGHUP: {now} bytes of disk, {before} before",
+                event="reload.disk",
+                now=post.disk,
+                before=old.disk,
+            )
         waits = [name for name in LASTING if getattr(post, name) != getattr(old, name)]
-        waits += sorted(name for name in {**old.terms, **post.terms} if post.terms.get(name) != old.terms.get(name))
+        waits += sorted(
+            name for name in {**old.terms, **post.terms} if post.terms.get(name) != old.terms.get(name)
+        )
         if waits:
-            logger.warning("SIGHUP: {keys} changed and needs a restart", event="reload.restart", keys=", ".join(waits))
+            logger.warning(
+                "SIGHUP: {keys} changed and needs a restart", event="reload.restart", keys=", ".join(waits)
+            )
--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -1,4 +1,5 @@
 """One courier at work: store, decisions and wire, joined by a turn after each pass of the loop."""
+
 import json
 
 from loguru import logger
@@ -20,7 +21,10 @@
         self.agent = None  # where it is told: nothing is decided before its first call for the list has ended
         self.waiting, self.calls, self.given_up, self.calling, self.refusing = [], [], [], True, False
         self.flights, self.ledger = {}, ledger
-        self.stuck, self.told_at = 0, -REPEAT  # turns in a row that ended by a fault: until one succeeds nothing is taken on
+        self.stuck, self.told_at = (
+            0,
+            -REPEAT,
+        )  # turns in a row that ended by a fault: until one succeeds nothing is taken on
         loop.turn = self.turn
 
     def restore(self):
@@ -32,8 +36,12 @@
             else:
                 self.facade.hand_in(text, restored=True)
         if back:
-            logger.info("{texts} texts restored, {ran} of them may have run", event="restored", texts=len(back),
-                        ran=sum(text.ran_at is not None for text in back))
+            logger.info(
+                "{texts} texts restored, {ran} of them may have run",
+                event="restored",
+                texts=len(back),
+                ran=sum(text.ran_at is not None for text in back),
+            )
 
     def inherit(self, taker):
         """Goes on where another process was."""
@@ -75,7 +83,11 @@
         """News of discovery's. Guards all texts against an agent that has no list yet and says so with an empty one."""
         self.current = True
         if whole and not places and self.facade.places:
-            logger.warning("an empty list is passed over, {endpoints} endpoints serve on", event="discovery.empty", endpoints=len(self.facade.places))
+            logger.warning(
+                "an empty list is passed over, {endpoints} endpoints serve on",
+                event="discovery.empty",
+                endpoints=len(self.facade.places),
+            )
             return
         if whole or places:
             self.facade.listed(places, whole)
@@ -91,8 +103,12 @@
             self.note_down()
         except Exception:
             self.stuck += 1
-            if self.loop.now() >= self.told_at + REPEAT:  # guards the log against a disk that refuses for long
-                logger.exception("a turn ended by a fault, {turns} in a row", event="turn.fault", turns=self.stuck)
+            if (
+                self.loop.now() >= self.told_at + REPEAT
+            ):  # guards the log against a disk that refuses for long
+                logger.exception(
+                    "a turn ended by a fault, {turns} in a row", event="turn.fault", turns=self.stuck
+                )
                 self.told_at = self.loop.now()
             return self.loop.now() + AGAIN
         if self.stuck:
@@ -125,8 +141,12 @@
 
     def begin(self, call):
         flight = Flight(call, self.loop.now() + call.timeout)
-        self.fly(flight, lambda written, tell: submit(
-            self.loop, self.lines, flight, self.connect_timeout, self.facade.still, written, tell))
+        self.fly(
+            flight,
+            lambda written, tell: submit(
+                self.loop, self.lines, flight, self.connect_timeout, self.facade.still, written, tell
+            ),
+        )
 
     def go_on(self, flight, line, heard):
         """A call that another process began."""
@@ -164,13 +184,16 @@
 
         def tell(early):
             self.facade.report(call, early, self.loop.now() - started)
+
         try:
             answer = yield from talk(written, tell)
         except GeneratorExit:  # called off, with what is known of it
             answer = Answer(flight.far)
             raise
         except Exception:
-            logger.exception("a call to {endpoint} ended by a fault", event="call.fault", endpoint=call.place.ident)
+            logger.exception(
+                "a call to {endpoint} ended by a fault", event="call.fault", endpoint=call.place.ident
+            )
         finally:
             del self.flights[flight]
             if not flight.given:
@@ -178,15 +201,30 @@
 
     def figures(self):
         """What `GET /admin/stats` answers: the ledger, what is taken and not ended, and the list."""
-        return self.ledger.told() | dict(outstanding=len(self.facade.texts), discovered=len(self.facade.places), ejected=self.facade.avoided())
+        return self.ledger.told() | dict(
+            outstanding=len(self.facade.texts),
+            discovered=len(self.facade.places),
+            ejected=self.facade.avoided(),
+        )
 
     def status(self):
         """What `GET /-/status` answers: the figures, what is held, and every destination."""
         ledger = self.ledger
-        return json.dumps(self.figures() | dict(
-            taken=ledger.taken, turned_away=ledger.turned_away, given_up=ledger.noticed, held=len(self.facade.texts), calls_out=self.out,
-            notices_owed=len(self.notices.owed), journal_bytes=self.journal.size, journal_stuck=self.stuck,
-            idle_connections=self.lines.count, destinations=self.facade.state())).encode()
+        return json.dumps(
+            self.figures()
+            | dict(
+                taken=ledger.taken,
+                turned_away=ledger.turned_away,
+                given_up=ledger.noticed,
+                held=len(self.facade.texts),
+                calls_out=self.out,
+                notices_owed=len(self.notices.owed),
+                journal_bytes=self.journal.size,
+                journal_stuck=self.stuck,
+                idle_connections=self.lines.count,
+                destinations=self.facade.state(),
+            )
+        ).encode()
 
     def told(self, text):
         """The platform has heard a notice."""
@@ -203,9 +241,19 @@
             yield Until(self.loop.now() + SWEEP)
             self.lines.sweep(self.loop.now())
             if self.loop.now() >= report:
-                line = ("loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, {given_up} given up, "
-                        "{held} held, {out} out")
+                line = (
+                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, {given_up} given up, "
+                    "{held} held, {out} out"
+                )
                 ledger = self.ledger
-                logger.info(line, event="figures", late_ms=self.loop.lateness, taken=ledger.taken, turned_away=ledger.turned_away,
-                            given_up=ledger.noticed, held=len(self.facade.texts), out=self.out)
+                logger.info(
+                    line,
+                    event="figures",
+                    late_ms=self.loop.lateness,
+                    taken=ledger.taken,
+                    turned_away=ledger.turned_away,
+                    given_up=ledger.noticed,
+                    held=len(self.facade.texts),
+                    out=self.out,
+                )
                 self.loop.lateness, report = 0.0, self.loop.now() + REPORT
--- a/calicopin/boot/signals.py
+++ b/calicopin/boot/signals.py
@@ -1,4 +1,5 @@
 """Signals: heard from the first moment on, acted on by the loop."""
+
 import os
 import signal
 
@@ -6,6 +7,7 @@
 class SignalReader:
     """SIGHUP calls for the configuration anew, SIGTERM and SIGINT for the stop. Made before anything else of the
     program, so that none of them ends it by default; what comes before the loop runs is not lost."""
+
     STOPS = (signal.SIGTERM, signal.SIGINT)
 
     def __init__(self):
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -1,4 +1,5 @@
 """Start and restart: what a courier is told, its parts, and what the last process left behind."""
+
 import json
 import os
 import socket
@@ -9,9 +10,9 @@
 from loguru import logger
 
 from calicopin.admin.server import AdminServer
-from calicopin.boot.signals import SignalReader
 from calicopin.boot.renewal import Renewal
 from calicopin.boot.runtime import Runtime
+from calicopin.boot.signals import SignalReader
 from calicopin.boot.stop import Stop
 from calicopin.facade import Facade
 from calicopin.held.connections import Budget, Lines
@@ -22,8 +23,8 @@
 from calicopin.wire.asking import longest_wait
 from calicopin.wire.clients import Clients
 from calicopin.wire.discovery import Discovery, read
-from calicopin.wire.loop import Loop
 from calicopin.wire.listfile import ListFile
+from calicopin.wire.loop import Loop
 from calicopin.wire.notices import Lines as NoticeLines
 from calicopin.wire.notices import Notices
 
@@ -31,6 +32,7 @@
 @dataclass(frozen=True)
 class Post:
     """Where a courier is posted: its name, addresses, folder, limits and the terms of its work."""
+
     name: str
     listen: str
     discovery: str
@@ -47,7 +49,9 @@
     log: str = "lines"
     store: str = "file"
     admin: str = ""  # a second address, where operators call
-    passed: str = ""  # the number of a descriptor: the clients' listening socket, which every process inherits
+    passed: str = (
+        ""  # the number of a descriptor: the clients' listening socket, which every process inherits
+    )
     meeting: str = ""  # a folder that this process and the one that follows it both see
     durable: bool = False  # a 202 outlasts the machine's loss of power too
 
@@ -65,9 +69,12 @@
     """What the platform tells: addresses and folder by its variables first, all else by its file; once the file
     was replaced, its discovery stands before the variable."""
     path, sheet = environ["LB_CONFIG"], None
-    second, passed, meeting = (environ.get(name, "") for name in ("LB_ADMIN_ADDR", "LB_PASSED_SOCKET", "TMPDIR"))
+    second, passed, meeting = (
+        environ.get(name, "") for name in ("LB_ADMIN_ADDR", "LB_PASSED_SOCKET", "TMPDIR")
+    )
     if path.endswith(".toml"):  # only then is the reader of operators' files read in
         from calicopin.configuration.posting import platform_form
+
         told, sheet = platform_form(path, environ)
         environ = {}
     else:
@@ -86,11 +93,23 @@
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
         discovery=address(first or other) if first or other or not sheet else "",
-        admin=address(second) if second else "", passed=passed, meeting=meeting,
-        folder=environ.get("LB_STATE") or told["state"], seed=seed,
-        descriptors=int(limits.get("sockets") or 1024), disk=int(float(limits.get("disk_mb") or 3) * 1e6),
-        known=told.get("known") or {"version": 0, "full": True, "servers": []}, terms=told["settings"],
-        sheet=sheet, watched=told.get("watched", ""), notices=told.get("notices", ""), status=bool(told.get("status")), log=told.get("log", "lines"), store=told.get("store", "file"), durable=told.get("durability") == "machine")
+        admin=address(second) if second else "",
+        passed=passed,
+        meeting=meeting,
+        folder=environ.get("LB_STATE") or told["state"],
+        seed=seed,
+        descriptors=int(limits.get("sockets") or 1024),
+        disk=int(float(limits.get("disk_mb") or 3) * 1e6),
+        known=told.get("known") or {"version": 0, "full": True, "servers": []},
+        terms=told["settings"],
+        sheet=sheet,
+        watched=told.get("watched", ""),
+        notices=told.get("notices", ""),
+        status=bool(told.get("status")),
+        log=told.get("log", "lines"),
+        store=told.get("store", "file"),
+        durable=told.get("durability") == "machine",
+    )
 
 
 def listed(known):
@@ -98,7 +117,9 @@
     try:
         version, _, places = read(known)
     except ValueError as fault:
-        logger.warning("the list known at the start is passed over: {fault}", event="discovery.unread", fault=fault)
+        logger.warning(
+            "the list known at the start is passed over: {fault}", event="discovery.unread", fault=fault
+        )
         return None, []
     return version, places
 
@@ -115,12 +136,15 @@
     offset, boot, out = loop.system.wall() - loop.now(), loop.system.boot(), taker.flying if taker else None
     if post.store == "segments":
         from calicopin.store.segments import Segments
+
         journal = Segments(post.folder, post.disk, offset, loop.system, lasting, boot, post.durable, out)
     else:
         journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot, out)
     facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again and not taker)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
-    runtime = Runtime(loop, facade, journal, lines, connect, Ledger(grade["name"] for grade in terms["grades"]))
+    runtime = Runtime(
+        loop, facade, journal, lines, connect, Ledger(grade["name"] for grade in terms["grades"])
+    )
     teller = post.discovery or post.notices
     runtime.notices = Notices(loop, teller, runtime.told) if teller else NoticeLines(loop, runtime.told)
     if taker:
@@ -134,11 +158,21 @@
     if post.discovery:
         told = pushed(terms)
         anew = told and not taker  # its list is old, and the agent has the whole of it
-        discovery = Discovery(loop, post.discovery, None if anew else version, wait, runtime.listed, terms["groupSize"], post.seed,
-                              spread=bool(places), pushed=told)
+        discovery = Discovery(
+            loop,
+            post.discovery,
+            None if anew else version,
+            wait,
+            runtime.listed,
+            terms["groupSize"],
+            post.seed,
+            spread=bool(places),
+            pushed=told,
+        )
         runtime.agent = discovery if anew else None
     else:
         from calicopin.configuration.posting import lister
+
         runtime.current = True
         discovery = ListFile(loop, post.watched, lister(post.sheet), runtime.listed) if post.watched else None
     if not taker:
@@ -149,9 +183,17 @@
     clients.status = runtime.status if post.status else None
     stop = Stop(loop, runtime, clients)
     if post.admin:
-        AdminServer(loop, post.admin, {
-            "/admin/health": ("GET", lambda: {"serving": True}), "/admin/stats": ("GET", runtime.figures),
-            "/admin/quiesce": ("POST", stop.quiesce), "/admin/resume": ("POST", stop.resume)}, budget.admin - 1)
+        AdminServer(
+            loop,
+            post.admin,
+            {
+                "/admin/health": ("GET", lambda: {"serving": True}),
+                "/admin/stats": ("GET", runtime.figures),
+                "/admin/quiesce": ("POST", stop.quiesce),
+                "/admin/resume": ("POST", stop.resume),
+            },
+            budget.admin - 1,
+        )
     renewal = Renewal(loop, signal_reader, post, again, stop, discovery, clients, runtime)
     if taker:
         lock = taker.take(loop, runtime, clients)
@@ -161,7 +203,18 @@
     if post.passed:
         from calicopin.handover.giver import Giver
         from calicopin.handover.meeting import Place
-        Giver(Place(post.meeting or post.folder, post.folder), lock, loop.system.again, loop, runtime, clients, discovery, renewal, stop)
+
+        Giver(
+            Place(post.meeting or post.folder, post.folder),
+            lock,
+            loop.system.again,
+            loop,
+            runtime,
+            clients,
+            discovery,
+            renewal,
+            stop,
+        )
     for begin in (runtime.keep_house, clients.keep_house, stop.wait, renewal.wait):
         loop.keep(begin)
     return runtime
@@ -172,7 +225,9 @@
     try:
         post = posted(environ, system=system)
     except (KeyError, TypeError, AttributeError) as fault:
-        raise ValueError(f"{environ.get('LB_CONFIG', 'LB_CONFIG')}: what it tells cannot be read: {fault!r}") from None
+        raise ValueError(
+            f"{environ.get('LB_CONFIG', 'LB_CONFIG')}: what it tells cannot be read: {fault!r}"
+        ) from None
     lock = taker = None
     if post.passed:
         system.passed(post.passed).detach()  # one that is none is told before anything is taken
@@ -183,17 +238,31 @@
         lock = system.lock(post.folder)
     loop = Loop(system=system)
     try:
-        runtime = build(post, loop, signal_reader, lambda: posted(environ, renewed=True, system=system), lock, taker)
+        runtime = build(
+            post, loop, signal_reader, lambda: posted(environ, renewed=True, system=system), lock, taker
+        )
     except ConnectionAbortedError as fault:
-        logger.warning("nothing was taken over, this process begins again: {fault}", event="handover.again", fault=fault)
+        logger.warning(
+            "nothing was taken over, this process begins again: {fault}", event="handover.again", fault=fault
+        )
         system.again()
     if post.log == "json":
         log_as_json(post.name)
     system.settle()
-    logger.info("{name} ready on {listen}, {endpoints} endpoints known", event="ready", name=post.name, listen=post.listen,
-                endpoints=len(runtime.facade.places))
+    logger.info(
+        "{name} ready on {listen}, {endpoints} endpoints known",
+        event="ready",
+        name=post.name,
+        listen=post.listen,
+        endpoints=len(runtime.facade.places),
+    )
     loop.run()
-    logger.info("{name} stopped, {texts} texts left in the journal", event="stopped", name=post.name, texts=len(runtime.journal.texts))
+    logger.info(
+        "{name} stopped, {texts} texts left in the journal",
+        event="stopped",
+        name=post.name,
+        texts=len(runtime.journal.texts),
+    )
 
 
 def follow(post, environ, signal_reader, system):
@@ -201,8 +270,11 @@
     of None where a signal comes first."""
     from calicopin.handover.meeting import Place
     from calicopin.handover.taker import Told, begin
+
     try:
-        lock, taker = begin(Place(post.meeting or post.folder, post.folder), post.folder, signal_reader, system)
+        lock, taker = begin(
+            Place(post.meeting or post.folder, post.folder), post.folder, signal_reader, system
+        )
     except Told:
         logger.info("{name} ends before it has taken anything", event="stopped", name=post.name, texts=0)
         return None, None, None
@@ -220,6 +292,7 @@
             sys.stderr.write(line(name, message.record) + "\n")
         except (OSError, ValueError):
             pass
+
     logger.remove()
     logger.add(write, format="{message}", level="INFO", backtrace=False, catch=True)
 
@@ -231,7 +304,10 @@
     try:
         serve(os.environ, signal_reader)
     except BlockingIOError:
-        print(f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own", file=sys.stderr)
+        print(
+            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own",
+            file=sys.stderr,
+        )
         return 2
     except (ValueError, OSError) as fault:  # what cannot be served is told in plain lines
         print(fault, file=sys.stderr)
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -1,4 +1,5 @@
 """Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of `boot/leave.py`."""
+
 from loguru import logger
 
 from calicopin.boot.leave import DRAIN, RETIRED, STOP, Leave
@@ -18,7 +19,12 @@
     def busy(self):
         """What is under way."""
         runtime = self.runtime
-        under_way = dict(clients=self.clients.open, texts=runtime.facade.texts, notices=runtime.notices.owed, calls=runtime.out)
+        under_way = dict(
+            clients=self.clients.open,
+            texts=runtime.facade.texts,
+            notices=runtime.notices.owed,
+            calls=runtime.out,
+        )
         return frozenset(name for name, what in under_way.items() if what)
 
     def walk(self, leave):
@@ -39,7 +45,12 @@
         """Waits until it is asked to, then leaves in order."""
         yield Until(event=self.asked)
         runtime = self.runtime
-        logger.info("SIGTERM: {held} texts held, {out} calls out", event="stopping", held=len(runtime.facade.texts), out=runtime.out)
+        logger.info(
+            "SIGTERM: {held} texts held, {out} calls out",
+            event="stopping",
+            held=len(runtime.facade.texts),
+            out=runtime.out,
+        )
         self.stopping = True
         self.end_drain()
         yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
@@ -60,7 +71,12 @@
         """Empties the courier; once more changes nothing."""
         self.check()
         if self.drain is None and not self.stopping:
-            logger.info("quiesced: {held} texts held, {out} calls out", event="quiesced", held=len(self.runtime.facade.texts), out=self.runtime.out)
+            logger.info(
+                "quiesced: {held} texts held, {out} calls out",
+                event="quiesced",
+                held=len(self.runtime.facade.texts),
+                out=self.runtime.out,
+            )
             self.begin_drain(self.loop.now())
         return self.told()
 
@@ -84,5 +100,9 @@
     def told(self):
         """What the calls at the admin address answer."""
         step = self.drain and self.drain.at(self.loop.now(), self.busy())
-        return {"quiesced": self.drain is not None, "step": step.name if step else "stopping" if self.stopping else "at work",
-                "held": len(self.runtime.facade.texts), "clients": self.clients.open}
+        return {
+            "quiesced": self.drain is not None,
+            "step": step.name if step else "stopping" if self.stopping else "at work",
+            "held": len(self.runtime.facade.texts),
+            "clients": self.clients.open,
+        }
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -4,6 +4,7 @@
 `courier.handle(now, events)` every batch of events; it returns the actions, in order.
 The types of both are in `calicopin/interface.py`; docs/design.md says what is kept of the design.
 """
+
 import heapq
 import zlib
 from collections import Counter, deque
@@ -69,20 +70,27 @@
         product, past = self.product, at - (self.until - self.product.validity + self.product.sla)
         if past <= 0.0 or at >= self.until:
             return float(at < self.until)
-        return max(product.late_revenue, 0.5 ** (past / product.sla)) if product.late_halves else (
-            1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla))
+        return (
+            max(product.late_revenue, 0.5 ** (past / product.sla))
+            if product.late_halves
+            else (1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla))
+        )
 
     def owed_a_call(self):
         """What a restart found taken on and untried is tried before it is given up early."""
         return self.restored and not self.tries and self.ran_at is None
 
     def nackable(self):
-        return self.ran_at is None or self.product.repeat == Repeat.RESENDABLE or (
-            self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone)
+        return (
+            self.ran_at is None
+            or self.product.repeat == Repeat.RESENDABLE
+            or (self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone)
+        )
 
 
 class Call:
     """One call out, with the texts that share it."""
+
     def __init__(self, endpoint, sent, texts):
         self.endpoint, self.sent, self.texts, self.size, self.told = endpoint, sent, texts, texts, None
         self.stood = 0.0 if endpoint.calls else sent - endpoint.freed  # for so long its connection was idle
@@ -90,6 +98,7 @@
 
 class Route:
     """Bucket and health of one destination, or of one endpoint where routes are apart."""
+
     BURST, COOLDOWN, CUT, STEP, FLOOR, IDLE = 300.0, 4000.0, 0.7, 0.1, 0.001, 60000.0
     STREAK, RARE, FEW, LONG = 5, 12.0, 4, 20000.0
 
@@ -120,7 +129,7 @@
 
     def hint(self, limit, left, texts):
         self.fill()
-        kept = 0.5 ** texts if left < self.left else 0.9 ** (1.0 + (texts - 1.0) / self.senders)  # all rise
+        kept = 0.5**texts if left < self.left else 0.9 ** (1.0 + (texts - 1.0) / self.senders)  # all rise
         self.limit, self.left = limit or None, self.left + (limit and (1.0 - kept) * (left - self.left))
 
     def recent(self):
@@ -134,8 +143,11 @@
     def doubtful(self):
         """Whether failures without an end that last for the rule's span may be an outage: they come by the
         usual loss at fewer than one of all senders. One refusal is how a limit shows."""
-        return self.floor.now - self.fail_since >= self.fail_back.span and self.fails > self.refused and (
-            self.gap / (1.0 + self.gap)) ** self.fails * self.senders < 1.0
+        return (
+            self.floor.now - self.fail_since >= self.fail_back.span
+            and self.fails > self.refused
+            and (self.gap / (1.0 + self.gap)) ** self.fails * self.senders < 1.0
+        )
 
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage.
@@ -148,8 +160,10 @@
         passed = now - (self.fail_since if self.mode == "well" else self.since)
         warm = min(1.0, passed / fail_back.cold) if self.mode == "cold" else 0.0
         could = fail_back.cold_from + (1.0 - fail_back.cold_from) * warm
-        held = max(2.0 / fail_back.span / self.senders, could * fail_back.multiple ** 0.5
-                   * max(self.share(), 1.0 / (passed + fail_back.span)))
+        held = max(
+            2.0 / fail_back.span / self.senders,
+            could * fail_back.multiple**0.5 * max(self.share(), 1.0 / (passed + fail_back.span)),
+        )
         return held if self.rate is None else min(self.pace_now(), held)
 
     def fill(self):
@@ -229,8 +243,10 @@
 
     def look(self, rounds):
         now = self.floor.now
-        while self.sends and (self.sends[0] <= now - self.LONG or (
-                self.sends[0] <= now - self.COOLDOWN and len(self.sends) > self.FEW)):
+        while self.sends and (
+            self.sends[0] <= now - self.LONG
+            or (self.sends[0] <= now - self.COOLDOWN and len(self.sends) > self.FEW)
+        ):
             self.sent_at = self.sends.popleft()
         if not self.sends and now - self.sent_at > self.IDLE and self.mode == "well":
             self.rate = None
@@ -239,7 +255,7 @@
                 self.fill()
                 self.doubted, self.tokens = self.fail_since, min(self.tokens, self.floor.chance(self.name))
         elif self.mode == "well":
-            self.flow += (1.0 - 0.95 ** rounds) * (self.recent() - self.flow) if self.flow else self.recent()
+            self.flow += (1.0 - 0.95**rounds) * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now >= self.warm_at:
             self.turn("well", "warm again")
 
@@ -265,6 +281,7 @@
 
 class Endpoint:
     """Carries calls to one endpoint and tells its destination how they went."""
+
     def __init__(self, floor, ident, zone, dest, route, kind):
         self.floor, self.ident, self.zone, self.dest = floor, ident, zone, dest
         self.route, self.kind = route, kind
@@ -314,7 +331,7 @@
             route.hint(event.limit / 1000.0, event.left or 0.0, call.size)
         if how == How.UNREACHED:
             self.kind.crowded = self.floor.now  # full or down: at once again, a text would use up its submits
-            rest = max(route.usual, 20.0 * self.dest.tick) * 2.0 ** self.misses
+            rest = max(route.usual, 20.0 * self.dest.tick) * 2.0**self.misses
             self.shy = self.floor.now + rest * (0.5 + self.floor.chance(self.ident))
         if fresh and how == How.BROKEN and 0.0 < call.stood and event.elapsed < route.fastest:
             self.kind.gone(self.floor, call.stood)
@@ -382,7 +399,7 @@
         rounds, self.round = number - self.round, number
         for route in self.routes.values():
             route.look(rounds)
-        self.load, self.came = self.load + (1.0 - 0.95 ** rounds) * (self.came / ROUND - self.load), 0
+        self.load, self.came = self.load + (1.0 - 0.95**rounds) * (self.came / ROUND - self.load), 0
         self.on_pump()
 
     def on_drop(self, text):
@@ -424,10 +441,14 @@
 
     def pick(self, text):
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
-        bound = text.ran_at is not None and text.product.memory_by_zone and (
-            text.product.repeat == Repeat.REFERENCED)
-        fit = [e for e, at in self.openings() if at <= self.floor.now
-               and not (bound and e.zone != text.ran_zone)]
+        bound = (
+            text.ran_at is not None
+            and text.product.memory_by_zone
+            and (text.product.repeat == Repeat.REFERENCED)
+        )
+        fit = [
+            e for e, at in self.openings() if at <= self.floor.now and not (bound and e.zone != text.ran_zone)
+        ]
         odds = [0.5 ** max(e.misses, e.missed[text.product]) / (1 + len(e.calls)) for e in fit]
         draw = self.floor.chance(text.ident) * sum(odds)
         return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
@@ -468,8 +489,17 @@
         if not endpoint:
             self.floor.post(self.pool, "free", self)
             return
-        texts = [head, *islice((text for text in self.queue if text is not head and text.ran_at is None
-                                and self.desk.turn(text)), min(self.bundle, self.most) - 1)]
+        texts = [
+            head,
+            *islice(
+                (
+                    text
+                    for text in self.queue
+                    if text is not head and text.ran_at is None and self.desk.turn(text)
+                ),
+                min(self.bundle, self.most) - 1,
+            ),
+        ]
         for text in texts:
             self.queue.remove(text)
         endpoint.route.spend()
@@ -522,15 +552,27 @@
         if turns:
             least, at = min(turns, key=lambda turn: turn[0].product.revenue * turn[0].earns(turn[1]))
             line = least.dest.queue  # first in, first out: all behind it move up
-            oldest = next(text for text in line if text.product.revenue <= least.product.revenue
-                          and not text.owed_a_call())
+            oldest = next(
+                text
+                for text in line
+                if text.product.revenue <= least.product.revenue and not text.owed_a_call()
+            )
             self.on_lapse(oldest, at - self.floor.now)
 
     def turn(self, text):
         """Whether a text may go now. Guards the order per key: its first unfinished text, after its rest."""
-        return not text.over and self.floor.now < text.last_submit() and (text.key is None or (
-            self.floor.now >= self.calm and self.keys[text.key][0] is text
-            and self.rests.get(text.key, (0.0, text))[1] is text))
+        return (
+            not text.over
+            and self.floor.now < text.last_submit()
+            and (
+                text.key is None
+                or (
+                    self.floor.now >= self.calm
+                    and self.keys[text.key][0] is text
+                    and self.rests.get(text.key, (0.0, text))[1] is text
+                )
+            )
+        )
 
     def on_settle(self, text, how):
         """A submit that may still run lays its key to rest for the texts behind it."""
@@ -558,8 +600,11 @@
 
     def on_lapse(self, text, back=None):
         """Nothing is sat on: time is up, no submit is allowed any more, or it is handed back for so long."""
-        if text.call is None and not text.over and (
-                back is not None or self.floor.now >= min(text.until - 2 * self.tick, text.last_submit())):
+        if (
+            text.call is None
+            and not text.over
+            and (back is not None or self.floor.now >= min(text.until - 2 * self.tick, text.last_submit()))
+        ):
             self.floor.post(text.dest, "drop", text)
             self.on_give_up(text, back or 0.0)
 
@@ -580,9 +625,26 @@
 class Courier:
     """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
 
-    def __init__(self, *, seed, number, senders, tick, slots, room, tries, products, partners, fail_back,
-                 settle=0.0, most_advice=0.0, gives_back=False, asks=False, ask_within=10000.0,
-                 restarted=-1e12):
+    def __init__(
+        self,
+        *,
+        seed,
+        number,
+        senders,
+        tick,
+        slots,
+        room,
+        tries,
+        products,
+        partners,
+        fail_back,
+        settle=0.0,
+        most_advice=0.0,
+        gives_back=False,
+        asks=False,
+        ask_within=10000.0,
+        restarted=-1e12,
+    ):
         self.floor = Floor(number, seed)
         self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
         self.products, self.ask_within, self.misses, self.gives_back = products, ask_within, 0, gives_back
@@ -595,8 +657,10 @@
             self.floor.post(self, "ask")
 
     def dest(self, ident):
-        return self.dests.get(ident) or self.dests.setdefault(ident, Destination(
-            self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.gives_back))
+        return self.dests.get(ident) or self.dests.setdefault(
+            ident,
+            Destination(self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.gives_back),
+        )
 
     def handle(self, now, events):
         floor = self.floor
@@ -613,8 +677,12 @@
     def still(self, now, ident, texts):
         """Whether a call that took its time to connect may begin: list, waits and memories have moved on."""
         endpoint = self.endpoints.get(ident)
-        return endpoint and ident in endpoint.dest.endpoints and now >= endpoint.route.pause and all(
-            now < self.desk.texts[text].last_submit() for text in texts)
+        return (
+            endpoint
+            and ident in endpoint.dest.endpoints
+            and now >= endpoint.route.pause
+            and all(now < self.desk.texts[text].last_submit() for text in texts)
+        )
 
     def halt(self, ident, wait):
         """A told wait that came to light only after the call's outcome."""
@@ -681,7 +749,8 @@
                 dest.endpoints.pop(entry.endpoint, None)
             elif entry.endpoint not in dest.endpoints:
                 dest.endpoints[entry.endpoint] = self.endpoints.setdefault(
-                    entry.endpoint, Endpoint(self.floor, entry.endpoint, entry.zone, dest, route, kind))
+                    entry.endpoint, Endpoint(self.floor, entry.endpoint, entry.zone, dest, route, kind)
+                )
             changed[dest] = None
         for dest in changed:
             self.floor.post(dest, "pump")
--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -1,4 +1,5 @@
 """`calicopin`, or `python -m calicopin` with words behind it."""
+
 import http.client
 import json
 import os
@@ -38,7 +39,14 @@
     return out
 
 
-SET = click.option("--set", "over", multiple=True, callback=keys, metavar="KEY=VALUE", help="One key over file and variables.")
+SET = click.option(
+    "--set",
+    "over",
+    multiple=True,
+    callback=keys,
+    metavar="KEY=VALUE",
+    help="One key over file and variables.",
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -60,14 +68,21 @@
 
 @main.command()
 @click.option("--seconds", type=click.FloatRange(1.0, 3600.0), default=20.0, show_default=True)
-@click.option("--rate", type=click.FloatRange(0.5, 200.0), default=30.0, show_default=True, help="Texts a second.")
+@click.option(
+    "--rate", type=click.FloatRange(0.5, 200.0), default=30.0, show_default=True, help="Texts a second."
+)
 def demo(seconds, rate):
     """A courier, partners and a client on loopback with live figures; a partner goes out and comes back. Ends by itself."""
     try:
         from rich.console import Console
+
         from calicopin.command.demo import play
     except ImportError as fault:
-        stop([f"the demo wants a library that is not here ({fault.name}): pip install -r requirements-emulator.txt"])
+        stop(
+            [
+                f"the demo wants a library that is not here ({fault.name}): pip install -r requirements-emulator.txt"
+            ]
+        )
     sys.exit(0 if play(seconds, rate, Console()) else 1)
 
 
@@ -82,15 +97,22 @@
     """
     if application:
         from calicopin.command.sidecar import Pair
+
         told = sheet_of(file)
         faults, _ = checks.examine(told)
         if faults:
             stop(faults)
-        sys.exit(Pair(file, told.sheet.courier.listen, list(application), lambda line: click.echo(line, err=True)).run())
+        sys.exit(
+            Pair(
+                file, told.sheet.courier.listen, list(application), lambda line: click.echo(line, err=True)
+            ).run()
+        )
     if not file.endswith(".toml"):
         stop([f"{file}: is no .toml file; `calicopin convert` makes one of the platform's JSON"])
     # this process becomes the courier: what the command line read in would stay in its memory
-    os.execve(sys.executable, [sys.executable, "-m", "calicopin"], os.environ | {"LB_CONFIG": os.path.abspath(file)})
+    os.execve(
+        sys.executable, [sys.executable, "-m", "calicopin"], os.environ | {"LB_CONFIG": os.path.abspath(file)}
+    )
 
 
 @main.command()
@@ -120,7 +142,9 @@
 
 @main.command("write")
 @click.argument("application", type=click.Path(), required=False)
-@click.option("-o", "--output", type=click.Path(dir_okay=False), help="The file to write; standard output without it.")
+@click.option(
+    "-o", "--output", type=click.Path(dir_okay=False), help="The file to write; standard output without it."
+)
 @click.option("--example", is_flag=True, help="Prints a description to begin from.")
 def write_(application, output, example):
     """Writes a configuration from the short description in APPLICATION, with the reason for each value."""
@@ -223,9 +247,20 @@
 @main.command("migrate")
 @click.argument("old", type=click.Path(dir_okay=False))
 @click.option("-o", "--output", type=click.Path(dir_okay=False), help="The new file; it must not exist yet.")
-@click.option("--senders", type=click.IntRange(min=1), required=True, help="How many couriers send to the same partners from now on.")
-@click.option("--reports/--no-reports", default=None, help="Whether partners' answers tell their limits from now on; as before without it.")
-@click.option("--once-only", multiple=True, metavar="PRODUCT", help="A product that must not run twice from now on.")
+@click.option(
+    "--senders",
+    type=click.IntRange(min=1),
+    required=True,
+    help="How many couriers send to the same partners from now on.",
+)
+@click.option(
+    "--reports/--no-reports",
+    default=None,
+    help="Whether partners' answers tell their limits from now on; as before without it.",
+)
+@click.option(
+    "--once-only", multiple=True, metavar="PRODUCT", help="A product that must not run twice from now on."
+)
 @click.option("--dry-run", is_flag=True, help="Shows what would be written and changes nothing.")
 def migrate_(old, output, senders, reports, once_only, dry_run):
     """Reads OLD, a file for few couriers, and writes its counterpart for many; lists what it could not carry over.
@@ -233,6 +268,7 @@
     OLD is never changed. Exit codes: 0 written, 1 the counterpart would not be sound, 2 something cannot be read or written.
     """
     from calicopin.configuration import migrate
+
     if not dry_run and output is None:
         raise click.UsageError("give the new file with -o, or --dry-run to see it")
     try:
@@ -307,9 +343,14 @@
         click.echo(body.decode())
         return
     told = json.loads(body)
-    click.echo("  ".join(f"{key.replace('_', ' ')} {value}" for key, value in told.items() if key != "destinations"))
+    click.echo(
+        "  ".join(f"{key.replace('_', ' ')} {value}" for key, value in told.items() if key != "destinations")
+    )
     head = ("destination", "mode", "waiting", "out", "endpoints", "pace", "usual_ms", "wait_ms")
-    rows = [head, *([str("-" if one[key] is None else one[key]) for key in head] for one in told["destinations"])]
+    rows = [
+        head,
+        *([str("-" if one[key] is None else one[key]) for key in head] for one in told["destinations"]),
+    ]
     widths = [max(len(row[at]) for row in rows) for at in range(len(head))]
     for row in rows:
         click.echo("  ".join(word.ljust(width) for word, width in zip(row, widths)).rstrip())
@@ -317,5 +358,3 @@
 
 if __name__ == "__main__":
     main(prog_name="calicopin")
-
-
--- a/calicopin/command/demo.py
+++ b/calicopin/command/demo.py
@@ -1,4 +1,5 @@
 """`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner goes out and comes back."""
+
 import http.client
 import http.server
 import json
@@ -21,6 +22,7 @@
 
 class Desk(http.server.ThreadingHTTPServer):
     """One stand-in partner: answers after a while; while `shut` it closes every connection unanswered."""
+
     daemon_threads = True
 
     def __init__(self, name):
@@ -57,6 +59,7 @@
 
 class Notices(http.server.ThreadingHTTPServer):
     """Hears of texts that end undelivered."""
+
     daemon_threads = True
 
     def __init__(self):
@@ -81,13 +84,47 @@
 
 def configuration(listen, notices, desks):
     """The operator's file of the demo."""
-    out = ["version = 1", "", "[courier]", 'name = "demo"', f'listen = "{listen}"', 'state = "state"', f'notices = "{notices}"',
-           "slots = 30", "held = 500", 'disk = "5MB"', "status = true", "", "[returning]", 'cold = "3s"', 'span = "1s"', "", "[[product]]",
-           'name = "order-confirm"', 'repeat = "referenced"', 'sla = "1s"', 'validity = "6s"', 'memory = "5s"', "late_revenue = 0.3", "", "[[kind]]",
-           'name = "any"', 'answers = "100ms"', 'bundle = 1']
+    out = [
+        "version = 1",
+        "",
+        "[courier]",
+        'name = "demo"',
+        f'listen = "{listen}"',
+        'state = "state"',
+        f'notices = "{notices}"',
+        "slots = 30",
+        "held = 500",
+        'disk = "5MB"',
+        "status = true",
+        "",
+        "[returning]",
+        'cold = "3s"',
+        'span = "1s"',
+        "",
+        "[[product]]",
+        'name = "order-confirm"',
+        'repeat = "referenced"',
+        'sla = "1s"',
+        'validity = "6s"',
+        'memory = "5s"',
+        "late_revenue = 0.3",
+        "",
+        "[[kind]]",
+        'name = "any"',
+        'answers = "100ms"',
+        "bundle = 1",
+    ]
     for number, desk in enumerate(desks):
-        out += ["", "[[partner]]", f'name = "{desk.name}"', f"destination = {number}", 'kind = "any"', "", "[[partner.endpoint]]",
-                f'address = "127.0.0.1:{desk.server_address[1]}"']
+        out += [
+            "",
+            "[[partner]]",
+            f'name = "{desk.name}"',
+            f"destination = {number}",
+            'kind = "any"',
+            "",
+            "[[partner.endpoint]]",
+            f'address = "127.0.0.1:{desk.server_address[1]}"',
+        ]
     return "\n".join(out) + "\n"
 
 
@@ -103,15 +140,31 @@
 
 
 def table(told, desks, left):
-    out = Table(title=f"courier on loopback, {left:.0f} s to go", caption="the gateway goes out and comes back; no text is lost")
+    out = Table(
+        title=f"courier on loopback, {left:.0f} s to go",
+        caption="the gateway goes out and comes back; no text is lost",
+    )
     for head in ("partner", "mode", "waiting", "out", "delivered", "usual ms"):
         out.add_column(head, justify="left" if head in ("partner", "mode") else "right")
     for one in told.get("destinations", ()):
         desk = desks[one["destination"]]
-        out.add_row(desk.name + (" (out)" if desk.shut else ""), one["mode"], str(one["waiting"]), str(one["out"]), str(len(desk.delivered)),
-                    f"{one['usual_ms']:.0f}")
+        out.add_row(
+            desk.name + (" (out)" if desk.shut else ""),
+            one["mode"],
+            str(one["waiting"]),
+            str(one["out"]),
+            str(len(desk.delivered)),
+            f"{one['usual_ms']:.0f}",
+        )
     out.add_section()
-    out.add_row("all", "", str(told.get("held", 0)), str(told.get("calls_out", 0)), str(sum(len(d.delivered) for d in desks)), "")
+    out.add_row(
+        "all",
+        "",
+        str(told.get("held", 0)),
+        str(told.get("calls_out", 0)),
+        str(sum(len(d.delivered) for d in desks)),
+        "",
+    )
     return out
 
 
@@ -164,8 +217,18 @@
                 number += 1
                 dest = rng.choices(range(len(PARTNERS)), [share for _, share in PARTNERS])[0]
                 ident = f"text-{number}"
-                status, _ = ask(listen, "POST", "/order-confirm", BODY, {
-                    "X-Request-ID": ident, "X-Timeout": "6", "Idempotency-Key": ident, "X-Envelope": f"dest={dest}"})
+                status, _ = ask(
+                    listen,
+                    "POST",
+                    "/order-confirm",
+                    BODY,
+                    {
+                        "X-Request-ID": ident,
+                        "X-Timeout": "6",
+                        "Idempotency-Key": ident,
+                        "X-Envelope": f"dest={dest}",
+                    },
+                )
                 if status == 202:
                     taken.add(ident)
                 else:
@@ -183,7 +246,10 @@
     nacked = {ident for ident, how in notices.ended.items() if how == "bounced"}
     dead = set(notices.ended) - nacked
     lost = taken - delivered - nacked - dead
-    console.print(f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, {len(nacked - delivered)} nacked, "
-                  f"{len(dead - delivered)} undeliverable, {len(lost)} without an end", soft_wrap=True)
+    console.print(
+        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, {len(nacked - delivered)} nacked, "
+        f"{len(dead - delivered)} undeliverable, {len(lost)} without an end",
+        soft_wrap=True,
+    )
     console.print("what to try next: `calicopin write --example`, docs/commands.md")
     return not lost
--- a/calicopin/command/sidecar.py
+++ b/calicopin/command/sidecar.py
@@ -3,6 +3,7 @@
 The courier is a process of its own; the application is told where it listens by `CALICOPIN_LISTEN`. SIGTERM and SIGINT go to the
 application first; once that has ended the courier drains and stops. Its folder outlasts both.
 """
+
 import os
 import signal
 import socket
@@ -41,7 +42,10 @@
         self.asked = None
 
     def start_courier(self):
-        self.courier, self.since = subprocess.Popen([sys.executable, "-m", "calicopin", "run", self.file]), time.monotonic()
+        self.courier, self.since = (
+            subprocess.Popen([sys.executable, "-m", "calicopin", "run", self.file]),
+            time.monotonic(),
+        )
 
     def await_ready(self):
         until = time.monotonic() + READY
@@ -60,7 +64,9 @@
         if self.courier is not None and self.courier.poll() is not None:
             self.falls = 1 if now - self.since >= CALM else self.falls + 1
             self.next = now + back_off(self.falls)
-            self.say(f"the courier ended with {self.courier.returncode}; the next start in {back_off(self.falls):.1f} s")
+            self.say(
+                f"the courier ended with {self.courier.returncode}; the next start in {back_off(self.falls):.1f} s"
+            )
             self.courier = None
         if self.courier is None and now >= self.next:
             self.start_courier()
@@ -68,13 +74,17 @@
     def run(self):
         """The application's exit code; 2 where the courier never came up."""
         before = {sign: signal.signal(sign, self.hear) for sign in (signal.SIGTERM, signal.SIGINT)}
-        hup = signal.signal(signal.SIGHUP, lambda *_: self.courier and self.courier.send_signal(signal.SIGHUP))
+        hup = signal.signal(
+            signal.SIGHUP, lambda *_: self.courier and self.courier.send_signal(signal.SIGHUP)
+        )
         try:
             self.start_courier()
             if not self.await_ready():
                 self.say("the courier did not come up, so the application was not started")
                 return 2
-            self.application = subprocess.Popen(self.words, env=os.environ | {"CALICOPIN_LISTEN": self.listen})
+            self.application = subprocess.Popen(
+                self.words, env=os.environ | {"CALICOPIN_LISTEN": self.listen}
+            )
             while self.application.poll() is None:
                 if self.asked is not None:
                     self.application.send_signal(self.asked)
--- a/calicopin/configuration/migrate.py
+++ b/calicopin/configuration/migrate.py
@@ -2,14 +2,19 @@
 
 The form stays version 1: only values and keys change. What cannot be carried over is told, never dropped in silence.
 """
+
 import copy
 import os
 
 from calicopin.configuration import check, convert, units
 from calicopin.configuration.read import PREFIX, Fault, Read, Unusable
 
-STANDS_OVER = {("settings", "groupSize"): "courier.senders", ("settings", "loadInfo"): "reports", ("settings", "weights"): "limits_listed",
-               ("settings", "ceilings", "giveBack"): "courier.give_back"}  # of the platform's own keys, what would undo the new values
+STANDS_OVER = {
+    ("settings", "groupSize"): "courier.senders",
+    ("settings", "loadInfo"): "reports",
+    ("settings", "weights"): "limits_listed",
+    ("settings", "ceilings", "giveBack"): "courier.give_back",
+}  # of the platform's own keys, what would undo the new values
 
 
 def taken_out(tables, way):
@@ -34,46 +39,80 @@
     names = [product.name for product in sheet.product]
     for name in once_only:
         if name not in names:
-            faults.append(Fault(f"--once-only {name}", "is no product of the file", f"known are {', '.join(names)}"))
+            faults.append(
+                Fault(f"--once-only {name}", "is no product of the file", f"known are {', '.join(names)}")
+            )
     if sheet.courier.number >= senders:
-        faults.append(Fault(told.place("courier.number"), f"{sheet.courier.number} is not among {senders} senders, which count from 0",
-                            "give this courier its new number first"))
+        faults.append(
+            Fault(
+                told.place("courier.number"),
+                f"{sheet.courier.number} is not among {senders} senders, which count from 0",
+                "give this courier its new number first",
+            )
+        )
     if faults:
         raise Unusable(faults)
     if sheet.include:
-        lost.append(("include", f"{', '.join(sheet.include)} are written into the one new file; comments are left behind"))
+        lost.append(
+            (
+                "include",
+                f"{', '.join(sheet.include)} are written into the one new file; comments are left behind",
+            )
+        )
         sheet.include = []
     for name in sorted(environ):
         if name.startswith(PREFIX):
-            lost.append((name, "a variable of this process is not written down: set it again where the new file runs"))
+            lost.append(
+                (name, "a variable of this process is not written down: set it again where the new file runs")
+            )
     for way, key in STANDS_OVER.items():
         if taken_out(sheet.platform, way):
             lost.append(("platform." + ".".join(way), f"would stand over {key} and is left out"))
     for product in sheet.product:
         if product.name in once_only and product.repeat != "once-only":
             if product.repeat == "referenced":
-                lost.append((f"product[{product.name}].memory", f"{product.memory}: once-only texts are sent with no reference"))
+                lost.append(
+                    (
+                        f"product[{product.name}].memory",
+                        f"{product.memory}: once-only texts are sent with no reference",
+                    )
+                )
             product.repeat, product.memory, product.memory_by_zone = "once-only", "0s", False
     sheet.courier.senders, sheet.courier.give_back = senders, True
     if units.milliseconds(sheet.courier.idle) <= 0.0:
-        lost.append(("courier.idle", f"{sheet.courier.idle}: no idle connection is kept, so none is given back"))
+        lost.append(
+            ("courier.idle", f"{sheet.courier.idle}: no idle connection is kept, so none is given back")
+        )
         sheet.courier.give_back = False
     if reports is not None:
         sheet.reports = reports
     longest = max(units.milliseconds(product.validity) for product in sheet.product)
     for partner in sheet.partner:
         if partner.limit > 0.0 and check.calls_each(partner.limit, senders, longest) < 1.0:
-            lost.append((f"partner[{partner.name}].limit", f"{partner.limit:g} calls a second of {senders} senders are under one call of this courier "
-                         "in the longest validity period: it learns the pace from refusals instead"))
+            lost.append(
+                (
+                    f"partner[{partner.name}].limit",
+                    f"{partner.limit:g} calls a second of {senders} senders are under one call of this courier "
+                    "in the longest validity period: it learns the pace from refusals instead",
+                )
+            )
             partner.limit = 0.0
     if sheet.partners_file:
-        lost.append(("partners_file", f"{sheet.partners_file} is not rewritten: its limits are read anew, and `calicopin check` tells of those that are too small"))
+        lost.append(
+            (
+                "partners_file",
+                f"{sheet.partners_file} is not rewritten: its limits are read anew, and `calicopin check` tells of those that are too small",
+            )
+        )
     return sheet, lost
 
 
 def written(sheet):
     """The file's text; defaults stay out."""
-    return "# Written by `calicopin migrate`; docs/migration.md has the steps of the move.\n" + convert.as_toml(sheet)
+    return (
+        "# Written by `calicopin migrate`; docs/migration.md has the steps of the move.\n"
+        + convert.as_toml(sheet)
+    )
 
 
 def faults(sheet, told):
--- a/calicopin/configuration/pages.py
+++ b/calicopin/configuration/pages.py
@@ -1,10 +1,18 @@
 """The operators' page of every key and the JSON Schema, made from the types."""
+
 import msgspec
 
 from calicopin.configuration import sheet
 
-PARTS = (("", sheet.Sheet), ("[courier]", sheet.CourierPart), ("[returning]", sheet.ReturnPart), ("[[product]]", sheet.ProductPart),
-         ("[[kind]]", sheet.KindPart), ("[[partner]]", sheet.PartnerPart), ("[[partner.endpoint]]", sheet.EndpointPart))
+PARTS = (
+    ("", sheet.Sheet),
+    ("[courier]", sheet.CourierPart),
+    ("[returning]", sheet.ReturnPart),
+    ("[[product]]", sheet.ProductPart),
+    ("[[kind]]", sheet.KindPart),
+    ("[[partner]]", sheet.PartnerPart),
+    ("[[partner.endpoint]]", sheet.EndpointPart),
+)
 
 
 def schema():
@@ -18,8 +26,18 @@
     if "const" in told:
         return f"`{told['const']}`"
     kind = told.get("type", "table")
-    return f"list of {_kind(told['items'])}" if kind == "array" and "type" in told.get("items", {}) else {
-        "string": "word", "integer": "whole number", "number": "number", "boolean": "true or false", "array": "tables", "object": "table"}.get(kind, kind)
+    return (
+        f"list of {_kind(told['items'])}"
+        if kind == "array" and "type" in told.get("items", {})
+        else {
+            "string": "word",
+            "integer": "whole number",
+            "number": "number",
+            "boolean": "true or false",
+            "array": "tables",
+            "object": "table",
+        }.get(kind, kind)
+    )
 
 
 def page():
@@ -27,10 +45,25 @@
     out = []
     for title, part in PARTS:
         told = msgspec.json.schema(part)["$defs"][part.__name__]
-        out += [f"### `{title}`" if title else "### The file", "", part.__doc__.strip(), "", "| key | kind | default | what it says |", "| --- | --- | --- | --- |"]
+        out += [
+            f"### `{title}`" if title else "### The file",
+            "",
+            part.__doc__.strip(),
+            "",
+            "| key | kind | default | what it says |",
+            "| --- | --- | --- | --- |",
+        ]
         for field in msgspec.structs.fields(part):
             one = told["properties"][field.encode_name]
-            default = "must be given" if field.required else "" if field.default is msgspec.NODEFAULT else f"`{field.default}`" if field.default != "" else "empty"
+            default = (
+                "must be given"
+                if field.required
+                else ""
+                if field.default is msgspec.NODEFAULT
+                else f"`{field.default}`"
+                if field.default != ""
+                else "empty"
+            )
             out.append(f"| `{field.name}` | {_kind(one)} | {default} | {one.get('description', '')} |")
         out.append("")
     return "\n".join(out)
--- a/calicopin/configuration/posting.py
+++ b/calicopin/configuration/posting.py
@@ -1,4 +1,5 @@
 """What a start needs of an operator's file: read, checked, in the platform's form; and its watched list."""
+
 from calicopin.configuration import check, convert, partners, read
 from calicopin.facade import Place
 
@@ -21,6 +22,7 @@
 
 def lister(sheet):
     """A function that turns a watched file into places, or raises ValueError with what is wrong."""
+
     def load(path):
         try:
             some, origin = partners.load(path)
@@ -29,5 +31,9 @@
         faults = partners.faults(some, sheet, lambda key: f"{origin.get(key, path)}: {key}")
         if faults:
             raise ValueError("; ".join(map(str, faults)))
-        return [Place(one["id"], one["addr"], one["cell"], one["kind"], one["zone"], True, one["weight"]) for one in partners.listed(some)["servers"]]
+        return [
+            Place(one["id"], one["addr"], one["cell"], one["kind"], one["zone"], True, one["weight"])
+            for one in partners.listed(some)["servers"]
+        ]
+
     return load
--- a/calicopin/configuration/read.py
+++ b/calicopin/configuration/read.py
@@ -2,6 +2,7 @@
 
 A fault names file, line or key, what is wrong and what to do; all faults of a file are told at once.
 """
+
 import difflib
 import os
 import re
@@ -23,6 +24,7 @@
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One thing that is wrong, where, and what to do about it."""
+
     place: str
     why: str
     do: str = ""
@@ -42,6 +44,7 @@
 @dataclass(slots=True)
 class Read:
     """A configuration as it was read. `origin` tells for each key in the plain form `product[0].sla` where it came from."""
+
     sheet: Sheet
     origin: dict = field(default_factory=dict)
     paths: list = field(default_factory=list)
@@ -51,7 +54,7 @@
         while key:
             if key in self.origin:
                 return f"{self.origin[key]}: {key}"
-            key = key[:max(key.rfind("."), key.rfind("["), 0)]
+            key = key[: max(key.rfind("."), key.rfind("["), 0)]
         return self.paths[-1] if self.paths else "the configuration"
 
 
@@ -61,7 +64,11 @@
     out, counts, prefix = {}, {}, ""
     for number, line in enumerate(text.splitlines(), 1):
         if header := HEADER.match(line):
-            many, way, prefix = header[1] == "[[", [part.strip().strip("\"'") for part in header[2].split(".")], ""
+            many, way, prefix = (
+                header[1] == "[[",
+                [part.strip().strip("\"'") for part in header[2].split(".")],
+                "",
+            )
             for depth, part in enumerate(way, 1):  # each list of tables by its last entry so far
                 prefix = f"{prefix}.{part}" if prefix else part
                 if many and depth == len(way):
@@ -81,7 +88,9 @@
         with open(path, "rb") as file:
             data = file.read(MOST + 1)
     except OSError as fault:
-        raise Unusable([Fault(path, fault.strerror or "cannot be read", "check the path and its rights")]) from None
+        raise Unusable(
+            [Fault(path, fault.strerror or "cannot be read", "check the path and its rights")]
+        ) from None
     if len(data) > MOST:
         raise Unusable([Fault(path, f"is over {MOST >> 20} MiB", "this is no configuration")])
     if data.startswith((b"\xff\xfe", b"\xfe\xff")):
@@ -89,8 +98,14 @@
     try:
         text = data.decode("utf-8-sig")
     except UnicodeDecodeError as fault:
-        line = data[:fault.start].count(b"\n") + 1
-        raise Unusable([Fault(f"{path}:{line}", f"byte 0x{data[fault.start]:02x} is not UTF-8", "save the file as UTF-8")]) from None
+        line = data[: fault.start].count(b"\n") + 1
+        raise Unusable(
+            [
+                Fault(
+                    f"{path}:{line}", f"byte 0x{data[fault.start]:02x} is not UTF-8", "save the file as UTF-8"
+                )
+            ]
+        ) from None
     try:
         tables = tomllib.loads(text)
     except tomllib.TOMLDecodeError as fault:
@@ -108,9 +123,25 @@
     paths, base, seen = [path], {}, {}
     names = tables.get("include", [])
     if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
-        raise Unusable([Fault(origin.get("include", path), "include wants a list of file names", 'as in include = ["common.toml"]')])
+        raise Unusable(
+            [
+                Fault(
+                    origin.get("include", path),
+                    "include wants a list of file names",
+                    'as in include = ["common.toml"]',
+                )
+            ]
+        )
     if names and depth >= DEEP:
-        raise Unusable([Fault(origin.get("include", path), f"files include one another {DEEP} deep", "take the circle out")])
+        raise Unusable(
+            [
+                Fault(
+                    origin.get("include", path),
+                    f"files include one another {DEEP} deep",
+                    "take the circle out",
+                )
+            ]
+        )
     for name in names:
         other, places, more = gather(os.path.join(os.path.dirname(path), name), depth + 1)
         paths = more + paths
@@ -153,9 +184,18 @@
     origin[key] = where
 
 
-FIELDS = {name: {part.name: part for part in msgspec.structs.fields(kind)} for name, kind in (
-    ("", Sheet), ("courier", sheet.CourierPart), ("returning", sheet.ReturnPart), ("product", sheet.ProductPart),
-    ("kind", sheet.KindPart), ("partner", sheet.PartnerPart), ("endpoint", sheet.EndpointPart))}
+FIELDS = {
+    name: {part.name: part for part in msgspec.structs.fields(kind)}
+    for name, kind in (
+        ("", Sheet),
+        ("courier", sheet.CourierPart),
+        ("returning", sheet.ReturnPart),
+        ("product", sheet.ProductPart),
+        ("kind", sheet.KindPart),
+        ("partner", sheet.PartnerPart),
+        ("endpoint", sheet.EndpointPart),
+    )
+}
 
 
 def types(tables, origin, path):
@@ -170,14 +210,20 @@
         for word in value:
             if word not in known:
                 near = difflib.get_close_matches(word, known, 1)
-                out.append(Fault(place(f"{key}.{word}" if key else word), f"there is no key {word!r}",
-                                 f"did you mean {near[0]!r}?" if near else f"known are {', '.join(sorted(known))}"))
+                out.append(
+                    Fault(
+                        place(f"{key}.{word}" if key else word),
+                        f"there is no key {word!r}",
+                        f"did you mean {near[0]!r}?" if near else f"known are {', '.join(sorted(known))}",
+                    )
+                )
         for word, inner in value.items():
             if word in FIELDS and word in known:
                 plain = f"{key}.{word}" if key else word
                 for number, one in enumerate(inner if isinstance(inner, list) else [inner]):
                     if isinstance(one, dict):
                         walk(one, word, f"{plain}[{number}]" if isinstance(inner, list) else plain)
+
     walk(tables, "", "")
     return out
 
@@ -187,10 +233,25 @@
     path = paths[-1]
     version = tables.get("version")
     if isinstance(version, int) and not isinstance(version, bool) and version > VERSION:
-        raise Unusable([Fault(origin.get("version", path), f"version {version} is newer than this program knows ({VERSION})",
-                              "update calicopin, or write the file for this version")])
+        raise Unusable(
+            [
+                Fault(
+                    origin.get("version", path),
+                    f"version {version} is newer than this program knows ({VERSION})",
+                    "update calicopin, or write the file for this version",
+                )
+            ]
+        )
     if not tables:
-        raise Unusable([Fault(path, "is empty", "begin with version = 1 and a [courier] table, or let `calicopin write` make it")])
+        raise Unusable(
+            [
+                Fault(
+                    path,
+                    "is empty",
+                    "begin with version = 1 and a [courier] table, or let `calicopin write` make it",
+                )
+            ]
+        )
     faults = types(tables, origin, path)
     if faults:
         raise Unusable(faults)
@@ -217,7 +278,7 @@
     tables, origin, paths = gather(path)
     for name, word in sorted((environ or {}).items()):
         if name.startswith(PREFIX):
-            lay_over(tables, origin, name[len(PREFIX):].lower().replace("__", "."), scalar(word), f"${name}")
+            lay_over(tables, origin, name[len(PREFIX) :].lower().replace("__", "."), scalar(word), f"${name}")
     for key, word in over:
         lay_over(tables, origin, key, scalar(word), "--set")
     return build(tables, origin, paths)
--- a/calicopin/configuration/units.py
+++ b/calicopin/configuration/units.py
@@ -1,4 +1,5 @@
 """Times, sizes and addresses as an operator writes them."""
+
 import re
 import socket
 
@@ -12,7 +13,7 @@
     """`4s`, `250ms`, `1.5s`, `2m` or `1h`; ValueError with what to write instead."""
     told = TIME.fullmatch(word.strip()) if isinstance(word, str) else None
     if not told:
-        hint = f", as in \"{word}s\" or \"{word}ms\"" if str(word).replace(".", "", 1).isdigit() else ""
+        hint = f', as in "{word}s" or "{word}ms"' if str(word).replace(".", "", 1).isdigit() else ""
         raise ValueError(f"{word!r} is no time: give a number with its unit ms, s, m or h{hint}")
     return float(told[1]) * MS[told[2]]
 
@@ -49,7 +50,9 @@
             raise OSError
         socket.inet_aton(host)
     except OSError:
-        raise ValueError(f"{word!r} is no address: give it as 10.0.0.4:5000 (names are not looked up)") from None
+        raise ValueError(
+            f"{word!r} is no address: give it as 10.0.0.4:5000 (names are not looked up)"
+        ) from None
     if not port.isdigit() or not 0 < int(port) < 65536:
         raise ValueError(f"{word!r} has no port between 1 and 65535")
     return host, int(port)
--- a/calicopin/configuration/write.py
+++ b/calicopin/configuration/write.py
@@ -1,4 +1,5 @@
 """Writes a configuration from a short description of an application, with the reason for each value that it chose."""
+
 import json
 import math
 from typing import Annotated, Literal
@@ -15,6 +16,7 @@
 
 class Shop(Struct, forbid_unknown_fields=True):
     """One partner that gets texts."""
+
     name: Annotated[str, Meta(min_length=1)]
     number: Annotated[int, Meta(ge=0)]
     addresses: Annotated[list[str], Meta(min_length=1)]
@@ -23,6 +25,7 @@
 
 class Receivers(Struct, forbid_unknown_fields=True):
     """Partners of one kind."""
+
     kind: Annotated[str, Meta(min_length=1)]
     answers: str = "500ms"
     together: Annotated[int, Meta(ge=1)] = 1
@@ -31,6 +34,7 @@
 
 class Sends(Struct, forbid_unknown_fields=True):
     """One kind of text that the application sends."""
+
     name: Name
     wanted_within: str
     useful_for: str
@@ -43,6 +47,7 @@
 
 class Application(Struct, forbid_unknown_fields=True):
     """What an application sends, how urgently, to whom and where it runs."""
+
     version: Literal[1]
     name: Name
     sends: Annotated[list[Sends], Meta(min_length=1)]
@@ -66,8 +71,15 @@
     except msgspec.ValidationError as fault:
         why, _, key = str(fault).partition(" - at ")
         key = key.strip("`").removeprefix("$").removeprefix(".")
-        raise Unusable([Fault(f"{origin.get(key, path)}: {key}" if key else path, why[0].lower() + why[1:],
-                              "see `calicopin write --example`")]) from None
+        raise Unusable(
+            [
+                Fault(
+                    f"{origin.get(key, path)}: {key}" if key else path,
+                    why[0].lower() + why[1:],
+                    "see `calicopin write --example`",
+                )
+            ]
+        ) from None
 
 
 class Page:
@@ -93,11 +105,21 @@
         except ValueError as fault:
             faults.append(Fault(f"{path}: {place}", str(fault)))
             return 1000.0
-    spans = [(time(one.wanted_within, f"sends[{n}].wanted_within"), time(one.useful_for, f"sends[{n}].useful_for")) for n, one in enumerate(app.sends)]
+
+    spans = [
+        (time(one.wanted_within, f"sends[{n}].wanted_within"), time(one.useful_for, f"sends[{n}].useful_for"))
+        for n, one in enumerate(app.sends)
+    ]
     answers = [time(one.answers, f"to[{n}].answers") for n, one in enumerate(app.to)]
     for number, one in enumerate(app.sends):
         if one.may_run_again == "with-reference" and not one.remembered_for:
-            faults.append(Fault(f"{path}: sends[{number}].remembered_for", "how long partners remember a reference is not said", "ask them"))
+            faults.append(
+                Fault(
+                    f"{path}: sends[{number}].remembered_for",
+                    "how long partners remember a reference is not said",
+                    "ask them",
+                )
+            )
     try:
         body = units.size(app.body)
     except ValueError as fault:
@@ -111,7 +133,9 @@
     descriptors = max(64, least_descriptors(slots) + 32)
     disk = math.ceil(held * (max(body, LEAST_BODY) + RECORD) * 3.0 / 1e6)
     connect = min(1500.0, min(useful for _, useful in spans) / 4.0)
-    page.say(f"# The courier beside {app.name}, written by `calicopin write`. `calicopin check` examines it, `calicopin run` starts it.")
+    page.say(
+        f"# The courier beside {app.name}, written by `calicopin write`. `calicopin check` examines it, `calicopin run` starts it."
+    )
     page.put("version", 1)
     page.say()
     page.say("[courier]")
@@ -121,18 +145,34 @@
     if app.agent:
         page.put("agent", app.agent)
     page.put("senders", app.couriers, "limits are split by it")
-    page.put("slots", slots, f"twice the {rate:g} texts a second that wait {units.spell(slowest)} for an answer, and four more")
-    page.put("held", held, f"what comes in the longest useful time, {units.spell(longest)}, if nothing goes out")
+    page.put(
+        "slots",
+        slots,
+        f"twice the {rate:g} texts a second that wait {units.spell(slowest)} for an answer, and four more",
+    )
+    page.put(
+        "held", held, f"what comes in the longest useful time, {units.spell(longest)}, if nothing goes out"
+    )
     page.put("descriptors", descriptors, f"enough for {slots} slots, with room for clients")
-    page.put("disk", f"{disk}MB", f"{held} texts of {units.spell_size(body)} at most, two fifths of it for live ones, and room to rewrite")
+    page.put(
+        "disk",
+        f"{disk}MB",
+        f"{held} texts of {units.spell_size(body)} at most, two fifths of it for live ones, and room to rewrite",
+    )
     page.put("connect", units.spell(connect), "a connection that does not come up leaves time for another")
     for one in app.sends:
         page.say()
         page.say("[[product]]")
         page.put("name", one.name, "the first part of the path: POST /" + one.name)
-        page.put("repeat", REPEATS[one.may_run_again], {
-            "yes": "it may run again", "with-reference": "it may be sent again with its reference while partners know it",
-            "no": "once a submit may have run it is never sent again"}[one.may_run_again])
+        page.put(
+            "repeat",
+            REPEATS[one.may_run_again],
+            {
+                "yes": "it may run again",
+                "with-reference": "it may be sent again with its reference while partners know it",
+                "no": "once a submit may have run it is never sent again",
+            }[one.may_run_again],
+        )
         page.put("sla", one.wanted_within)
         page.put("validity", one.useful_for)
         if one.may_run_again == "with-reference":
@@ -164,7 +204,7 @@
     return "\n".join(page.lines) + "\n"
 
 
-EXAMPLE = '''version = 1
+EXAMPLE = """version = 1
 name = "order-desk"
 listen = "127.0.0.1:5000"
 state = "/var/lib/calicopin/order-desk"
@@ -205,4 +245,4 @@
 name = "corner shop"
 number = 2
 addresses = ["10.0.1.9:8080"]
-'''
+"""
--- a/calicopin/drill/__main__.py
+++ b/calicopin/drill/__main__.py
@@ -1,4 +1,5 @@
 """Hosts many couriers, each for itself, on the wire's standard input and output."""
+
 import sys
 import traceback
 
--- a/calicopin/drill/codec.py
+++ b/calicopin/drill/codec.py
@@ -1,4 +1,5 @@
 """Reads and writes the lines of the wire marsh-b659. Nothing here decides anything."""
+
 import json
 import math
 
--- a/calicopin/drill/door.py
+++ b/calicopin/drill/door.py
@@ -1,4 +1,5 @@
 """The door of one courier: the wire's names, seconds and ids outside; ours inside."""
+
 from calicopin.drill.codec import WireFault, plain, seconds
 from calicopin.interface import Entry, How, Listed, ListFailed, Outcome, Taken, Withdrawn, Woken
 from calicopin.terms import Indices, agreed, courier, ms, reports
@@ -43,8 +44,16 @@
         self.out[text] -= 1
         told = dict(zip(self.reports, report)) if report else {}
         wait = note if reason == How.FULL and note else 0.0
-        event = Outcome(text, self.endpoints(endpoint), How(reason), wait, ms(elapsed), finished,
-                        told.get("x0"), told.get("x1"))
+        event = Outcome(
+            text,
+            self.endpoints(endpoint),
+            How(reason),
+            wait,
+            ms(elapsed),
+            finished,
+            told.get("x0"),
+            told.get("x1"),
+        )
         if finished:
             self.ended.add(text)
         self._forget(text)
@@ -70,9 +79,20 @@
             return ListFailed()
         if bank not in pages:
             raise WireFault(f"line {number}: PEERS_KNOWN names page {bank}, which was not sent")
-        return Listed([Entry(self.endpoints(endpoint), self.dests(cell), machine or 0, hall or 0,
-                             phase == READY, share if self.agreed else None)
-                       for phase, share, _, cell, hall, machine, endpoint in pages[bank]], kind in WHOLE)
+        return Listed(
+            [
+                Entry(
+                    self.endpoints(endpoint),
+                    self.dests(cell),
+                    machine or 0,
+                    hall or 0,
+                    phase == READY,
+                    share if self.agreed else None,
+                )
+                for phase, share, _, cell, hall, machine, endpoint in pages[bank]
+            ],
+            kind in WHOLE,
+        )
 
     def _bell(self, _, values, __):
         return Woken(values[0])
@@ -87,8 +107,10 @@
 
     def _do_submit(self, action):
         self.out[action.text] += 1
-        return (f"HAND_OFF {self.handles[action.text]} {self.endpoints.ident[action.endpoint]} "
-                f"{seconds(action.timeout)}")
+        return (
+            f"HAND_OFF {self.handles[action.text]} {self.endpoints.ident[action.endpoint]} "
+            f"{seconds(action.timeout)}"
+        )
 
     def _end(self, text):
         handle = self.handles[text]
--- a/calicopin/emulator/__main__.py
+++ b/calicopin/emulator/__main__.py
@@ -1,4 +1,5 @@
 """`python -m calicopin.emulator`: runs of scenarios, judged; one that broke played again, in words, or made smaller."""
+
 import json
 import os
 import sys
@@ -21,6 +22,7 @@
 
 class Seeds(click.ParamType):
     """`7`, `1..200` or `3,9,12..20`."""
+
     name = "seeds"
 
     def convert(self, value, param, ctx):
@@ -75,18 +77,30 @@
 
 @main.command()
 @click.argument("scenarios", nargs=-1, required=True)
-@click.option("--seeds", type=Seeds(), default="1..10", show_default=True, help="One, a span or a list of them.")
+@click.option(
+    "--seeds", type=Seeds(), default="1..10", show_default=True, help="One, a span or a list of them."
+)
 @click.option("--jobs", type=click.IntRange(1, 64), default=min(8, os.cpu_count() or 1), show_default=True)
-@click.option("--fault", type=click.Choice(sorted(FAULTS)), help="Put one of the known faults into the program.")
-@click.option("--json", "path", type=click.Path(dir_okay=False, writable=True), help="Keep each run's figures here.")
+@click.option(
+    "--fault", type=click.Choice(sorted(FAULTS)), help="Put one of the known faults into the program."
+)
+@click.option(
+    "--json", "path", type=click.Path(dir_okay=False, writable=True), help="Keep each run's figures here."
+)
 def run(scenarios, seeds, jobs, fault, path):
     """Plays SCENARIOS (names or files; `all` for all that come with it) and judges them."""
     words = [name for word in scenarios for name in (names() if word == "all" else [word])]
     loaded = {word: read(word) for word in words}
     console, results, began = wide(), [], time.time()
     todo = [(word, seed, fault, ()) for seed in seeds for word in words]
-    bar = Progress(TextColumn("{task.description}"), BarColumn(), MofNCompleteColumn(), TimeRemainingColumn(),
-                   console=Console(stderr=True), transient=True)
+    bar = Progress(
+        TextColumn("{task.description}"),
+        BarColumn(),
+        MofNCompleteColumn(),
+        TimeRemainingColumn(),
+        console=Console(stderr=True),
+        transient=True,
+    )
     with bar:
         task = bar.add_task("playing", total=len(todo))
 
@@ -95,10 +109,14 @@
             if result.breaks:
                 word = next(word for word, scenario in loaded.items() if scenario.name == result.scenario)
                 extra = f" --fault {fault}" if fault else ""
-                console.print(f"[bold]{result.breaks[0]}[/bold] (+{len(result.breaks) - 1} more)\n  again: "
-                              f"python -m calicopin.emulator play {word} --seed {result.seed}{extra}", highlight=False,
-                              soft_wrap=True)
+                console.print(
+                    f"[bold]{result.breaks[0]}[/bold] (+{len(result.breaks) - 1} more)\n  again: "
+                    f"python -m calicopin.emulator play {word} --seed {result.seed}{extra}",
+                    highlight=False,
+                    soft_wrap=True,
+                )
             bar.advance(task)
+
         try:
             runs.many(todo, min(jobs, len(todo)), told)
         except KeyboardInterrupt:
@@ -107,8 +125,18 @@
     if path:
         with open(path, "w", encoding="utf-8") as file:
             for result in sorted(results, key=lambda one: (one.scenario, one.seed)):
-                file.write(json.dumps(dict(scenario=result.scenario, seed=result.seed, digest=result.digest,
-                                           breaks=list(map(str, result.breaks)), **result.figures)) + "\n")
+                file.write(
+                    json.dumps(
+                        dict(
+                            scenario=result.scenario,
+                            seed=result.seed,
+                            digest=result.digest,
+                            breaks=list(map(str, result.breaks)),
+                            **result.figures,
+                        )
+                    )
+                    + "\n"
+                )
     sys.exit(1 if any(result.breaks for result in results) else 0)
 
 
@@ -120,24 +148,38 @@
         broken = [result for result in some if result.breaks]
         rules = Counter(rule for result in broken for rule in {one.rule for one in result.breaks})
         means = [sum(result.figures[key] for result in some) / len(some) for key in SHOWN]
-        table.add_row(name, str(len(some)), str(len(broken)), ", ".join(f"{r} {n}" for r, n in rules.most_common()),
-                      str(sum(result.figures["texts"] for result in some)), *(f"{mean:.3g}" for mean in means),
-                      f"{sum(r.simulated_s for r in some) / max(1e-9, sum(r.cpu for r in some)):.1f}")
+        table.add_row(
+            name,
+            str(len(some)),
+            str(len(broken)),
+            ", ".join(f"{r} {n}" for r, n in rules.most_common()),
+            str(sum(result.figures["texts"] for result in some)),
+            *(f"{mean:.3g}" for mean in means),
+            f"{sum(r.simulated_s for r in some) / max(1e-9, sum(r.cpu for r in some)):.1f}",
+        )
     console.print(table)
-    console.print(f"{len(results)} runs, {sum(r.simulated_s for r in results):.0f} simulated seconds in {took:.0f} s; "
-                  "what was searched is no proof")
+    console.print(
+        f"{len(results)} runs, {sum(r.simulated_s for r in results):.0f} simulated seconds in {took:.0f} s; "
+        "what was searched is no proof"
+    )
 
 
 @main.command()
 @click.argument("scenario")
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--calls", type=Seeds(), default="1..400", show_default=True, help="System calls at which it is killed.")
+@click.option(
+    "--calls", type=Seeds(), default="1..400", show_default=True, help="System calls at which it is killed."
+)
 @click.option("--again", type=Seeds(), help="Calls of the next process at which that one is killed too.")
 @click.option("--jobs", type=click.IntRange(1, 64), default=min(8, os.cpu_count() or 1), show_default=True)
 def sweep(scenario, seed, calls, again, jobs):
     """Plays one run again and again, its first courier killed at each of the system calls in turn."""
     read(scenario)
-    todo = [(scenario, seed, None, (call, *more)) for call in calls for more in ([(two,) for two in again] if again else [()])]
+    todo = [
+        (scenario, seed, None, (call, *more))
+        for call in calls
+        for more in ([(two,) for two in again] if again else [()])
+    ]
     broken, killed, done = 0, 0, 0
 
     def told(result):
@@ -146,6 +188,7 @@
         if result.breaks:
             broken += 1
             click.echo(f"killed at {result.kills}: {result.breaks[0]}")
+
     runs.many(todo, min(jobs, len(todo)), told)
     click.echo(f"{done} runs, {killed} of them with every kill carried out, {broken} broken")
     sys.exit(1 if broken else 0)
@@ -155,7 +198,9 @@
 @click.argument("scenario")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--fault", type=click.Choice(sorted(FAULTS)))
-@click.option("--kills", type=Seeds(), default=None, help="System calls at which the first courier's processes end.")
+@click.option(
+    "--kills", type=Seeds(), default=None, help="System calls at which the first courier's processes end."
+)
 @click.option("--text", "ident", help="Only what touches this text.")
 @click.option("--log/--no-log", default=False, help="The couriers' own lines too.")
 def play(scenario, seed, fault, kills, ident, log):
@@ -186,9 +231,13 @@
         click.echo("no rule breaks in that run")
         sys.exit(0)
     troubles, texts, found = made
-    click.echo(f"{len(troubles)} troubles and {len(texts)} texts are left: {[text['number'] for text in texts][:40]}")
+    click.echo(
+        f"{len(troubles)} troubles and {len(texts)} texts are left: {[text['number'] for text in texts][:40]}"
+    )
     for trouble in troubles:
-        click.echo(f"  {trouble.kind} at {trouble.at_s:g} s for {trouble.for_s:g} s, {trouble.whom}, size {trouble.size:g}")
+        click.echo(
+            f"  {trouble.kind} at {trouble.at_s:g} s for {trouble.for_s:g} s, {trouble.whom}, size {trouble.size:g}"
+        )
     click.echo(f"BROKEN {found}")
     sys.exit(1)
 
@@ -206,8 +255,16 @@
         broken = broken or bool(result.breaks)
         for one in result.breaks[:5]:
             click.echo(f"BROKEN {one}")
-        click.echo(json.dumps(dict(seed=seed, digest=result.digest, times_real=round(result.simulated_s / result.cpu, 1),
-                                   **result.figures)))
+        click.echo(
+            json.dumps(
+                dict(
+                    seed=seed,
+                    digest=result.digest,
+                    times_real=round(result.simulated_s / result.cpu, 1),
+                    **result.figures,
+                )
+            )
+        )
     sys.exit(1 if broken else 0)
 
 
--- a/calicopin/emulator/day.py
+++ b/calicopin/emulator/day.py
@@ -1,4 +1,5 @@
 """One run: the parties of a scenario put into a world, its traffic and its troubles, played to the end."""
+
 import gc
 import json
 import signal
@@ -22,27 +23,62 @@
 def settings(scenario, number):
     """The settings of one courier, as the platform tells them."""
     couriers, rules = scenario.couriers, scenario.rules
-    grades = [dict(name=product.name, idempotency=REPEATS[product.repeat], aim=product.sla_s, giveUp=product.validity_s,
-                   points=product.revenue, lateWorth=product.late_revenue, keyTtl=product.memory_s,
-                   group="zone" if product.memory_by_zone else "all", inOrder=product.in_order)
-              for product in scenario.product]
+    grades = [
+        dict(
+            name=product.name,
+            idempotency=REPEATS[product.repeat],
+            aim=product.sla_s,
+            giveUp=product.validity_s,
+            points=product.revenue,
+            lateWorth=product.late_revenue,
+            keyTtl=product.memory_s,
+            group="zone" if product.memory_by_zone else "all",
+            inOrder=product.in_order,
+        )
+        for product in scenario.product
+    ]
     kinds = [partner.name for partner in scenario.partner]
     return dict(
-        slotNo=number, groupSize=couriers.count, tick=0.005, kinds=kinds, zones=["z0", "z1"], grades=grades,
-        familyInfo=dict(workers=couriers.slots, bundleMax=[partner.bundle for partner in scenario.partner],
-                        ownLimits=[partner.apart for partner in scenario.partner], fades="linear"),
-        ceilings=dict(mostHeld=couriers.held, tryLimit=couriers.tries, connectTimeout=couriers.connect_ms / 1000.0,
-                      idleClose=couriers.idle_s, retryAfter=couriers.advice_s > 0, maxRetryAfter=couriers.advice_s),
-        rules=dict(coldFrom=rules.cold_from, cold=rules.cold_s, tipMultiple=rules.multiple, fall=rules.span_s,
-                   orderSettle=couriers.settle_ms / 1000.0, askWithin=10.0),
-        loadInfo=dict(columns=["x0", "x1"], source="piggyback"), weights="silent",
-        discovery="push" if couriers.lists == "pushed" else "ask")
+        slotNo=number,
+        groupSize=couriers.count,
+        tick=0.005,
+        kinds=kinds,
+        zones=["z0", "z1"],
+        grades=grades,
+        familyInfo=dict(
+            workers=couriers.slots,
+            bundleMax=[partner.bundle for partner in scenario.partner],
+            ownLimits=[partner.apart for partner in scenario.partner],
+            fades="linear",
+        ),
+        ceilings=dict(
+            mostHeld=couriers.held,
+            tryLimit=couriers.tries,
+            connectTimeout=couriers.connect_ms / 1000.0,
+            idleClose=couriers.idle_s,
+            retryAfter=couriers.advice_s > 0,
+            maxRetryAfter=couriers.advice_s,
+        ),
+        rules=dict(
+            coldFrom=rules.cold_from,
+            cold=rules.cold_s,
+            tipMultiple=rules.multiple,
+            fall=rules.span_s,
+            orderSettle=couriers.settle_ms / 1000.0,
+            askWithin=10.0,
+        ),
+        loadInfo=dict(columns=["x0", "x1"], source="piggyback"),
+        weights="silent",
+        discovery="push" if couriers.lists == "pushed" else "ask",
+    )
 
 
 def shares(scenario):
     """The share of the traffic that each destination gets."""
-    made = [(partner.share / partner.destinations * (rank + 1) ** -scenario.traffic.tail)
-            for _, partner, rank in scenario.destinations()]
+    made = [
+        (partner.share / partner.destinations * (rank + 1) ** -scenario.traffic.tail)
+        for _, partner, rank in scenario.destinations()
+    ]
     return [share / sum(made) for share in made]
 
 
@@ -77,8 +113,18 @@
         reference = f"r{number:08x}" if kind.repeat == "referenced" else None
         low, high = traffic.body
         body = b"%d:" % number + bytes(rng.randrange(low, high + 1))
-        out.append(dict(number=number, dest=dest, product=product, key=key, reference=reference, body=body,
-                        due=OPENING + now, until=OPENING + now + kind.validity_s * 1000.0))
+        out.append(
+            dict(
+                number=number,
+                dest=dest,
+                product=product,
+                key=key,
+                reference=reference,
+                body=body,
+                due=OPENING + now,
+                until=OPENING + now + kind.validity_s * 1000.0,
+            )
+        )
         number += 1
 
 
@@ -90,10 +136,25 @@
         for _ in range(scenario.mixed.troubles):
             kind = rng.choice(scenario.mixed.kinds)
             at = rng.uniform(0.05, 0.8) * scenario.length_s
-            size = {"errors": 0.4, "lose": 0.3, "spoil": 0.3, "slow": rng.choice([5.0, 20.0]), "limit": 0.5, "burst": 1.5,
-                    "clump": 2.0, "clock": rng.choice([-300.0, 300.0]), "net-slow": 8.0, "resets": 0.3, "stand": 1.0,
-                    "disk-errors": 0.2, "disk-short": 0.5, "disk-slow": 40.0}.get(kind, 1.0)
-            out.append(Trouble(kind=kind, at_s=round(at, 3), for_s=round(rng.uniform(1.0, 9.0), 3), size=size))
+            size = {
+                "errors": 0.4,
+                "lose": 0.3,
+                "spoil": 0.3,
+                "slow": rng.choice([5.0, 20.0]),
+                "limit": 0.5,
+                "burst": 1.5,
+                "clump": 2.0,
+                "clock": rng.choice([-300.0, 300.0]),
+                "net-slow": 8.0,
+                "resets": 0.3,
+                "stand": 1.0,
+                "disk-errors": 0.2,
+                "disk-short": 0.5,
+                "disk-slow": 40.0,
+            }.get(kind, 1.0)
+            out.append(
+                Trouble(kind=kind, at_s=round(at, 3), for_s=round(rng.uniform(1.0, 9.0), 3), size=size)
+            )
     return sorted(out, key=lambda trouble: trouble.at_s)
 
 
@@ -105,15 +166,29 @@
         self.scenario, self.seed, self.world = scenario, seed, World(seed)
         world, net = self.world, scenario.net
         self.net = Network(world, net.latency_ms, net.bandwidth_mb_s * 1000.0, net.pieces)
-        self.net.far, self.net.outer = net.partner_ms, tuple(
-            f"10.{part}." for part in (6, *range(10, 11 + sum(one.destinations for one in scenario.partner) // 200
-                                                 + 40 * (max(one.endpoints for one in scenario.partner) // 250))))
+        self.net.far, self.net.outer = (
+            net.partner_ms,
+            tuple(
+                f"10.{part}."
+                for part in (
+                    6,
+                    *range(
+                        10,
+                        11
+                        + sum(one.destinations for one in scenario.partner) // 200
+                        + 40 * (max(one.endpoints for one in scenario.partner) // 250),
+                    ),
+                )
+            ),
+        )
         self.rng = world.chance("day")
         self.troubles = drawn(scenario, world) if troubles is None else list(troubles)
         with_drawn = msgspec.structs.replace(scenario, trouble=tuple(self.troubles), mixed=None)
         self.texts = arrivals(with_drawn, world) if texts is None else texts
         self.products = scenario.product
-        self.partners = Partners(world, self.net, lambda end: self.hosts.get(end.peer.machine.address, "nobody"))
+        self.partners = Partners(
+            world, self.net, lambda end: self.hosts.get(end.peer.machine.address, "nobody")
+        )
         self.destinations, self.list = {}, {}
         for number, partner, _ in scenario.destinations():
             self._destination(number, partner)
@@ -131,14 +206,29 @@
     # The parties.
 
     def _entry(self, endpoint, destination, state="active"):
-        return {"id": endpoint.ident, "addr": f"{endpoint.host}:80", "zone": endpoint.zone,
-                "kind": destination.spec.name, "cell": destination.number, "state": state, "weight": 1.0, "started_ms": 0}
+        return {
+            "id": endpoint.ident,
+            "addr": f"{endpoint.host}:80",
+            "zone": endpoint.zone,
+            "kind": destination.spec.name,
+            "cell": destination.number,
+            "state": state,
+            "weight": 1.0,
+            "started_ms": 0,
+        }
 
     def _destination(self, number, partner):
-        endpoints = [Endpoint(f"e{number}.{i}", f"10.{10 + number // 200 + 40 * (i // 250)}.{number % 200}.{i % 250 + 1}",
-                              f"z{i % partner.zones}") for i in range(partner.endpoints)]
+        endpoints = [
+            Endpoint(
+                f"e{number}.{i}",
+                f"10.{10 + number // 200 + 40 * (i // 250)}.{number % 200}.{i % 250 + 1}",
+                f"z{i % partner.zones}",
+            )
+            for i in range(partner.endpoints)
+        ]
         destination = self.destinations[number] = Destination(
-            self.world, number, partner, self.scenario.rules, endpoints)
+            self.world, number, partner, self.scenario.rules, endpoints
+        )
         for endpoint in endpoints:
             self.partners.listen(destination, endpoint)
             self.list[endpoint.ident] = self._entry(endpoint, destination)
@@ -146,16 +236,39 @@
     def _courier(self, number, begin):
         couriers, name = self.scenario.couriers, f"courier{number}"
         host, agent = f"10.8.{number // 200}.{number % 200 + 1}", f"10.7.{number // 200}.{number % 200 + 1}"
-        environ = {"LB_NAME": name, "LB_CONFIG": "config", "LB_STATE": "state", "LB_LISTEN": f"{host}:5000",
-                   "LB_DISCOVERY": f"{agent}:8500"}
+        environ = {
+            "LB_NAME": name,
+            "LB_CONFIG": "config",
+            "LB_STATE": "state",
+            "LB_LISTEN": f"{host}:5000",
+            "LB_DISCOVERY": f"{agent}:8500",
+        }
         if couriers.scrape_s:
             environ["LB_ADMIN_ADDR"] = f"{host}:{Operator.PORT}"
-        process = Process(self.world, self.net, name, host, begin, environ, couriers.descriptors,
-                          self.world.chance(name), couriers.pass_ms, couriers.short)
+        process = Process(
+            self.world,
+            self.net,
+            name,
+            host,
+            begin,
+            environ,
+            couriers.descriptors,
+            self.world.chance(name),
+            couriers.pass_ms,
+            couriers.short,
+        )
         process.number_ = number
         late = tuple(self.scenario.platform.late_ms)
         self.platforms[name] = platform = Platform(
-            self.world, self.net, name, agent, self.list, late, self.world.chance(f"{name} agent"), self.registry)
+            self.world,
+            self.net,
+            name,
+            agent,
+            self.list,
+            late,
+            self.world.chance(f"{name} agent"),
+            self.registry,
+        )
         platform.heard = lambda *notice: self.clients.noticed(*notice)
         self.hosts[host] = name
         self.couriers.append(process)
@@ -163,11 +276,20 @@
         process.first = platform.known()
 
     def config(self, process, platform, **other):
-        couriers, seed = self.scenario.couriers, zlib.crc32(f"{self.seed}/{process.name}/{process.number}".encode())
-        told = {"name": process.name, "listen": process.environ["LB_LISTEN"], "seed": f"{seed:x}",
-                "discovery": process.environ["LB_DISCOVERY"],
-                "limits": {"sockets": couriers.descriptors, "disk_mb": couriers.disk_mb},
-                "known": platform.known(), "settings": settings(self.scenario, process.number_), "store": couriers.store}
+        couriers, seed = (
+            self.scenario.couriers,
+            zlib.crc32(f"{self.seed}/{process.name}/{process.number}".encode()),
+        )
+        told = {
+            "name": process.name,
+            "listen": process.environ["LB_LISTEN"],
+            "seed": f"{seed:x}",
+            "discovery": process.environ["LB_DISCOVERY"],
+            "limits": {"sockets": couriers.descriptors, "disk_mb": couriers.disk_mb},
+            "known": platform.known(),
+            "settings": settings(self.scenario, process.number_),
+            "store": couriers.store,
+        }
         return json.dumps(told | other).encode()
 
     def start(self, process):
@@ -175,7 +297,8 @@
             platform = self.platforms[process.name]
             stale = self.scenario.platform.stale and self.rng.random() < self.scenario.platform.stale
             process.disk.files["config"] = bytearray(
-                self.config(process, platform, **({"known": process.first} if stale else {})))
+                self.config(process, platform, **({"known": process.first} if stale else {}))
+            )
             process.disk.room = float("inf")
             process.start()
             self.world.after(1.0, self.ready, process, process.number)
@@ -196,8 +319,11 @@
         if trouble.kind in PARTNER_TROUBLES:
             if kind == "partner":
                 return [one for one in self.destinations.values() if one.spec.name == name]
-            return [self.destinations[int(name)] if kind == "destination" else
-                    self.rng.choice(list(self.destinations.values()))]
+            return [
+                self.destinations[int(name)]
+                if kind == "destination"
+                else self.rng.choice(list(self.destinations.values()))
+            ]
         if kind == "courier":
             return [self.couriers[int(name)]]
         return [self.rng.choice(self.couriers)]
@@ -262,8 +388,11 @@
 
     def _replace(self, one, trouble, lasts):
         self.spare += 1
-        fresh = Endpoint(f"e{one.number}.n{self.spare}", f"10.6.{self.spare // 200}.{self.spare % 200}",
-                         f"z{self.spare % one.spec.zones}")
+        fresh = Endpoint(
+            f"e{one.number}.n{self.spare}",
+            f"10.6.{self.spare // 200}.{self.spare % 200}",
+            f"z{self.spare % one.spec.zones}",
+        )
         one.endpoints.append(fresh)
         self.partners.listen(one, fresh)
         self.tell(one, fresh, "active")
@@ -336,7 +465,7 @@
 
     def _bad_reload(self, one, trouble, lasts):
         whole = self.config(one, self.platforms[one.name])
-        one.disk.files["config"] = bytearray(whole[:self.rng.randrange(len(whole))])
+        one.disk.files["config"] = bytearray(whole[: self.rng.randrange(len(whole))])
         one.signal(signal.SIGHUP)
 
     def _stand(self, one, trouble, lasts):
@@ -392,14 +521,21 @@
         until = self.world.now + lasts
 
         def one():
-            ends = [end for courier in self.couriers for end in self.net.machine(courier.host).ends
-                    if end.peer is not None and end.connected and end.peer.machine.address[:5] not in ("10.7.", "10.9.")]
+            ends = [
+                end
+                for courier in self.couriers
+                for end in self.net.machine(courier.host).ends
+                if end.peer is not None
+                and end.connected
+                and end.peer.machine.address[:5] not in ("10.7.", "10.9.")
+            ]
             if ends:
                 end = self.rng.choice(ends)
                 self.world.note("struck", self.hosts[end.machine.address])
                 end.peer.abort()
             if self.world.now < until:
                 self.world.after(self.rng.expovariate(trouble.size / 100.0), one)
+
         one()
 
     def _platform_silent(self, trouble, lasts):
@@ -431,8 +567,12 @@
     # The run.
 
     def length(self):
-        return OPENING + self.scenario.length_s * 1000.0 + AFTER + max(
-            product.validity_s for product in self.products) * 1000.0
+        return (
+            OPENING
+            + self.scenario.length_s * 1000.0
+            + AFTER
+            + max(product.validity_s for product in self.products) * 1000.0
+        )
 
     def play(self):
         """To its end; returns the world."""
@@ -462,7 +602,9 @@
     def log(self, message):
         """A courier's line; one with a fault behind it is noted for the referee."""
         record, process = message.record, current.process
-        if process is None or process not in self.couriers:  # none of this run's: another program in this process
+        if (
+            process is None or process not in self.couriers
+        ):  # none of this run's: another program in this process
             return
         name = process.name
         self.lines.append((self.world.now, name, record["level"].name, record["message"]))
--- a/calicopin/emulator/disk.py
+++ b/calicopin/emulator/disk.py
@@ -1,4 +1,5 @@
 """A machine's files. What a killed process wrote stays; what a lost machine wrote is gone."""
+
 import errno
 
 
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -1,4 +1,5 @@
 """Small faults that can be put into the program one at a time, to show that the referee sees them."""
+
 import itertools
 from contextlib import contextmanager
 from dataclasses import replace
@@ -34,6 +35,7 @@
     def change(owner, attribute, value):
         undo.append((owner, attribute, owner.__dict__.get(attribute, undo)))
         setattr(owner, attribute, value)
+
     FAULTS[name](change)
     try:
         yield
@@ -47,10 +49,12 @@
 
 def fault(name, scenario, rule, seeds=8):
     """Registers one: the scenario that shows it, the rule that it breaks, and within how many seeds."""
+
     def register(make):
         FAULTS[name] = make
         SHOWN_BY[name] = scenario, rule, seeds
         return make
+
     return register
 
 
@@ -59,13 +63,19 @@
     def kept(runtime, event):
         event.set()
         return event
+
     change(Runtime, "kept", kept)
 
 
 @fault("taken-not-journalled", "kills", ANSWER)
 def _(change):
-    change(Journal, "taken", lambda journal, text: journal.texts.update({text.ident: text}) or journal.costs.update(
-        {text.ident: 0}))
+    change(
+        Journal,
+        "taken",
+        lambda journal, text: (
+            journal.texts.update({text.ident: text}) or journal.costs.update({text.ident: 0})
+        ),
+    )
 
 
 @fault("journal-not-read", "kills", ANSWER)
@@ -92,19 +102,28 @@
             flush(journal)
         except OSError:
             journal.buffer.clear()
+
     change(Journal, "flush", careless)
 
 
 @fault("once-only-resent", "loss", EFFECT)
 def _(change):
     last = brain.Text.last_submit
-    change(brain.Text, "last_submit", lambda text: text.until if text.product.repeat == Repeat.ONCE_ONLY else last(text))
+    change(
+        brain.Text,
+        "last_submit",
+        lambda text: text.until if text.product.repeat == Repeat.ONCE_ONLY else last(text),
+    )
 
 
 @fault("memory-outlived", "forgetful", EFFECT)
 def _(change):
     last = brain.Text.last_submit
-    change(brain.Text, "last_submit", lambda text: text.until if text.product.repeat == Repeat.REFERENCED else last(text))
+    change(
+        brain.Text,
+        "last_submit",
+        lambda text: text.until if text.product.repeat == Repeat.REFERENCED else last(text),
+    )
 
 
 @fault("zone-forgotten", "forgetful", EFFECT)
@@ -131,6 +150,7 @@
         told = read(head)
         told.wait /= 1000.0
         return told
+
     change(endpoints, "answer", answer)
 
 
@@ -148,6 +168,7 @@
         for entry in event.entries:
             entry.ready = True
         listed(courier, event)
+
     change(brain.Courier, "on_listed", deaf)
 
 
@@ -169,7 +190,11 @@
 @fault("late-final-answer", "outage", ANSWER)
 def _(change):
     lapse = brain.Desk.on_lapse
-    change(brain.Desk, "on_lapse", lambda desk, text, *back: desk.floor.later(desk.floor.now + 900.0, desk, "lapsed", text, *back))
+    change(
+        brain.Desk,
+        "on_lapse",
+        lambda desk, text, *back: desk.floor.later(desk.floor.now + 900.0, desk, "lapsed", text, *back),
+    )
     change(brain.Desk, "on_lapsed", lapse)
 
 
@@ -188,6 +213,7 @@
         if not text.key:
             text.key, text.verdict = "told", {"dead": "bounced", "bounced": "dead"}[text.verdict]
             runtime.notices.owe(text)
+
     change(Runtime, "told", again)
 
 
@@ -200,6 +226,7 @@
         if end is not None and end.verdict is None and end.text.ident.endswith("7.1"):
             end.verdict = "dead"
         return end
+
     change(Facade, "ended", spoken)
 
 
@@ -222,9 +249,15 @@
     def short(call, timeout):
         if len(call.texts) == 1 and call.texts[0].ident.endswith("9.1"):
             head, body = encode(call, timeout)
-            return h11.Request(method="POST", target=head.target, headers=[
-                (n, v if n != b"content-length" else b"%d" % (len(body) - 1)) for n, v in head.headers]), body[:-1]
+            return h11.Request(
+                method="POST",
+                target=head.target,
+                headers=[
+                    (n, v if n != b"content-length" else b"%d" % (len(body) - 1)) for n, v in head.headers
+                ],
+            ), body[:-1]
         return encode(call, timeout)
+
     change(endpoints, "encode", short)
 
 
@@ -235,6 +268,7 @@
     def forget(text, ran):
         back(text, ran)
         text.reference = None
+
     change(Text, "came_back", forget)
 
 
@@ -259,6 +293,7 @@
             if one[3].number in one[2].open:
                 house._outcome(one[2], one[3], How.TIMEOUT, now - one[3].out_at, False)
         return min([tick(house, now), *(at for at, whose, *_ in due if whose is house)])
+
     change(Facade, "_submit", hasty)
     change(Facade, "tick", hastily)
 
@@ -277,6 +312,7 @@
             return False
             yield
         return (yield from reply(clients, line, *told, **more))
+
     change(Clients, "reply", rude)
 
 
@@ -288,6 +324,7 @@
         text = read(head, body, products, now)
         text.until += 2000.0
         return text
+
     change(clients, "read_text", long)
 
 
@@ -315,6 +352,7 @@
         end.delivered = True
         ended(ledger, end)
         end.verdict = kept
+
     change(Ledger, "ended", rosy)
 
 
--- a/calicopin/emulator/fleet.py
+++ b/calicopin/emulator/fleet.py
@@ -3,6 +3,7 @@
 Partners are those of the emulated network, and the referee is the same; troubles of couriers, platform and network are
 passed over, as there is nothing for them to meet.
 """
+
 import time
 import zlib
 from dataclasses import replace
@@ -27,7 +28,9 @@
     def __init__(self, fleet, number):
         self.fleet, self.world, self.name = fleet, fleet.world, f"courier{number}"
         seed = zlib.crc32(f"{fleet.seed}/{self.name}".encode())
-        self.facade = Facade(seed, settings(fleet.scenario, number), fleet.scenario.couriers.slots, self.world.now)
+        self.facade = Facade(
+            seed, settings(fleet.scenario, number), fleet.scenario.couriers.slots, self.world.now
+        )
         self.facade.listed([replace(place) for place in fleet.places], True)
         self.due, self.serial = float("inf"), 0
         self.world.note("start", self.name)
@@ -63,13 +66,17 @@
         self.rng, self.numbers, self.calls, self.open = self.world.chance("fleet"), {}, 0, {}
         self.destinations, self.places, self.endpoints = {}, [], {}
         for number, partner, _ in scenario.destinations():
-            endpoints = [Endpoint(f"e{number}.{i}", "", f"z{i % partner.zones}") for i in range(partner.endpoints)]
+            endpoints = [
+                Endpoint(f"e{number}.{i}", "", f"z{i % partner.zones}") for i in range(partner.endpoints)
+            ]
             self.destinations[number] = Destination(self.world, number, partner, scenario.rules, endpoints)
             for endpoint in endpoints:
                 self.endpoints[endpoint.ident] = endpoint
                 self.places.append(Place(endpoint.ident, "", number, partner.name, endpoint.zone, True, 1.0))
         self.troubles = drawn(scenario, self.world)
-        self.texts = arrivals(msgspec.structs.replace(scenario, trouble=tuple(self.troubles), mixed=None), self.world)
+        self.texts = arrivals(
+            msgspec.structs.replace(scenario, trouble=tuple(self.troubles), mixed=None), self.world
+        )
         self.asked = {}
         self.couriers = [Instance(self, number) for number in range(scenario.couriers.count)]
 
@@ -85,10 +92,22 @@
             return
         tries = self.numbers[text["number"]] = self.numbers.get(text["number"], 0) + 1
         ident = f"{text['number']:x}.{tries}"
-        made = Text(ident, text["dest"], text["product"], text["reference"], text["key"], text["until"], text["body"])
+        made = Text(
+            ident, text["dest"], text["product"], text["reference"], text["key"], text["until"], text["body"]
+        )
         self.asked[ident] = text, courier
-        self.world.note("hand-in", ident, text["number"], courier.name, text["dest"], text["product"], text["key"],
-                        text["reference"], zlib.crc32(text["body"]), text["until"])
+        self.world.note(
+            "hand-in",
+            ident,
+            text["number"],
+            courier.name,
+            text["dest"],
+            text["product"],
+            text["key"],
+            text["reference"],
+            zlib.crc32(text["body"]),
+            text["until"],
+        )
         if courier.facade.full():
             self.world.note("answer", ident, 503)
             self.again(text, courier, courier.facade.advice(made))
@@ -106,7 +125,9 @@
         traffic = self.scenario.traffic
         if traffic.again != "never" and self.numbers[text["number"]] <= traffic.agains:
             heeds = self.rng.random() < traffic.honour
-            self.world.after(max(wait if heeds else 0.0, self.rng.uniform(200.0, 800.0)), self.hand_in, text, courier)
+            self.world.after(
+                max(wait if heeds else 0.0, self.rng.uniform(200.0, 800.0)), self.hand_in, text, courier
+            )
 
     # Calls.
 
@@ -118,7 +139,9 @@
         for text in call.texts:
             text.went_out(begun, call.place.zone)
         self.world.after(self.latency(), self.arrive, number, courier, call, begun)
-        self.world.after(call.timeout, self.end, number, courier, call, begun, Answer(Far.SENT, late=True), False)
+        self.world.after(
+            call.timeout, self.end, number, courier, call, begun, Answer(Far.SENT, late=True), False
+        )
 
     def arrive(self, number, courier, call, begun):
         if number not in self.open:
@@ -128,12 +151,22 @@
         idents = tuple(text.ident for text in call.texts)
         if one.fell or one.modes.get("refuse"):
             one.met.add(courier.name)
-            self.world.after(self.latency(), self.end, number, courier, call, begun, Answer(Far.UNCONNECTED), False)
+            self.world.after(
+                self.latency(), self.end, number, courier, call, begun, Answer(Far.UNCONNECTED), False
+            )
             return
         if one.modes.get("vanish"):
             one.met.add(courier.name)
-            self.world.after(self.scenario.couriers.connect_ms, self.end, number, courier, call, begun,
-                             Answer(Far.UNCONNECTED), False)
+            self.world.after(
+                self.scenario.couriers.connect_ms,
+                self.end,
+                number,
+                courier,
+                call,
+                begun,
+                Answer(Far.UNCONNECTED),
+                False,
+            )
             return
         self.open[number] = True
         texts = tuple((text.ident, text.reference, zlib.crc32(text.body)) for text in call.texts)
@@ -156,7 +189,9 @@
             answer = Answer(Far.SENT)
         else:
             self.world.note("reply", number, reply.status, reply.wait, tuple((states or {}).items()))
-            answer = Answer(Far.ANSWERED, status=reply.status, wait=reply.wait, load=reply.load or {}, ends=states)
+            answer = Answer(
+                Far.ANSWERED, status=reply.status, wait=reply.wait, load=reply.load or {}, ends=states
+            )
         self.world.after(self.latency(), self.end, number, courier, call, begun, answer, not lost)
 
     def end(self, number, courier, call, begun, answer, heard):
@@ -173,8 +208,14 @@
         if trouble.kind not in PARTNER_TROUBLES or trouble.kind not in (*MODES, "limit"):
             return
         kind, _, name = trouble.whom.partition(":")
-        some = [one for one in self.destinations.values()
-                if kind == "partner" and one.spec.name == name or kind == "destination" and one.number == int(name)]
+        some = [
+            one
+            for one in self.destinations.values()
+            if kind == "partner"
+            and one.spec.name == name
+            or kind == "destination"
+            and one.number == int(name)
+        ]
         for one in some or [self.rng.choice(list(self.destinations.values()))]:
             lasts = trouble.for_s * 1000.0
             self.world.note("trouble", trouble.kind, f"destination {one.number}", lasts)
@@ -200,13 +241,25 @@
 def play(scenario, seed, couriers=None, texts=None):
     """One run in fleet mode, judged."""
     if couriers is not None:
-        scenario = msgspec.structs.replace(scenario, couriers=msgspec.structs.replace(scenario.couriers, count=couriers))
+        scenario = msgspec.structs.replace(
+            scenario, couriers=msgspec.structs.replace(scenario.couriers, count=couriers)
+        )
     if texts is not None:
-        scenario = msgspec.structs.replace(scenario, traffic=msgspec.structs.replace(scenario.traffic, texts=texts))
+        scenario = msgspec.structs.replace(
+            scenario, traffic=msgspec.structs.replace(scenario.traffic, texts=texts)
+        )
     began = time.process_time()
     fleet = Fleet(scenario, seed)
     fleet.play()
     cpu = time.process_time() - began
     referee = Referee(fleet)
-    return Result(scenario.name, seed, fleet.world.digest(), fleet.world.now / 1000.0, cpu, referee.breaks,
-                  referee.figures(), fleet.world.events)
+    return Result(
+        scenario.name,
+        seed,
+        fleet.world.digest(),
+        fleet.world.now / 1000.0,
+        cpu,
+        referee.breaks,
+        referee.figures(),
+        fleet.world.events,
+    )
--- a/calicopin/emulator/net.py
+++ b/calicopin/emulator/net.py
@@ -4,6 +4,7 @@
 network is tried again as TCP does it, later each time. Stand-ins hear by callbacks at once; a courier's end is read
 through `process.Socket`.
 """
+
 from collections import deque
 
 WINDOW = 1 << 18  # bytes under way and unread, at most
@@ -27,6 +28,7 @@
 
 class Pipe:
     """One direction of a connection: pieces in order, the first of them on its way."""
+
     __slots__ = ("queue", "last", "wait", "busy")
 
     def __init__(self):
@@ -113,8 +115,11 @@
     def latency(self, end=None):
         """Between couriers and the machines of `outer` it is drawn from another span, `far`."""
         low, high = self.span
-        if end is not None and end.machine.address.startswith(self.outer) or (
-                end is not None and end.peer is not None and end.peer.machine.address.startswith(self.outer)):
+        if (
+            end is not None
+            and end.machine.address.startswith(self.outer)
+            or (end is not None and end.peer is not None and end.peer.machine.address.startswith(self.outer))
+        ):
             low, high = self.far
         return self.slower * (low + (high - low) * self.rng.random())
 
--- a/calicopin/emulator/partners.py
+++ b/calicopin/emulator/partners.py
@@ -3,6 +3,7 @@
 One `Destination` for each number; it knows nothing of wires, so that the stand-in on the emulated network and the
 fleet mode share it. Written from the platform's protocol page.
 """
+
 import heapq
 import math
 from collections import deque
@@ -15,6 +16,7 @@
 class Reply:
     """What comes back, and when: `after` ms from the arrival (NEVER: nothing). `ran` are the texts that run and when;
     `lost` ends the connection in place of the answer, `spoilt` garbles it."""
+
     after: float
     status: int = 200
     ran: tuple = ()
@@ -29,6 +31,7 @@
 @dataclass(slots=True)
 class Endpoint:
     """One endpoint: where it is reached and how busy its workers are."""
+
     ident: str
     host: str
     zone: str
@@ -174,7 +177,7 @@
             endpoint.starts.append(start)
         else:
             return Reply(2.0, 503, load=report)
-        sigma = math.sqrt(math.log(1.0 + spec.work_cv ** 2))
+        sigma = math.sqrt(math.log(1.0 + spec.work_cv**2))
         work = spec.work_ms * (1.0 + spec.item_cost * (len(idents) - 1)) / self.warmth()
         if sigma:
             work *= rng.lognormvariate(-sigma * sigma / 2.0, sigma)
--- a/calicopin/emulator/process.py
+++ b/calicopin/emulator/process.py
@@ -3,6 +3,7 @@
 The program runs unchanged on `Calls`, which stands where `calicopin.system.System` does. Each call may be the last (a
 kill between any two of them), may find the process stopped, and is counted, so that a loop that never waits is found.
 """
+
 import errno
 import select
 import signal
@@ -29,6 +30,7 @@
 
 class Handle:
     """What a descriptor stands for; `mask` is what the poller watches it for."""
+
     calls, fd, mask = None, -1, 0
 
     def fileno(self):
@@ -41,7 +43,12 @@
     def touch(self):
         """Something about it has changed."""
         calls = self.calls
-        if calls is not None and self.fd >= 0 and self.mask and self.mask & (self.ready() | select.EPOLLONESHOT):
+        if (
+            calls is not None
+            and self.fd >= 0
+            and self.mask
+            and self.mask & (self.ready() | select.EPOLLONESHOT)
+        ):
             calls.poller_.stir(self)
 
 
@@ -74,7 +81,13 @@
             return 0
         if not end.connected:
             return select.EPOLLOUT | select.EPOLLERR if end.error else 0
-        mask = select.EPOLLIN | select.EPOLLRDHUP if end.fin or end.reset else select.EPOLLIN if end.buffer else 0
+        mask = (
+            select.EPOLLIN | select.EPOLLRDHUP
+            if end.fin or end.reset
+            else select.EPOLLIN
+            if end.buffer
+            else 0
+        )
         return mask | (select.EPOLLOUT if end.room() > 0 or end.reset else 0)
 
     def recv(self, most, flags=0):
@@ -124,6 +137,7 @@
 
 class Ears(Handle, Listener):
     """A courier's listening socket."""
+
     BACKLOG = 1024
 
     def __init__(self, calls, port):
@@ -218,6 +232,7 @@
 
 class SignalReader(Handle):
     """Signals, as `boot/signals.py` hears them."""
+
     STOPS = (signal.SIGTERM, signal.SIGINT)
 
     def __init__(self, calls):
@@ -331,7 +346,7 @@
 
     def names(self, folder):
         self.enter("names")
-        return [path[len(folder) + 1:] for path in self.process.disk.files if path.startswith(f"{folder}/")]
+        return [path[len(folder) + 1 :] for path in self.process.disk.files if path.startswith(f"{folder}/")]
 
     def remove(self, path):
         self.enter("remove")
@@ -351,13 +366,30 @@
     """A courier's machine and the process that runs on it; `begin(environ, signal_reader, system)` is the real program."""
 
     def __init__(self, world, net, name, host, begin, environ, descriptors, rng, pass_ms=0.0, short_odds=0.0):
-        self.world, self.net, self.name, self.host, self.begin, self.environ = world, net, name, host, begin, environ
+        self.world, self.net, self.name, self.host, self.begin, self.environ = (
+            world,
+            net,
+            name,
+            host,
+            begin,
+            environ,
+        )
         self.descriptors, self.rng, self.pass_ms, self.short_odds = descriptors, rng, pass_ms, short_odds
         self.disk = Disk(world.chance(f"{name} disk"))
-        self.over, self.green, self.calls, self.signal_reader, self.serial, self.waits = True, None, None, None, 0, False
+        self.over, self.green, self.calls, self.signal_reader, self.serial, self.waits = (
+            True,
+            None,
+            None,
+            None,
+            0,
+            False,
+        )
         self.stands_until = 0.0
         self.number = 0  # of starts
-        self.planned, self.replaced = deque(), None  # calls at which its next processes are killed; what starts the one after
+        self.planned, self.replaced = (
+            deque(),
+            None,
+        )  # calls at which its next processes are killed; what starts the one after
 
     def start(self):
         if not self.over:
@@ -462,6 +494,7 @@
 
 class Current:
     """Which process runs now: whose lines the log gets."""
+
     process = None
 
 
--- a/calicopin/emulator/referee.py
+++ b/calicopin/emulator/referee.py
@@ -2,12 +2,20 @@
 
 A break is (rule, time, who, plain sentence). What a courier could not know or help is excused in the open: `Excuses`.
 """
-from bisect import bisect_right
+
 import json
+from bisect import bisect_right
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
-ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT = "final answer", "double effect", "drain", "pushed over", "order", "wait"
+ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT = (
+    "final answer",
+    "double effect",
+    "drain",
+    "pushed over",
+    "order",
+    "wait",
+)
 SOUND = "soundness"  # not one of the six: a fault, a crash or a loop that never waits
 SERVICE = "service"  # nor this: an operator's call that is late or wrong, figures that are untrue, a drained courier that holds clients
 RULES = (ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT, SOUND, SERVICE)
@@ -125,7 +133,12 @@
             if hand is None:
                 self.add(EFFECT, at, ident, "called, though no client handed it in")
             elif (hand[3], hand[6], hand[7]) != (dest, reference, crc):
-                self.add(EFFECT, at, ident, "called with another destination, reference or body than it was handed in")
+                self.add(
+                    EFFECT,
+                    at,
+                    ident,
+                    "called with another destination, reference or body than it was handed in",
+                )
 
     def _ran(self, _, number, idents):
         self.ran.update(idents)
@@ -155,8 +168,13 @@
 
     def _fell(self, at, dest, count, most, knew):
         if knew * 3 >= count * 2:
-            self.add(PUSH, at, f"destination {dest}", f"{count} calls in the span where {most} was the most, {knew} of "
-                     "them by couriers that had met the outage")
+            self.add(
+                PUSH,
+                at,
+                f"destination {dest}",
+                f"{count} calls in the span where {most} was the most, {knew} of "
+                "them by couriers that had met the outage",
+            )
 
     def _start(self, at, courier):
         self.lives[courier].starts.append(at)
@@ -218,7 +236,9 @@
             self._one(ident, hand)
         for ident in self.notices:
             if ident not in self.hands:
-                self.add(ANSWER, self.notices[ident][0][0], ident, "a notice for a text that nobody handed in")
+                self.add(
+                    ANSWER, self.notices[ident][0][0], ident, "a notice for a text that nobody handed in"
+                )
         way = 50.0 + 4.0 * self.scenario.net.latency_ms[1]  # its end may have been on its way to the client
         for at, ident, courier in self.cuts:
             life = self.lives[courier]
@@ -240,24 +260,48 @@
         first = notices[0][0] if notices else INFINITE
         lost = any(at >= hand[0] for at in life.lost)
         if status == 202 and not lost:
-            end, due = min(done, first), life.due(until) + self.scenario.net.latency_ms[1]  # a notice travels too
+            end, due = (
+                min(done, first),
+                life.due(until) + self.scenario.net.latency_ms[1],
+            )  # a notice travels too
             if end > due and due < self.ended:
                 late = f"its final answer came {end - due:.0f} ms late" if end < INFINITE else "it was lost"
                 self.add(ANSWER, due, ident, f"taken on by {courier} at {answered:.1f}; {late}")
         if len({notice[2] for notice in notices}) > 1:
-            self.add(ANSWER, first, ident, "two different notices: " + ", ".join(notice[2] for notice in notices))
+            self.add(
+                ANSWER, first, ident, "two different notices: " + ", ".join(notice[2] for notice in notices)
+            )
         heard = min((call.heard for call in calls if call.delivered(ident)), default=INFINITE)
         # of texts that share a call, the time of one may be up before the answer comes for all
         alone = any(call.heard == heard and len(call.texts) == 1 for call in calls)
-        if heard < first < INFINITE and (alone or heard < until - GRACE) and not self._slipped(life, heard, first):
+        if (
+            heard < first < INFINITE
+            and (alone or heard < until - GRACE)
+            and not self._slipped(life, heard, first)
+        ):
             self.add(ANSWER, first, ident, f"a notice though its delivery was heard at {heard:.1f}")
         may_run = [call for call in calls if not call.refused(ident)]
-        if notices and notices[0][2] == "bounced" and may_run and may_run[0].at < first and (
-                kind.repeat == "once-only" or kind.repeat == "referenced" and kind.memory_by_zone):
-            self.add(EFFECT, first, ident, f"its notice says that it did no harm; it may have run at {may_run[0].at:.1f}")
+        if (
+            notices
+            and notices[0][2] == "bounced"
+            and may_run
+            and may_run[0].at < first
+            and (kind.repeat == "once-only" or kind.repeat == "referenced" and kind.memory_by_zone)
+        ):
+            self.add(
+                EFFECT,
+                first,
+                ident,
+                f"its notice says that it did no harm; it may have run at {may_run[0].at:.1f}",
+            )
         for earlier, later in zip(calls, calls[1:]):
             if later.begun < earlier.over and later.courier == earlier.courier:
-                self.add(EFFECT, later.begun, ident, f"sent while an earlier call, begun at {earlier.begun:.1f}, is out")
+                self.add(
+                    EFFECT,
+                    later.begun,
+                    ident,
+                    f"sent while an earlier call, begun at {earlier.begun:.1f}, is out",
+                )
         for call in calls:
             if call.begun > first + GRACE and not self._slipped(life, first, call.begun):
                 self.add(EFFECT, call.begun, ident, f"sent after its final answer at {first:.1f}")
@@ -266,18 +310,35 @@
             if call.begun > until + GRACE and life.later(until) + GRACE < call.begun:
                 self.add(ANSWER, call.begun, ident, f"sent {call.begun - until:.0f} ms after its time was up")
         if may_run:
-            self._permitted(ident, kind, may_run[0], [call for call in calls if call.begun > may_run[0].begun])
+            self._permitted(
+                ident, kind, may_run[0], [call for call in calls if call.begun > may_run[0].begun]
+            )
 
     def _permitted(self, ident, kind, ran, later):
         for call in later:
             if kind.repeat == "once-only":
-                self.add(EFFECT, call.begun, ident, f"once-only, sent again after a call at {ran.at:.1f} that may have run")
+                self.add(
+                    EFFECT,
+                    call.begun,
+                    ident,
+                    f"once-only, sent again after a call at {ran.at:.1f} that may have run",
+                )
             elif kind.repeat == "referenced":
                 if call.begun > ran.at + kind.memory_s * 1000.0:
-                    self.add(EFFECT, call.begun, ident, f"sent again {call.begun - ran.at:.0f} ms after it may have run: "
-                             "the reference is forgotten")
+                    self.add(
+                        EFFECT,
+                        call.begun,
+                        ident,
+                        f"sent again {call.begun - ran.at:.0f} ms after it may have run: "
+                        "the reference is forgotten",
+                    )
                 if kind.memory_by_zone and call.zone != ran.zone:
-                    self.add(EFFECT, call.begun, ident, f"sent again in zone {call.zone}; it may have run in {ran.zone}")
+                    self.add(
+                        EFFECT,
+                        call.begun,
+                        ident,
+                        f"sent again in zone {call.zone}; it may have run in {ran.zone}",
+                    )
 
     def _slipped(self, life, known, later):
         """Whether what was heard may be gone: its process ended before it could be kept."""
@@ -287,11 +348,15 @@
         drain = self.scenario.rules.drain_ms
         off = defaultdict(dict)  # of each courier: endpoint and when it was told
         events = [(at, 1, courier, full, on, gone) for at, courier, full, on, gone in self.told]
-        events += [(at, 0, courier, None, None, None) for courier, life in self.lives.items() for at in life.starts]
+        events += [
+            (at, 0, courier, None, None, None) for courier, life in self.lives.items() for at in life.starts
+        ]
         events += [(call.begun, 2, call.courier, call, None, None) for call in self.calls.values()]
         known = defaultdict(set)
         for at, what, courier, full, on, gone in sorted(events, key=lambda event: event[:3]):
-            if what == 0 and self.scenario.platform.told == "had":  # its agent had it before: told from the first moment
+            if (
+                what == 0 and self.scenario.platform.told == "had"
+            ):  # its agent had it before: told from the first moment
                 off[courier] = dict.fromkeys(off[courier], at)
             elif what == 0:
                 off[courier].clear()
@@ -306,7 +371,12 @@
             elif full.endpoint in off[courier]:
                 told = off[courier][full.endpoint]
                 if at > self.lives[courier].later(told) + drain + GRACE:
-                    self.add(DRAIN, at, courier, f"a call to {full.endpoint} begun {at - told:.0f} ms after its drain was told")
+                    self.add(
+                        DRAIN,
+                        at,
+                        courier,
+                        f"a call to {full.endpoint} begun {at - told:.0f} ms after its drain was told",
+                    )
 
     def _service(self):
         """Operators' calls, and the figures against what passed between the parties: 1% (2% of messages written) or 3 may be off, and
@@ -315,7 +385,12 @@
         seen = self._counted() if self.operators else {}
         for at, courier, path, asked, status, body in self.operators:
             life = self.lives[courier]
-            if life.ended_between(asked - OVERDUE, at) or life.later(asked) != asked or not life.starts or asked < life.starts[0] + READY:
+            if (
+                life.ended_between(asked - OVERDUE, at)
+                or life.later(asked) != asked
+                or not life.starts
+                or asked < life.starts[0] + READY
+            ):
                 continue
             if not any(start + READY <= asked for start in life.starts[-1:]) and asked > life.starts[-1]:
                 continue  # it is still starting
@@ -338,7 +413,10 @@
             if ident in self.hands:
                 seen[courier]["declined" if verdict == "bounced" else "aborted"].append((at - 3000.0, at))
         for ident, calls in self.of.items():
-            known = min(((call.heard, call.courier) for call in calls if call.delivered(ident)), default=(INFINITE, ""))
+            known = min(
+                ((call.heard, call.courier) for call in calls if call.delivered(ident)),
+                default=(INFINITE, ""),
+            )
             if known[0] < INFINITE and ident not in self.notices:
                 seen[known[1]]["succeeded"].append((known[0], known[0]))
         for call in self.calls.values():
@@ -359,7 +437,10 @@
             shared = max(partner.bundle for partner in self.scenario.partner) if name == "forwards" else 0
             slack = max(3.0, shared, (0.02 if name == "forwards" else 0.01) * most)
             if not least - slack - loose <= value <= most + slack + loose:
-                yield name, f"told {value}, where from {least} to {most} were seen and {loose} clients had left"
+                yield (
+                    name,
+                    f"told {value}, where from {least} to {most} were seen and {loose} clients had left",
+                )
 
     def _waits(self):
         apart = {number: partner.apart for number, partner, _ in self.scenario.destinations()}
@@ -374,12 +455,17 @@
                     continue
                 life = self.lives[told.courier]
                 knew, end = life.later(told.heard) + GRACE, told.over + told.wait
-                for call in calls[bisect_right(begun, knew):]:
+                for call in calls[bisect_right(begun, knew) :]:
                     if call.begun >= end:
                         break
                     if not life.ended_between(told.heard, call.begun):
-                        self.add(WAIT, call.begun, call.courier, f"a call to destination {call.dest}, told at "
-                                 f"{told.heard:.1f} to wait until {end:.1f}")
+                        self.add(
+                            WAIT,
+                            call.begun,
+                            call.courier,
+                            f"a call to destination {call.dest}, told at "
+                            f"{told.heard:.1f} to wait until {end:.1f}",
+                        )
                         break
 
     def _order(self):
@@ -387,28 +473,48 @@
         lines = defaultdict(list)
         for ident, hand in self.hands.items():
             answered, status = self.answers.get(ident, (0.0, 0))
-            if self.products[hand[4]].in_order and status == 202 and ident not in self.silent and self.of.get(ident):
+            if (
+                self.products[hand[4]].in_order
+                and status == 202
+                and ident not in self.silent
+                and self.of.get(ident)
+            ):
                 lines[hand[2], hand[5]].append((answered, hand[0], ident))
         for (courier, key), line in lines.items():
             line.sort()
-            calls = sorted(((call, ident) for _, _, ident in line for call in self.of[ident]),
-                           key=lambda pair: pair[0].begun)
+            calls = sorted(
+                ((call, ident) for _, _, ident in line for call in self.of[ident]),
+                key=lambda pair: pair[0].begun,
+            )
             place = {ident: (answered, handed) for answered, handed, ident in line}
             last, lost = {}, [at for at in self.lives[courier].lost]
             for call, ident in calls:
                 for other, before in last.items():
-                    if other == ident or place[ident][0] >= place[other][1]:  # not surely the earlier one of the two
+                    if (
+                        other == ident or place[ident][0] >= place[other][1]
+                    ):  # not surely the earlier one of the two
                         continue
                     if any(before.begun <= at <= call.begun for at in lost):
                         continue
-                    self.add(ORDER, call.begun, ident, f"key {key}: sent after {other}, which was handed in later")
+                    self.add(
+                        ORDER, call.begun, ident, f"key {key}: sent after {other}, which was handed in later"
+                    )
                 for other, before in last.items():
                     if other != ident and call.begun < before.over:
                         self.add(ORDER, call.begun, ident, f"key {key}: sent while {other} is out")
-                    elif other != ident and before.status <= 0 and before.heard == INFINITE and (
-                            call.begun < before.over + settle - 2.0 * GRACE):
-                        self.add(ORDER, call.begun, ident, f"key {key}: sent {call.begun - before.over:.0f} ms after the "
-                                 f"call of {other} broke")
+                    elif (
+                        other != ident
+                        and before.status <= 0
+                        and before.heard == INFINITE
+                        and (call.begun < before.over + settle - 2.0 * GRACE)
+                    ):
+                        self.add(
+                            ORDER,
+                            call.begun,
+                            ident,
+                            f"key {key}: sent {call.begun - before.over:.0f} ms after the "
+                            f"call of {other} broke",
+                        )
                 last[ident] = call
                 if len(last) > 12:
                     last.pop(next(iter(last)))
@@ -429,9 +535,15 @@
         """What a sender that sees everything could have had: at each partner's full pace while it is up, each turn goes
         to the text that earns most just then. Greedy: no bound in the strict sense, and not far from one."""
         total, lines = 0.0, defaultdict(list)
-        pace = {number: partner.bundle * min(partner.endpoints * partner.workers * 1000.0 / partner.work_ms,
-                            partner.limit or INFINITE) / 1000.0 for number, partner, _ in self.scenario.destinations()}
-        works = {number: partner.work_ms + partner.first_ms for number, partner, _ in self.scenario.destinations()}
+        pace = {
+            number: partner.bundle
+            * min(partner.endpoints * partner.workers * 1000.0 / partner.work_ms, partner.limit or INFINITE)
+            / 1000.0
+            for number, partner, _ in self.scenario.destinations()
+        }
+        works = {
+            number: partner.work_ms + partner.first_ms for number, partner, _ in self.scenario.destinations()
+        }
         for text in self.day.texts:
             lines[text["dest"]].append(text)
         for dest, line in lines.items():
@@ -447,13 +559,23 @@
                 if waiting:
                     most = max(worth)
                     total += most
-                    waiting.remove(next(t for t in waiting if self.earned(t["product"], at + works[dest] - t["due"]) == most))
+                    waiting.remove(
+                        next(
+                            t
+                            for t in waiting
+                            if self.earned(t["product"], at + works[dest] - t["due"]) == most
+                        )
+                    )
                     at += 1.0 / pace[dest]
         return total
 
     def figures(self):
         """Counts and shares of the run."""
-        done, by_dest, seen = {}, defaultdict(lambda: [0, 0]), {text["number"]: text for text in self.day.texts}
+        done, by_dest, seen = (
+            {},
+            defaultdict(lambda: [0, 0]),
+            {text["number"]: text for text in self.day.texts},
+        )
         for ident, calls in self.of.items():
             hand = self.hands.get(ident)
             at = min((call.over for call in calls if call.delivered(ident)), default=INFINITE)
@@ -476,11 +598,20 @@
         shares = [got / asked for asked, got in by_dest.values() if asked]
         best = self.best()
         return dict(
-            texts=len(seen), handed=len(self.hands), taken=sum(status == 202 for _, status in self.answers.values()),
-            delivered=len(done), revenue=round(earned / total, 4) if total else 0.0,
-            of_best=round(earned / best, 4) if best else 1.0, in_sla=round(in_sla / count, 4),
+            texts=len(seen),
+            handed=len(self.hands),
+            taken=sum(status == 202 for _, status in self.answers.values()),
+            delivered=len(done),
+            revenue=round(earned / total, 4) if total else 0.0,
+            of_best=round(earned / best, 4) if best else 1.0,
+            in_sla=round(in_sla / count, 4),
             p50_ms=round(lates[len(lates) // 2], 1) if lates else 0.0,
-            p99_ms=round(lates[int(len(lates) * 0.99)], 1) if lates else 0.0, calls=len(self.calls),
-            refused=self.refusals, waste=sum(times - 1 for times in self.ran.values() if times > 1),
-            fairness=round(sum(shares) ** 2 / (len(shares) * sum(s * s for s in shares)), 4) if any(shares) else 0.0,
-            notices=sum(map(len, self.notices.values())))
+            p99_ms=round(lates[int(len(lates) * 0.99)], 1) if lates else 0.0,
+            calls=len(self.calls),
+            refused=self.refusals,
+            waste=sum(times - 1 for times in self.ran.values() if times > 1),
+            fairness=round(sum(shares) ** 2 / (len(shares) * sum(s * s for s in shares)), 4)
+            if any(shares)
+            else 0.0,
+            notices=sum(map(len, self.notices.values())),
+        )
--- a/calicopin/emulator/runs.py
+++ b/calicopin/emulator/runs.py
@@ -1,4 +1,5 @@
 """Many runs: seeds spread over processes, and one that fails made smaller for as long as the same rule breaks."""
+
 import multiprocessing
 import signal
 import time
@@ -18,6 +19,7 @@
 @dataclass(slots=True)
 class Result:
     """What one run came to. `cpu` is in seconds."""
+
     scenario: str
     seed: int
     digest: str
@@ -36,8 +38,10 @@
 
 def guarded(play):
     """Calls `play` under a limit of CPU time, where signals can be had."""
+
     def late(*_):
         raise Endless
+
     try:
         before = signal.signal(signal.SIGVTALRM, late)
     except ValueError:  # not in the main thread
@@ -58,7 +62,9 @@
         try:
             guarded(day.play)
         except Endless:
-            day.world.note("end", "a courier", "busy", f"{CPU_MOST} s of CPU at one moment, without a system call")
+            day.world.note(
+                "end", "a courier", "busy", f"{CPU_MOST} s of CPU at one moment, without a system call"
+            )
     return day, Referee(day), time.process_time() - began
 
 
@@ -68,8 +74,18 @@
     logger.remove()
     scenario = load(word)
     day, referee, cpu = play(scenario, seed, fault, kills=kills)
-    return Result(scenario.name, seed, day.world.digest(), day.world.now / 1000.0, cpu,
-                  referee.breaks, referee.figures(), day.world.events, kills, day.couriers[0].number)
+    return Result(
+        scenario.name,
+        seed,
+        day.world.digest(),
+        day.world.now / 1000.0,
+        cpu,
+        referee.breaks,
+        referee.figures(),
+        day.world.events,
+        kills,
+        day.couriers[0].number,
+    )
 
 
 def many(jobs, processes, told=lambda result: None):
@@ -113,7 +129,7 @@
         while whole and left[0] > 0:
             at, any_left_out = 0, False
             while at < len(whole):
-                rest = whole[:at] + whole[at + size:]
+                rest = whole[:at] + whole[at + size :]
                 if still(rest):
                     whole, any_left_out = rest, True
                 else:
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -3,6 +3,7 @@
 A file that cannot be read is one line that names the file and the place, as `Unreadable`. Times in it are seconds or
 milliseconds, as each key says (`_s`, `_ms`); shares and odds lie between 0 and 1.
 """
+
 import os
 from pathlib import Path
 from typing import Annotated, Literal
@@ -22,12 +23,45 @@
 Time = Annotated[float, Meta(ge=0.0, le=60000.0)]
 Two = tuple[Time, Time]  # the least and the most
 
-PARTNER_TROUBLES = ("refuse", "hang", "shut", "vanish", "slow", "errors", "lose", "spoil", "limit", "drain", "replace",
-                    "stall-some")
-COURIER_TROUBLES = ("kill", "term", "reload", "bad-reload", "stand", "lose-machine", "disk-full", "disk-errors",
-                    "disk-slow", "disk-short", "quiesce")
-WORLD_TROUBLES = ("partition", "net-slow", "resets", "burst", "clump", "platform-silent", "platform-busy",
-                  "platform-cut", "clock", "roll")
+PARTNER_TROUBLES = (
+    "refuse",
+    "hang",
+    "shut",
+    "vanish",
+    "slow",
+    "errors",
+    "lose",
+    "spoil",
+    "limit",
+    "drain",
+    "replace",
+    "stall-some",
+)
+COURIER_TROUBLES = (
+    "kill",
+    "term",
+    "reload",
+    "bad-reload",
+    "stand",
+    "lose-machine",
+    "disk-full",
+    "disk-errors",
+    "disk-slow",
+    "disk-short",
+    "quiesce",
+)
+WORLD_TROUBLES = (
+    "partition",
+    "net-slow",
+    "resets",
+    "burst",
+    "clump",
+    "platform-silent",
+    "platform-busy",
+    "platform-cut",
+    "clock",
+    "roll",
+)
 SHARES = ("errors", "lose", "spoil", "limit", "disk-errors", "disk-short")  # whose size is one
 TROUBLES = PARTNER_TROUBLES + COURIER_TROUBLES + WORLD_TROUBLES
 
@@ -43,6 +77,7 @@
 class Couriers(Strict):
     """`front` deals clients out to any courier; without it each client sits beside one. `lists`: whether an agent beside each
     courier is sent the list of partners, or discovery is asked for it."""
+
     count: Count = 2
     slots: Count = 24
     held: Count = 400
@@ -65,6 +100,7 @@
 
 class Rules(Strict):
     """The rule on returning destinations, and how long after a drain was told a call may still begin."""
+
     cold_from: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.2
     cold_s: Positive = 10.0
     multiple: Annotated[float, Meta(ge=1.0, le=100.0)] = 2.5
@@ -88,9 +124,12 @@
 
 class Partner(Strict):
     """`destinations` of one make, each with so many endpoints. `limit` is calls a second of all couriers (0: none)."""
+
     name: Word
     destinations: Count = 1
-    endpoints: Annotated[int, Meta(ge=1, le=1250)] = 2  # of each destination; bounded by the addresses that a day has for them
+    endpoints: Annotated[int, Meta(ge=1, le=1250)] = (
+        2  # of each destination; bounded by the addresses that a day has for them
+    )
     share: Positive = 1.0
     work_ms: Positive = 200.0
     work_cv: Annotated[float, Meta(ge=0.0, le=5.0)] = 0.5
@@ -115,6 +154,7 @@
 
 class Traffic(Strict):
     """Texts a second over all couriers; `tail` is the exponent of the destinations' shares (0: even)."""
+
     texts: Positive = 40.0
     shape: Literal["poisson", "bursts", "ramp"] = "poisson"
     tail: Annotated[float, Meta(ge=0.0, le=3.0)] = 0.8
@@ -136,6 +176,7 @@
 class Platform(Strict):
     """`late_ms`: how long a change takes to reach a courier; `stale`: odds that a start finds an old list; `told`: whether a
     change counts as told once it is written to the courier, or once its agent has it, watch or none, also before a start."""
+
     late_ms: Two = (300.0, 1500.0)
     stale: Odds = 0.0
     told: Literal["written", "had"] = "written"
@@ -144,6 +185,7 @@
 class Trouble(Strict):
     """One fault: when it begins, how long it lasts, whom it meets (`partner:NAME`, `destination:N`, `courier:N` or
     any) and how hard."""
+
     kind: Literal[TROUBLES]
     at_s: Span
     for_s: Span = 0.0
@@ -153,8 +195,11 @@
 
 class Mixed(Strict):
     """A day that the seed draws: so many troubles of these kinds."""
+
     troubles: Annotated[int, Meta(ge=1, le=100)] = 4
-    kinds: tuple[Literal[TROUBLES], ...] = tuple(kind for kind in TROUBLES if kind != "quiesce")  # it needs an admin address
+    kinds: tuple[Literal[TROUBLES], ...] = tuple(
+        kind for kind in TROUBLES if kind != "quiesce"
+    )  # it needs an admin address
 
 
 class Scenario(Strict, kw_only=True):
@@ -183,8 +228,10 @@
 
 def check(scenario, where):
     """What the types cannot say; the first fault is raised."""
+
     def fault(place, why):
         raise Unreadable(f"{where}: {place}: {why}")
+
     for many, what in ((scenario.product, "product"), (scenario.partner, "partner")):
         names = [one.name for one in many]
         for name in names:
@@ -194,7 +241,9 @@
         if product.sla_s > product.validity_s:
             fault(f"product {product.name!r}: sla_s", "is longer than validity_s")
         if product.repeat == "referenced" and not product.memory_s:
-            fault(f"product {product.name!r}: memory_s", "a referenced product needs how long partners remember")
+            fault(
+                f"product {product.name!r}: memory_s", "a referenced product needs how long partners remember"
+            )
     for partner in scenario.partner:
         if partner.wait_ms[0] > partner.wait_ms[1]:
             fault(f"partner {partner.name!r}: wait_ms", "the first is over the second")
@@ -212,8 +261,13 @@
         if trouble.kind == "quiesce" and not scenario.couriers.scrape_s:
             fault(f"{place}: kind", "couriers have an admin address only where couriers.scrape_s is told")
         kind, _, name = trouble.whom.partition(":")
-        wants = ("courier" if trouble.kind in COURIER_TROUBLES else
-                 "destination" if trouble.kind in PARTNER_TROUBLES else None)
+        wants = (
+            "courier"
+            if trouble.kind in COURIER_TROUBLES
+            else "destination"
+            if trouble.kind in PARTNER_TROUBLES
+            else None
+        )
         if kind == "any" and not name:
             continue
         if kind == "partner" and name in [partner.name for partner in scenario.partner]:
@@ -223,7 +277,10 @@
             if int(name) >= (count if kind == "destination" else scenario.couriers.count):
                 fault(f"{place}: whom", f"there is no {kind} {name}")
         else:
-            fault(f"{place}: whom", f"{trouble.whom!r} names no party: any, partner:NAME, destination:N or courier:N")
+            fault(
+                f"{place}: whom",
+                f"{trouble.whom!r} names no party: any, partner:NAME, destination:N or courier:N",
+            )
         if wants and given != wants:
             fault(f"{place}: whom", f"{trouble.kind!r} meets a {wants}, not {trouble.whom!r}")
     return scenario
@@ -253,7 +310,7 @@
 
 def load(word):
     """One by its name, or by its file's."""
-    path = FOLDER / f"{word}.toml" if not os.path.sep in word and not word.endswith(".toml") else Path(word)
+    path = FOLDER / f"{word}.toml" if os.path.sep not in word and not word.endswith(".toml") else Path(word)
     try:
         return parse(path.read_bytes(), path.name)
     except FileNotFoundError:
--- a/calicopin/emulator/standins.py
+++ b/calicopin/emulator/standins.py
@@ -3,6 +3,7 @@
 They speak HTTP/1.1 by httptools, another reading of it than the courier's h11, and note down for the referee what
 passed: nothing in those notes comes from inside a courier.
 """
+
 import base64
 import json
 import re
@@ -14,8 +15,14 @@
 from calicopin.emulator.net import Listener
 from calicopin.emulator.partners import NEVER
 
-REASONS = {200: b"OK", 204: b"No Content", 400: b"Bad Request", 429: b"Too Many Requests",
-           500: b"Internal Server Error", 503: b"Service Unavailable"}
+REASONS = {
+    200: b"OK",
+    204: b"No Content",
+    400: b"Bad Request",
+    429: b"Too Many Requests",
+    500: b"Internal Server Error",
+    503: b"Service Unavailable",
+}
 ODD = {b"/inbox": False, b"/inbox/bulk": True}
 
 
@@ -113,6 +120,7 @@
             open_.append(server)
             self.sweep(server, destination.spec.idle_s * 1000.0, open_)
             return True
+
         machine.listeners[80] = Listener(machine, met, destination.spec.handshake_ms)
 
     def refused(self, destination, end):
@@ -128,7 +136,9 @@
             server.hang_up()
             open_.remove(server)
         else:
-            self.world.after(max(1000.0, idle - (self.world.now - server.last)), self.sweep, server, idle, open_)
+            self.world.after(
+                max(1000.0, idle - (self.world.now - server.last)), self.sweep, server, idle, open_
+            )
 
     def closed(self, server):
         call, server.call = server.call, None
@@ -142,9 +152,17 @@
         try:
             bulk = ODD[target]
             items = json.loads(body) if bulk else None
-            texts = [(item["id"], item.get("key"), zlib.crc32(base64.b64decode(item["body"]))) for item in items
-                     ] if bulk else [(headers[b"x-request-id"].decode(), (headers.get(b"idempotency-key") or b""
-                                                                        ).decode() or None, zlib.crc32(body))]
+            texts = (
+                [(item["id"], item.get("key"), zlib.crc32(base64.b64decode(item["body"]))) for item in items]
+                if bulk
+                else [
+                    (
+                        headers[b"x-request-id"].decode(),
+                        (headers.get(b"idempotency-key") or b"").decode() or None,
+                        zlib.crc32(body),
+                    )
+                ]
+            )
             float(headers[b"x-timeout"])
         except (KeyError, ValueError, TypeError):
             self.world.note("fault", courier, f"a call that cannot be read: {target[:40]!r}")
@@ -153,9 +171,13 @@
         self.calls += 1
         number = server.call = self.calls
         idents = tuple(text[0] for text in texts)
-        self.world.note("call", number, courier, endpoint.ident, endpoint.zone, destination.number, tuple(texts), begun)
+        self.world.note(
+            "call", number, courier, endpoint.ident, endpoint.zone, destination.number, tuple(texts), begun
+        )
         if len(idents) > destination.spec.bundle or len(set(idents)) < len(idents):
-            self.world.note("fault", courier, f"{len(idents)} texts in a call of {destination.spec.bundle} at most")
+            self.world.note(
+                "fault", courier, f"{len(idents)} texts in a call of {destination.spec.bundle} at most"
+            )
         if not self.net.machine(endpoint.host).up:
             return
         reply = destination.arrive(endpoint, courier, idents)
@@ -188,10 +210,16 @@
         status = reply.status
         if reply.spoilt:
             at = self.rng.randrange(1, len(data))
-            data = data[:at] + bytes(self.rng.randrange(256) for _ in range(4)) + data[at:][: self.rng.randrange(1, 20)]
+            data = (
+                data[:at]
+                + bytes(self.rng.randrange(256) for _ in range(4))
+                + data[at:][: self.rng.randrange(1, 20)]
+            )
             told = re.match(rb"HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n", data) and not bulk
             status = 200 if told else -abs(status)  # alone in its call, a 200 counts from its first line on
-        self.world.note("reply", number, status, 0.0 if reply.spoilt else reply.wait, tuple((states or {}).items()))
+        self.world.note(
+            "reply", number, status, 0.0 if reply.spoilt else reply.wait, tuple((states or {}).items())
+        )
         server.reply(data, lambda: self.world.note("heard", number))
         if reply.spoilt:
             server.hang_up()
@@ -206,6 +234,7 @@
 class Registry:
     """What stands behind all agents. While `work` is above 0 it is overbooked: it works off one new watch after the other, `work` ms
     each, also those whose courier it has told no meanwhile; a watch that goes on costs it nothing."""
+
     PATIENCE, LINE, GOES_ON, NO = 2000.0, 24, 200.0, 60.0
 
     def __init__(self):
@@ -239,7 +268,11 @@
         return True
 
     def known(self):
-        return {"version": self.version, "full": True, "servers": [dict(entry) for entry in self.entries.values()]}
+        return {
+            "version": self.version,
+            "full": True,
+            "servers": [dict(entry) for entry in self.entries.values()],
+        }
 
     def change(self, *entries):
         """News, on their way to this agent."""
@@ -252,7 +285,10 @@
             self.held.append(entries)
             return
         self.version += 1
-        on, off = (tuple(entry["id"] for entry in entries if (entry["state"] == "active") is ready) for ready in (True, False))
+        on, off = (
+            tuple(entry["id"] for entry in entries if (entry["state"] == "active") is ready)
+            for ready in (True, False)
+        )
         self.world.note("had", self.courier, on, off)
         for entry in entries:
             self.history.append((self.version, dict(entry)))
@@ -279,21 +315,32 @@
         if index is None or index > self.version:
             told = self.known()
         else:
-            told = {"version": self.version, "full": False,
-                    "servers": [entry for version, entry in self.history if version > index]}
+            told = {
+                "version": self.version,
+                "full": False,
+                "servers": [entry for version, entry in self.history if version > index],
+            }
         servers = told["servers"]
         off = tuple(entry["id"] for entry in servers if entry["state"] != "active")
         on = tuple(entry["id"] for entry in servers if entry["state"] == "active")
         full = told["full"]
-        server.reply(response(200, json.dumps(told).encode()),
-                     lambda: self.world.note("told", self.courier, full, on, off))
+        server.reply(
+            response(200, json.dumps(told).encode()),
+            lambda: self.world.note("told", self.courier, full, on, off),
+        )
 
     def answer(self, server, target, headers, body, begun):
         if target == b"/v1/outcomes":
             try:
                 lines = [json.loads(line) for line in body.splitlines()]
-                notices = [(line["ref"], {"dead": "dead", "bounced": "bounced"}[line["result"]],
-                            float(line.get("wait_ms", 0.0))) for line in lines]
+                notices = [
+                    (
+                        line["ref"],
+                        {"dead": "dead", "bounced": "bounced"}[line["result"]],
+                        float(line.get("wait_ms", 0.0)),
+                    )
+                    for line in lines
+                ]
             except (ValueError, KeyError, TypeError):
                 self.world.note("fault", self.courier, "a notice that cannot be read")
                 server.reply(response(400))
@@ -314,7 +361,9 @@
                 return
             after, serves = self.registry.turn(self.world.now)
             self.world.note("asked", self.courier, serves)
-            self.world.after(after, self.watch if serves else self.turn_away, server, index, max(0.0, wait - after))
+            self.world.after(
+                after, self.watch if serves else self.turn_away, server, index, max(0.0, wait - after)
+            )
 
     def turn_away(self, server, index, wait):
         if server.open:
@@ -376,10 +425,18 @@
 
 class Rude:
     """A connection that misbehaves: each way once in a while, and hung up after a while if the courier does not."""
-    WAYS = (b"GET /", b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-            b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 99999999\r\n\r\n", b"\x16\x03\x01\x02\x00\x01\x00", b"", b"NONSENSE\r\n\r\n",
-            b"POST /nothing HTTP/1.1\r\nHost: c\r\nX-Request-ID: q\r\nX-Timeout: soon\r\nContent-Length: 0\r\n\r\n",
-            b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nhalf a body", b"GET /-/ready HTTP/1.1\r\nHost: c\r\n\r\n" * 40)
+
+    WAYS = (
+        b"GET /",
+        b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 99999999\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00",
+        b"",
+        b"NONSENSE\r\n\r\n",
+        b"POST /nothing HTTP/1.1\r\nHost: c\r\nX-Request-ID: q\r\nX-Timeout: soon\r\nContent-Length: 0\r\n\r\n",
+        b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nhalf a body",
+        b"GET /-/ready HTTP/1.1\r\nHost: c\r\n\r\n" * 40,
+    )
 
     def __init__(self, clients, courier, way):
         self.way, self.heard = way, 0
@@ -397,6 +454,7 @@
 
 class Ask:
     """One handing-in of a text."""
+
     __slots__ = ("ident", "text", "courier", "until", "sent", "line", "again", "over", "arrived")
 
     def __init__(self, ident, text, courier, until):
@@ -412,7 +470,13 @@
     scenario says `same`."""
 
     def __init__(self, world, net, traffic, products, couriers):
-        self.world, self.net, self.traffic, self.products, self.couriers = world, net, traffic, products, couriers
+        self.world, self.net, self.traffic, self.products, self.couriers = (
+            world,
+            net,
+            traffic,
+            products,
+            couriers,
+        )
         self.machine, self.idle = net.machine("10.9.0.1"), {courier.name: deque() for courier in couriers}
         self.rng, self.tries, self.asks, self.unheard = world.chance("clients"), {}, {}, {}
 
@@ -442,11 +506,23 @@
         path = product.name + (f"/{text['key']}" if text["key"] else "")
         key = f"Idempotency-Key: {text['reference']}\r\n" if text["reference"] else ""
         left = (text["until"] - now) / 1000.0
-        head = (f"POST /{path} HTTP/1.1\r\nHost: courier\r\nX-Request-ID: {ask.ident}\r\nX-Timeout: {left:.3f}\r\n{key}"
-                f"X-Envelope: dest={text['dest']}\r\nContent-Length: {len(text['body'])}\r\n\r\n")
+        head = (
+            f"POST /{path} HTTP/1.1\r\nHost: courier\r\nX-Request-ID: {ask.ident}\r\nX-Timeout: {left:.3f}\r\n{key}"
+            f"X-Envelope: dest={text['dest']}\r\nContent-Length: {len(text['body'])}\r\n\r\n"
+        )
         ask.sent = True
-        self.world.note("hand-in", ask.ident, text["number"], ask.courier.name, text["dest"], text["product"],
-                        text["key"], text["reference"], zlib.crc32(text["body"]), now + round(left * 1000.0))
+        self.world.note(
+            "hand-in",
+            ask.ident,
+            text["number"],
+            ask.courier.name,
+            text["dest"],
+            text["product"],
+            text["key"],
+            text["reference"],
+            zlib.crc32(text["body"]),
+            now + round(left * 1000.0),
+        )
         ask.arrived = False
         sender.end.send(head.encode() + text["body"], lambda: setattr(ask, "arrived", True))
 
@@ -506,6 +582,7 @@
 
 class Operator:
     """Calls couriers at their admin addresses, one call to a connection, and holds connections with half a call."""
+
     PORT, PATIENCE, HOLD = 9800, 3000.0, 4000.0
 
     def __init__(self, world, net):
@@ -529,6 +606,7 @@
                 finish(0)
             else:
                 end.send(f"{method} /admin/{path} HTTP/1.1\r\nHost: courier\r\n\r\n".encode())
+
         parsed = Parsed(httptools.HttpResponseParser, whole)
         end = self.net.connect(self.machine, courier.host, self.PORT, up)
         end.on_data, end.on_end = parsed.feed, lambda reset: finish(0)
@@ -538,6 +616,7 @@
         def up(done):
             if not isinstance(done, int):
                 end.send(b"GET /admin/st")
+
         end = self.net.connect(self.machine, courier.host, self.PORT, up)
         end.on_data, end.on_end = lambda *_: None, lambda reset: end.close()
         self.world.after(self.HOLD, end.close)
--- a/calicopin/emulator/story.py
+++ b/calicopin/emulator/story.py
@@ -1,20 +1,35 @@
 """A trace in plain words: of the whole run, or of one text."""
 
 WORDS = {
-    "start": "{0} starts", "ready": "{0} is ready", "end": "{0} ends: {1}, {2}", "stands": "{0} stands still for {1:.0f} ms",
-    "term": "{0} gets SIGTERM", "disk": "{0}'s disk is in trouble for {1:.0f} ms",
-    "trouble": "trouble: {0} at {1} for {2:.0f} ms", "cold": "destination {0} is back, cold",
+    "start": "{0} starts",
+    "ready": "{0} is ready",
+    "end": "{0} ends: {1}, {2}",
+    "stands": "{0} stands still for {1:.0f} ms",
+    "term": "{0} gets SIGTERM",
+    "disk": "{0}'s disk is in trouble for {1:.0f} ms",
+    "trouble": "trouble: {0} at {1} for {2:.0f} ms",
+    "cold": "destination {0} is back, cold",
     "fell": "destination {0} falls over: {1} calls in the span, {2} were the most, {3} by couriers that knew",
     "hand-in": "a client hands {0} (text {1}) to {2} for destination {3}, key {5}, valid until {8:.1f}",
-    "answer": "its client hears {1} for {0}", "left": "the client of {0} has waited long enough and leaves",
+    "answer": "its client hears {1} for {0}",
+    "left": "the client of {0} has waited long enough and leaves",
     "cut": "the connection of {0}'s client ends with no answer by {1}",
-    "call": "call {0}: {1} to {2} in {3}, begun {6:.1f}, with {5}", "ran": "call {0}: {1} run",
-    "reply": "call {0}: answered {1}, wait {2:.0f} ms {3}", "heard": "call {0}: the courier has the answer",
-    "hung-up": "call {0}: its connection ends", "lost": "call {0}: its answer is lost",
-    "notice": "{0} tells the platform: {1} is {2}, wait {3:.0f} ms", "told": "discovery tells {0}: on {2}, off {3}", "had": "the agent of {0} has: on {1}, off {2}", "asked": "{0} begins a watch: served {1}",
-    "fault": "a fault in {0}: {1}", "lost-machine": "{0}'s machine is lost with its folder",
-    "operator": "{0} is called: {1}, asked at {2:.1f}, answers {3}", "emptied": "{0} is to be empty: clients hold {1} connections",
-    "agents-gone": "the platform's agents are gone for {0:.0f} ms"}
+    "call": "call {0}: {1} to {2} in {3}, begun {6:.1f}, with {5}",
+    "ran": "call {0}: {1} run",
+    "reply": "call {0}: answered {1}, wait {2:.0f} ms {3}",
+    "heard": "call {0}: the courier has the answer",
+    "hung-up": "call {0}: its connection ends",
+    "lost": "call {0}: its answer is lost",
+    "notice": "{0} tells the platform: {1} is {2}, wait {3:.0f} ms",
+    "told": "discovery tells {0}: on {2}, off {3}",
+    "had": "the agent of {0} has: on {1}, off {2}",
+    "asked": "{0} begins a watch: served {1}",
+    "fault": "a fault in {0}: {1}",
+    "lost-machine": "{0}'s machine is lost with its folder",
+    "operator": "{0} is called: {1}, asked at {2:.1f}, answers {3}",
+    "emptied": "{0} is to be empty: clients hold {1} connections",
+    "agents-gone": "the platform's agents are gone for {0:.0f} ms",
+}
 QUIET = ("refused", "asked", "told", "had", "heard", "ran")  # left out of the story of a whole run
 
 
@@ -30,6 +45,11 @@
         return [words(entry) for entry in trace if entry[1] not in QUIET]
     calls = {entry[2] for entry in trace if entry[1] == "call" and any(text[0] == ident for text in entry[7])}
     about = ("start", "end", "ready", "term", "stands", "disk", "trouble", "lost-machine")
-    return [words(entry) for entry in trace
-            if entry[1] in about or ident in entry[2:4]
-            or entry[1] in ("call", "ran", "reply", "heard", "hung-up", "lost") and entry[2] in calls]
+    return [
+        words(entry)
+        for entry in trace
+        if entry[1] in about
+        or ident in entry[2:4]
+        or entry[1] in ("call", "ran", "reply", "heard", "hung-up", "lost")
+        and entry[2] in calls
+    ]
--- a/calicopin/emulator/world.py
+++ b/calicopin/emulator/world.py
@@ -3,6 +3,7 @@
 Times are float milliseconds since the run began. Everything that happens is a due time in one heap; equal times keep
 the order in which they were asked for.
 """
+
 import hashlib
 import heapq
 import random
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -2,18 +2,34 @@
 
 The code around it never sees the module's events or actions. Nothing here decides anything.
 """
+
 from collections import deque
 from dataclasses import dataclass, field
 from enum import IntEnum
 
 from calicopin import terms
 from calicopin.brain import HARMLESS
-from calicopin.interface import (Close, Emptied, Entry, How, Listed, Log, Nack, Outcome, Submit, Taken, Undeliverable, Wake,
-                                 Withdrawn, Woken)
+from calicopin.interface import (
+    Close,
+    Emptied,
+    Entry,
+    How,
+    Listed,
+    Log,
+    Nack,
+    Outcome,
+    Submit,
+    Taken,
+    Undeliverable,
+    Wake,
+    Withdrawn,
+    Woken,
+)
 
 
 class Far(IntEnum):
     """How far a submit had come when it ended."""
+
     CALLED_OFF = 0  # it took its time to connect, and then was no longer wanted
     UNCONNECTED = 1
     UNSENT = 2  # its last byte was not written
@@ -24,9 +40,12 @@
 @dataclass(slots=True)
 class Answer:
     """How one call ended. `ends` holds what a bulk answer says of each text."""
+
     far: Far
     late: bool = False
-    gone: bool = False  # its connection was gone before the call: no fault of the endpoint's, yet it may have run
+    gone: bool = (
+        False  # its connection was gone before the call: no fault of the endpoint's, yet it may have run
+    )
     status: int = 0
     wait: float = 0.0
     no_slot: bool = False
@@ -37,6 +56,7 @@
 @dataclass(slots=True)
 class Place:
     """One line of the list, in our words."""
+
     ident: str
     address: str
     dest: int
@@ -50,6 +70,7 @@
 @dataclass(slots=True)
 class Call:
     """One call to make, with the texts that share it."""
+
     place: Place
     texts: list
     timeout: float
@@ -62,16 +83,29 @@
 @dataclass(slots=True)
 class End:
     """The one final answer of a text: delivered, over, or a notice with what it says."""
+
     text: object
     verdict: str | None
     wait: float = 0.0
     delivered: bool = False
 
 
-ANSWERS = {200: How.DELIVERED, 429: How.FULL, 503: How.FULL, 504: How.NOT_SENT, 410: How.NOT_SENT,
-           400: How.NOT_SENT, 413: How.NOT_SENT}  # any other may have run
-STATES = {"delivered": How.DELIVERED, "failed": How.ERROR, "refused": How.FULL, "over": How.NOT_SENT,
-          "spent": How.NOT_SENT}
+ANSWERS = {
+    200: How.DELIVERED,
+    429: How.FULL,
+    503: How.FULL,
+    504: How.NOT_SENT,
+    410: How.NOT_SENT,
+    400: How.NOT_SENT,
+    413: How.NOT_SENT,
+}  # any other may have run
+STATES = {
+    "delivered": How.DELIVERED,
+    "failed": How.ERROR,
+    "refused": How.FULL,
+    "over": How.NOT_SENT,
+    "spent": How.NOT_SENT,
+}
 
 
 def how(answer, ident):
@@ -101,7 +135,13 @@
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
         self.texts, self.places, self.events = {}, {}, []
-        self.calls, self.backs, self.ends, self.lines, self.spare = deque(), deque(), deque(), deque(), deque()
+        self.calls, self.backs, self.ends, self.lines, self.spare = (
+            deque(),
+            deque(),
+            deque(),
+            deque(),
+            deque(),
+        )
         self.next_number, self.wake = 0, None
         self.tick(now)
 
@@ -120,8 +160,19 @@
         text.number, self.next_number = self.next_number, self.next_number + 1
         self.texts[text.number] = text
         zone = None if text.ran_zone is None else self.zones(text.ran_zone)
-        self.events.append(Taken(text.number, self.dests(text.dest), text.product, text.until, text.key,
-                                 tries=text.tries, ran_at=text.ran_at, ran_zone=zone, restored=restored))
+        self.events.append(
+            Taken(
+                text.number,
+                self.dests(text.dest),
+                text.product,
+                text.until,
+                text.key,
+                tries=text.tries,
+                ran_at=text.ran_at,
+                ran_zone=zone,
+                restored=restored,
+            )
+        )
 
     def withdraw(self, text):
         """Nothing more is owed for it."""
@@ -145,8 +196,16 @@
         for place in places:
             number = self.endpoints(place.ident)
             self.places[number] = place
-            entries.append(Entry(number, self.dests(place.dest), self.kinds(place.kind),
-                                 self.zones(place.zone), place.ready, place.agreed if self.agreed else None))
+            entries.append(
+                Entry(
+                    number,
+                    self.dests(place.dest),
+                    self.kinds(place.kind),
+                    self.zones(place.zone),
+                    place.ready,
+                    place.agreed if self.agreed else None,
+                )
+            )
             if place.left:
                 del self.places[number]
         self.events.append(Listed(entries, whole))
@@ -162,7 +221,9 @@
                 outcome, ended = how(answer, text.ident)
                 self._outcome(call, text, outcome, elapsed, ended, answer.wait, told)
         if answer.wait > call.waited:
-            if not call.open and call.told:  # the head came whole only after the first line had told the outcome
+            if (
+                not call.open and call.told
+            ):  # the head came whole only after the first line had told the outcome
                 self.module.halt(call.endpoint, answer.wait)
             call.waited = answer.wait
         call.told = True
@@ -170,8 +231,9 @@
     def _outcome(self, call, text, outcome, elapsed, ended, wait=0.0, told=None):
         call.open.discard(text.number)
         told = told or {}
-        self.events.append(Outcome(text.number, call.endpoint, outcome, wait, elapsed,
-                                   ended, told.get("x0"), told.get("x1")))
+        self.events.append(
+            Outcome(text.number, call.endpoint, outcome, wait, elapsed, ended, told.get("x0"), told.get("x1"))
+        )
         if not ended:
             self.backs.append((text, outcome not in HARMLESS))
         elif self.texts.pop(text.number, None):
@@ -190,13 +252,18 @@
             dest = self.module.dests.get(number)
             routes = list(dest.routes.values()) if dest else []
             worst = max(routes, key=lambda route: ("well", "cold", "out").index(route.mode), default=None)
-            out.append(dict(
-                destination=ident, mode=worst.mode if worst else "well", waiting=len(dest.queue) if dest else 0,
-                out=sum(len(endpoint.calls) for endpoint in dest.endpoints.values()) if dest else 0,
-                endpoints=len(dest.endpoints) if dest else 0,
-                pace=round(worst.rate * 1000.0, 3) if worst and worst.rate else None,
-                usual_ms=round(worst.usual, 1) if worst else 0.0,
-                wait_ms=round(max(0.0, worst.pause - self.module.floor.now), 1) if worst else 0.0))
+            out.append(
+                dict(
+                    destination=ident,
+                    mode=worst.mode if worst else "well",
+                    waiting=len(dest.queue) if dest else 0,
+                    out=sum(len(endpoint.calls) for endpoint in dest.endpoints.values()) if dest else 0,
+                    endpoints=len(dest.endpoints) if dest else 0,
+                    pace=round(worst.rate * 1000.0, 3) if worst and worst.rate else None,
+                    usual_ms=round(worst.usual, 1) if worst else 0.0,
+                    wait_ms=round(max(0.0, worst.pause - self.module.floor.now), 1) if worst else 0.0,
+                )
+            )
         return out
 
     # The module's turn.
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -3,6 +3,7 @@
 Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the other one decides,
 and this one does nothing but end what cannot change hands. If the other one dies before SIGTERM comes, this one begins anew
 from the folder, as after a crash."""
+
 import base64
 
 from loguru import logger
@@ -26,7 +27,14 @@
 
     def __init__(self, place, lock, again, loop, runtime, clients, discovery, renewal, stop):
         self.lock, self.again = lock, again
-        self.loop, self.runtime, self.clients, self.discovery, self.renewal, self.stop = loop, runtime, clients, discovery, renewal, stop
+        self.loop, self.runtime, self.clients, self.discovery, self.renewal, self.stop = (
+            loop,
+            runtime,
+            clients,
+            discovery,
+            renewal,
+            stop,
+        )
         self.listener = place.listen()
         self.task = loop.keep(self.host)
 
@@ -53,12 +61,23 @@
                 if not more:
                     break
                 data += more
-            self.loop.close(sock) if not self.fit(sock, data) else self.loop.after.append(lambda sock=sock: self.give(sock))
+            self.loop.close(sock) if not self.fit(sock, data) else self.loop.after.append(
+                lambda sock=sock: self.give(sock)
+            )
 
     def fit(self, sock, data):
         """Whether all may be given to whoever said so."""
-        why = ("another user's" if not ours(sock) else "it says nothing that can be read" if data != b"calicopin %d\n" % FORM
-               else "a stop is under way" if self.stop.stopping else "the journal cannot be written" if self.runtime.stuck else None)
+        why = (
+            "another user's"
+            if not ours(sock)
+            else "it says nothing that can be read"
+            if data != b"calicopin %d\n" % FORM
+            else "a stop is under way"
+            if self.stop.stopping
+            else "the journal cannot be written"
+            if self.runtime.stuck
+            else None
+        )
         if why:
             logger.warning("a new version is given nothing: {why}", event="handover.refused", why=why)
         return not why
@@ -90,7 +109,11 @@
                 raise Broken("this process has gone on")
             talk.say({"go": True, "fds": 1}, [self.lock])
         except Exception as fault:  # whatever it is, this process serves on
-            logger.warning("a new version takes nothing over, this one serves on: {fault!r}", event="handover.refused", fault=fault)
+            logger.warning(
+                "a new version takes nothing over, this one serves on: {fault!r}",
+                event="handover.refused",
+                fault=fault,
+            )
             runtime.calling = calling
             sock.close()
             return
@@ -100,16 +123,27 @@
         except Exception as fault:  # behind `go` nothing may bring this process to serve on
             logger.error("the new version broke off: {fault}", event="handover.broken", fault=fault)
         self.retire(sock)
-        logger.info("handed over in {ms:.0f} ms: {texts} texts, {out} calls out", event="handover.given", ms=self.loop.now() - began,
-                    texts=held, out=len(flights))
+        logger.info(
+            "handed over in {ms:.0f} ms: {texts} texts, {out} calls out",
+            event="handover.given",
+            ms=self.loop.now() - began,
+            texts=held,
+            out=len(flights),
+        )
 
     def told(self, flights):
         stop, calls = self.stop, [flight.call for flight in flights]
         lines = self.runtime.lines
         return written(self.runtime.facade, calls) | dict(
-            until=[flight.until for flight in flights], began=[flight.began for flight in flights], version=getattr(self.discovery, "version", None),
-            current=self.runtime.current, renewed=self.renewal.renewed, trust=lines.trust,
-            fastest=[[*shelf, best] for shelf, best in lines.fastest.items()], drained=stop.drain.began if stop.drain else None)
+            until=[flight.until for flight in flights],
+            began=[flight.began for flight in flights],
+            version=getattr(self.discovery, "version", None),
+            current=self.runtime.current,
+            renewed=self.renewal.renewed,
+            trust=lines.trust,
+            fastest=[[*shelf, best] for shelf, best in lines.fastest.items()],
+            drained=stop.drain.began if stop.drain else None,
+        )
 
     def part(self, talk, flights):
         """Connections, a few at a time; each is closed here as soon as it is on its way."""
@@ -123,14 +157,27 @@
             self.loop.cancel(flight.task)
         for visit in list(clients.visits):
             if line := clients.give(visit):
-                moved.append(("client", dict(heard=coded(line.heard), fresh=visit.fresh, since=visit.since, until=min(visit.until, 1e15)), line))
+                moved.append(
+                    (
+                        "client",
+                        dict(
+                            heard=coded(line.heard),
+                            fresh=visit.fresh,
+                            since=visit.since,
+                            until=min(visit.until, 1e15),
+                        ),
+                        line,
+                    )
+                )
         for shelf, kept in runtime.lines.idle.items():
             moved += [("idle", dict(shelf=shelf, since=since), line) for line, since in kept]
         runtime.lines.idle = {}
         for at in range(0, len(moved), AT_ONCE):
-            some = moved[at:at + AT_ONCE]
-            talk.say({"connections": [dict(what, kind=kind) for kind, what, _ in some], "fds": len(some)},
-                     [line.sock.fileno() for _, _, line in some])
+            some = moved[at : at + AT_ONCE]
+            talk.say(
+                {"connections": [dict(what, kind=kind) for kind, what, _ in some], "fds": len(some)},
+                [line.sock.fileno() for _, _, line in some],
+            )
             for _, _, line in some:
                 line.close()
         talk.say({"end": True})
@@ -147,7 +194,12 @@
         loop.system.close(self.lock)
         if runtime.journal.file is not None:
             loop.system.close(runtime.journal.file)
-        runtime.journal.file, runtime.journal.texts, runtime.facade.texts, runtime.notices.owed = None, {}, {}, []
+        runtime.journal.file, runtime.journal.texts, runtime.facade.texts, runtime.notices.owed = (
+            None,
+            {},
+            {},
+            [],
+        )
         runtime.refusing = self.stop.retired = True
         self.stop.end_drain()
         self.clients.closing = self.clients.leaving = True
--- a/calicopin/handover/meeting.py
+++ b/calicopin/handover/meeting.py
@@ -1,4 +1,5 @@
 """Where the process that serves and the one that is to follow it meet: a Unix socket, frames of JSON, descriptors beside them."""
+
 import json
 import os
 import socket
@@ -33,7 +34,9 @@
         try:
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
             try:
-                act(sock, f"/proc/self/fd/{parent}/{self.name}", parent)  # however long the folder's own path is
+                act(
+                    sock, f"/proc/self/fd/{parent}/{self.name}", parent
+                )  # however long the folder's own path is
             except OSError:
                 sock.close()
                 raise
@@ -43,6 +46,7 @@
 
     def listen(self):
         """A listening socket that does not block, in place of any that lies there."""
+
         def bind(sock, path, parent):
             try:
                 os.unlink(self.name, dir_fd=parent)
@@ -51,6 +55,7 @@
             sock.bind(path)
             sock.listen(4)
             sock.setblocking(False)
+
         return self._socket(bind)
 
     def visit(self):
@@ -60,7 +65,10 @@
 
 def ours(sock):
     """Whether the other side runs under our own user: nobody else is given a thing."""
-    return CREDENTIALS.unpack(sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))[1] == os.getuid()
+    return (
+        CREDENTIALS.unpack(sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size))[1]
+        == os.getuid()
+    )
 
 
 class Talk:
@@ -84,7 +92,7 @@
         """(what, descriptors) of the next frame; they are the caller's to close."""
         while True:
             if len(self.data) >= HEAD.size:
-                size, = HEAD.unpack_from(self.data)
+                (size,) = HEAD.unpack_from(self.data)
                 if size > MOST_FRAME:
                     raise Broken("a frame that is too long")
                 if len(self.data) >= HEAD.size + size:
@@ -98,11 +106,11 @@
             self.data += data
             self.fds += fds
         try:
-            what = json.loads(bytes(self.data[HEAD.size:HEAD.size + size]))
+            what = json.loads(bytes(self.data[HEAD.size : HEAD.size + size]))
             count = int(what.get("fds", 0))
         except (ValueError, AttributeError, TypeError, RecursionError) as fault:
             raise Broken(f"a frame that cannot be read: {fault}") from None
-        del self.data[:HEAD.size + size]
+        del self.data[: HEAD.size + size]
         fds, self.fds = self.fds[:count], self.fds[count:]
         if len(fds) < count:
             raise Broken("a frame without its descriptors")
