--- /dev/null
+++ b/tests/test_subscription_messages.py
@@ -0,0 +1,80 @@
+"""Messages of a subscription: read back as written, and each fault named by its place."""
+
+import json
+
+import pytest
+
+from calicopin.subscription.messages import (
+    FORM,
+    Grant,
+    MessageError,
+    Reason,
+    Refusal,
+    SubscribeRequest,
+    decode_answer,
+    decode_refusal,
+    decode_request,
+    encode_answer,
+    encode_refusal,
+    encode_request,
+)
+
+REQUEST = SubscribeRequest("fleet", "courier", "lease", 3, (1, 2), (4,))
+GRANT = Grant("fleet", "node", "lease", 3, 30000.0, (1,), (2,))
+
+
+def test_request_is_read_back_as_written():
+    assert decode_request(encode_request(REQUEST)) == REQUEST
+    first = SubscribeRequest("fleet", "courier", subscribe=(7,))
+    assert decode_request(encode_request(first)) == first
+
+
+def test_answer_is_read_back_as_written():
+    answer = decode_answer(encode_answer(True, 9, [b'{"id":"a"}', b'{"id":"b"}'], GRANT))
+    assert (answer.full, answer.version, answer.servers) == (True, 9, ({"id": "a"}, {"id": "b"}))
+    assert answer.grant == GRANT
+
+
+def test_refusal_is_read_back_as_written():
+    refusal = Refusal(Reason.TOO_MANY, "too many", 1500.0)
+    assert decode_refusal(encode_refusal(refusal)) == refusal
+    assert refusal.status == 429
+
+
+@pytest.mark.parametrize(
+    "change, place",
+    [
+        ({"form": FORM + 1}, "subscription.form"),
+        ({"form": True}, "subscription.form"),
+        ({"more": 1}, "subscription.more"),
+        ({"fleet": ""}, "subscription.fleet"),
+        ({"courier": "x" * 257}, "subscription.courier"),
+        ({"lease": 5}, "subscription.lease"),
+        ({"sequence": -1}, "subscription.sequence"),
+        ({"sequence": True}, "subscription.sequence"),
+        ({"subscribe": "1,2"}, "subscription.subscribe"),
+        ({"subscribe": [1, "2"]}, "subscription.subscribe[1]"),
+        ({"unsubscribe": [-1]}, "subscription.unsubscribe[0]"),
+        ({"subscribe": [10**9]}, "subscription.subscribe[0]"),
+    ],
+)
+def test_request_at_fault_is_refused_by_place(change, place):
+    told = json.loads(encode_request(REQUEST))
+    told["subscription"] |= change
+    with pytest.raises(MessageError) as fault:
+        decode_request(json.dumps(told).encode())
+    assert fault.value.place == place
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{", b'{"subscription": null}', b"\xff", b"[" * 100000])
+def test_what_is_no_message_is_refused(data):
+    for decode in (decode_request, decode_answer, decode_refusal):
+        with pytest.raises(MessageError):
+            decode(data)
+
+
+def test_each_cut_of_an_answer_is_refused():
+    whole = encode_answer(False, 9, [b'{"id":"a"}'], GRANT)
+    for length in range(len(whole)):
+        with pytest.raises(MessageError):
+            decode_answer(whole[:length])
