--- /dev/null
+++ b/calicopin/subscription/session.py
@@ -0,0 +1,333 @@
+"""A courier's side of the subscription exchange as a state machine: builds requests, takes answers in. No I/O, no clock.
+
+One request is out at a time. What was learnt of a destination stays until it is confirmed anew or given up, whatever
+becomes of nodes and leases. docs/subscriptions-design.md has the exchange.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from calicopin.facade import Place
+from calicopin.subscription.messages import (
+    Grant,
+    MessageError,
+    Reason,
+    Refusal,
+    SubscribeAnswer,
+    SubscribeRequest,
+)
+
+LEASE_PART = (
+    1.0 / 3.0
+)  # of a lease: the longest a request may wait at the node, so that the lease never ends under it
+
+
+class Standing(Enum):
+    """What is known of a destination."""
+
+    KNOWN = "known"  # it was answered for and exists
+    UNKNOWN = "unknown"  # it was answered for and does not exist
+    WAITING = "waiting"  # it was not answered for yet
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """The next request; `index` stands in its target (None: not told). `prompt`: it is answered at once, so that
+    nothing is gained by waiting at the node. `released` were given up with it: nothing is known of them any more."""
+
+    node: str
+    request: SubscribeRequest
+    index: int | None
+    prompt: bool
+    released: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What an answer told. Of a `whole` one `places` is all that the session knows of its set; else all endpoints of the
+    destinations in `confirmed`, and with `left` those that have left. `unknown` destinations do not exist."""
+
+    whole: bool
+    places: list[Place]
+    confirmed: tuple[int, ...] = ()
+    unknown: tuple[int, ...] = ()
+    released: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """A modification of the set under a lease, as it was sent: repeated as it is until it is answered."""
+
+    sequence: int
+    subscribe: tuple[int, ...]
+    unsubscribe: tuple[int, ...]
+
+
+@dataclass(slots=True)
+class _Lease:
+    """A lease at one node, as the courier knows it."""
+
+    asked: str  # the node as it is asked
+    node: str  # as it names itself
+    name: str
+    lease_ms: float
+    version: int
+    served: set[int]  # the set at the node, once `sent` is answered
+    sequence: int = 0
+    sent: _Change | None = None  # not answered yet
+    add: dict[int, None] = field(default_factory=dict)  # wanted and not served
+    drop: dict[int, None] = field(default_factory=dict)  # served and not wanted
+
+
+class Session:
+    """`restored` are destinations with their endpoints as a snapshot has them: subscribed to from the start."""
+
+    def __init__(self, fleet: str, courier: str, restored: Mapping[int, Iterable[Place]] | None = None):
+        self.fleet, self.courier = fleet, courier
+        self.resyncs = 0  # full answers under a lease that went on
+        self._wanted: dict[int, None] = {}
+        self._given_up: dict[int, None] = {}  # no longer wanted, and what is known of them not yet forgotten
+        self._known: dict[int, dict[str, Place]] = {}  # by destination and endpoint
+        self._unknown: set[int] = set()  # destinations that do not exist
+        self._owner: dict[str, int] = {}  # the destination of each known endpoint
+        self._confirmed: set[int] = set()  # by an answer, not only by a snapshot
+        self._lease: _Lease | None = None
+        self._ask: Ask | None = None  # the request that is out
+        for destination, places in (restored or {}).items():
+            self._wanted[destination] = None
+            if known := {place.ident: place for place in places}:
+                self._known[destination] = known
+                self._owner.update(dict.fromkeys(known, destination))
+
+    # What the courier wants.
+
+    def subscribe(self, destination: int) -> None:
+        """It belongs to the set from now on."""
+        self._wanted[destination] = None
+        self._given_up.pop(destination, None)
+        if lease := self._lease:
+            lease.drop.pop(destination, None)
+            if destination not in lease.served:
+                lease.add[destination] = None
+
+    def unsubscribe(self, destination: int) -> None:
+        """It belongs to the set no longer; what is known of it stays until a request says so."""
+        if destination not in self._wanted:
+            return
+        del self._wanted[destination]
+        self._given_up[destination] = None
+        if lease := self._lease:
+            lease.add.pop(destination, None)
+            if destination in lease.served:
+                lease.drop[destination] = None
+
+    def wants(self, destination: int) -> bool:
+        """Whether it belongs to the set."""
+        return destination in self._wanted
+
+    def standing(self, destination: int) -> Standing:
+        """What is known of it; by a snapshot alone one counts as known too."""
+        if destination in self._known:
+            return Standing.KNOWN
+        return Standing.UNKNOWN if destination in self._unknown else Standing.WAITING
+
+    def confirmed(self, destination: int) -> bool:
+        """Whether an answer has told of it since it was subscribed to."""
+        return destination in self._confirmed
+
+    def known(self) -> dict[int, list[Place]]:
+        """The endpoints of each subscribed destination that has some."""
+        return {
+            destination: list(places.values())
+            for destination, places in self._known.items()
+            if places and destination in self._wanted
+        }
+
+    @property
+    def version(self) -> int | None:
+        """The node's count under the lease; None without one."""
+        return self._lease.version if self._lease else None
+
+    @property
+    def pressing(self) -> bool:
+        """Whether a destination waits to be subscribed that no request has named yet."""
+        return bool(self._lease and self._lease.add)
+
+    # The exchange.
+
+    def longest_wait(self, node: str, wait_ms: float) -> float:
+        """How long the next request may wait at the node."""
+        lease = self._lease
+        return min(wait_ms, LEASE_PART * lease.lease_ms) if lease and lease.asked == node else 0.0
+
+    def next(self, node: str) -> Ask:
+        """The next request to that node: under its lease where there is one, else for a new one."""
+        lease = self._lease
+        if lease is None or lease.asked != node:
+            request = SubscribeRequest(self.fleet, self.courier, subscribe=tuple(self._wanted))
+            self._ask = Ask(node, request, None, prompt=True)
+            return self._ask
+        released = ()
+        if lease.sent is None:
+            released = self._take_changes(lease)
+        change = lease.sent or _Change(lease.sequence, (), ())
+        request = SubscribeRequest(
+            self.fleet, self.courier, lease.name, change.sequence, change.subscribe, change.unsubscribe
+        )
+        self._ask = Ask(node, request, lease.version, lease.sent is not None, released)
+        return self._ask
+
+    def _take_changes(self, lease: _Lease) -> tuple[int, ...]:
+        """What changed goes with the next request, and what was given up is forgotten."""
+        if lease.add or lease.drop:
+            lease.sent = _Change(lease.sequence + 1, tuple(lease.add), tuple(lease.drop))
+            lease.served.update(lease.add)
+            lease.served.difference_update(lease.drop)
+            lease.add, lease.drop = {}, {}
+        return self._forget(tuple(self._given_up))
+
+    def _forget(self, given_up: tuple[int, ...]) -> tuple[int, ...]:
+        for destination in given_up:
+            del self._given_up[destination]
+            self._confirmed.discard(destination)
+            self._unknown.discard(destination)
+            self._disown(destination, self._known.pop(destination, {}))
+        return given_up
+
+    def _disown(self, destination: int, places: Iterable[str]) -> None:
+        """The endpoints no longer count as the destination's, unless another one has them already."""
+        for ident in places:
+            if self._owner.get(ident) == destination:
+                del self._owner[ident]
+
+    def answered(self, answer: SubscribeAnswer, places: list[Place]) -> News:
+        """Takes the answer to the last request in; `places` are its entries as the list's reader has them. Raises
+        MessageError where it cannot be right: then the lease is given up, and all that is known stays."""
+        try:
+            self._check(answer, places)
+        except MessageError:
+            self.abandon()
+            raise
+        grant, lease = answer.grant, self._lease
+        if self._ask.request.lease is None:
+            released = self._begin(grant, answer.version)
+        else:
+            released = ()
+            self._acknowledge(lease)
+            lease.version, lease.lease_ms = answer.version, grant.lease_ms
+            self.resyncs += answer.full
+        return self._learn(answer, places, released)
+
+    def _begin(self, grant: Grant, version: int) -> tuple[int, ...]:
+        """A new lease: what changed since its request goes with the next one."""
+        served = set(self._ask.request.subscribe)
+        self._lease = _Lease(self._ask.node, grant.node, grant.lease, grant.lease_ms, version, served)
+        self._lease.add = {wanted: None for wanted in self._wanted if wanted not in served}
+        self._lease.drop = {gone: None for gone in self._given_up if gone in served}
+        return self._forget(tuple(gone for gone in self._given_up if gone not in served))
+
+    @staticmethod
+    def _acknowledge(lease: _Lease) -> None:
+        """The change that was out has been applied."""
+        if lease.sent:
+            lease.sequence, lease.sent = lease.sent.sequence, None
+
+    def _learn(self, answer: SubscribeAnswer, places: list[Place], released: tuple[int, ...]) -> News:
+        """Of a destination told as complete, what is not in the answer has left."""
+        served = self._lease.served
+        complete = tuple(destination for destination in answer.grant.complete if destination in served)
+        unknown = tuple(destination for destination in answer.grant.unknown if destination in served)
+        before = self._remove(complete + unknown)
+        self._known.update((destination, {}) for destination in complete)
+        self._unknown.update(unknown)
+        self._confirmed.update(complete, unknown)
+        told = set(complete)
+        current = [place for place in places if place.dest in told and not place.left]
+        for place in current:
+            self._put(place)
+        if answer.full:
+            everything = [place for known in self._known.values() for place in known.values()]
+            return News(True, everything, complete, unknown, released)
+        left = [replace(place, ready=False, left=True) for place in before if place.ident not in self._owner]
+        return News(False, left + current, complete, unknown, released)
+
+    def _remove(self, destinations: tuple[int, ...]) -> list[Place]:
+        """What was known of them until now."""
+        before = []
+        for destination in destinations:
+            known = self._known.pop(destination, {})
+            self._unknown.discard(destination)
+            self._disown(destination, known)
+            before += known.values()
+        return before
+
+    def _put(self, place: Place) -> None:
+        """An endpoint belongs to one destination, the one that it was told of last."""
+        if (owner := self._owner.get(place.ident)) is not None:
+            del self._known[owner][place.ident]
+        self._owner[place.ident] = place.dest
+        self._known[place.dest][place.ident] = place
+
+    def refused(self, refusal: Refusal) -> bool:
+        """Takes a refusal of the last request in; whether the same node is to be asked at once, for a new lease."""
+        renewal = self._ask.request.lease is not None
+        if renewal and refusal.reason in (Reason.LEASE_OVER, Reason.UNREADABLE, Reason.TOO_LARGE):
+            self.abandon()
+        return renewal and refusal.reason is Reason.LEASE_OVER
+
+    def abandon(self) -> None:
+        """The next request asks for a new lease with the whole set; all that is known stays."""
+        if self._lease is not None and self._lease.asked == self._ask.node:
+            self._lease = None
+
+    # What an answer may say.
+
+    def _check(self, answer: SubscribeAnswer, places: list[Place]) -> None:
+        grant, request, lease = answer.grant, self._ask.request, self._lease
+        if grant.fleet != self.fleet:
+            raise MessageError("subscription.fleet", f"{grant.fleet[:40]!r} is another fleet")
+        if grant.sequence != request.sequence:
+            raise MessageError(
+                "subscription.sequence", f"{grant.sequence} is not {request.sequence}, as asked"
+            )
+        if request.lease is not None:
+            self._check_renewal(answer, lease)
+        elif not answer.full:
+            raise MessageError("full", "is false in the first answer of a lease")
+        self._check_destinations(answer)
+        self._check_entries(grant, places)
+
+    @staticmethod
+    def _check_renewal(answer: SubscribeAnswer, lease: _Lease) -> None:
+        if answer.grant.node != lease.node:
+            raise MessageError("subscription.node", f"{answer.grant.node[:40]!r} is not the node asked")
+        if answer.grant.lease != lease.name:
+            raise MessageError("subscription.lease", f"{answer.grant.lease[:40]!r} is another lease")
+        if answer.version < lease.version:
+            raise MessageError("version", f"{answer.version} is before {lease.version}, as told last")
+
+    def _check_destinations(self, answer: SubscribeAnswer) -> None:
+        """Each is named once, and all that are owed are there: the whole set in a full answer, else those just
+        subscribed to."""
+        grant, request = answer.grant, self._ask.request
+        named = set(grant.complete).union(grant.unknown)
+        if len(named) < len(grant.complete) + len(grant.unknown):
+            raise MessageError("subscription.complete", "names a destination twice")
+        resync = answer.full and request.lease is not None
+        owed = set(self._lease.served if resync else request.subscribe)
+        if missing := owed.difference(named):
+            raise MessageError("subscription.complete", f"lacks destination {min(missing)}")
+
+    @staticmethod
+    def _check_entries(grant: Grant, places: list[Place]) -> None:
+        """Each endpoint once, and of destinations that are complete."""
+        complete, seen = set(grant.complete), set()
+        for position, place in enumerate(places):
+            if place.dest not in complete:
+                raise MessageError(
+                    f"servers[{position}].cell", f"{place.dest} is not among the complete ones"
+                )
+            if place.ident in seen:
+                raise MessageError(f"servers[{position}].id", f"{place.ident[:40]!r} stands there twice")
+            seen.add(place.ident)
