--- a/calicopin/subscription/interest.py
+++ b/calicopin/subscription/interest.py
@@ -1,6 +1,7 @@
-"""The destinations that a courier subscribes to: those used lately or still needed. No I/O, no clock; milliseconds.
+"""The destinations that a courier subscribes to: those used lately or still needed. No I/O and no clock.
 
-A use costs the same however many destinations there are, a sweep costs by what is due in it.
+Times are milliseconds. A use costs the same however many destinations there are, a sweep costs by what is due
+in it.
 """
 
 import heapq
@@ -13,7 +14,7 @@
 IDLE_SPREAD = 0.5  # the part of that by which it is longer by chance: sets don't shrink all in one request
 RECHECK = 30000.0  # after which one that was idle and still needed is looked at again
 MOST = 100_000  # destinations of one courier
-FULL_FOR = 1000.0  # as long a set found full of needed destinations counts as full: guards against a walk at each use
+FULL_FOR = 1000.0  # as long a set found full of needed destinations counts as full: no walk at each use
 
 
 class InterestFullError(Exception):
--- a/calicopin/subscription/nodes.py
+++ b/calicopin/subscription/nodes.py
@@ -1,7 +1,9 @@
-"""Which discovery node a courier asks next, and when: no I/O, no clock, chance from a seed. Times are milliseconds.
+"""Which discovery node a courier asks next, and when. No I/O, no clock, chance from a seed; milliseconds.
 
 Each courier ranks the nodes by rendezvous hashing (highest random weight of the pair of courier and node) and
-keeps to the first that answers. So the couriers of a lost node spread evenly over the rest, and nobody else moves.
+keeps to the first that answers. So the couriers of a lost node spread evenly over the rest, and nobody else
+moves. The next answer is heard within 6 s of the last one's failure where at most two nodes in a row take
+requests and never answer them; each further such node costs the time until it counts as silent.
 """
 
 import hashlib
@@ -85,7 +87,7 @@
         return Turn(self.asked, max(at, now))
 
     def _next(self, now: float) -> tuple[str, float]:
-        """The most preferred node that was not tried in this round; where each of them asked for time, the one whose
+        """The most preferred node that was not tried in this round; where all asked for time, the one whose
         time is up first."""
         begin = max(now, self._at)
         ready = [node for node in self._ranked if self._not_before.get(node, 0.0) <= begin]
@@ -105,7 +107,7 @@
         return free[0] if free else None
 
     def _plan_return(self, now: float) -> None:
-        """Each courier goes back at a time of its own: guards a node that has just come back against all at once."""
+        """Each courier goes back at a time of its own: guards a node that has just come back."""
         if self.current is None or self.current == self._ranked[0]:
             self._return_at = float("inf")
         else:
--- a/calicopin/subscription/session.py
+++ b/calicopin/subscription/session.py
@@ -1,7 +1,8 @@
-"""A courier's side of the subscription exchange as a state machine: builds requests, takes answers in. No I/O, no clock.
+"""A courier's side of the subscription exchange as a state machine, without I/O and without a clock.
 
-One request is out at a time. What was learnt of a destination stays until it is confirmed anew or given up, whatever
-becomes of nodes and leases. docs/subscriptions-design.md has the exchange.
+It builds requests and takes answers in; one request is out at a time. What was learnt of a destination stays
+until it is confirmed anew or given up, whatever becomes of nodes and leases. docs/subscriptions-design.md has
+the exchange.
 """
 
 from collections.abc import Iterable, Mapping
@@ -33,8 +34,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """The next request; `index` stands in its target (None: not told). `prompt`: it is answered at once, so that
-    nothing is gained by waiting at the node. `released` were given up with it: nothing is known of them any more."""
+    """The next request; `index` stands in its target (None: not told). `prompt`: it is answered at once.
+    `released` were given up with it: nothing is known of them any more."""
 
     node: str
     request: SubscribeRequest
@@ -45,8 +46,9 @@
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """What an answer told. Of a `whole` one `places` is all that the session knows of its set; else all endpoints of the
-    destinations in `confirmed`, and with `left` those that have left. `unknown` destinations do not exist."""
+    """What an answer told. Of a `whole` one `places` is all that the session knows of its set; else all
+    endpoints of the destinations in `confirmed`, and with `left` those that have left. `unknown` ones do not
+    exist."""
 
     whole: bool
     places: list[Place]
@@ -81,7 +83,7 @@
 
 
 class Session:
-    """`restored` are destinations with their endpoints as a snapshot has them: subscribed to from the start."""
+    """`restored`: destinations with their endpoints as a snapshot has them, subscribed to from the start."""
 
     def __init__(self, fleet: str, courier: str, restored: Mapping[int, Iterable[Place]] | None = None):
         self.fleet, self.courier = fleet, courier
@@ -202,8 +204,8 @@
                 del self._owner[ident]
 
     def answered(self, answer: SubscribeAnswer, places: list[Place]) -> News:
-        """Takes the answer to the last request in; `places` are its entries as the list's reader has them. Raises
-        MessageError where it cannot be right: then the lease is given up, and all that is known stays."""
+        """Takes the answer to the last request in; `places` are its entries as the list's reader has them.
+        Raises MessageError where it cannot be right: then the lease is given up, what is known stays."""
         try:
             self._check(answer, places)
         except MessageError:
@@ -270,7 +272,7 @@
         self._known[place.dest][place.ident] = place
 
     def refused(self, refusal: Refusal) -> bool:
-        """Takes a refusal of the last request in; whether the same node is to be asked at once, for a new lease."""
+        """Takes a refusal of the last request in; whether the same node is asked at once, for a new lease."""
         renewal = self._ask.request.lease is not None
         if renewal and refusal.reason in (Reason.LEASE_OVER, Reason.UNREADABLE, Reason.TOO_LARGE):
             self.abandon()
@@ -308,8 +310,8 @@
             raise MessageError("version", f"{answer.version} is before {lease.version}, as told last")
 
     def _check_destinations(self, answer: SubscribeAnswer) -> None:
-        """Each is named once, and all that are owed are there: the whole set in a full answer, else those just
-        subscribed to."""
+        """Each is named once, and all that are owed are there: the whole set in a full answer, else those
+        just subscribed to."""
         grant, request = answer.grant, self._ask.request
         named = set(grant.complete).union(grant.unknown)
         if len(named) < len(grant.complete) + len(grant.unknown):
--- a/calicopin/wire/subscriber.py
+++ b/calicopin/wire/subscriber.py
@@ -1,9 +1,9 @@
-"""The subscription to the destinations that a courier uses: one long poll after the other at one discovery node.
+"""The subscription to the destinations that a courier uses: one long poll after the other at one node.
 
-The decisions stand in `calicopin/subscription/`; here requests are sent and answers read. Times are milliseconds.
-A fresh subscription does not wait for the poll that is parked at the node: that connection is closed and the change
-goes out on a new one. So one request is out at a time, and an answer that was lost with the connection is told again;
-a second connection beside it would bring answers of one lease in any order.
+The decisions stand in `calicopin/subscription/`; here requests are sent and answers read. Times are
+milliseconds. A fresh subscription does not wait for the poll that is parked at the node: that connection is
+closed and the change goes out on a new one. So one request is out at a time, and an answer that was lost with
+the connection is told again; a second connection beside it would bring answers of one lease in any order.
 """
 
 from collections.abc import Callable, Iterable, Mapping
@@ -35,8 +35,8 @@
 PROMPT = (
     1500.0  # the same for a request that is answered at once: a node may have a lost one's couriers before it
 )
-AGAIN = 100.0  # between the beginnings of two requests: guards a node and this process against answers at once for ever
-GATHER = 60.0  # between two requests with fresh subscriptions: what comes in between shares the next one; 16 a second
+AGAIN = 100.0  # between the beginnings of two requests: guards both sides against answers at once for ever
+GATHER = 60.0  # between two requests with fresh subscriptions, 16 a second: what comes in between shares one
 MOST_ANSWER = 32 << 20  # bytes
 
 
@@ -70,11 +70,12 @@
 
 
 class Subscriber(Agent):
-    """Keeps the subscription and tells `heard` what its answers hold, in the way of `wire.discovery.Discovery`.
+    """Keeps the subscription and tells `heard` what its answers hold, as `wire.discovery.Discovery` does.
 
-    `nodes` are addresses, `restored` the destinations of a snapshot with their endpoints: they are subscribed to from
-    the start and count as known. `in_use` tells whether something is held for a destination, `released` hears of
-    each one given up: its endpoints are no longer told of. `tried` once the first request has ended, heard or not.
+    `nodes` are addresses, `restored` the destinations of a snapshot with their endpoints: they are subscribed
+    to from the start and count as known. `in_use` tells whether something is held for a destination,
+    `released` hears of each one given up: its endpoints are no longer told of. `tried` once the first request
+    has ended, heard or not.
     """
 
     def __init__(
@@ -122,8 +123,8 @@
             self._wake.set()
 
     def settled(self, destination: int, event) -> None:
-        """Sets the event, or appends True to a list, once the first answer for the destination has come or it was
-        given up."""
+        """Sets the event, or appends True to a list, once the first answer for the destination has come or it
+        was given up."""
         if self.session.wants(destination) and not self.session.confirmed(destination):
             self._settled.setdefault(destination, []).append(event)
         else:
@@ -195,8 +196,8 @@
             self._fail(end)
 
     def _exchange(self, ask: Ask, wait: float):
-        """The reply or the `End` of one request. A connection that served before may have been closed meanwhile: then
-        the request goes once more, on a new one."""
+        """The reply or the `End` of one request. A connection that served before may have been closed
+        meanwhile: then the request goes once more, on a new one."""
         served = self.line is not None
         end = yield from self._attempt(ask, wait)
         if served and end is End.BROKEN:
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -45,7 +45,7 @@
         self.name, self.lease, self.peer = name, lease, None
 
     def hear(self):
-        """The next request, on the connection that is open or on a new one: its target and its subscription."""
+        """The next request, on the open connection or on a new one: its target and its subscription."""
         while True:
             if self.peer is None:
                 self.peer = self.meet()
