--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -1,17 +1,20 @@
 """The subscription's part of the loop against a discovery node that the test plays, on loopback."""
 
 import json
+import socket
 
 import pytest
-from helper import Clock, Door, answer, spin
+from helper import Clock, Door, Peer, answer, spin
 from loguru import logger
 
 from calicopin.facade import Place
-from calicopin.subscription.messages import Grant, Refusal, encode_answer, encode_refusal
-from calicopin.subscription.nodes import ranking
+from calicopin.subscription.interest import InterestFullError
+from calicopin.subscription.messages import Grant, Reason, Refusal, encode_answer, encode_refusal
+from calicopin.subscription.nodes import TRY_JITTER, ranking
 from calicopin.subscription.session import Standing
+from calicopin.wire.asking import TOLD
 from calicopin.wire.loop import Event, Loop, Until
-from calicopin.wire.subscriber import AGAIN, WAIT, Subscriber
+from calicopin.wire.subscriber import AGAIN, PROMPT, WAIT, Subscriber
 
 FLEET, COURIER, SEED = "lahore", "c-17", 5
 
@@ -192,3 +195,310 @@
     watch.settled(9, told)
     watch.settled(99, told)
     assert told == [True, True], "what is answered, or not subscribed at all, is waited for by nobody"
+
+
+def test_an_answer_lost_with_its_connection_is_asked_for_by_the_same_request(loop):
+    heard = Heard()
+    watch, node, _ = started(loop, heard, 41)
+    watch.use(9)
+    _, asked = node.hear()
+    node.hang_up()
+    _, again = _until_heard(loop, node)
+    assert again == asked and again["sequence"] == 1 and again["subscribe"] == [9]
+    node.tell(again, 2, [entry("e-9", 9)])
+    spin(loop, lambda: len(heard) == 2)
+    assert watch.use(9) is Standing.KNOWN
+
+
+def _until_heard(loop, node, milliseconds=AGAIN, most=200):
+    """The next request at that node, in the course of the clock."""
+    for _ in range(most):
+        if _called(loop, node):
+            return node.hear()
+        go_on(loop, milliseconds)
+    raise AssertionError("it was never asked")
+
+
+def _called(loop, node):
+    """Whether something lies at that node that was not heard yet."""
+    for _ in range(3):
+        loop.once(loop.now())
+    if node.peer is not None and node.peer.hear():
+        return True
+    try:
+        sock = node.sock.accept()[0]
+    except BlockingIOError:
+        return False
+    node.peer = Peer(loop, sock)
+    return True
+
+
+def test_an_answer_cut_short_leaves_the_last_state_and_is_asked_for_again(loop, lines):
+    heard = Heard()
+    watch, node, asked = started(loop, heard, 41)
+    whole = answer(200, node.body(asked, 2, [entry("f-41", 41)]))
+    node.peer.say(whole[:-20])
+    node.hang_up()
+    target, again = _until_heard(loop, node)
+    assert target.startswith("/api/targets?index=1&") and again == asked and len(heard) == 1
+    node.tell(again, 2, [entry("f-41", 41)])
+    spin(loop, lambda: len(heard) == 2)
+    assert heard[1] == ([("e-41", False, True), ("f-41", True, False)], False)
+
+
+def test_lease_over_is_followed_by_the_whole_set_at_the_same_node_at_once(loop):
+    heard = Heard()
+    watch, node, _ = started(loop, heard, 41, 7)
+    node.refuse(Reason.LEASE_OVER)
+    go_on(loop)
+    target, asked = node.hear()
+    assert target == "/api/targets" and asked["lease"] is None and asked["subscribe"] == [41, 7]
+    node.lease = "n1-2"
+    node.tell(asked, 9, [entry("f-41", 41)], full=True, unknown=[7])
+    spin(loop, lambda: len(heard) == 2)
+    assert heard[1] == ([("f-41", True, False)], True) and watch.figures().node_changes == 0
+
+
+def test_a_told_time_is_heeded(loop, lines):
+    heard = Heard()
+    watch, node, asked = started(loop, heard, 41)
+    node.refuse(Reason.TOO_MANY, 800.0)
+    spin(loop, lambda: lines)
+    told_at = loop.now()
+    target, again = _until_heard(loop, node, 20.0)
+    assert told_at + 800.0 <= loop.now() <= told_at + 800.0 + TRY_JITTER + 40.0
+    assert again == asked and target == "/api/targets?index=1&wait=2000", "under the same lease"
+    assert len(lines) == 1 and "too_many: for the test" in lines[0]
+
+
+@pytest.mark.parametrize(
+    "fault, spoil",
+    [
+        ("subscription.fleet: 'karachi' is another fleet", lambda body: body.replace(b"lahore", b"karachi")),
+        ("subscription.form: 2 is not form 1", lambda body: body.replace(b'"form":1', b'"form":2')),
+        (
+            "subscription.colour: is an unknown field",
+            lambda body: body.replace(b'"lease_ms"', b'"colour":1,"lease_ms"'),
+        ),
+        ("answer: is no JSON", lambda body: body[:-9]),
+        ("'resting' is no state", lambda body: body.replace(b"active", b"resting")),
+        ("version: 0 is before 1", lambda body: body.replace(b'"version":2', b'"version":0')),
+    ],
+)
+def test_an_answer_that_cannot_be_right_is_told_in_one_line_and_the_last_state_serves_on(
+    loop, lines, fault, spoil
+):
+    heard = Heard()
+    watch, node, asked = started(loop, heard, 41)
+    body = spoil(node.body(asked, 2, [entry("f-41", 41)]))
+    for _ in range(3):
+        node.peer.say(answer(200, body))
+        go_on(loop)
+        _, asked = _until_heard(loop, node)
+        assert asked["lease"] is None and asked["subscribe"] == [41]
+    assert len(heard) == 1 and watch.use(41) is Standing.KNOWN
+    assert sum(fault in line for line in lines) == 1 and "the list known serves on" in lines[0]
+    node.tell(asked, 1, [entry("f-41", 41)], full=True)
+    spin(loop, lambda: len(heard) == 2)
+    assert heard[1] == ([("f-41", True, False)], True) and "answers" in lines[-1]
+
+
+def test_status_without_a_reason_is_told_by_its_number(loop, lines):
+    heard = Heard()
+    _, node, _ = started(loop, heard, 41)
+    node.peer.say(answer(500, b"oops"))
+    _until_heard(loop, node)
+    assert len(lines) == 1 and "(status 500)" in lines[0] and len(heard) == 1
+
+
+def test_half_open_node_is_left_and_the_next_one_heard_within_6_s(loop):
+    """It takes connections and never answers, also the one that would be next."""
+    nodes, heard = ranked(loop, 3), Heard()
+    watch = subscriber(loop, nodes, heard)
+    watch.use(41)
+    first, second, third = nodes
+    _, asked = first.hear()
+    first.tell(asked, 1, [entry("e-41", 41)], full=True)
+    spin(loop, lambda: heard)
+    go_on(loop)
+    first.hear()
+    fell_silent = loop.now()
+    for _ in range(600):
+        go_on(loop, 10.0)
+        if _called(loop, third):
+            break
+    target, asked = third.hear()
+    assert target == "/api/targets" and asked["subscribe"] == [41]
+    third.tell(asked, 1, [entry("f-41", 41)], full=True)
+    spin(loop, lambda: len(heard) == 2)
+    assert loop.now() - fell_silent < TOLD and watch.figures().node_changes == 1
+    assert _called(loop, second), "it was asked in between"
+
+
+def test_fresh_subscription_at_a_half_open_node_is_answered_by_the_next_one(loop):
+    nodes, heard = ranked(loop, 2), Heard()
+    watch = subscriber(loop, nodes, heard)
+    _, asked = nodes[0].hear()
+    nodes[0].tell(asked, 1, full=True)
+    spin(loop, lambda: heard)
+    go_on(loop)
+    nodes[0].hear()
+    watch.use(9)
+    began = loop.now()
+    nodes[0].hear()
+    _, asked = _until_heard(loop, nodes[1], 10.0)
+    assert asked["subscribe"] == [9] and loop.now() - began <= PROMPT + TRY_JITTER + 30.0
+    nodes[1].tell(asked, 1, [entry("e-9", 9)], full=True)
+    spin(loop, lambda: watch.use(9) is Standing.KNOWN)
+
+
+def test_refused_connection_leads_to_the_next_node(loop):
+    nodes, heard = ranked(loop, 2), Heard()
+    nodes[0].sock.close()
+    watch = subscriber(loop, nodes, heard)
+    began = loop.now()
+    _, asked = _until_heard(loop, nodes[1], 10.0)
+    assert loop.now() - began <= TRY_JITTER + 30.0 and watch.tried
+    nodes[1].tell(asked, 1, full=True)
+    spin(loop, lambda: heard)
+
+
+def test_all_nodes_down_then_back(loop, lines):
+    """What is known serves on; the node that is back is heard within 6 s."""
+    heard = Heard()
+    watch, node, _ = started(loop, heard, 41)
+    address, name = node.address, node.name
+    node.sock.close()
+    node.hang_up()
+    for _ in range(200):
+        go_on(loop)
+    assert watch.use(41) is Standing.KNOWN and len(heard) == 1
+    assert watch.use(9) is Standing.WAITING
+    back, began = Node.__new__(Node), loop.now()
+    back.loop, back.address, back.name, back.lease, back.peer = loop, address, name, "n1-9", None
+    host, port = address.split(":")
+    back.sock = socket.create_server((host, int(port)))
+    back.sock.setblocking(False)
+    target, asked = _until_heard(loop, back, 20.0, 400)
+    assert asked["lease"] == "n1-1", "it may be the same run, reached again"
+    back.refuse(Reason.LEASE_OVER)
+    _, asked = _until_heard(loop, back, 20.0)
+    back.tell(asked, 1, [entry("f-41", 41), entry("e-9", 9)], full=True)
+    spin(loop, lambda: len(heard) == 2)
+    assert loop.now() - began < TOLD and watch.use(9) is Standing.KNOWN
+    assert 2 <= len(lines) <= 4, "a line for each kind of fault, not for each try"
+
+
+def test_another_list_of_nodes(loop):
+    heard = Heard()
+    watch, node, asked = started(loop, heard, 41)
+    other = Node(loop, "n2", "n2-1")
+    watch.move([other.address, node.address])
+    node.tell(asked, 2, [entry("f-41", 41)])
+    spin(loop, lambda: len(heard) == 2)
+    assert heard[1][1] is False, "the node that stays in the list is kept to"
+    go_on(loop)
+    node.hear()
+    watch.move([other.address])
+    node.peer.wait_end()
+    _, asked = _until_heard(loop, other)
+    assert asked["lease"] is None and asked["subscribe"] == [41]
+    other.tell(asked, 1, [entry("f-41", 41)], full=True)
+    spin(loop, lambda: len(heard) == 3)
+    assert heard[2] == ([("f-41", True, False)], True) and watch.figures().node_changes == 1
+
+
+def test_restored_destinations_are_asked_for_with_the_first_request(loop):
+    heard, told = Heard(), []
+    node = Node(loop)
+    watch = subscriber(loop, [node], heard, {41: [place("old", 41)], 7: []})
+    assert watch.use(41) is Standing.KNOWN and watch.use(7) is Standing.WAITING and not watch.tried
+    assert list(watch.subscribed()) == [41]
+    watch.settled(41, told)
+    _, asked = node.hear()
+    assert asked["subscribe"] == [41, 7] and told == []
+    node.tell(asked, 1, [entry("new", 41)], full=True, unknown=[7])
+    spin(loop, lambda: heard)
+    assert heard == [([("new", True, False)], True)] and told == [True]
+    assert watch.use(7) is Standing.UNKNOWN
+
+
+def test_idle_destination_is_given_up_with_the_next_request_and_used_again_it_is_new(loop):
+    heard = Heard()
+    watch, node, asked = started(loop, heard, 41, 7, idle=5000.0)
+    heard.held.add(7)
+    loop.now.now += 7501.0
+    node.tell(asked, 1)
+    spin(loop, lambda: len(heard) == 2)
+    _, asked = node.hear()
+    assert (asked["sequence"], asked["unsubscribe"]) == (1, [41]) and heard.released == [41]
+    assert watch.use(41) is Standing.WAITING
+    node.tell(asked, 1)
+    spin(loop, lambda: len(heard) == 3)
+    go_on(loop)
+    _, asked = node.hear()
+    assert (asked["sequence"], asked["subscribe"]) == (2, [41])
+
+
+def test_no_room_for_a_further_destination_is_said_so(loop):
+    heard = Heard()
+    heard.held.update((41, 7))
+    watch, node, _ = started(loop, heard, 41, 7, most=2)
+    with pytest.raises(InterestFullError):
+        watch.use(9)
+    heard.held.clear()
+    loop.now.now += 1000.0
+    assert watch.use(9) is Standing.WAITING
+    _, asked = node.hear()
+    assert (asked["subscribe"], asked["unsubscribe"]) == ([9], [41]) and heard.released == [41]
+
+
+def test_a_wake_that_comes_with_the_answer_is_not_lost(loop):
+    """Forced race: the answer of the parked poll lies there when a fresh subscription is made."""
+    heard = Heard()
+    watch, node, asked = started(loop, heard, 41)
+    node.tell(asked, 2, [entry("f-41", 41)])
+    watch.use(9)
+    target, asked = node.hear()
+    assert asked["subscribe"] == [9] and asked["sequence"] == 1 and target == "/api/targets?index=2&wait=0"
+    assert len(heard) == 2 and watch.figures().interrupted == 0
+    node.tell(asked, 3, [entry("f-41", 41), entry("e-9", 9)])
+    spin(loop, lambda: watch.use(9) is Standing.KNOWN)
+    assert [one.ident for one in watch.subscribed()[41]] == ["f-41"]
+
+
+def test_a_fault_in_the_courier_brings_the_whole_set_again(loop):
+    heard, faults = Heard(), [True]
+    node = Node(loop)
+    watch = subscriber(loop, [node], heard)
+    watch.use(41)
+    watch.heard = lambda places, whole: heard(places, whole) if not faults.pop() else 1 / 0
+    faults[:] = [False, True]
+    _, asked = node.hear()
+    node.tell(asked, 1, [entry("e-41", 41)], full=True)
+    _, asked = _until_heard(loop, node)
+    assert asked["lease"] is None
+    node.tell(asked, 2, [entry("e-41", 41)], full=True)
+    spin(loop, lambda: heard)
+    assert heard == [([("e-41", True, False)], True)]
+
+
+def test_retired_it_asks_no_more_and_bytes_are_counted(loop):
+    heard = Heard()
+    watch, node, _ = started(loop, heard, 41)
+    figures = watch.figures()
+    assert figures.calls == 2 and 400 < figures.bytes_sent < 1000 and 200 < figures.bytes_received < 800
+    watch.retire()
+    node.peer.wait_end()
+    watch.use(9)
+    go_on(loop, 10000.0)
+    assert watch.figures().calls == 2
+
+
+def test_an_answer_over_the_bound_is_not_read_on(loop, lines, monkeypatch):
+    monkeypatch.setattr("calicopin.wire.subscriber.MOST_ANSWER", 2048)
+    heard = Heard()
+    _, node, asked = started(loop, heard, 41)
+    node.tell(asked, 2, [entry("x" * 4096, 41)])
+    spin(loop, lambda: lines)
+    assert "answer: is over" in lines[0] and len(heard) == 1
