Subscriptions: generated interleavings in virtual time, first form

Need: interleavings of subscribe, change, loss, node change and give-up that nobody would write by hand.

--- /dev/null
+++ b/tests/test_subscription_properties.py
@@ -0,0 +1,526 @@
+"""Generated interleavings in virtual time: once all is quiet, a courier knows exactly what the source has of its set.
+
+Couriers (session, choice of node, interest) talk to small model nodes without sockets. Requests and answers get
+lost, nodes fall silent, end and begin anew, leases end, destinations and endpoints come and go. Each property is
+shown to fail on a variant that breaks one rule of the exchange. The draws are the same in each run.
+"""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from calicopin.facade import Place
+from calicopin.subscription.interest import IDLE_SPREAD, Interest
+from calicopin.subscription.messages import Grant, Reason, Refusal, SubscribeAnswer
+from calicopin.subscription.nodes import NodeChoice
+from calicopin.subscription.session import Session, Standing
+from calicopin.wire.asking import TOLD
+from calicopin.wire.subscriber import AGAIN, PROMPT, SILENCE, WAIT
+
+FLEET, ADDRESSES, COURIERS, DESTINATIONS = "fleet", ("a", "b"), 2, 4
+LEASE_MS, IDLE = 30000.0, 5000.0
+ENDPOINTS = 2  # of each destination at most
+TRIPS = 400  # requests of one courier within a quiet time, far more than it may need
+FATES = ["answered"] * 3 + ["request lost", "answer lost", "cut off unheard", "cut off"]
+
+
+class Source:
+    """What the operators' list says: destination, endpoint, whether it may be called."""
+
+    def __init__(self):
+        self.destinations = {number: {f"e-{number}-0": True} for number in range(DESTINATIONS - 1)}
+
+    def places(self, destination):
+        told = self.destinations.get(destination, {})
+        return [
+            Place(ident, "127.0.0.1:9", destination, "", "a", ready, 0.0) for ident, ready in told.items()
+        ]
+
+
+@dataclass
+class ModelLease:
+    """One courier's lease, as the design note words it."""
+
+    courier: str
+    wanted: set
+    until: float
+    sent: int
+    sequence: int = 0
+    acknowledged: int | None = None
+    told: set = field(default_factory=set)  # under `sent`
+    changed: set = field(default_factory=set)
+
+
+class ModelNode:
+    """A discovery node that answers each request at once; a small model of docs/subscriptions-design.md."""
+
+    def __init__(self, name, run, source):
+        self.name, self.run, self.source, self.leases, self.version = name, run, source, {}, 0
+
+    def change(self, destinations):
+        for lease in self.leases.values():
+            lease.changed |= lease.wanted.intersection(destinations)
+
+    def request(self, now, request, index):
+        self.leases = {name: lease for name, lease in self.leases.items() if lease.until > now}
+        if request.lease is None:
+            return self.open(now, request)
+        lease = self.leases.get(request.lease)
+        if lease is None or request.sequence - lease.sequence not in (0, 1):
+            return Refusal(Reason.LEASE_OVER, "over")
+        lease.until = now + LEASE_MS
+        if request.sequence == lease.sequence + 1:
+            lease.sequence += 1
+            lease.wanted = lease.wanted - set(request.unsubscribe) | set(request.subscribe)
+            lease.told, lease.changed = lease.told & lease.wanted, lease.changed & lease.wanted
+            lease.changed |= set(request.subscribe)
+        return self.renew(request.lease, lease, index)
+
+    def open(self, now, request):
+        self.leases = {name: lease for name, lease in self.leases.items() if lease.courier != request.courier}
+        self.version += 1
+        name = f"{self.name}-{self.run}-{self.version}"
+        lease = ModelLease(request.courier, set(request.subscribe), now + LEASE_MS, self.version)
+        self.leases[name] = lease
+        return self.answer(name, lease, lease.wanted, True)
+
+    def renew(self, name, lease, index):
+        if index is None or index not in (lease.sent, lease.acknowledged):
+            self.version += 1
+            lease.sent, lease.acknowledged, lease.told, lease.changed = self.version, None, set(), set()
+            return self.answer(name, lease, lease.wanted, True)
+        if index == lease.sent:
+            lease.acknowledged, lease.told = index, set()
+        lease.changed, lease.told = set(), lease.told | lease.changed
+        if lease.told:
+            self.version += 1
+            lease.sent = self.version
+        return self.answer(name, lease, lease.told, False, lease.sent if lease.told else index)
+
+    def answer(self, name, lease, destinations, full, version=None):
+        there = tuple(sorted(number for number in destinations if number in self.source.destinations))
+        gone = tuple(sorted(set(destinations).difference(there)))
+        grant = Grant(FLEET, self.name, name, lease.sequence, LEASE_MS, there, gone)
+        return SubscribeAnswer(full, self.version if version is None else version, (), grant)
+
+
+@dataclass(frozen=True)
+class Parts:
+    """What a courier is made of."""
+
+    session: type = Session
+    nodes: type = NodeChoice
+    interest: type = Interest
+
+
+class Courier:
+    """A session at work as `wire.subscriber` drives it, and the list as the rest of the courier has it then."""
+
+    def __init__(self, number, parts):
+        name = f"c-{number}"
+        self.session = parts.session(FLEET, name)
+        self.nodes = parts.nodes(name, list(ADDRESSES), number, 0.0)
+        self.held, self.used, self.view, self.due = set(), {}, {}, 0.0
+        self.interest = parts.interest(number, self.held.__contains__, IDLE)
+
+    def use(self, destination, now):
+        if self.interest.use(destination, now).fresh:
+            self.session.subscribe(destination)
+        self.used[destination] = now
+
+    def callable(self):
+        """The endpoints that may be called, by destination."""
+        found = {}
+        for place in self.view.values():
+            if place.ready:
+                found.setdefault(place.dest, set()).add(place.ident)
+        return found
+
+    def begin(self, now):
+        """The next request."""
+        for destination in self.interest.sweep(now):
+            self.session.unsubscribe(destination)
+        ask = self.session.next(self.nodes.asked)
+        self.release(ask.released)
+        return ask
+
+    def release(self, destinations):
+        self.view = {ident: place for ident, place in self.view.items() if place.dest not in destinations}
+
+    def take(self, answer, source, now):
+        """An answer or a refusal."""
+        if isinstance(answer, Refusal):
+            if not self.session.refused(answer):
+                self.nodes.refused(now, answer.retry_ms)
+            return
+        places = [place for destination in answer.grant.complete for place in source.places(destination)]
+        news = self.session.answered(answer, places)
+        self.nodes.answered(now)
+        if news.whole:
+            self.view = {}
+        for place in news.places:
+            self.view[place.ident] = place
+            if place.left:
+                del self.view[place.ident]
+        self.release(news.released)
+
+
+class Exchange(RuleBasedStateMachine):
+    """Couriers, nodes and a source; `parts` are what the couriers are made of."""
+
+    parts = Parts()
+
+    def __init__(self):
+        super().__init__()
+        self.now, self.source, self.runs = 0.0, Source(), Counter()
+        self.nodes = {address: ModelNode(address, 0, self.source) for address in ADDRESSES}
+        self.down, self.silent = (
+            set(),
+            None,
+        )  # addresses that refuse, and the one that takes and never answers
+        self.couriers = [Courier(number, self.parts) for number in range(COURIERS)]
+
+    # What happens.
+
+    @rule(number=st.integers(0, COURIERS - 1), destination=st.integers(0, DESTINATIONS - 1))
+    def use(self, number, destination):
+        self.couriers[number].use(destination, self.now)
+
+    @rule(
+        number=st.integers(0, COURIERS - 1), destination=st.integers(0, DESTINATIONS - 1), held=st.booleans()
+    )
+    def hold(self, number, destination, held):
+        """A message waits for the destination, or none any more."""
+        courier = self.couriers[number]
+        if held:
+            courier.use(destination, self.now)
+            courier.held.add(destination)
+        else:
+            courier.held.discard(destination)
+
+    @rule(number=st.integers(0, COURIERS - 1), fate=st.sampled_from(FATES))
+    def request(self, number, fate):
+        """One request of a courier."""
+        self.trip(self.couriers[number], fate)
+
+    @rule(
+        number=st.integers(0, COURIERS - 1),
+        destination=st.integers(0, DESTINATIONS - 1),
+        fate=st.sampled_from(FATES),
+    )
+    def use_and_request(self, number, destination, fate):
+        """A use and the request that follows from it."""
+        self.use(number, destination)
+        self.trip(self.couriers[number], fate)
+
+    @rule(
+        number=st.integers(0, COURIERS - 1),
+        fate=st.sampled_from(FATES),
+        again=st.lists(st.integers(0, DESTINATIONS - 1), max_size=2),
+    )
+    def idle_and_request(self, number, fate, again):
+        """What is not held is given up with the request that follows; some of it is used again at once."""
+        self.now += IDLE * (1.0 + IDLE_SPREAD)
+        self.trip(self.couriers[number], fate)
+        for destination in again:
+            self.use(number, destination)
+
+    @rule(
+        destination=st.integers(0, DESTINATIONS - 1),
+        endpoint=st.integers(0, ENDPOINTS - 1),
+        state=st.sampled_from(["active", "leaving", "left"]),
+    )
+    def change(self, destination, endpoint, state):
+        """Of an endpoint; a destination without one does not exist."""
+        endpoints, ident = self.source.destinations.setdefault(destination, {}), f"e-{destination}-{endpoint}"
+        if state == "left":
+            endpoints.pop(ident, None)
+        else:
+            endpoints[ident] = state == "active"
+        if not endpoints:
+            del self.source.destinations[destination]
+        for node in self.nodes.values():
+            node.change({destination})
+
+    @rule(
+        number=st.integers(0, COURIERS - 1),
+        choice=st.integers(0, DESTINATIONS * ENDPOINTS - 1),
+        state=st.sampled_from(["leaving", "left"]),
+    )
+    def change_known(self, number, choice, state):
+        """An endpoint that the courier knows leaves, announced or not."""
+        known = sorted(self.couriers[number].view)
+        if known:
+            _, destination, endpoint = known[choice % len(known)].split("-")
+            self.change(int(destination), int(endpoint), state)
+
+    @rule(address=st.sampled_from(ADDRESSES), back=st.booleans())
+    def end_node(self, address, back):
+        """Its leases end with it; begun anew at once it knows none of them."""
+        self.runs[address] += 1
+        self.nodes[address] = ModelNode(address, self.runs[address], self.source)
+        (self.down.discard if back else self.down.add)(address)
+
+    @rule(address=st.sampled_from([*ADDRESSES, None]))
+    def silence(self, address):
+        """It takes connections and never answers; all others do."""
+        self.silent = address
+
+    @rule(milliseconds=st.sampled_from([50.0, 2000.0, 31000.0]))
+    def wait(self, milliseconds):
+        """Nobody asks anything; leases may end meanwhile."""
+        self.now += milliseconds
+
+    @rule()
+    def quiet(self):
+        """With a node that can be reached, each courier is told within the time allowed."""
+        if self.down.union([self.silent]).issuperset(ADDRESSES):
+            return
+        until = self.now + TOLD
+        for courier in self.couriers:
+            self.tell_within(courier, until)
+            self.compare(courier)
+        self.now = until
+
+    def teardown(self):
+        self.down, self.silent = set(), None
+        self.quiet()
+
+    # How it goes on.
+
+    def tell_within(self, courier, until):
+        """Requests of one courier until then; the clock of the others stands still."""
+        began = self.now
+        for _ in range(TRIPS):
+            if self.now >= until or courier.nodes.turn(self.now).at >= until:
+                break
+            self.trip(courier, "answered")
+        self.now = began
+
+    def trip(self, courier, fate):
+        """One request at its time, with what becomes of it."""
+        self.now = courier.nodes.turn(self.now).at
+        prompt_until = self.now + AGAIN
+        ask = courier.begin(self.now)
+        node = ask.node
+        if node in self.down or fate == "request lost":
+            courier.nodes.failed(self.now)
+        elif fate == "cut off unheard":
+            return  # the courier closed the connection for a fresh subscription, before its request was read
+        elif node == self.silent:
+            self.now += PROMPT if ask.prompt else WAIT + SILENCE
+            courier.nodes.failed(self.now)
+        else:
+            self.reach(courier, ask, fate)
+            self.now = max(self.now, prompt_until)
+
+    def reach(self, courier, ask, fate):
+        answer = self.nodes[ask.node].request(self.now, ask.request, ask.index)
+        if fate == "answered":
+            if isinstance(answer, SubscribeAnswer) and not (
+                ask.prompt or answer.grant.complete + answer.grant.unknown
+            ):
+                self.now += WAIT
+            courier.take(answer, self.source, self.now)
+        elif fate == "answer lost":
+            courier.nodes.failed(self.now)
+
+    # What has to hold.
+
+    def compare(self, courier):
+        """What it has is what the source has of its set."""
+        wanted = {number for number in range(DESTINATIONS) if courier.session.wants(number)}
+        for destination in wanted:
+            exists = destination in self.source.destinations
+            assert courier.session.standing(destination) is (Standing.KNOWN if exists else Standing.UNKNOWN)
+        expected = {place for number in wanted for place in map(plain, self.source.places(number))}
+        assert {plain(place) for place in courier.view.values()} == expected
+        known = {plain(place) for places in courier.session.known().values() for place in places}
+        assert known == expected
+
+    @invariant()
+    def sets_are_kept(self):
+        """What is used or held is subscribed to, and the two sets are one."""
+        for courier in self.couriers:
+            for destination in range(DESTINATIONS):
+                wants = courier.session.wants(destination)
+                assert wants == (destination in courier.interest)
+                idle = self.now - courier.used.get(destination, -1e9)
+                assert wants or (destination not in courier.held and idle >= IDLE)
+
+
+def plain(place):
+    return place.dest, place.ident, place.ready
+
+
+STEADY = dict(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+    print_blob=False,
+)
+
+
+def test_once_all_is_quiet_a_courier_knows_exactly_what_the_source_has_of_its_set():
+    run_state_machine_as_test(Exchange, settings=settings(max_examples=400, **STEADY))
+
+
+# Variants that break one rule each: the properties must notice.
+
+
+class DropsWhatWasNotAnswered(Session):
+    """Takes a change for applied once it was sent."""
+
+    def next(self, node):
+        if self._lease and self._lease.asked == node:
+            self._lease.sent = None
+        return super().next(node)
+
+
+class IgnoresLeaseOver(Session):
+    """Goes on under a lease that is over."""
+
+    def refused(self, refusal):
+        return True
+
+
+class ForgetsResync(Session):
+    """Begins a new lease with the destinations not known yet only."""
+
+    def next(self, node):
+        known, self._wanted_before = dict(self._known), self._wanted
+        if self._lease is None or self._lease.asked != node:
+            self._wanted = {number: None for number in self._wanted if number not in known}
+        ask = super().next(node)
+        self._wanted = self._wanted_before
+        return ask
+
+    def _begin(self, grant, version):
+        released = super()._begin(grant, version)
+        self._lease.add = {number: None for number in self._lease.add if number not in self._known}
+        return released
+
+
+class IgnoresSequence(Session):
+    """Sends each change under the sequence of the last one and believes any answer."""
+
+    def _take_changes(self, lease):
+        released = super()._take_changes(lease)
+        if lease.sent:
+            lease.sent = type(lease.sent)(lease.sequence, lease.sent.subscribe, lease.sent.unsubscribe)
+        return released
+
+    def _check(self, answer, places):
+        """Anything goes."""
+
+
+class KeepsWhatHasLeft(Session):
+    """Tells of no endpoint that it has left."""
+
+    def answered(self, answer, places):
+        news = super().answered(answer, places)
+        return type(news)(news.whole, [place for place in news.places if not place.left], *_rest(news))
+
+
+class TakesLeavingForActive(Session):
+    """Passes an announced leave over."""
+
+    def answered(self, answer, places):
+        news = super().answered(answer, places)
+        ready = [Place(*_fields(place, ready=not place.left)) for place in news.places]
+        return type(news)(news.whole, ready, *_rest(news))
+
+
+class ForgetsSecondSubscription(Session):
+    """Does not ask again for what was given up with the request that is out."""
+
+    def subscribe(self, destination):
+        super().subscribe(destination)
+        if self._lease and self._lease.sent and destination in self._lease.sent.unsubscribe:
+            self._lease.add.pop(destination, None)
+
+
+class KeepsWhatWasGivenUp(Session):
+    """Does not say which destinations it gave up."""
+
+    def _forget(self, given_up):
+        super()._forget(given_up)
+        return ()
+
+
+class ForgetsUnknown(Session):
+    """Takes a destination that does not exist for one that was not answered."""
+
+    def _learn(self, answer, places, released):
+        news = super()._learn(answer, places, released)
+        self._unknown.clear()
+        return news
+
+
+class NeverLeavesItsNode(NodeChoice):
+    """Asks one node for ever."""
+
+    def failed(self, now):
+        self._at = now + AGAIN
+
+
+class PausesTooLong(NodeChoice):
+    """Waits a minute behind a round."""
+
+    def _end_round(self, now):
+        super()._end_round(now)
+        self._at = now + 60000.0
+
+
+class GivesUpWhatIsHeld(Interest):
+    """Never asks whether something is held."""
+
+    def __init__(self, seed, in_use, idle):
+        super().__init__(seed, lambda destination: False, idle)
+
+
+def _rest(news):
+    return news.confirmed, news.unknown, news.released
+
+
+def _fields(place, ready):
+    return place.ident, place.address, place.dest, place.kind, place.zone, ready, place.agreed, place.left
+
+
+BROKEN = [
+    *(
+        Parts(session=session)
+        for session in (
+            DropsWhatWasNotAnswered,
+            IgnoresLeaseOver,
+            ForgetsResync,
+            IgnoresSequence,
+            KeepsWhatHasLeft,
+            TakesLeavingForActive,
+            ForgetsSecondSubscription,
+            KeepsWhatWasGivenUp,
+            ForgetsUnknown,
+        )
+    ),
+    *(Parts(nodes=nodes) for nodes in (NeverLeavesItsNode, PausesTooLong)),
+    Parts(interest=GivesUpWhatIsHeld),
+]
+
+
+def named(parts):
+    sound = (Session, NodeChoice, Interest)
+    return next(part.__name__ for part in (parts.session, parts.nodes, parts.interest) if part not in sound)
+
+
+@pytest.mark.parametrize("parts", BROKEN, ids=named)
+def test_a_broken_variant_is_noticed(parts):
+    broken = type(named(parts), (Exchange,), {"parts": parts})
+    found = settings(max_examples=400, phases=[Phase.generate], report_multiple_bugs=False, **STEADY)
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(broken, settings=found)
