Subscriptions: the leases of a discovery node

Need: a node decides whom to tell what by the exchange of docs/subscriptions-design.md. Change: LeaseTable, without I/O and clock: sequences, pending answers told again until acknowledged, resync of the set alone, ends, bounds and an allowance of requests for each courier. Nothing uses it yet.

--- /dev/null
+++ b/calicopin/subscription/leases.py
@@ -0,0 +1,337 @@
+"""The leases of a discovery node: who is told which destinations, and when. No I/O and no clock.
+
+A lease is one courier's subscription to a set of destinations. Every request of the courier renews it. The table
+decides what each request is answered with; the entries themselves it never sees. Times are milliseconds and come in
+as arguments. docs/subscriptions-design.md has the exchange.
+
+What was told under a version stays pending until the courier comes with that version as its index: an answer that was
+lost is told again, in whatever state its destinations are by then.
+"""
+
+from array import array
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from calicopin.subscription.messages import Reason, Refusal, SubscribeRequest
+
+LEAST_LEASE_BOUND = 1024
+MOST_NODE_WORD = 128  # characters of a node's name: it stands in the lease's
+NO_ROOM_RETRY = 1000.0  # ms, at least, after which a courier that found no room comes again
+NOTHING: frozenset[int] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseBounds:
+    """What a node grants at most; `requests_per_second` and `burst` are one courier's allowance."""
+
+    lease_ms: float = 30_000.0
+    leases: int = 4096
+    destinations: int = 100_000
+    requests_per_second: float = 20.0
+    burst: float = 100.0
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """An answer that is due now: these destinations, all of their endpoints; of a `full` one they are the whole set."""
+
+    lease: str
+    sequence: int
+    version: int
+    full: bool
+    destinations: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Nothing to tell yet: the request waits until `LeaseTable.change` or its end names the lease."""
+
+    lease: str
+
+
+class Lease:
+    """One courier's subscription."""
+
+    __slots__ = (
+        "name",
+        "courier",
+        "sequence",
+        "until",
+        "destinations",
+        "acknowledged",
+        "sent",
+        "in_flight",
+        "changed",
+        "tokens",
+        "tokens_at",
+    )
+
+    def __init__(self, name: str, courier: str, tokens: float, tokens_at: float):
+        self.name, self.courier, self.sequence, self.until = name, courier, 0, 0.0
+        self.destinations = array("I")  # sorted
+        self.acknowledged: int | None = None  # the version that the courier is known to have
+        self.sent: int | None = None  # the version of the last answer, where that is not known to have come
+        self.in_flight: set[int] | frozenset[int] = NOTHING  # told under `sent`
+        self.changed: set[int] | frozenset[int] = NOTHING  # not told yet
+        self.tokens, self.tokens_at = tokens, tokens_at
+
+    def mark(self, destination: int) -> None:
+        """The destination is to be told."""
+        if not self.changed:
+            self.changed = set()
+        self.changed.add(destination)
+
+    def acknowledge(self, index: int | None) -> bool:
+        """Takes the version in that the courier has; False where only the whole set can bring it up to date."""
+        if index is None or index not in (self.sent, self.acknowledged):
+            return False
+        if index == self.sent:
+            self.acknowledged = index
+        else:  # the last answer was lost
+            self.changed = self.changed | self.in_flight
+        self.sent, self.in_flight = None, NOTHING
+        return True
+
+
+class LeaseTable:
+    """All leases of one node. `run` tells this run of the node from its earlier ones."""
+
+    def __init__(self, fleet: str, node: str, run: str, bounds: LeaseBounds):
+        self.fleet, self.node, self.bounds = fleet, node, bounds
+        self.prefix = f"{node}-{run}-"
+        self.version = 0  # the node's count: one for each answer that tells something
+        self.serial = 0  # of the last lease granted
+        self.subscriptions = 0
+        self.work = 0  # leases that a change, a request or an end looked at
+        self._leases: OrderedDict[str, Lease] = OrderedDict()  # by name, the next to end first
+        self._couriers: dict[str, Lease] = {}
+        self._subscribers: dict[int, Lease | set[Lease]] = {}  # mostly one: then no set is made for it
+        self._ended: list[str] = []
+
+    def __len__(self) -> int:
+        return len(self._leases)
+
+    def request(self, now: float, request: SubscribeRequest, index: int | None) -> Tell | Wait | Refusal:
+        """Decides on one request; `index` is the version that the courier says it has."""
+        self.expire(now)
+        return self._open(now, request) if request.lease is None else self._renew(now, request, index)
+
+    def tell(self, name: str) -> Tell | Refusal:
+        """What a request that waited is answered with now, with or without something to tell."""
+        lease = self._leases.get(name)
+        if lease is None:
+            return Refusal(Reason.LEASE_OVER, "the lease ended while the request waited")
+        return self._told(lease)
+
+    def idle(self, name: str) -> Tell | Refusal:
+        """What a request is answered with in whose place another of the same lease came: nothing is told by it."""
+        lease = self._leases.get(name)
+        return self.tell(name) if lease is None else self._empty(lease)
+
+    def change(self, destinations: Iterable[int]) -> set[str]:
+        """These destinations changed; the names of the leases that have something to tell by it."""
+        touched = set()
+        for destination in destinations:
+            for lease in self._subscribers_of(destination):
+                self.work += 1
+                lease.mark(destination)
+                touched.add(lease.name)
+        return touched
+
+    def expire(self, now: float) -> None:
+        """Ends the leases that were not renewed in time; costs by those alone."""
+        while self._leases:
+            lease = next(iter(self._leases.values()))
+            if lease.until > now:
+                return
+            self._end(lease)
+
+    def take_ended(self) -> list[str]:
+        """The leases that ended since the last call, each once: whoever waits on one is to be told."""
+        ended, self._ended = self._ended, []
+        return ended
+
+    def subscribed(self) -> list[int]:
+        """Every destination that some lease holds."""
+        return list(self._subscribers)
+
+    def _open(self, now: float, request: SubscribeRequest) -> Tell | Refusal:
+        refusal = self._foreign(request) or self._misused(request)
+        if refusal:
+            return refusal
+        wanted = set(request.subscribe)
+        if len(wanted) > self.bounds.destinations:
+            return self._too_large(len(wanted))
+        old = self._couriers.get(request.courier)
+        if old is None and len(self._leases) >= self.bounds.leases:
+            return self._no_room(now)
+        if old is not None:
+            wait = self._spend(old, now)
+            if wait:
+                return wait
+            self._end(old)
+        self.work += 1
+        lease = self._grant(request.courier, now, old)
+        self._set_destinations(lease, wanted)
+        self._keep(lease, now)
+        return self._full(lease)
+
+    def _renew(self, now: float, request: SubscribeRequest, index: int | None) -> Tell | Wait | Refusal:
+        refusal = self._foreign(request)
+        if refusal:
+            return refusal
+        lease = self._leases.get(request.lease)
+        if lease is None or lease.courier != request.courier:
+            return self._unknown_lease(request.lease)
+        self.work += 1
+        self._keep(lease, now)
+        wait = self._spend(lease, now)
+        if wait:
+            return wait
+        step = request.sequence - lease.sequence
+        if step not in (0, 1):
+            return Refusal(
+                Reason.LEASE_OVER,
+                f"sequence {request.sequence} does not follow {lease.sequence}: subscribe anew",
+            )
+        if step == 1:
+            refusal = self._modify(lease, request)
+            if refusal:
+                return refusal
+        if not lease.acknowledge(index):
+            return self._full(lease)
+        if step == 0 and not lease.changed:
+            return Wait(lease.name)
+        return self._told(lease)
+
+    def _modify(self, lease: Lease, request: SubscribeRequest) -> Refusal | None:
+        """Takes one change of the set in, or nothing of it."""
+        added, held = set(request.subscribe), set(lease.destinations)
+        wanted = (held - set(request.unsubscribe)) | added
+        if len(wanted) > self.bounds.destinations:
+            return self._too_large(len(wanted))
+        lease.sequence += 1
+        self._set_destinations(lease, wanted)
+        gone = held - wanted
+        lease.changed = (lease.changed - gone) | added
+        lease.in_flight = lease.in_flight - gone
+        return None
+
+    def _grant(self, courier: str, now: float, old: Lease | None) -> Lease:
+        """A new lease; the courier's allowance goes on from its old one."""
+        self.serial += 1
+        tokens, tokens_at = (old.tokens, old.tokens_at) if old else (self.bounds.burst - 1.0, now)
+        lease = Lease(f"{self.prefix}{self.serial:x}", courier, tokens, tokens_at)
+        self._couriers[courier] = lease
+        return lease
+
+    def _keep(self, lease: Lease, now: float) -> None:
+        """Renews: all leases last equally long, so the one renewed last is the last to end."""
+        lease.until = now + self.bounds.lease_ms
+        self._leases[lease.name] = lease
+        self._leases.move_to_end(lease.name)
+
+    def _end(self, lease: Lease) -> None:
+        self.work += 1
+        del self._leases[lease.name]
+        del self._couriers[lease.courier]
+        self._set_destinations(lease, set())
+        self._ended.append(lease.name)
+
+    def _spend(self, lease: Lease, now: float) -> Refusal | None:
+        """One request of the courier's allowance, a token bucket."""
+        rate = self.bounds.requests_per_second
+        filled = lease.tokens + (now - lease.tokens_at) * rate / 1000.0
+        lease.tokens, lease.tokens_at = min(self.bounds.burst, filled), now
+        if lease.tokens >= 1.0:
+            lease.tokens -= 1.0
+            return None
+        retry = (1.0 - lease.tokens) * 1000.0 / rate
+        return Refusal(Reason.TOO_MANY, f"more than {rate:g} requests a second", retry)
+
+    def _set_destinations(self, lease: Lease, wanted: set[int]) -> None:
+        held = set(lease.destinations)
+        for destination in held - wanted:
+            self._remove_subscriber(destination, lease)
+        for destination in wanted - held:
+            self._add_subscriber(destination, lease)
+        self.subscriptions += len(wanted) - len(held)
+        lease.destinations = array("I", sorted(wanted))
+
+    def _subscribers_of(self, destination: int) -> Iterator[Lease]:
+        held = self._subscribers.get(destination)
+        if isinstance(held, Lease):
+            yield held
+        elif held:
+            yield from held
+
+    def _add_subscriber(self, destination: int, lease: Lease) -> None:
+        held = self._subscribers.get(destination)
+        if held is None:
+            self._subscribers[destination] = lease
+        elif isinstance(held, Lease):
+            self._subscribers[destination] = {held, lease}
+        else:
+            held.add(lease)
+
+    def _remove_subscriber(self, destination: int, lease: Lease) -> None:
+        held = self._subscribers[destination]
+        if held is lease:
+            del self._subscribers[destination]
+            return
+        held.discard(lease)
+        if len(held) == 1:
+            self._subscribers[destination] = held.pop()
+
+    def _full(self, lease: Lease) -> Tell:
+        """The whole set; no version before this one counts any more."""
+        lease.acknowledged = None
+        lease.changed = lease.in_flight = NOTHING
+        return self._under_new_version(lease, True, lease.destinations)
+
+    def _told(self, lease: Lease) -> Tell:
+        if not lease.changed:
+            return self._empty(lease)
+        told, lease.changed = lease.changed, NOTHING
+        lease.in_flight = lease.in_flight | told
+        return self._under_new_version(lease, False, sorted(lease.in_flight))
+
+    def _under_new_version(self, lease: Lease, full: bool, destinations: Iterable[int]) -> Tell:
+        self.version += 1
+        lease.sent = self.version
+        return Tell(lease.name, lease.sequence, self.version, full, tuple(destinations))
+
+    def _empty(self, lease: Lease) -> Tell:
+        """Nothing new: the version is the one that the courier has."""
+        version = lease.sent if lease.acknowledged is None else lease.acknowledged
+        return Tell(lease.name, lease.sequence, version, False, ())
+
+    def _foreign(self, request: SubscribeRequest) -> Refusal | None:
+        if request.fleet == self.fleet:
+            return None
+        return Refusal(Reason.OTHER_FLEET, f"this node serves the fleet {self.fleet}")
+
+    def _misused(self, request: SubscribeRequest) -> Refusal | None:
+        if request.sequence == 0 and not request.unsubscribe:
+            return None
+        return Refusal(
+            Reason.UNREADABLE, "subscription.sequence: a new lease begins with 0 and its whole set"
+        )
+
+    def _too_large(self, wanted: int) -> Refusal:
+        return Refusal(
+            Reason.TOO_LARGE, f"{wanted} destinations, {self.bounds.destinations} at most in one lease"
+        )
+
+    def _no_room(self, now: float) -> Refusal:
+        first = next(iter(self._leases.values()))
+        retry = max(NO_ROOM_RETRY, first.until - now)
+        return Refusal(Reason.TOO_MANY, f"{self.bounds.leases} leases, as many as this node grants", retry)
+
+    def _unknown_lease(self, name: str) -> Refusal:
+        if name.startswith(self.prefix):
+            return Refusal(Reason.LEASE_OVER, "the lease is over: subscribe anew")
+        return Refusal(
+            Reason.LEASE_OVER, f"no lease of this run of the node {self.node[:40]}: subscribe anew"
+        )
