--- a/calicopin/subscription/session.py
+++ b/calicopin/subscription/session.py
@@ -46,8 +46,8 @@
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """What an answer told. Of a `whole` one `places` is all that the session knows of its set, and never empty.
-    Else it is all endpoints of the destinations in `confirmed`, and with `left` those that have left. `unknown`
+    """What an answer told. Of a `whole` one `places` is all that the session knows of its set, never nothing.
+    Else it is all endpoints of the destinations in `confirmed`, with `left` those that have left. `unknown`
     ones do not exist."""
 
     whole: bool
