Subscriptions: a lease that is over is followed at once, large sets have more time, waiters can leave

Cause: after 410 a courier paused 100 ms; a whole answer of 100,000 destinations takes longer than the 1.5 s of a small one; an event whose client gave up stayed in the list as long as no node answered; two nodes with different faults were told over and over.

--- a/calicopin/wire/subscriber.py
+++ b/calicopin/wire/subscriber.py
@@ -35,6 +35,7 @@
 PROMPT = (
     1500.0  # the same for a request that is answered at once: a node may have a lost one's couriers before it
 )
+EACH = 0.05  # added to both for each destination of the set: a whole answer of 100,000 takes its seconds
 AGAIN = 100.0  # between the beginnings of two requests: guards both sides against answers at once for ever
 GATHER = 60.0  # between two requests with fresh subscriptions, 16 a second: what comes in between shares one
 MOST_ANSWER = 32 << 20  # bytes
@@ -102,7 +103,7 @@
         self._settled: dict[int, list] = {}  # events and lists of events, by the destination they wait for
         self._calls = self._interrupted = self._sent = self._received = 0
         self._gather_until = 0.0
-        self._told: str | None = None  # the last line on a fault, until an answer comes: it may come often
+        self._told: dict[str, str] = {}  # the last fault told of each node, until an answer comes
         for destination in restored or ():
             self._note_use(destination, loop.now())
         super().__init__(loop, "")
@@ -130,6 +131,12 @@
         else:
             _notify(event)
 
+    def unsettled(self, destination: int, event) -> None:
+        """Nobody waits with that event any more: its time was up first."""
+        rest = [other for other in self._settled.pop(destination, ()) if other is not event]
+        if rest:
+            self._settled[destination] = rest
+
     def subscribed(self) -> dict[int, list[Place]]:
         """The destinations with the endpoints known of them, as a snapshot keeps them."""
         return self.session.known()
@@ -171,12 +178,12 @@
             if self.session.pressing and self._gather_until > self.loop.now():
                 yield Until(self._gather_until)
             began = self.loop.now()
-            yield from self._call()
-            if not self.session.pressing and began + AGAIN > self.loop.now():
+            at_once = yield from self._call()
+            if not (at_once or self.session.pressing) and began + AGAIN > self.loop.now():
                 yield Until(began + AGAIN, event=self._wake)
 
     def _call(self):
-        """One request and what follows from its end."""
+        """One request and what follows from its end; whether the next one is to go out at once."""
         now = self.loop.now()
         for destination in self.interest.sweep(now):
             self.session.unsubscribe(destination)
@@ -191,9 +198,9 @@
         finally:
             self.tried = True
         if isinstance(end, Reply):
-            self._take(end)
-        else:
-            self._fail(end)
+            return self._take(end)
+        self._fail(end)
+        return False
 
     def _exchange(self, ask: Ask, wait: float):
         """The reply or the `End` of one request. A connection that served before may have been closed
@@ -210,7 +217,7 @@
         if not line:
             return End.UNCONNECTED
         self._calls += 1
-        until = self.loop.now() + (PROMPT if ask.prompt else wait + SILENCE)
+        until = self.loop.now() + self._patience(ask, wait)
         data = line.encode(*self._encode(ask, wait))
         done = yield from line.write(data, until)
         self._sent += done
@@ -221,6 +228,10 @@
                 return reply
         return End.BROKEN if self.loop.now() < until else End.SILENT
 
+    def _patience(self, ask: Ask, wait: float) -> float:
+        """How long an answer may take until it counts as none."""
+        return (PROMPT if ask.prompt else wait + SILENCE) + EACH * len(self.interest)
+
     def _encode(self, ask: Ask, wait: float):
         """The head and the body of a request."""
         body, target = encode_request(ask.request), "/api/targets"
@@ -250,8 +261,9 @@
         body = yield from line.body(MOST_ANSWER, until)
         return None if body is None else Reply(head.status_code, body)
 
-    def _take(self, reply: Reply) -> None:
-        """An answer or a refusal; one that cannot be read leaves all as it was, and another node is asked."""
+    def _take(self, reply: Reply) -> bool:
+        """An answer or a refusal; one that cannot be read leaves all as it was, and another node is asked.
+        Whether the next request is to go out at once."""
         self._count()
         if reply.body is TOO_LONG or not self.line.again():
             self.hang_up()
@@ -262,11 +274,11 @@
             self.nodes.failed(self.loop.now())
             self.hang_up()
             self._complain(str(fault))
-            return
-        if isinstance(news, News):
-            self._hear(news)
-        else:
-            self._heed(news)
+            return False
+        if isinstance(news, Refusal):
+            return self._heed(news)
+        self._hear(news)
+        return False
 
     def _understand(self, reply: Reply) -> News:
         """Raises ValueError where it cannot be right."""
@@ -279,8 +291,8 @@
 
     def _hear(self, news: News) -> None:
         self.nodes.answered(self.loop.now())
-        if self._told is not None:
-            self._told = None
+        if self._told:
+            self._told.clear()
             logger.info("discovery node {node} answers", event="subscription.again", node=self.address)
         try:
             self.heard(news.places, news.whole)
@@ -291,10 +303,12 @@
         for destination in news.confirmed + news.unknown:
             self._notify_settled(destination)
 
-    def _heed(self, refusal: Refusal) -> None:
-        if not self.session.refused(refusal):
-            self.nodes.refused(self.loop.now(), refusal.retry_ms)
-            self._complain(f"{refusal.reason}: {refusal.message}")
+    def _heed(self, refusal: Refusal) -> bool:
+        if self.session.refused(refusal):
+            return True
+        self.nodes.refused(self.loop.now(), refusal.retry_ms)
+        self._complain(f"{refusal.reason}: {refusal.message}")
+        return False
 
     def _fail(self, end: End) -> None:
         self.hang_up()
@@ -306,8 +320,8 @@
 
     def _complain(self, fault: str) -> None:
         """One line for a fault that comes again and again."""
-        if self._told != fault:
-            self._told = fault
+        if self._told.get(self.address) != fault:
+            self._told[self.address] = fault
             logger.warning(
                 "discovery node {node}: {fault}, the list known serves on",
                 event="subscription.fault",
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -195,6 +195,12 @@
     watch.settled(9, told)
     watch.settled(99, told)
     assert told == [True, True], "what is answered, or not subscribed at all, is waited for by nobody"
+    late = Event(loop)
+    watch.settled(10, late)
+    watch.unsettled(10, late)
+    node.tell(asked, 3, [entry("e-10", 10)], unknown=[11])
+    spin(loop, lambda: watch.use(10) is Standing.KNOWN)
+    assert not late.is_set, "its time was up first"
 
 
 def test_an_answer_lost_with_its_connection_is_asked_for_by_the_same_request(loop):
@@ -250,7 +256,6 @@
     heard = Heard()
     watch, node, _ = started(loop, heard, 41, 7)
     node.refuse(Reason.LEASE_OVER)
-    go_on(loop)
     target, asked = node.hear()
     assert target == "/api/targets" and asked["lease"] is None and asked["subscribe"] == [41, 7]
     node.lease = "n1-2"
@@ -502,3 +507,28 @@
     node.tell(asked, 2, [entry("x" * 4096, 41)])
     spin(loop, lambda: lines)
     assert "answer: is over" in lines[0] and len(heard) == 1
+
+
+def test_two_nodes_that_fail_in_different_ways_are_told_once_each(loop, lines):
+    nodes, heard = ranked(loop, 2), Heard()
+    nodes[0].sock.close()
+    subscriber(loop, nodes, heard)
+    for _ in range(400):
+        go_on(loop)
+    assert len(lines) == 2
+    assert sum("cannot be connected to" in line for line in lines) == 1
+    assert sum("does not answer" in line for line in lines) == 1
+
+
+def test_a_large_set_has_more_time_for_its_answer(loop):
+    nodes, heard = ranked(loop, 2), Heard()
+    watch = subscriber(loop, nodes, heard)
+    for destination in range(20000):
+        watch.use(destination)
+    _, asked = nodes[0].hear()
+    assert len(asked["subscribe"]) == 20000
+    go_on(loop, PROMPT + 900.0)
+    assert not _called(loop, nodes[1])
+    nodes[0].tell(asked, 1, full=True, unknown=range(20000))
+    spin(loop, lambda: heard)
+    assert watch.use(7) is Standing.UNKNOWN
