Capacity: model of the size in two years, its page and a test that both agree

The users ask for a page whose figures come from one model: for each role state, traffic, processor time and memory as formulas, what is measured, extrapolated, counted or assumed, the faults, and a ranking of demand over budget.

Slopes of the decisions are from one outside run so far, those of the discovery node assumed, and called so.

--- /dev/null
+++ b/calicopin/capacity/courier.py
@@ -0,0 +1,267 @@
+"""The figures of a courier, its control part today and with subscriptions, and its data path.
+
+"Today" is the program where every courier holds the whole list; "subscribed" is with subscriptions to parts of it.
+"""
+
+from calicopin.capacity import slopes
+from calicopin.capacity.figures import Figure, Unit, Use
+from calicopin.capacity.size import Size
+
+WATCH_S = 2.0  # longest wait of a call for the list (`wire/asking.py: longest_wait`)
+PAUSE_S = 0.1  # between two calls for the list (`wire/asking.py: AGAIN`)
+MOST_LIST_BYTES = 8 << 20  # of a list's answer (`wire/discovery.py: MOST_LIST`)
+DISK_SHARE = 0.5  # of `disk` that live messages fill at most in the segmented store
+SOURCE_POLL_S = 1.0  # after which a node has read a change of its source: assumed
+
+
+def calls_a_second() -> float:
+    """Calls for the list of one courier where there is no news."""
+    return 1.0 / (WATCH_S + PAUSE_S)
+
+
+# The courier's control part, today.
+
+
+def list_memory(size: Size) -> Figure:
+    """Memory of the whole list at each courier."""
+    return Figure(
+        "memory of the list",
+        "destinations × listed destination",
+        size.destinations * slopes.LISTED_MEMORY.value,
+        Unit.BYTES,
+        (Use(slopes.LISTED_MEMORY, size.destinations),),
+    )
+
+
+def list_bytes(size: Size) -> Figure:
+    """The whole list on the wire."""
+    return Figure(
+        "bytes of the whole list",
+        "destinations × entry",
+        size.destinations * slopes.ENTRY_BYTES.value,
+        Unit.BYTES,
+        (Use(slopes.ENTRY_BYTES, size.destinations),),
+    )
+
+
+def list_start(size: Size) -> Figure:
+    """Time in which a start has the whole list within the budget of bytes."""
+    return Figure(
+        "whole list at a start, within the budget of bytes",
+        "destinations × entry / bytes a second",
+        list_bytes(size).value / size.budget.bytes_a_second,
+        Unit.SECONDS,
+        list_bytes(size).uses,
+    )
+
+
+def list_take(size: Size) -> Figure:
+    """Processor time of taking in the whole list."""
+    return Figure(
+        "processor time of the whole list at a start",
+        "destinations × whole list taken in",
+        size.destinations * slopes.LISTED_TIME.value,
+        Unit.SECONDS,
+        (Use(slopes.LISTED_TIME, size.destinations),),
+    )
+
+
+def change_time(size: Size) -> Figure:
+    """Processor time of one change at a courier that knows all destinations."""
+    return Figure(
+        "processor time of one change",
+        "destinations × one change",
+        size.destinations * slopes.CHANGE_TIME.value,
+        Unit.SECONDS,
+        (Use(slopes.CHANGE_TIME, size.destinations),),
+    )
+
+
+def changes_core(size: Size) -> Figure:
+    """Share of a core for all changes at each courier."""
+    return Figure(
+        "processor time of all changes",
+        "changes a second × destinations × one change",
+        size.changes_a_second * change_time(size).value,
+        Unit.CORES,
+        change_time(size).uses,
+    )
+
+
+def poll_traffic(size: Size) -> Figure:
+    """Bytes a second of today's exchange where a courier keeps up."""
+    news = size.changes_a_second * slopes.ENTRY_BYTES.value
+    return Figure(
+        "bytes a second between starts",
+        "calls a second × call + changes a second × entry",
+        calls_a_second() * slopes.POLL_BYTES.value + news,
+        Unit.BYTES_A_SECOND,
+        (Use(slopes.POLL_BYTES), Use(slopes.ENTRY_BYTES)),
+    )
+
+
+def changes_in_force(size: Size) -> Figure:
+    """Time to force where each change is news for each courier: what came while one was taken in waits for it."""
+    return Figure(
+        "a change in force at the last courier",
+        "source + pause + 2 × one change",
+        SOURCE_POLL_S + PAUSE_S + 2.0 * change_time(size).value,
+        Unit.SECONDS,
+        change_time(size).uses,
+    )
+
+
+# The courier's control part, with subscriptions.
+
+
+def set_memory(size: Size) -> Figure:
+    """Memory of the destinations that a courier uses."""
+    return Figure(
+        "memory of the subscribed set",
+        "destinations a courier × listed destination",
+        size.destinations_a_courier * slopes.LISTED_MEMORY.value,
+        Unit.BYTES,
+        (Use(slopes.LISTED_MEMORY, size.destinations_a_courier),),
+    )
+
+
+def lease_bytes(size: Size) -> Figure:
+    """A new lease on the wire, both ways."""
+    return Figure(
+        "bytes of a new lease",
+        "renewal + destinations a courier × subscribed destination",
+        slopes.RENEWAL_BYTES.value + size.destinations_a_courier * slopes.NEW_LEASE_BYTES.value,
+        Unit.BYTES,
+        (Use(slopes.RENEWAL_BYTES), Use(slopes.NEW_LEASE_BYTES, size.destinations_a_courier)),
+    )
+
+
+def lease_start(size: Size) -> Figure:
+    """Time in which a start has its set within the budget of bytes."""
+    return Figure(
+        "the set at a start, within the budget of bytes",
+        "bytes of a new lease / bytes a second",
+        lease_bytes(size).value / size.budget.bytes_a_second,
+        Unit.SECONDS,
+        lease_bytes(size).uses,
+    )
+
+
+def set_take(size: Size) -> Figure:
+    """Processor time of taking in the set."""
+    return Figure(
+        "processor time of the set at a start",
+        "destinations a courier × whole list taken in",
+        size.destinations_a_courier * slopes.LISTED_TIME.value,
+        Unit.SECONDS,
+        (Use(slopes.LISTED_TIME, size.destinations_a_courier),),
+    )
+
+
+def heard_a_second(size: Size) -> float:
+    """Changes of its set that one courier hears."""
+    return size.changes_a_second * size.shape.senders_a_destination / size.couriers
+
+
+def renewal_core(size: Size) -> Figure:
+    """Share of a core for renewals and changes of the set at a courier."""
+    return Figure(
+        "processor time of renewals",
+        "calls a second × renewal at the courier",
+        (calls_a_second() + heard_a_second(size)) * slopes.RENEWAL_COURIER_TIME.value,
+        Unit.CORES,
+        (Use(slopes.RENEWAL_COURIER_TIME),),
+    )
+
+
+def renewal_traffic(size: Size) -> Figure:
+    """Bytes a second of renewals and changes of the set."""
+    news = heard_a_second(size) * slopes.NEW_LEASE_BYTES.value
+    return Figure(
+        "bytes a second between starts",
+        "calls a second × renewal + changes of the set × entry",
+        calls_a_second() * slopes.RENEWAL_BYTES.value + news,
+        Unit.BYTES_A_SECOND,
+        (Use(slopes.RENEWAL_BYTES), Use(slopes.NEW_LEASE_BYTES)),
+    )
+
+
+def subscribed_in_force(size: Size) -> Figure:
+    """Time to force with subscriptions: the source's delay, a courier's pause, the node's and the courier's work."""
+    work = size.shape.senders_a_destination * slopes.RENEWAL_NODE_TIME.value
+    return Figure(
+        "a change in force at the last courier",
+        "source + pause + subscribers × renewal at the node + renewal at the courier",
+        SOURCE_POLL_S + PAUSE_S + work + slopes.RENEWAL_COURIER_TIME.value,
+        Unit.SECONDS,
+        (Use(slopes.RENEWAL_NODE_TIME), Use(slopes.RENEWAL_COURIER_TIME)),
+    )
+
+
+# The courier's data path.
+
+
+def waiting_memory(size: Size) -> Figure:
+    """Memory of waiting messages in the decisions."""
+    return Figure(
+        "memory of waiting messages",
+        "waiting events a courier × waiting message",
+        size.waiting_a_courier * slopes.WAITING_MEMORY.value,
+        Unit.BYTES,
+        (Use(slopes.WAITING_MEMORY, size.waiting_a_courier),),
+    )
+
+
+def waiting_disk(size: Size) -> Figure:
+    """What the folder has to hold."""
+    return Figure(
+        "disk for waiting messages",
+        f"waiting events a courier × live message / {DISK_SHARE:g}",
+        size.waiting_a_courier * slopes.STORE_BYTES.value / DISK_SHARE,
+        Unit.BYTES,
+        (Use(slopes.STORE_BYTES, size.waiting_a_courier),),
+    )
+
+
+def waiting_start(size: Size) -> Figure:
+    """Time of a start that reads all waiting messages."""
+    return Figure(
+        "a start that reads its store",
+        "waiting events a courier × live message at a start",
+        size.waiting_a_courier * slopes.STORE_START.value,
+        Unit.SECONDS,
+        (Use(slopes.STORE_START, size.waiting_a_courier),),
+    )
+
+
+def events_core(size: Size) -> Figure:
+    """Share of a core for the events themselves."""
+    return Figure(
+        "processor time of events",
+        "events a courier × event",
+        size.events_a_courier * slopes.EVENT_TIME.value,
+        Unit.CORES,
+        (Use(slopes.EVENT_TIME, size.events_a_courier),),
+    )
+
+
+def events_traffic(size: Size) -> Figure:
+    """Bytes of bodies a second, in and out."""
+    return Figure(
+        "bytes a second of bodies, in and out",
+        "2 × events a courier × body",
+        2.0 * size.events_a_courier * size.shape.message_bytes,
+        Unit.BYTES_A_SECOND,
+        assumes=("message_bytes",),
+    )
+
+
+def queue_length(size: Size) -> Figure:
+    """Waiting events of one destination that is down, if the backlog stands at those alone."""
+    return Figure(
+        "waiting events of one destination that is down",
+        "waiting events / destinations down",
+        size.waiting_events / size.destinations_down,
+        Unit.COUNT,
+        assumes=("senders_a_destination",),
+    )
--- /dev/null
+++ b/calicopin/capacity/faults.py
@@ -0,0 +1,297 @@
+"""What each fault asks of the discovery nodes and of the couriers that go on, as figures of a size.
+
+These go through the model only; the page says which of them a scale test plays.
+"""
+
+from dataclasses import dataclass
+
+from calicopin.capacity import courier, slopes
+from calicopin.capacity.figures import Figure, Unit, Use
+from calicopin.capacity.size import SECONDS_A_DAY, SECONDS_AN_HOUR, Size
+
+CONNECT_S = 0.25  # until a node that does not answer is given up (`wire/discovery.py: GRACE`)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault with its figures."""
+
+    name: str
+    how_often: str
+    figures: tuple[Figure, ...]
+
+
+def _leases(name: str, formula: str, couriers: float, size: Size) -> tuple[Figure, Figure]:
+    """Bytes and processor time at one node for so many new leases."""
+    node_time = (
+        slopes.RENEWAL_NODE_TIME.value + size.destinations_a_courier * slopes.NEW_LEASE_NODE_TIME.value
+    )
+    return (
+        Figure(
+            f"{name}: bytes at a node",
+            f"{formula} × new lease",
+            couriers * courier.lease_bytes(size).value,
+            Unit.BYTES,
+            courier.lease_bytes(size).uses,
+        ),
+        Figure(
+            f"{name}: processor time at a node",
+            f"{formula} × (renewal + destinations a courier × subscribed destination, at the node)",
+            couriers * node_time,
+            Unit.SECONDS,
+            (Use(slopes.RENEWAL_NODE_TIME), Use(slopes.NEW_LEASE_NODE_TIME, size.destinations_a_courier)),
+        ),
+    )
+
+
+def ordinary_day(size: Size) -> Fault:
+    """Failures and restarts spread over all machines alike."""
+    courier_share = 1.0 - size.control_machines / size.machines
+    starts = size.starts_a_day * courier_share
+    shape = ("couriers_a_machine",)
+    lists = starts * courier.list_bytes(size).value / SECONDS_A_DAY
+    leases = starts * courier.lease_bytes(size).value / SECONDS_A_DAY
+    return Fault(
+        "An ordinary day",
+        f"{size.machine_failures_a_day:.0f} failures, {size.restarts_a_day:,.0f} restarts",
+        (
+            Figure(
+                "time between starts of couriers",
+                "a day / starts",
+                SECONDS_A_DAY / starts,
+                Unit.SECONDS,
+                (),
+                shape,
+            ),
+            Figure(
+                "control machines restarted a day",
+                "restarts × control machines / machines",
+                size.restarts_a_day * size.control_machines / size.machines,
+                Unit.COUNT,
+                (),
+                shape,
+            ),
+            Figure(
+                "days between failures of control machines",
+                "machines / (failures × control machines)",
+                size.machines / (size.machine_failures_a_day * size.control_machines),
+                Unit.COUNT,
+                (),
+                shape,
+            ),
+            Figure(
+                "bytes a second of all starts, today",
+                "starts × whole list / a day",
+                lists,
+                Unit.BYTES_A_SECOND,
+                courier.list_bytes(size).uses,
+                shape,
+            ),
+            Figure(
+                "bytes a second of all starts, subscribed",
+                "starts × new lease / a day",
+                leases,
+                Unit.BYTES_A_SECOND,
+                courier.lease_bytes(size).uses,
+                shape,
+            ),
+        ),
+    )
+
+
+def node_lost(size: Size) -> Fault:
+    """One control machine gone: rendezvous hashing spreads its couriers over the rest."""
+    each = size.couriers_a_node / (size.control_machines - 1.0)
+    return Fault(
+        "One discovery node",
+        "see above",
+        (
+            Figure("couriers that move", "couriers a node", size.couriers_a_node, Unit.COUNT),
+            Figure(
+                "couriers a node afterwards",
+                "couriers / (control machines - 1)",
+                size.couriers / (size.control_machines - 1.0),
+                Unit.COUNT,
+            ),
+            Figure("of them new", "couriers a node / (control machines - 1)", each, Unit.COUNT),
+            *_leases("new leases", "new couriers", each, size),
+        ),
+    )
+
+
+def rack_lost(size: Size) -> Fault:
+    """A rack or a switch."""
+    shape = ("machines_a_rack", "couriers_a_machine")
+    couriers = size.shape.machines_a_rack * size.shape.couriers_a_machine
+    return Fault(
+        "A rack or a switch",
+        "every week",
+        (
+            Figure("couriers gone", "machines a rack", couriers, Unit.COUNT, (), shape),
+            Figure(
+                "more events at each other courier",
+                "couriers gone / couriers left",
+                couriers / (size.couriers - couriers),
+                Unit.SHARE,
+                (),
+                shape,
+            ),
+            Figure(
+                "new leases a node when it is back",
+                "couriers gone / control machines",
+                couriers / size.control_machines,
+                Unit.COUNT,
+                (),
+                shape,
+            ),
+        ),
+    )
+
+
+def zone_lost(size: Size) -> Fault:
+    """A seventeenth of couriers and discovery nodes at once, and all of them back together."""
+    left = size.control_machines - size.nodes_a_zone
+    moving = size.nodes_a_zone * size.couriers_a_node * (1.0 - 1.0 / size.zones)
+    back = size.couriers_a_zone / left
+    return Fault(
+        "A zone",
+        "once or twice a year",
+        (
+            Figure("couriers gone", "couriers / zones", size.couriers_a_zone, Unit.COUNT),
+            Figure("discovery nodes gone", "control machines / zones", size.nodes_a_zone, Unit.COUNT),
+            Figure(
+                "living couriers that move to another node",
+                "nodes gone × couriers a node × (1 - 1 / zones)",
+                moving,
+                Unit.COUNT,
+            ),
+            Figure(
+                "couriers a node meanwhile",
+                "couriers left / nodes left",
+                (size.couriers - size.couriers_a_zone) / left,
+                Unit.COUNT,
+            ),
+            Figure(
+                "events a second at each courier left",
+                "events a second / couriers left",
+                size.events_a_second / (size.couriers - size.couriers_a_zone),
+                Unit.COUNT,
+            ),
+            Figure(
+                "waiting events that stand until it is back",
+                "couriers gone × waiting events a courier",
+                size.couriers_a_zone * size.waiting_a_courier,
+                Unit.COUNT,
+            ),
+            Figure(
+                "back before its nodes: new leases a node", "couriers gone / nodes left", back, Unit.COUNT
+            ),
+            *_leases("back together", "new leases", back, size),
+            Figure(
+                "back together, today: bytes of whole lists",
+                "couriers gone × whole list",
+                size.couriers_a_zone * courier.list_bytes(size).value,
+                Unit.BYTES,
+                courier.list_bytes(size).uses,
+            ),
+        ),
+    )
+
+
+def regions_apart(size: Size) -> Fault:
+    """One region without the others for the stated time; the list's source stands on the other side."""
+    missed = size.changes_a_second * size.region_split_s
+    moving = size.couriers_a_region * (1.0 - 1.0 / size.regions)
+    tries = (size.control_machines + 1.0) / (size.nodes_a_region + 1.0)
+    heard = missed * size.shape.senders_a_destination / size.regions
+    return Fault(
+        "A region apart for an hour",
+        "now and then",
+        (
+            Figure("couriers and", "couriers / regions", size.couriers_a_region, Unit.COUNT),
+            Figure("discovery nodes in it", "control machines / regions", size.nodes_a_region, Unit.COUNT),
+            Figure(
+                "couriers in it that need another node",
+                "couriers a region × (1 - 1 / regions)",
+                moving,
+                Unit.COUNT,
+            ),
+            Figure(
+                "nodes tried until one in the region answers, in an order by chance",
+                "(control machines + 1) / (nodes a region + 1)",
+                tries,
+                Unit.COUNT,
+            ),
+            Figure(
+                "the time of the tries that fail, without pauses",
+                f"(tries - 1) × {CONNECT_S:g} s",
+                (tries - 1.0) * CONNECT_S,
+                Unit.SECONDS,
+            ),
+            Figure(
+                "changes that are not in force there",
+                "changes a second × time apart",
+                missed,
+                Unit.COUNT,
+            ),
+            Figure(
+                "of them for its couriers",
+                "changes missed × senders a destination / regions",
+                heard,
+                Unit.COUNT,
+                (),
+                ("senders_a_destination",),
+            ),
+            Figure(
+                "afterwards: bytes that each of its nodes reads",
+                "changes missed × entry",
+                missed * slopes.ENTRY_BYTES.value,
+                Unit.BYTES,
+                (Use(slopes.ENTRY_BYTES),),
+            ),
+            Figure(
+                "afterwards: bytes to all its couriers",
+                "changes for its couriers × subscribed destination",
+                heard * slopes.NEW_LEASE_BYTES.value,
+                Unit.BYTES,
+                (Use(slopes.NEW_LEASE_BYTES),),
+                ("senders_a_destination",),
+            ),
+        ),
+    )
+
+
+def all_nodes_gone(size: Size) -> Fault:
+    """No discovery node anywhere, and all of them back at once."""
+    hour = size.changes_a_second * SECONDS_AN_HOUR
+    courier_starts = size.starts_a_day / 24.0
+    return Fault(
+        "All discovery nodes",
+        "not stated",
+        (
+            Figure("changes unknown after an hour", "changes a second × an hour", hour, Unit.COUNT),
+            Figure(
+                "share of all destinations that is out of date after a day",
+                "changes a day / destinations",
+                size.changes_a_day / size.destinations,
+                Unit.SHARE,
+            ),
+            Figure(
+                "starts in an hour, each from its folder", "starts a day / 24", courier_starts, Unit.COUNT
+            ),
+            Figure("back at once: new leases a node", "couriers a node", size.couriers_a_node, Unit.COUNT),
+            *_leases("back at once", "new leases", size.couriers_a_node, size),
+        ),
+    )
+
+
+def faults(size: Size) -> tuple[Fault, ...]:
+    """Every fault, the most frequent first."""
+    return (
+        ordinary_day(size),
+        node_lost(size),
+        rack_lost(size),
+        zone_lost(size),
+        regions_apart(size),
+        all_nodes_gone(size),
+    )
--- /dev/null
+++ b/calicopin/capacity/model.py
@@ -0,0 +1,123 @@
+"""Every role with its figures, and the quotients that follow from the users' numbers alone."""
+
+from dataclasses import dataclass
+
+from calicopin.capacity import courier, node, outside
+from calicopin.capacity.figures import Figure, Unit
+from calicopin.capacity.size import Size
+
+NODE = (
+    node.list_memory,
+    node.lease_memory,
+    node.calls,
+    node.core,
+    node.traffic,
+    node.news,
+    node.source,
+    node.load,
+    node.news_today,
+    node.lists_today,
+)
+DESTINATION = (outside.events, outside.told_share, outside.served_ratio)
+OPERATORS = (
+    outside.status_today,
+    outside.status_subscribed,
+    outside.figure_calls,
+    outside.source_growth,
+    outside.whole_roll,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Role:
+    """One role of the deployment with its figures."""
+
+    name: str
+    figures: tuple[Figure, ...]
+
+
+def quotients(size: Size) -> tuple[Figure, ...]:
+    """What follows from the users' numbers alone."""
+    rows = (
+        ("events a second a courier", "events a second / couriers", size.events_a_courier, Unit.COUNT),
+        ("waiting events a courier", "waiting events / couriers", size.waiting_a_courier, Unit.COUNT),
+        ("destinations down", "destinations × share down", size.destinations_down, Unit.COUNT),
+        ("time between changes", "a day / changes a day", size.seconds_a_change, Unit.SECONDS),
+        ("couriers a control machine", "couriers / control machines", size.couriers_a_node, Unit.COUNT),
+        ("couriers a zone", "couriers / zones", size.couriers_a_zone, Unit.COUNT),
+        ("control machines a zone", "control machines / zones", size.nodes_a_zone, Unit.COUNT),
+        ("all waiting events, as intake", "waiting events / events a second", size.backlog_s, Unit.SECONDS),
+        (
+            "events a second a destination",
+            "events a second / destinations",
+            size.events_a_destination,
+            Unit.COUNT,
+        ),
+    )
+    given = tuple(Figure(name, formula, value, unit) for name, formula, value, unit in rows)
+    shared = Figure(
+        "destinations a courier, one sender each",
+        "destinations / couriers",
+        size.destinations_a_courier,
+        Unit.COUNT,
+        assumes=("senders_a_destination",),
+    )
+    down = Figure(
+        "of them down",
+        "destinations a courier × share down",
+        size.down_a_courier,
+        Unit.COUNT,
+        assumes=("senders_a_destination",),
+    )
+    return (*given, shared, down)
+
+
+def roles(size: Size) -> tuple[Role, ...]:
+    """Every role with its figures."""
+    return (
+        Role(
+            "Courier, data path",
+            (
+                courier.events_core(size),
+                courier.events_traffic(size),
+                courier.waiting_memory(size),
+                courier.queue_length(size),
+                courier.waiting_disk(size),
+                courier.waiting_start(size),
+            ),
+        ),
+        Role(
+            "Courier, control, today",
+            (
+                courier.list_memory(size),
+                courier.list_bytes(size),
+                courier.list_start(size),
+                courier.list_take(size),
+                courier.change_time(size),
+                courier.changes_core(size),
+                courier.poll_traffic(size),
+                courier.changes_in_force(size),
+            ),
+        ),
+        Role(
+            "Courier, control, with subscriptions",
+            (
+                courier.set_memory(size),
+                courier.lease_bytes(size),
+                courier.lease_start(size),
+                courier.set_take(size),
+                courier.renewal_core(size),
+                courier.renewal_traffic(size),
+                courier.subscribed_in_force(size),
+            ),
+        ),
+        Role(
+            "Discovery node, one of 31",
+            tuple(one(size) for one in NODE),
+        ),
+        Role("Destination endpoints", tuple(one(size) for one in DESTINATION)),
+        Role(
+            "Operators' side",
+            tuple(one(size) for one in OPERATORS),
+        ),
+    )
--- /dev/null
+++ b/calicopin/capacity/node.py
@@ -0,0 +1,119 @@
+"""The figures of one discovery node."""
+
+from calicopin.capacity import courier, slopes
+from calicopin.capacity.figures import Figure, Unit, Use
+from calicopin.capacity.size import SECONDS_A_DAY, Size
+
+
+def list_memory(size: Size) -> Figure:
+    """Memory of the whole list at a node."""
+    return Figure(
+        "memory of the list",
+        "destinations × destination at the node",
+        size.destinations * slopes.NODE_LISTED_MEMORY.value,
+        Unit.BYTES,
+        (Use(slopes.NODE_LISTED_MEMORY, size.destinations),),
+    )
+
+
+def lease_memory(size: Size) -> Figure:
+    """Memory of all leases at a node."""
+    subscriptions = size.couriers_a_node * size.destinations_a_courier
+    leases = size.couriers_a_node * slopes.NODE_LEASE_MEMORY.value
+    return Figure(
+        "memory of leases",
+        "couriers a node × (lease + destinations a courier × subscription)",
+        leases + subscriptions * slopes.NODE_SUBSCRIPTION_MEMORY.value,
+        Unit.BYTES,
+        (
+            Use(slopes.NODE_LEASE_MEMORY, size.couriers_a_node),
+            Use(slopes.NODE_SUBSCRIPTION_MEMORY, subscriptions),
+        ),
+    )
+
+
+def calls(size: Size) -> Figure:
+    """Calls a second at a node where there is no news."""
+    return Figure(
+        "calls a second",
+        "couriers a node × calls a second of a courier",
+        size.couriers_a_node * courier.calls_a_second(),
+        Unit.A_SECOND,
+    )
+
+
+def core(size: Size) -> Figure:
+    """Share of a core for renewals at a node."""
+    return Figure(
+        "processor time of renewals",
+        "calls a second × renewal at the node",
+        calls(size).value * slopes.RENEWAL_NODE_TIME.value,
+        Unit.CORES,
+        (Use(slopes.RENEWAL_NODE_TIME, size.couriers_a_node),),
+    )
+
+
+def traffic(size: Size) -> Figure:
+    """Bytes a second at a node, renewals and news."""
+    return Figure(
+        "bytes a second",
+        "couriers a node × bytes a second of a courier",
+        size.couriers_a_node * courier.renewal_traffic(size).value,
+        Unit.BYTES_A_SECOND,
+        courier.renewal_traffic(size).uses,
+        courier.renewal_traffic(size).assumes,
+    )
+
+
+def news(size: Size) -> Figure:
+    """Answers with news a second at a node, for its subscribers alone."""
+    return Figure(
+        "answers with news a second",
+        "changes a second × senders a destination / control machines",
+        size.changes_a_second * size.shape.senders_a_destination / size.control_machines,
+        Unit.A_SECOND,
+        assumes=("senders_a_destination",),
+    )
+
+
+def source(size: Size) -> Figure:
+    """Bytes a second from the source."""
+    return Figure(
+        "bytes a second from its source",
+        "changes a second × entry",
+        size.changes_a_second * slopes.ENTRY_BYTES.value,
+        Unit.BYTES_A_SECOND,
+        (Use(slopes.ENTRY_BYTES),),
+    )
+
+
+def load(size: Size) -> Figure:
+    """Processor time of a node's start."""
+    return Figure(
+        "a start that reads the whole list",
+        "destinations × destination read",
+        size.destinations * slopes.NODE_LOAD_TIME.value,
+        Unit.SECONDS,
+        (Use(slopes.NODE_LOAD_TIME, size.destinations),),
+    )
+
+
+def news_today(size: Size) -> Figure:
+    """Answers a second at a node that tells each change to each courier."""
+    return Figure(
+        "today: answers with news a second",
+        "couriers a node × changes a second",
+        size.couriers_a_node * size.changes_a_second,
+        Unit.A_SECOND,
+    )
+
+
+def lists_today(size: Size) -> Figure:
+    """Bytes a second of whole lists for the starts of an ordinary day."""
+    return Figure(
+        "today: bytes a second of whole lists for starts",
+        "starts a day / control machines × whole list",
+        size.starts_a_day / size.control_machines * courier.list_bytes(size).value / SECONDS_A_DAY,
+        Unit.BYTES_A_SECOND,
+        courier.list_bytes(size).uses,
+    )
--- /dev/null
+++ b/calicopin/capacity/ranking.py
@@ -0,0 +1,193 @@
+"""Demand over budget, today and with subscriptions, and in what order the mechanisms follow from it."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from calicopin.capacity import courier, slopes
+from calicopin.capacity.figures import Figure, Unit, Use
+from calicopin.capacity.size import Size
+
+ONE_CORE = 1.0  # a courier, and a node, is one thread
+
+
+class Budget(StrEnum):
+    """Who set the budget."""
+
+    USERS = "users"  # stated for this size
+    PROGRAM = "program"  # a constant or the one thread of the program
+    BORROWED = "borrowed"  # none is stated; the nearest stated one stands in
+
+
+class Fails(StrEnum):
+    """What has to give where demand is over budget."""
+
+    DESIGN = "design"
+    CONSTANT = "constant"
+    NOTHING = "-"
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """One budget with what is asked of it. `subscribed` is None where subscriptions change nothing."""
+
+    name: str
+    budget: float
+    unit: Unit
+    set_by: Budget
+    fails: Fails
+    today: Figure
+    subscribed: Figure | None = None
+
+    @property
+    def factor(self) -> float:
+        """Demand over budget, today."""
+        return self.today.value / self.budget
+
+    @property
+    def factor_subscribed(self) -> float:
+        """Demand over budget with subscriptions."""
+        return (self.subscribed or self.today).value / self.budget
+
+
+@dataclass(frozen=True, slots=True)
+class Next:
+    """One mechanism that is missing, with the factor that it has to win; None where the model has none yet."""
+
+    mechanism: str
+    instead_of: str
+    factor: Figure
+
+
+def _machines(size: Size, calls: float, formula: str) -> Figure:
+    return Figure(
+        "machines of which one core is used",
+        formula,
+        calls * slopes.RENEWAL_NODE_TIME.value / ONE_CORE,
+        Unit.COUNT,
+        (Use(slopes.RENEWAL_NODE_TIME),),
+    )
+
+
+def machines_today(size: Size) -> Figure:
+    """Control machines for today's exchange: each change is news for each courier."""
+    calls = size.couriers * (courier.calls_a_second() + size.changes_a_second)
+    return _machines(size, calls, "couriers × (calls + changes a second) × renewal at the node")
+
+
+def machines_subscribed(size: Size) -> Figure:
+    """Control machines with subscriptions: a change is news for its subscribers."""
+    calls = size.couriers * (courier.calls_a_second() + courier.heard_a_second(size))
+    return _machines(size, calls, "couriers × (calls + changes of the set) × renewal at the node")
+
+
+def demands(size: Size) -> tuple[Demand, ...]:
+    """Every budget, worst factor first."""
+    budget = size.budget
+    rows = (
+        Demand(
+            "a start has its list within the time to force, at the budget of bytes",
+            size.in_force_s,
+            Unit.SECONDS,
+            Budget.BORROWED,
+            Fails.DESIGN,
+            courier.list_start(size),
+            courier.lease_start(size),
+        ),
+        Demand(
+            "control memory of a courier",
+            budget.memory_bytes,
+            Unit.BYTES,
+            Budget.USERS,
+            Fails.DESIGN,
+            courier.list_memory(size),
+            courier.set_memory(size),
+        ),
+        Demand(
+            "control core of a courier",
+            budget.core,
+            Unit.CORES,
+            Budget.USERS,
+            Fails.DESIGN,
+            courier.changes_core(size),
+            courier.renewal_core(size),
+        ),
+        Demand(
+            "waiting messages in memory",
+            budget.memory_bytes,
+            Unit.BYTES,
+            Budget.BORROWED,
+            Fails.DESIGN,
+            courier.waiting_memory(size),
+        ),
+        Demand(
+            "an answer with the list, as it may be read",
+            float(courier.MOST_LIST_BYTES),
+            Unit.BYTES,
+            Budget.PROGRAM,
+            Fails.CONSTANT,
+            courier.list_bytes(size),
+            courier.lease_bytes(size),
+        ),
+        Demand(
+            "processor time of a start's list within the time to force",
+            size.in_force_s,
+            Unit.SECONDS,
+            Budget.BORROWED,
+            Fails.DESIGN,
+            courier.list_take(size),
+            courier.set_take(size),
+        ),
+        Demand(
+            "a change in force",
+            size.in_force_s,
+            Unit.SECONDS,
+            Budget.USERS,
+            Fails.DESIGN,
+            courier.changes_in_force(size),
+            courier.subscribed_in_force(size),
+        ),
+        Demand(
+            "a start that reads its waiting messages",
+            size.in_force_s,
+            Unit.SECONDS,
+            Budget.BORROWED,
+            Fails.DESIGN,
+            courier.waiting_start(size),
+        ),
+        Demand(
+            "control machines",
+            size.control_machines,
+            Unit.COUNT,
+            Budget.USERS,
+            Fails.NOTHING,
+            machines_today(size),
+            machines_subscribed(size),
+        ),
+        Demand(
+            "one thread for a courier's events",
+            ONE_CORE,
+            Unit.CORES,
+            Budget.PROGRAM,
+            Fails.NOTHING,
+            courier.events_core(size),
+        ),
+        Demand(
+            "control bytes a second of a courier between starts",
+            budget.bytes_a_second,
+            Unit.BYTES_A_SECOND,
+            Budget.USERS,
+            Fails.NOTHING,
+            courier.poll_traffic(size),
+            courier.renewal_traffic(size),
+        ),
+    )
+    return tuple(sorted(rows, key=lambda row: row.factor, reverse=True))
+
+
+def first_to_fail(size: Size) -> Demand:
+    """The worst budget of the users in which the design fails, not a constant."""
+    return next(
+        row
+        for row in demands(size)
+        if row.set_by == Budget.USERS and row.fails == Fails.DESIGN and row.factor > 1.0
+    )
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,214 @@
+"""The capacity model: its quotients, its slopes and their runs, and that docs/CAPACITY.md says the same."""
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from calicopin.capacity import courier, encoded, faults, model, node, page, ranking
+from calicopin.capacity.figures import Figure, Unit, Use, plain, said
+from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
+from calicopin.capacity.slopes import DIGITS, Basis, Slope, all_slopes
+from calicopin.subscription import messages
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+def test_page_and_model_agree():
+    text = page.PAGE.read_text(encoding="utf-8")
+    assert page.with_generated(text, IN_TWO_YEARS) == text
+
+
+def test_another_size_gives_another_page():
+    assert page.generated(replace(IN_TWO_YEARS, destinations=1.8e6)) != page.generated(IN_TWO_YEARS)
+
+
+def test_a_page_without_markers_is_refused():
+    with pytest.raises(page.NoMarkers):
+        page.with_generated("# Capacity\n", IN_TWO_YEARS)
+
+
+def test_what_stands_around_the_markers_stays():
+    text = f"before\n{page.BEGIN}\nSTALE LINE\n{page.END}\nafter\n"
+    new = page.with_generated(text, IN_TWO_YEARS)
+    assert new.startswith("before\n") and new.endswith("\nafter\n") and "STALE LINE" not in new
+
+
+def test_simple_quotients():
+    size = IN_TWO_YEARS
+    assert round(size.events_a_courier) == 132
+    assert round(size.waiting_a_courier / 1e6, 2) == 2.05
+    assert round(size.destinations_down) == 62_900
+    assert round(size.seconds_a_change, 1) == 7.9
+    assert round(size.couriers_a_node) == 613
+    assert round(size.couriers_a_zone) == 1_118
+    assert round(size.nodes_a_zone) == 2
+    assert round(size.backlog_s / 3600.0, 1) == 4.3
+    assert round(size.destinations_a_courier) in (89, 90)
+    assert round(size.couriers / (size.control_machines - 1)) == 633
+
+
+def stands_in(slope: Slope) -> float:
+    """The value of a slope's figure in the result file that it names."""
+    told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+    if not slope.run.of_line:
+        return next(one["value"] for one in told["figures"] if one["figure"] == slope.run.figure)
+    return next(one["line"]["slope"] for one in told["slopes"] if one["figure"] == slope.run.figure)
+
+
+@pytest.mark.parametrize("slope", all_slopes(), ids=lambda slope: slope.name)
+def test_each_slope_has_its_source(slope):
+    assert slope.why or slope.run
+    assert (slope.basis == Basis.RUN) == (slope.run is not None)
+    if slope.run:
+        assert slope.run.file.startswith("docs/scale/") and slope.run.command and slope.sizes
+        assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
+
+
+def test_no_two_slopes_share_a_name():
+    names = [slope.name for slope in all_slopes()]
+    assert len(set(names)) == len(names)
+
+
+def test_what_the_messages_take_is_counted_from_the_program():
+    entries = [encoded.entry(number) for number in range(encoded.FIRST, encoded.FIRST + 2)]
+    grant = messages.Grant("f", "n", "l", 0, 30_000.0, (1, 2))
+    answer = messages.decode_answer(messages.encode_answer(True, 1, entries, grant))
+    assert [entry["cell"] for entry in answer.servers] == [encoded.FIRST, encoded.FIRST + 1]
+    assert encoded.new_lease_bytes(90) > 90 * len(entries[0])
+    assert encoded.renewal_bytes() < encoded.new_lease_bytes(1)
+
+
+def measured(*sizes: float) -> Slope:
+    return Slope("a", 2.0, "B / thing", Basis.RUN, "", sizes)
+
+
+@pytest.mark.parametrize(
+    ("uses", "assumes", "basis"),
+    [
+        ((), (), "given"),
+        ((), ("machines_a_rack",), "assumed"),
+        ((Use(measured(10, 100), 100),), (), "measured"),
+        ((Use(measured(10, 100), 250),), (), "extrapolated 2.5 times"),
+        ((Use(measured(10, 100), 250),), ("machines_a_rack",), "assumed"),
+        ((Use(Slope("b", 1.0, "", Basis.ASSUMED, "guess")), Use(measured(10), 5)), (), "assumed"),
+        (
+            (Use(Slope("b", 1.0, "", Basis.OUTSIDE, "told", (10,)), 20),),
+            (),
+            "extrapolated 2 times from an outside run",
+        ),
+        ((Use(Slope("b", 1.0, "", Basis.ENCODED, "bytes")),), (), "counted"),
+        ((Use(Slope("b", 1.0, "", Basis.ENCODED, "bytes")), Use(measured(10), 5)), (), "measured"),
+    ],
+)
+def test_how_a_figure_is_known_follows_from_its_weakest_part(uses, assumes, basis):
+    assert Figure("x", "y", 1.0, Unit.COUNT, uses, assumes).basis() == basis
+
+
+@pytest.mark.parametrize(
+    ("value", "unit", "text"),
+    [
+        (10.88e9, Unit.BYTES, "10.9 GB"),
+        (613.4, Unit.COUNT, "613"),
+        (1117.6, Unit.COUNT, "1,118"),
+        (2.0526e6, Unit.COUNT, "2.05 million"),
+        (39e9, Unit.COUNT, "39 billion"),
+        (0.000476, Unit.CORES, "0.000476 core"),
+        (15_600.0, Unit.SECONDS, "4.33 h"),
+        (1_174_500.0, Unit.SECONDS, "13.6 days"),
+        (0.0034, Unit.SECONDS, "3.4 ms"),
+        (0.037, Unit.SHARE, "3.7 %"),
+        (292.1, Unit.A_SECOND, "292/s"),
+        (0.0, Unit.COUNT, "0"),
+    ],
+)
+def test_figures_as_people_read_them(value, unit, text):
+    assert said(value, unit) == text
+
+
+def test_small_numbers_keep_three_digits():
+    assert plain(0.0179) == "0.0179" and plain(0.00526) == "0.00526"
+
+
+def values(size: Size) -> dict[str, float]:
+    """All figures of the roles and faults, by role and name."""
+    figures = {(role.name, one.name): one.value for role in model.roles(size) for one in role.figures}
+    figures |= {(fault.name, one.name): one.value for fault in faults.faults(size) for one in fault.figures}
+    return figures
+
+
+def test_no_two_figures_of_a_table_share_a_name():
+    count = sum(len(role.figures) for role in model.roles(IN_TWO_YEARS))
+    count += sum(len(fault.figures) for fault in faults.faults(IN_TWO_YEARS))
+    assert len(values(IN_TWO_YEARS)) == count
+
+
+@pytest.mark.parametrize(
+    ("figure", "twice"),
+    [
+        (courier.list_memory, {"destinations": 3.4e6}),
+        (courier.list_start, {"destinations": 3.4e6}),
+        (courier.change_time, {"destinations": 3.4e6}),
+        (courier.changes_core, {"changes_a_day": 22_000.0}),
+        (courier.waiting_memory, {"waiting_events": 78e9}),
+        (courier.set_memory, {"destinations": 3.4e6}),
+        (courier.set_memory, {"shape": Shape(senders_a_destination=2.0)}),
+        (node.list_memory, {"destinations": 3.4e6}),
+        (node.calls, {"couriers": 38_000.0}),
+        (node.news, {"changes_a_day": 22_000.0}),
+    ],
+)
+def test_twice_the_size_is_twice_the_figure(figure, twice):
+    before, after = figure(IN_TWO_YEARS), figure(replace(IN_TWO_YEARS, **twice))
+    assert after.value == pytest.approx(2.0 * before.value)
+
+
+@pytest.mark.parametrize(
+    "field",
+    [
+        "couriers",
+        "events_a_second",
+        "destinations",
+        "down_share",
+        "waiting_events",
+        "regions",
+        "zones",
+        "changes_a_day",
+        "control_machines",
+        "machine_failures_a_day",
+        "restarts_a_day",
+        "region_split_s",
+    ],
+)
+def test_each_number_of_the_users_moves_some_figure(field):
+    other = replace(IN_TWO_YEARS, **{field: getattr(IN_TWO_YEARS, field) * 1.5})
+    assert values(other) != values(IN_TWO_YEARS)
+
+
+def test_a_courier_s_set_does_not_grow_with_the_destinations_of_others():
+    grown = replace(IN_TWO_YEARS, destinations=3.4e6, couriers=38_000.0)
+    for figure in (courier.set_memory, courier.lease_bytes, courier.set_take):
+        assert figure(grown).value == pytest.approx(figure(IN_TWO_YEARS).value)
+
+
+def test_a_zone_s_couriers_are_spread_over_what_is_left():
+    zone = {one.name: one.value for one in faults.zone_lost(IN_TWO_YEARS).figures}
+    assert zone["couriers a node meanwhile"] == pytest.approx(IN_TWO_YEARS.couriers_a_node)
+    assert zone["couriers gone"] == pytest.approx(IN_TWO_YEARS.couriers_a_zone)
+
+
+def test_the_ranking_is_worst_first_and_names_the_list():
+    rows = ranking.demands(IN_TWO_YEARS)
+    assert [row.factor for row in rows] == sorted((row.factor for row in rows), reverse=True)
+    assert ranking.first_to_fail(IN_TWO_YEARS).name == "control memory of a courier"
+
+
+def test_what_is_over_its_budget_says_what_fails():
+    for row in ranking.demands(IN_TWO_YEARS):
+        assert row.factor <= 1.0 or row.fails != ranking.Fails.NOTHING
+
+
+def test_subscriptions_bring_each_of_the_users_budgets_under_one():
+    for row in ranking.demands(IN_TWO_YEARS):
+        assert row.set_by != ranking.Budget.USERS or row.factor_subscribed < 1.0
