--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -9,6 +9,7 @@
 
 import click
 
+from calicopin.command.discovery_node import discovery_node
 from calicopin.configuration import check as checks
 from calicopin.configuration import compare, convert, pages, partners, write
 from calicopin.configuration.read import Unusable, read
@@ -60,6 +61,7 @@
     calicopin check courier.toml                 what is wrong with it, before the start
     calicopin run courier.toml                   a courier, until SIGTERM
     calicopin status courier.toml                what a running courier does
+    calicopin discovery-node --help              serves couriers the parts of the list that they use
 
     Values come from the file, what it includes before it, CALICOPIN_* variables over it (CALICOPIN_COURIER__SLOTS=30), and --set over
     those. Exit codes: 0 done, 1 something found, 2 something that cannot be read.
@@ -356,5 +358,8 @@
         click.echo("  ".join(word.ljust(width) for word, width in zip(row, widths)).rstrip())
 
 
+main.add_command(discovery_node)
+
+
 if __name__ == "__main__":
     main(prog_name="calicopin")
--- /dev/null
+++ b/calicopin/discovery_node/entry.py
@@ -0,0 +1,81 @@
+"""One line of the source: its header, or an entry in the list's own form, checked before anything is made of it."""
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+import msgspec
+
+from calicopin.subscription.messages import MOST_DESTINATION
+
+SOURCE_FORM = 1  # of the source's lines
+MOST_WORD = 256  # characters of an endpoint's id, address, kind or zone
+
+Word = Annotated[str, msgspec.Meta(min_length=1, max_length=MOST_WORD)]
+Label = Annotated[str, msgspec.Meta(max_length=MOST_WORD)]
+Weight = Annotated[float, msgspec.Meta(ge=0.0)]
+Destination = Annotated[int, msgspec.Meta(ge=0, le=MOST_DESTINATION)]
+
+
+class EntryError(ValueError):
+    """A line that cannot be read, with the place in it."""
+
+
+class Entry(msgspec.Struct, forbid_unknown_fields=True):
+    """One endpoint as the list tells it; `cell` is its destination."""
+
+    id: Word
+    addr: Word
+    cell: Destination
+    state: Literal["active", "leaving", "left"]
+    kind: Label = ""
+    zone: Label = ""
+    weight: Weight | None = None
+
+
+class Header(msgspec.Struct, forbid_unknown_fields=True):
+    """The first line: the form of the lines that follow, and the fleet whose list it is."""
+
+    form: int
+    fleet: Word
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """A line of the source, counted from 1: an entry with its bytes, or a fault."""
+
+    number: int
+    data: bytes
+    entry: Entry | None
+    fault: str = ""
+
+
+_entry = msgspec.json.Decoder(Entry)
+_header = msgspec.json.Decoder(Header)
+
+
+def decode_entry(data: bytes) -> Entry:
+    """Raises EntryError where the line is none."""
+    try:
+        return _entry.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        raise EntryError(str(fault)) from None
+
+
+def read_line(number: int, data: bytes) -> Line:
+    """The line as an entry, or with its fault."""
+    try:
+        return Line(number, data, decode_entry(data))
+    except EntryError as fault:
+        return Line(number, data, None, str(fault))
+
+
+def check_header(data: bytes, fleet: str) -> None:
+    """Raises EntryError where the header is none, of another fleet or of a form that is not known here."""
+    try:
+        header = _header.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as fault:
+        raise EntryError(f'the header is not {{"form":{SOURCE_FORM},"fleet":"..."}}: {fault}') from None
+    if header.form != SOURCE_FORM:
+        raise EntryError(f"form {header.form} is not form {SOURCE_FORM}, the only one known here")
+    if header.fleet != fleet:
+        raise EntryError(f"the list is of the fleet {header.fleet[:40]!r}, this node serves {fleet!r}")
--- /dev/null
+++ b/calicopin/discovery_node/node.py
@@ -0,0 +1,126 @@
+"""A discovery node from its settings: its parts put together, run until SIGTERM, or its source checked alone."""
+
+import os
+import resource
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from calicopin.boot.signals import SignalReader
+from calicopin.discovery_node.catalogue import Catalogue, Figures
+from calicopin.discovery_node.entry import Line
+from calicopin.discovery_node.server import NodeServer, ServerBounds
+from calicopin.discovery_node.source import Source, SourceError, open_source
+from calicopin.subscription.leases import LeaseBounds, LeaseTable
+from calicopin.system import HERE, System
+from calicopin.wire.loop import FOREVER, READ, Loop, Until
+
+SPARE_DESCRIPTORS = 64  # beside the connections: files, the log, those just being turned away
+
+
+class SettingsError(ValueError):
+    """A setting that the machine does not allow."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What the command line tells."""
+
+    source: str
+    host: str
+    port: int
+    fleet: str
+    node: str
+    leases: LeaseBounds = field(default_factory=LeaseBounds)
+    server: ServerBounds = field(default_factory=ServerBounds)
+
+
+@dataclass(frozen=True, slots=True)
+class SourceReport:
+    """What a check of a source found."""
+
+    figures: Figures
+    lines: int
+    faults: list[Line]
+    half_line: bool
+
+
+class Node:
+    """The parts of a node, put together on a loop."""
+
+    def __init__(self, settings: NodeSettings, system: System = HERE):
+        self.loop = Loop(system=system)
+        run = os.urandom(4).hex()  # no lease of an earlier run is one of this run
+        self.table = LeaseTable(settings.fleet, settings.node, run, settings.leases)
+        listener = system.listen(settings.host, settings.port)
+        self.server = NodeServer(self.loop, listener, self.table, settings.server)
+        self.source = Source(
+            self.loop, settings.source, settings.fleet, self.server.change, self.table.subscribed
+        )
+        self.server.source = self.source
+
+    def heed(self, signal_reader: SignalReader) -> None:
+        """SIGTERM and SIGINT end it."""
+        self.loop.spawn(self._heed(signal_reader), ahead=True)
+
+    def _heed(self, signal_reader: SignalReader) -> Iterator[Until]:
+        while not signal_reader.heard().intersection(SignalReader.STOPS):
+            yield Until(FOREVER, signal_reader.fd, READ)
+        logger.info("the node ends", event="stopping")
+        yield from self.server.stop()
+
+
+def raise_descriptor_limit(connections: int) -> None:
+    """As many descriptors as the connections take; SettingsError where the machine allows fewer."""
+    needed = connections + SPARE_DESCRIPTORS
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    unlimited = resource.RLIM_INFINITY
+    if hard != unlimited and hard < needed:
+        raise SettingsError(
+            f"--connections {connections}: this process may have {hard} descriptors, {needed} are needed"
+        )
+    if soft != unlimited and soft < needed:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (needed, hard))
+
+
+def serve(settings: NodeSettings, signal_reader: SignalReader) -> None:
+    """Runs a node until it is told to end; raises ValueError or OSError where it cannot start."""
+    raise_descriptor_limit(settings.server.connections)
+    open_source(settings.source, settings.fleet).close()  # before the address is taken
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
+    node = Node(settings)
+    node.heed(signal_reader)
+    HERE.settle()
+    logger.info(
+        "{node} listens on {host}:{port}",
+        event="listening",
+        node=settings.node,
+        host=settings.host,
+        port=settings.port,
+    )
+    node.loop.run()
+    logger.info("{node} stopped", event="stopped", node=settings.node)
+
+
+def check_source(path: str, fleet: str) -> SourceReport:
+    """Reads a source whole; raises SourceError where there is none for this fleet."""
+    file = open_source(path, fleet)
+    try:
+        if file.offset == 0:
+            raise SourceError(f"{path}:1: has no whole header yet")
+        catalogue, faults = Catalogue(file.size_at_open), []
+
+        def noted(lines: Iterator[Line]) -> Iterator[Line]:
+            for line in lines:
+                if line.entry is None:
+                    faults.append(line)
+                yield line
+
+        for _ in catalogue.load(noted(file.lines(file.size_at_open))):
+            pass
+        return SourceReport(catalogue.figures(), file.splitter.number, faults, file.splitter.is_waiting())
+    finally:
+        file.close()
--- /dev/null
+++ b/calicopin/discovery_node/server.py
@@ -0,0 +1,471 @@
+"""The discovery node on sockets: HTTP/1.1 with long polls, one process, one thread, one loop.
+
+Each connection is a coroutine. A request that has nothing to be told waits, and is answered at once when a change
+touches its lease. Every refusal is one typed message; what cannot be read any further ends its connection.
+"""
+
+import json
+import math
+import os
+import socket
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from urllib.parse import parse_qsl
+
+import h11
+from loguru import logger
+
+from calicopin.discovery_node.source import Source
+from calicopin.subscription.leases import LeaseTable, Tell, Wait
+from calicopin.subscription.messages import (
+    Grant,
+    MessageError,
+    Reason,
+    Refusal,
+    SubscribeRequest,
+    decode_request,
+    encode_answer,
+    encode_refusal,
+)
+from calicopin.wire.http import TOO_LONG, Line
+from calicopin.wire.loop import AGAIN, FOREVER, READ, Event, Loop, Until
+
+TARGETS = b"/api/targets"
+STATUS_PATH = b"/-/status"
+READY_PATH = b"/-/ready"
+PATIENCE = 2500.0  # ms for a whole request, and for its answer to be read
+LINGER = 300.0  # ms for a client to read its last answer
+EXPIRY = 500.0  # ms between two looks for leases that are over
+ENDING = 700.0  # ms that answers have to go out after SIGTERM
+ENDING_STEP = 10.0
+NOT_READY_RETRY = 1000.0  # ms
+TURNED_AWAY_RETRY = 1000.0
+REPEAT = 1000.0  # ms between two lines on requests turned away
+AT_ONCE = 32  # connections accepted in one pass
+BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
+BODY_BASE = 4096
+INDEX_DIGITS = 18
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBounds:
+    """Of connections and of the requests on them."""
+
+    connections: int = 8192
+    parked: int = 4096
+    idle_ms: float = 60_000.0  # a connection that says nothing so long between two requests is closed
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """What the query of a request says."""
+
+    index: int | None
+    wait: float
+
+
+@dataclass(slots=True)
+class Parked:
+    """A request that waits."""
+
+    event: Event
+    woken: bool = False
+    superseded: bool = False
+
+    def wake(self) -> None:
+        """It is to be answered now."""
+        self.woken = True
+        self.event.set()
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer's status and body; `last` ends the connection, `refusal` is why it is no other."""
+
+    status: int
+    body: bytes
+    refusal: Refusal | None = None
+    last: bool = False
+
+
+class Connection:
+    """One connection of a courier's."""
+
+    __slots__ = ("line", "task", "idle")
+
+    def __init__(self, line: Line):
+        self.line, self.task, self.idle = line, None, False
+
+
+def refused(refusal: Refusal, status: int = 0, last: bool = False) -> Reply:
+    """A refusal as an answer; `status` where none of its reason's own fits better."""
+    return Reply(status or refusal.status, encode_refusal(refusal), refusal, last)
+
+
+def unreadable(why: str, status: int = 400, last: bool = True) -> Reply:
+    """The answer to what cannot be read."""
+    return refused(Refusal(Reason.UNREADABLE, why), status, last)
+
+
+def resident_bytes() -> int:
+    """Of this process."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def read_poll(target: bytes, most_wait: float) -> Poll:
+    """The query of a request; raises MessageError."""
+    told = {}
+    for name, value in parse_qsl(target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True):
+        if name not in ("index", "wait"):
+            raise MessageError(f"query.{name[:40]}", "is an unknown field")
+        if not value.isascii() or not value.isdigit() or len(value) > INDEX_DIGITS:
+            raise MessageError(f"query.{name}", "is no whole number from 0 up")
+        told[name] = int(value)
+    return Poll(told.get("index"), min(float(told.get("wait", 0)), most_wait))
+
+
+class NodeServer:
+    """Accepts connections on `listener` and serves the leases of `table` from the source's catalogue."""
+
+    def __init__(self, loop: Loop, listener: socket.socket, table: LeaseTable, bounds: ServerBounds):
+        self.loop, self.listener, self.table, self.bounds = loop, listener, table, bounds
+        self.source: Source | None = None
+        self.most_body = BODY_BASE + BODY_PER_DESTINATION * table.bounds.destinations
+        self.most_wait = table.bounds.lease_ms / 2.0
+        self.connections: dict[Connection, None] = {}
+        self.parked: dict[str, Parked] = {}
+        self.refused: Counter[Reason] = Counter()
+        self.answers = self.changes_told = self.destinations_changed = 0
+        self.stopping = False
+        self._turned_away, self._told_at = 0, -FOREVER
+        self.accepting = loop.keep(self._accept)
+        loop.keep(self._expire)
+
+    def change(self, destinations: set[int]) -> None:
+        """These destinations are not as before: whoever holds them and waits is answered."""
+        self.destinations_changed += len(destinations)
+        for name in self.table.change(destinations):
+            self.changes_told += 1
+            self._wake(name)
+
+    def is_ready(self) -> bool:
+        """Whether subscriptions are served."""
+        return not self.stopping and self.source is not None and self.source.catalogue is not None
+
+    def stop(self) -> Iterator[Until]:
+        """Answers what waits and ends the loop, within a second."""
+        self.stopping = True
+        self.loop.cancel(self.accepting)
+        self.loop.close(self.listener)
+        for parked in self.parked.values():
+            parked.wake()
+        for connection in [each for each in self.connections if each.idle]:
+            self._hang_up(connection)
+        until = self.loop.now() + ENDING
+        while self.connections and self.loop.now() < until:
+            yield Until(self.loop.now() + ENDING_STEP)
+        self.loop.running = False
+
+    def status(self) -> dict:
+        """Figures for operators."""
+        source, catalogue = self.source, self.source.catalogue
+        figures = asdict(catalogue.figures()) if catalogue else {}
+        return {
+            "node": self.table.node,
+            "fleet": self.table.fleet,
+            "ready": self.is_ready(),
+            "version": self.table.version,
+            "leases": len(self.table),
+            "subscriptions": self.table.subscriptions,
+            "connections": len(self.connections),
+            "parked": len(self.parked),
+            **figures,
+            "answers": self.answers,
+            "destinations_changed": self.destinations_changed,
+            "changes_told": self.changes_told,
+            "leases_looked_at": self.table.work,
+            "refused": {reason.value: count for reason, count in sorted(self.refused.items())},
+            "source": {
+                "file": source.path,
+                "offset": source.offset,
+                "read_at": None if source.read_at is None else source.read_at / 1000.0,
+                "loads": source.loads,
+                "lines_passed_over": source.faults,
+            },
+            "cpu_seconds": time.process_time(),
+            "resident_bytes": resident_bytes(),
+        }
+
+    # Connections.
+
+    def _accept(self) -> Iterator[Until]:
+        while True:
+            try:
+                more = self._accept_some()
+            except OSError as fault:  # no descriptor left, or the client is gone
+                logger.warning("accept failed: {fault}", event="accept.failed", fault=fault)
+                yield Until(self.loop.now() + AGAIN)
+                continue
+            yield Until(self.loop.now()) if more else Until(FOREVER, self.listener.fileno(), READ)
+
+    def _accept_some(self) -> bool:
+        """Whether more may wait to be accepted."""
+        for _ in range(AT_ONCE):
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return False
+            self._admit(Line(self.loop, sock, h11.SERVER))
+        return True
+
+    def _admit(self, line: Line) -> None:
+        """Serves the connection; with no room left the one that is idle longest gives way, or this one is turned away."""
+        if len(self.connections) >= self.bounds.connections:
+            idle = next((each for each in self.connections if each.idle and each.line.quiet()), None)
+            if idle is not None:
+                self._hang_up(idle)
+        connection = Connection(line)
+        if len(self.connections) < self.bounds.connections:
+            self.connections[connection] = None
+            connection.task = self.loop.spawn(self._serve(connection))
+            return
+        self._turn_away(line)
+
+    def _turn_away(self, line: Line) -> None:
+        """Answers without having read: the connection gets no coroutine."""
+        refusal = Refusal(Reason.TOO_MANY, "no room for another connection", TURNED_AWAY_RETRY)
+        self._count(refusal)
+        body = encode_refusal(refusal)
+        head = f"HTTP/1.1 {refusal.status} X\r\nConnection: close\r\nRetry-After: 1\r\n"
+        try:
+            line.sock.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            line.sock.shutdown(socket.SHUT_WR)
+            line.sock.recv(self.most_body)  # over unread bytes the connection would be reset
+        except OSError:
+            pass
+        line.close()
+
+    def _hang_up(self, connection: Connection) -> None:
+        """Closed here too: a coroutine that was ended before its first step runs no part of its own."""
+        self.connections.pop(connection, None)
+        self.loop.cancel(connection.task)
+        connection.line.close()
+
+    def _serve(self, connection: Connection) -> Iterator[Until]:
+        line = connection.line
+        try:
+            more = True
+            while more:
+                more = yield from self._exchange(connection)
+                # one after the other: a client that never pauses does not hold up the rest
+                yield Until(self.loop.now())
+            if not line.ended and line.h11.our_state is not h11.IDLE:
+                yield from line.linger(self.loop.now() + LINGER)
+        finally:
+            self.connections.pop(connection, None)
+            line.close()
+
+    def _exchange(self, connection: Connection) -> Iterator[Until]:
+        """One request and its answer; False where the connection ends."""
+        line = connection.line
+        if not (yield from self._begins(connection)):
+            return False
+        until = self.loop.now() + PATIENCE
+        head = yield from line.event(until)
+        reply = self._unread_head(line, head)
+        if reply is None and isinstance(head, h11.Request):
+            reply = yield from self._hear(line, head, until)
+        if reply is None:
+            return False
+        return (yield from self._reply(line, reply))
+
+    def _begins(self, connection: Connection) -> Iterator[Until]:
+        """Whether a request comes; an idle connection that stays silent is closed."""
+        line = connection.line
+        if self.stopping:
+            return False
+        if line.unread() or line.peek() is not None:
+            return not line.left() or bool(line.unread())
+        connection.idle = True
+        del self.connections[connection]  # the one idle longest comes first
+        self.connections[connection] = None
+        came = yield Until(self.loop.now() + self.bounds.idle_ms, line.sock.fileno(), READ)
+        connection.idle = False
+        return came
+
+    @staticmethod
+    def _unread_head(line: Line, head) -> Reply | None:
+        """The answer where a request's head did not come or cannot be read."""
+        if head is None and line.unread():
+            return unreadable("a head that does not come", 408)
+        if isinstance(head, h11.RemoteProtocolError):
+            return unreadable(str(head), head.error_status_hint or 400)
+        return None
+
+    def _hear(self, line: Line, head: h11.Request, until: float) -> Iterator[Until]:
+        """The request's body, and the answer to it; None where nobody is there to hear one."""
+        lengths = dict(head.headers)
+        if b"content-length" in lengths and b"transfer-encoding" in lengths:
+            return unreadable("both Content-Length and Transfer-Encoding")
+        if int(lengths.get(b"content-length", 0)) > self.most_body:
+            return self._too_large()
+        body = yield from line.body(self.most_body, until)
+        if body is TOO_LONG:
+            return self._too_large()
+        if body is None:
+            if line.ended:
+                return None
+            if self.loop.now() >= until:
+                return unreadable("a body that does not come", 408)
+            return unreadable("a body that cannot be read")
+        return (yield from self._route(line, head, body))
+
+    def _too_large(self) -> Reply:
+        return refused(Refusal(Reason.TOO_LARGE, f"a body over {self.most_body} bytes"), last=True)
+
+    def _route(self, line: Line, head: h11.Request, body: bytes) -> Iterator[Until]:
+        path = head.target.partition(b"?")[0]
+        methods = {TARGETS: b"POST", STATUS_PATH: b"GET", READY_PATH: b"GET"}
+        if path not in methods:
+            return unreadable(f"no path {path[:60].decode('latin-1')}", 404, last=False)
+        if head.method != methods[path]:
+            return unreadable(f"{path.decode()} takes {methods[path].decode()}", 405, last=False)
+        if path == STATUS_PATH:
+            return Reply(200, json.dumps(self.status()).encode())
+        if not self.is_ready():
+            return self._not_ready()
+        if path == READY_PATH:
+            return Reply(200, b"")
+        return (yield from self._subscribe(line, head.target, body))
+
+    # Subscriptions.
+
+    def _subscribe(self, line: Line, target: bytes, body: bytes) -> Iterator[Until]:
+        try:
+            poll = read_poll(target, self.most_wait)
+            request = decode_request(body)
+        except MessageError as fault:
+            return unreadable(str(fault), last=False)
+        if line.left():  # nobody would hear the answer, and it would count as told
+            return None
+        return (yield from self._decide(line, request, poll))
+
+    def _decide(self, line: Line, request: SubscribeRequest, poll: Poll) -> Iterator[Until]:
+        if request.lease in self.parked:
+            self._supersede(request.lease)
+        decision = self.table.request(self.loop.now(), request, poll.index)
+        self._release_ended()
+        if isinstance(decision, Wait):
+            return (yield from self._park(line, decision.lease, poll.wait))
+        return self._answer(decision)
+
+    def _park(self, line: Line, lease: str, wait: float) -> Iterator[Until]:
+        """Waits for a change of the lease; None where the client has left meanwhile."""
+        if wait > 0.0 and len(self.parked) >= self.bounds.parked:
+            why = "no room for another request that waits"
+            return refused(Refusal(Reason.TOO_MANY, why, TURNED_AWAY_RETRY))
+        parked = self.parked[lease] = Parked(Event(self.loop))
+        try:
+            heard = yield from self._wait_parked(line, parked, self.loop.now() + wait)
+        finally:
+            if self.parked.get(lease) is parked:
+                del self.parked[lease]
+        if not heard:
+            return None
+        if self.stopping:
+            return self._not_ready()
+        return self._answer(self.table.idle(lease) if parked.superseded else self.table.tell(lease))
+
+    def _wait_parked(self, line: Line, parked: Parked, until: float) -> Iterator[Until]:
+        """Until it is woken or its time is up; False where the client has left before."""
+        watched = line.sock.fileno()
+        while not parked.woken:
+            if not (yield Until(until, watched, READ, parked.event)):
+                break
+            if not parked.woken and line.left():
+                return False
+            watched = -1  # the next request lies there already: its turn comes after this answer
+        return True
+
+    def _wake(self, lease: str) -> None:
+        parked = self.parked.get(lease)
+        if parked is not None:
+            parked.wake()
+
+    def _supersede(self, lease: str) -> None:
+        """Another request of the same lease has come: the one that waits is most likely lost."""
+        parked = self.parked.pop(lease)
+        parked.superseded = True
+        parked.wake()
+
+    def _release_ended(self) -> None:
+        for lease in self.table.take_ended():
+            self._wake(lease)
+
+    def _expire(self) -> Iterator[Until]:
+        while True:
+            yield Until(self.loop.now() + EXPIRY)
+            self.table.expire(self.loop.now())
+            self._release_ended()
+
+    def _answer(self, decision: Tell | Refusal) -> Reply:
+        if isinstance(decision, Refusal):
+            return refused(decision)
+        servers, complete, unknown = [], [], []
+        for destination in decision.destinations:
+            entries = self.source.catalogue.entries(destination)
+            (complete if entries else unknown).append(destination)
+            servers += entries
+        bounds = self.table.bounds
+        grant = Grant(
+            fleet=self.table.fleet,
+            node=self.table.node,
+            lease=decision.lease,
+            sequence=decision.sequence,
+            lease_ms=bounds.lease_ms,
+            complete=tuple(complete),
+            unknown=tuple(unknown),
+        )
+        self.answers += 1
+        return Reply(200, encode_answer(decision.full, decision.version, servers, grant))
+
+    def _not_ready(self) -> Reply:
+        why = "the node ends" if self.stopping else "the node has not read its list yet"
+        return refused(Refusal(Reason.NOT_READY, why, NOT_READY_RETRY), last=self.stopping)
+
+    # Answers.
+
+    def _reply(self, line: Line, reply: Reply) -> Iterator[Until]:
+        """Whether the connection may serve another request."""
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(reply.body)))]
+        if reply.refusal:
+            self._count(reply.refusal)
+            if reply.refusal.retry_ms:
+                headers.append(("Retry-After", str(math.ceil(reply.refusal.retry_ms / 1000.0))))
+        if reply.last or self.stopping:
+            headers.append(("Connection", "close"))
+        try:
+            data = line.encode(h11.Response(status_code=reply.status, headers=headers), reply.body)
+        except h11.LocalProtocolError:  # it spoke no HTTP, or is gone
+            return False
+        done = yield from line.write(data, self.loop.now() + PATIENCE)
+        return done == len(data) and line.again()
+
+    def _count(self, refusal: Refusal) -> None:
+        """One line a second at the most: those that come at full speed are counted."""
+        self.refused[refusal.reason] += 1
+        self._turned_away += 1
+        now = self.loop.now()
+        if now < self._told_at + REPEAT:
+            return
+        logger.warning(
+            "{requests} requests refused, the last as {reason}: {why}",
+            event="refused",
+            requests=self._turned_away,
+            reason=refusal.reason.value,
+            why=refusal.message,
+        )
+        self._turned_away, self._told_at = 0, now
--- /dev/null
+++ b/tests/test_discovery_node.py
@@ -0,0 +1,1015 @@
+"""The discovery node: its catalogue, its source in a file that grows, is damaged or replaced, and whole nodes on loopback."""
+
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+
+import pytest
+from click.testing import CliRunner
+from helper import Clock, Peer, free_address, spin
+
+from calicopin.command.__main__ import main
+from calicopin.discovery_node.catalogue import Catalogue
+from calicopin.discovery_node.entry import Line, decode_entry, read_line
+from calicopin.discovery_node.node import check_source
+from calicopin.discovery_node.server import NodeServer, ServerBounds
+from calicopin.discovery_node.source import LOOK, MOST_LINE, MOST_TOLD, LineSplitter, Source, SourceError
+from calicopin.subscription.leases import LeaseBounds, LeaseTable
+from calicopin.subscription.messages import (
+    Reason,
+    SubscribeRequest,
+    decode_answer,
+    decode_refusal,
+    encode_request,
+)
+from calicopin.system import HERE
+from calicopin.wire.loop import Loop
+
+HEADER = b'{"form":1,"fleet":"fleet"}\n'
+
+
+def entry(ident, cell, state="active", addr="10.0.0.1:80"):
+    told = {
+        "id": ident,
+        "addr": addr,
+        "cell": cell,
+        "kind": "web",
+        "zone": "a",
+        "state": state,
+        "weight": 1.0,
+    }
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def log(*entries):
+    return HEADER + b"".join(line + b"\n" for line in entries)
+
+
+def numbered(entries):
+    return [read_line(number, data) for number, data in enumerate(entries, 2)]
+
+
+def loaded(*entries):
+    catalogue = Catalogue()
+    for _ in catalogue.load(numbered(entries)):
+        pass
+    return catalogue
+
+
+def applied(catalogue, data):
+    return catalogue.apply(decode_entry(data), data)
+
+
+# The catalogue.
+
+
+def test_a_loaded_entry_comes_back_as_the_bytes_that_were_read():
+    catalogue = loaded(entry("a", 1), entry("b", 2), entry("c", 1))
+    assert sorted(catalogue.entries(1)) == [entry("a", 1), entry("c", 1)]
+    assert catalogue.entries(2) == (entry("b", 2),) and catalogue.entries(3) == ()
+    assert (catalogue.destinations, catalogue.endpoints) == (2, 3)
+
+
+def test_a_later_line_of_a_load_replaces_moves_or_removes():
+    catalogue = loaded(
+        entry("a", 1),
+        entry("b", 1),
+        entry("c", 2),
+        entry("a", 1, "leaving"),
+        entry("b", 3),
+        entry("c", 2, "left"),
+        entry("never", 9, "left"),
+    )
+    assert catalogue.entries(1) == (entry("a", 1, "leaving"),)
+    assert catalogue.entries(3) == (entry("b", 3),) and catalogue.entries(2) == ()
+    assert (catalogue.destinations, catalogue.endpoints) == (2, 2)
+
+
+def test_a_change_names_the_destinations_that_are_not_as_before():
+    catalogue = loaded(entry("a", 1), entry("b", 1))
+    assert applied(catalogue, entry("a", 1)) == set()
+    assert applied(catalogue, entry("a", 1, "leaving")) == {1}
+    assert applied(catalogue, entry("a", 2)) == {1, 2}
+    assert applied(catalogue, entry("b", 1, "left")) == {1}
+    assert applied(catalogue, entry("b", 1, "left")) == set()
+    assert catalogue.entries(1) == () and catalogue.entries(2) == (entry("a", 2),)
+    assert (catalogue.destinations, catalogue.endpoints) == (1, 1)
+    assert applied(catalogue, entry("b", 1)) == {1}
+    assert catalogue.destinations == 2
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_load_and_changes_agree_with_a_plain_map(seed):
+    rng = random.Random(seed)
+    lines = [
+        entry(f"s-{rng.randrange(400)}", rng.randrange(300), rng.choice(("active", "leaving", "left")))
+        for _ in range(4000)
+    ]
+    plain = {}
+    cut = rng.randrange(len(lines))
+    catalogue = loaded(*lines[:cut])
+    for data in lines[cut:]:
+        applied(catalogue, data)
+    for data in lines:
+        told = decode_entry(data)
+        plain.pop(told.id, None)
+        if told.state != "left":
+            plain[told.id] = (told.cell, data)
+    for destination in range(300):
+        mine = sorted(data for cell, data in plain.values() if cell == destination)
+        assert sorted(catalogue.entries(destination)) == mine
+    assert catalogue.endpoints == len(plain)
+    assert catalogue.destinations == len({cell for cell, _ in plain.values()})
+
+
+def test_the_work_of_a_change_does_not_grow_with_the_destinations_known():
+    work = {}
+    for known in (1_000, 10_000, 100_000):
+        catalogue = loaded(*(entry(f"s-{number}", number * 16) for number in range(known)))
+        before = catalogue.work
+        for number in range(500):
+            assert applied(catalogue, entry(f"s-{number}", number * 16, "leaving")) == {number * 16}
+            assert len(catalogue.entries(number * 16)) == 1
+        work[known] = catalogue.work - before
+    assert max(work.values()) <= min(work.values()) + 10, work
+
+
+# The source.
+
+
+class Heard:
+    """What a source told."""
+
+    def __init__(self):
+        self.changed = []
+
+    def take(self, destinations):
+        self.changed.append(set(destinations))
+
+    def all(self):
+        told, self.changed = set().union(*self.changed), []
+        return told
+
+
+class Following:
+    """A source on a file of the test's, in a loop whose clock the test moves."""
+
+    def __init__(self, path, subscribed=()):
+        self.path, self.heard, self.loop = path, Heard(), Loop(now=Clock())
+        self.source = Source(self.loop, str(path), "fleet", self.heard.take, lambda: list(subscribed))
+        self.look()
+
+    def look(self):
+        """As long as the next look takes."""
+        looks = self.source.looks
+        self.loop.now.now += LOOK
+        spin(self.loop, lambda: self.source.looks > looks)
+
+    def append(self, data):
+        with open(self.path, "ab") as file:
+            file.write(data)
+        self.look()
+
+    def replace(self, data):
+        beside = self.path.with_suffix(".new")
+        beside.write_bytes(data)
+        os.replace(beside, self.path)
+        self.look()
+
+    def entries(self, destination):
+        return self.source.catalogue.entries(destination)
+
+
+@pytest.fixture
+def path(tmp_path):
+    return tmp_path / "list.log"
+
+
+@pytest.fixture
+def lines(caplog):
+    """What the log said."""
+    from loguru import logger
+
+    said = []
+    number = logger.add(lambda message: said.append(message.record["message"]), level="INFO")
+    yield said
+    logger.remove(number)
+
+
+def test_a_source_is_loaded_and_followed(path):
+    path.write_bytes(log(entry("a", 1), entry("b", 2)))
+    following = Following(path)
+    assert following.heard.all() == set() and following.entries(1) == (entry("a", 1),)
+    following.append(entry("a", 1, "leaving") + b"\n" + entry("c", 3) + b"\n")
+    assert following.heard.all() == {1, 3} and following.entries(3) == (entry("c", 3),)
+    assert following.source.offset == path.stat().st_size
+
+
+def test_only_appended_bytes_are_read(path, monkeypatch):
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(5000))))
+    following = Following(path)
+    read, pread = [], os.pread
+
+    def counted(descriptor, size, offset):
+        data = pread(descriptor, size, offset)
+        read.append(len(data))
+        return data
+
+    monkeypatch.setattr(os, "pread", counted)
+    following.append(entry("a", 1) + b"\n")
+    following.look()
+    assert sum(read) == len(entry("a", 1)) + 1
+
+
+def test_a_half_line_waits_for_its_rest(path):
+    path.write_bytes(log(entry("a", 1)) + entry("b", 2)[:20])
+    following = Following(path)
+    assert following.entries(2) == ()
+    following.append(entry("b", 2)[20:])
+    assert following.heard.all() == set()
+    following.append(b"\n" + entry("c", 3)[:1])
+    assert following.heard.all() == {2}
+    following.append(entry("c", 3)[1:] + b"\n")
+    assert following.heard.all() == {3} and following.source.faults == 0
+
+
+@pytest.mark.parametrize(
+    "damaged",
+    [
+        b"{",
+        b"",
+        b"\xff\xfe",
+        b"[1]",
+        entry("b", 2)[:-9],
+        entry("", 2),
+        entry("b", -1),
+        entry("b", 10**9),
+        entry("b", 2, "gone"),
+        entry("b", 2).replace(b'"zone"', b'"more"'),
+        entry("b", 2).replace(b"1.0", b"NaN"),
+        entry("b", "2"),
+        b"[" * 100_000,
+        b'"' + b"x" * (3 * MOST_LINE) + b'"',
+    ],
+)
+def test_a_line_that_cannot_be_read_is_passed_over_and_told_once(path, lines, damaged):
+    path.write_bytes(log(entry("a", 1), damaged, entry("c", 3)))
+    following = Following(path)
+    assert following.entries(1) and following.entries(3) and not following.entries(2)
+    following.append(damaged + b"\n" + entry("a", 1, "leaving") + b"\n")
+    assert following.heard.all() == {1} and following.source.faults == 2
+    told = [line for line in lines if "passed over" in line]
+    assert [line.split(": passed over")[0] for line in told] == [f"{path}:3", f"{path}:5"]
+
+
+def test_many_faults_are_told_as_a_count(path, lines):
+    path.write_bytes(log(*([b"{"] * 100), entry("a", 1)))
+    following = Following(path)
+    assert following.entries(1)
+    told = [line for line in lines if "passed over" in line]
+    assert len(told) == MOST_TOLD + 1 and "100 lines in all" in told[-1]
+
+
+def test_a_replaced_file_is_read_whole_and_only_differences_are_told(path):
+    path.write_bytes(log(entry("a", 1), entry("b", 2), entry("c", 3)))
+    following = Following(path, subscribed=(1, 2, 3, 4))
+    following.append(entry("c", 3, "left") + b"\n")
+    following.heard.all()
+    following.replace(log(entry("a", 1), entry("b", 2, "leaving"), entry("d", 4), entry("e", 5)))
+    assert following.heard.all() == {2, 4}
+    following.append(entry("a", 1, "left") + b"\n")
+    assert following.heard.all() == {1}
+
+
+def test_a_shorter_file_is_read_whole(path):
+    path.write_bytes(log(entry("a", 1), entry("b", 2)))
+    following = Following(path, subscribed=(1, 2))
+    path.write_bytes(log(entry("b", 2)))
+    following.look()
+    assert following.heard.all() == {1} and following.entries(1) == ()
+
+
+@pytest.mark.parametrize(
+    "content, why",
+    [
+        (b'{"form":2,"fleet":"fleet"}\n' + entry("a", 9) + b"\n", "form 2 is not form 1"),
+        (b'{"form":1,"fleet":"other"}\n' + entry("a", 9) + b"\n", "the fleet 'other'"),
+        (b'{"form":1,"fleet":"fleet","more":1}\n' + entry("a", 9) + b"\n", "more"),
+        (entry("a", 9) + b"\n", "the header is not"),
+        (b"", "waits for its header"),
+        (b'{"form":1', "waits for its header"),
+        (HEADER, "holds no endpoint"),
+        (HEADER + b"{\n", "holds no endpoint"),
+    ],
+)
+def test_a_replaced_file_that_cannot_be_used_changes_nothing(path, lines, content, why):
+    path.write_bytes(log(entry("a", 1)))
+    following = Following(path, subscribed=(1,))
+    following.replace(content)
+    following.look()
+    following.look()
+    assert following.entries(1) and following.heard.all() == set()
+    assert len([line for line in lines if why in line]) == 1
+    following.append(b"more of it" * 100)  # longer than the last good one: still not to be followed
+    assert following.entries(1) and following.heard.all() == set()
+    following.replace(log(entry("a", 1, "leaving")))
+    assert following.heard.all() == {1}
+
+
+def test_a_file_that_is_gone_changes_nothing_and_is_taken_when_it_is_back(path, lines):
+    path.write_bytes(log(entry("a", 1)))
+    following = Following(path, subscribed=(1,))
+    path.unlink()
+    following.look()
+    following.look()
+    assert following.entries(1) and len([line for line in lines if "No such file" in line]) == 1
+    path.write_bytes(log(entry("a", 1, "leaving")))
+    following.look()
+    assert following.heard.all() == {1}
+
+
+def test_a_source_whose_header_is_not_there_yet_is_waited_for(path):
+    path.write_bytes(HEADER[:10])
+    following = Following(path)
+    assert following.source.catalogue is None
+    following.append(HEADER[10:] + entry("a", 1) + b"\n")
+    assert following.entries(1)
+
+
+@pytest.mark.parametrize(
+    "content", [b'{"form":2,"fleet":"fleet"}\n', b'{"form":1,"fleet":"x"}\n', b"x\n", None]
+)
+def test_a_source_that_cannot_be_used_refuses_the_start(path, content):
+    if content is not None:
+        path.write_bytes(content)
+    with pytest.raises(SourceError, match=str(path)):
+        Following(path)
+
+
+def test_lines_come_whole_however_they_are_cut():
+    data = b"".join(
+        line + b"\n" for line in (entry("a", 1), b"x" * (MOST_LINE + 1), entry("b", 2), b"{", b"")
+    )
+    whole = list(LineSplitter().feed(data))
+    assert [line.number for line in whole] == [1, 2, 3, 4, 5]
+    assert [line.entry is None for line in whole] == [False, True, False, True, True]
+    for step in (1, 7, 1000):
+        splitter = LineSplitter()
+        cut = [line for at in range(0, len(data), step) for line in splitter.feed(data[at : at + step])]
+        assert cut == whole and not splitter.is_waiting()
+
+
+def test_requests_are_served_in_the_middle_of_a_load(path):
+    """Each piece of a long read ends its pass of the loop: here the clock moves on with every look at it."""
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(5000))))
+
+    class Running(Clock):
+        def __call__(self):
+            self.now += 0.5
+            return self.now
+
+    loop, heard = Loop(now=Running()), Heard()
+    source = Source(loop, str(path), "fleet", heard.take, list)
+    passes = 0
+    while source.catalogue is None:
+        loop.once(loop.now())
+        passes += 1
+        assert passes < 4000
+    assert passes > 3 and source.catalogue.endpoints == 5000
+
+
+def test_a_check_tells_counts_and_faults(path):
+    path.write_bytes(log(entry("a", 1), b"{", entry("b", 1)) + b'{"id"')
+    found = check_source(str(path), "fleet")
+    assert (found.figures.destinations, found.figures.endpoints, found.lines) == (1, 2, 4)
+    assert [fault.number for fault in found.faults] == [3] and found.half_line
+
+
+# The node on loopback, in the test's own loop.
+
+
+@dataclass
+class Heads:
+    """One answer as it came."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+
+class Courier:
+    """A scripted client on a raw socket."""
+
+    def __init__(self, node, name="c-1"):
+        self.node, self.name = node, name
+        sock = socket.create_connection(("127.0.0.1", node.port))
+        self.peer, self.lease, self.sequence, self.version = Peer(node.loop, sock), None, 0, None
+
+    def body(self, subscribe=(), unsubscribe=(), fleet="fleet"):
+        return encode_request(
+            SubscribeRequest(
+                fleet, self.name, self.lease, self.sequence, tuple(subscribe), tuple(unsubscribe)
+            )
+        )
+
+    def send(self, body, query=""):
+        head = f"POST /api/targets{query} HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.peer.say(head.encode() + body)
+
+    def answer(self):
+        """The next answer on the connection."""
+        spin(self.node.loop, lambda: self.whole() is not None)
+        answer, self.peer.heard = self.whole()
+        return answer
+
+    def whole(self):
+        head, found, rest = self.peer.hear().partition(b"\r\n\r\n")
+        if not found:
+            return None
+        first, *fields = head.decode().split("\r\n")
+        headers = {
+            name.lower(): value.strip() for name, _, value in (field.partition(":") for field in fields)
+        }
+        length = int(headers["content-length"])
+        if len(rest) < length:
+            return None
+        return Heads(int(first.split()[1]), headers, rest[:length]), rest[length:]
+
+    def subscribe(self, *destinations):
+        """A new lease; its answer."""
+        self.lease, self.sequence = None, 0
+        self.send(self.body(destinations))
+        return self.told()
+
+    def told(self):
+        answer = self.answer()
+        assert answer.status == 200, answer
+        told = decode_answer(answer.body)
+        self.lease, self.sequence, self.version = told.grant.lease, told.grant.sequence, told.version
+        return told
+
+    def poll(self, wait=10_000, **change):
+        self.sequence += bool(change)
+        self.send(self.body(**change), f"?index={self.version}&wait={wait}")
+
+    def refusal(self):
+        answer = self.answer()
+        refusal = decode_refusal(answer.body)
+        assert refusal.status == answer.status
+        return refusal
+
+
+class OwnNode:
+    """A node in the test's own loop, whose clock the test moves."""
+
+    def __init__(self, path, leases=None, server=None):
+        self.path, self.loop = path, Loop(now=Clock())
+        self.table = LeaseTable("fleet", "n1", "run", leases or LeaseBounds())
+        listener = HERE.listen("127.0.0.1", 0)
+        self.port = listener.getsockname()[1]
+        self.server = NodeServer(self.loop, listener, self.table, server or ServerBounds())
+        self.source = Source(self.loop, str(path), "fleet", self.server.change, self.table.subscribed)
+        self.server.source = self.source
+
+    def ready(self):
+        spin(self.loop, self.server.is_ready)
+        return self
+
+    def after(self, milliseconds):
+        self.loop.now.now += milliseconds
+        for _ in range(3):
+            self.loop.once(self.loop.now())
+
+    def append(self, *entries):
+        with open(self.path, "ab") as file:
+            file.write(b"".join(line + b"\n" for line in entries))
+        looks = self.source.looks
+        self.loop.now.now += LOOK
+        spin(self.loop, lambda: self.source.looks > looks)
+
+    def parks(self, count):
+        spin(self.loop, lambda: len(self.server.parked) == count)
+
+
+@pytest.fixture
+def node(path):
+    path.write_bytes(log(entry("a", 1), entry("b", 1), entry("c", 2), entry("d", 3)))
+    return OwnNode(path).ready()
+
+
+def idents(told):
+    return sorted(server["id"] for server in told.servers)
+
+
+def test_a_new_lease_has_its_set_whole_with_what_does_not_exist(node):
+    told = Courier(node).subscribe(1, 2, 77)
+    assert told.full and idents(told) == ["a", "b", "c"]
+    assert (told.grant.complete, told.grant.unknown) == ((1, 2), (77,))
+    assert (told.grant.fleet, told.grant.node, told.grant.lease_ms) == ("fleet", "n1", 30000.0)
+
+
+def test_a_change_is_told_to_the_request_that_waits_and_to_no_other(node):
+    mine, other = Courier(node, "c-1"), Courier(node, "c-2")
+    mine.subscribe(1, 2)
+    other.subscribe(3)
+    mine.poll()
+    other.poll()
+    node.parks(2)
+    node.append(entry("a", 1, "leaving"))
+    told = mine.told()
+    assert not told.full and told.grant.complete == (1,) and idents(told) == ["a", "b"]
+    assert {server["id"]: server["state"] for server in told.servers}["a"] == "leaving"
+    assert len(node.server.parked) == 1 and other.whole() is None
+
+
+def test_a_destination_whose_every_endpoint_left_is_unknown_and_may_come_back(node):
+    courier = Courier(node)
+    courier.subscribe(1, 2, 77)
+    courier.poll()
+    node.parks(1)
+    node.append(entry("a", 1, "left"))
+    told = courier.told()
+    assert told.grant.complete == (1,) and idents(told) == ["b"]
+    courier.poll()
+    node.parks(1)
+    node.append(entry("b", 1, "left"))
+    told = courier.told()
+    assert (told.grant.complete, told.grant.unknown, told.servers) == ((), (1,), ())
+    courier.poll()
+    node.parks(1)
+    node.append(entry("e", 77))
+    assert courier.told().grant.complete == (77,)
+
+
+def test_a_subscription_more_is_answered_at_once(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll(subscribe=[3, 99], unsubscribe=[1])
+    told = courier.told()
+    assert not told.full and (told.grant.complete, told.grant.unknown, told.grant.sequence) == (
+        (3,),
+        (99,),
+        1,
+    )
+
+
+def test_a_request_waits_its_time_and_is_then_told_nothing(node):
+    courier = Courier(node)
+    first = courier.subscribe(1)
+    courier.poll(wait=2000)
+    node.parks(1)
+    node.after(1999.0)
+    assert courier.whole() is None
+    node.after(1.0)
+    told = courier.told()
+    assert (told.full, told.version, told.servers, told.grant.complete) == (False, first.version, (), ())
+
+
+def test_without_a_wait_the_answer_comes_at_once(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll(wait=0)
+    assert courier.told().servers == ()
+
+
+def test_a_gap_brings_the_set_whole(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.version = 4711
+    courier.poll()
+    told = courier.told()
+    assert told.full and idents(told) == ["a", "b"]
+
+
+def test_an_answer_that_its_courier_never_read_is_told_again(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll()
+    node.parks(1)
+    courier.peer.sock.close()
+    node.append(entry("a", 1, "leaving"))
+    back = Courier(node)
+    back.lease, back.version = courier.lease, courier.version
+    back.poll()
+    assert back.told().grant.complete == (1,)
+
+
+def test_a_waiting_request_whose_client_leaves_is_forgotten(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll()
+    node.parks(1)
+    courier.peer.sock.close()
+    spin(node.loop, lambda: not node.server.connections)
+    assert not node.server.parked
+
+
+def test_a_second_request_of_a_lease_takes_the_firsts_place(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll()
+    node.parks(1)
+    second = Courier(node)
+    second.lease, second.version = courier.lease, courier.version
+    second.poll()
+    assert courier.told().servers == ()
+    node.parks(1)
+    node.append(entry("a", 1, "leaving"))
+    assert second.told().grant.complete == (1,)
+
+
+def test_a_new_lease_of_the_same_courier_ends_the_request_that_waits(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll()
+    node.parks(1)
+    Courier(node).subscribe(2)
+    assert courier.refusal().reason is Reason.LEASE_OVER
+
+
+def test_a_lease_that_is_over_is_refused(path, node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    node.after(30_000.0)
+    assert len(node.table) == 0
+    courier.poll()
+    assert courier.refusal().reason is Reason.LEASE_OVER
+    assert courier.subscribe(1).full
+
+
+def test_a_courier_of_another_fleet_is_refused(node):
+    courier = Courier(node)
+    courier.send(courier.body(fleet="other"))
+    assert courier.refusal().reason is Reason.OTHER_FLEET
+
+
+def test_a_courier_that_asks_too_often_hears_when_to_come_again(path, node):
+    node.table.bounds = LeaseBounds(requests_per_second=0.5, burst=1.0)
+    courier = Courier(node)
+    courier.subscribe(1)
+    for _ in range(120):
+        courier.poll(wait=0)
+        answer = courier.answer()
+        if answer.status != 200:
+            break
+    assert answer.status == 429 and answer.headers["retry-after"] == "2"
+    assert decode_refusal(answer.body).retry_ms == 2000.0
+
+
+def test_a_set_over_the_bound_is_refused(path):
+    path.write_bytes(log(entry("a", 1)))
+    node = OwnNode(path, LeaseBounds(destinations=3)).ready()
+    courier = Courier(node)
+    courier.send(courier.body((1, 2, 3, 4)))
+    assert courier.refusal().reason is Reason.TOO_LARGE
+    assert courier.subscribe(1, 2, 3).full
+
+
+@pytest.mark.parametrize(
+    "query, body, place",
+    [
+        ("", b"{", "body"),
+        ("", b"", "body"),
+        ("", b'{"subscription":{"form":2}}', "subscription.form"),
+        ("", b'{"subscription":{"form":1,"more":2}}', "subscription.more"),
+        ("?index=x", None, "query.index"),
+        ("?index=-1", None, "query.index"),
+        ("?index=" + "9" * 19, None, "query.index"),
+        ("?wait=1.5", None, "query.wait"),
+        ("?other=1", None, "query.other"),
+    ],
+)
+def test_what_cannot_be_read_is_named_by_its_place_and_the_connection_serves_on(node, query, body, place):
+    courier = Courier(node)
+    courier.send(courier.body((1,)) if body is None else body, query)
+    refusal = courier.refusal()
+    assert refusal.reason is Reason.UNREADABLE and refusal.message.startswith(f"{place}: ")
+    assert courier.subscribe(1).full
+
+
+@pytest.mark.parametrize(
+    "request_, status",
+    [
+        (b"BROKEN\r\n\r\n", 400),
+        (b"GET /api/targets HTTP/1.1\r\nHost: n\r\n\r\n", 405),
+        (b"GET /nothing HTTP/1.1\r\nHost: n\r\n\r\n", 404),
+        (b"POST /api/targets HTTP/1.1\r\nHost: n\r\nContent-Length: 99999999\r\n\r\n", 413),
+        (b"POST /api/targets HTTP/1.1\r\nHost: n\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (
+            b"POST /api/targets HTTP/1.1\r\nHost: n\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+        (b"POST /api/targets HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 400),
+        (b"GET / HTTP/1.1\r\nHost: n\r\nX: " + b"x" * 200_000, 431),
+    ],
+)
+def test_a_request_that_is_none_gets_one_typed_refusal(node, request_, status):
+    courier = Courier(node)
+    courier.peer.say(request_)
+    answer = courier.answer()
+    assert answer.status == status and decode_refusal(answer.body).message
+
+
+def test_a_body_without_a_length_is_bounded_too(path):
+    path.write_bytes(log(entry("a", 1)))
+    node = OwnNode(path, LeaseBounds(destinations=10)).ready()
+    courier = Courier(node)
+    courier.peer.say(b"POST /api/targets HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n")
+    courier.peer.say(b"2000\r\n" + b" " * 0x2000 + b"\r\n")
+    assert courier.refusal().reason is Reason.TOO_LARGE
+    courier.peer.wait_end()
+
+
+def test_pipelined_requests_are_answered_in_their_order(node):
+    courier = Courier(node)
+    courier.send(courier.body((1,)))
+    courier.send(b"{")
+    courier.peer.say(b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert courier.answer().status == 200
+    assert courier.refusal().reason is Reason.UNREADABLE
+    assert courier.answer().status == 200
+
+
+def test_a_request_behind_one_that_waits_is_answered_after_it(node):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll(wait=1000)
+    node.parks(1)
+    courier.peer.say(b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    node.after(10.0)
+    assert courier.whole() is None
+    node.append(entry("a", 1, "leaving"))
+    assert courier.told().grant.complete == (1,)
+    assert courier.answer().status == 200
+
+
+def test_clients_that_go_silent_are_closed(path):
+    path.write_bytes(log(entry("a", 1)))
+    node = OwnNode(path, server=ServerBounds(idle_ms=5000.0)).ready()
+    silent, half_head, half_body = Courier(node), Courier(node), Courier(node)
+    half_head.peer.say(b"POST /api/tar")
+    half_body.peer.say(b"POST /api/targets HTTP/1.1\r\nHost: n\r\nContent-Length: 5\r\n\r\n{")
+    spin(node.loop, lambda: len(node.server.connections) == 3)
+    node.after(1.0)
+    node.after(2500.0)
+    for courier in (half_head, half_body):
+        assert courier.answer().status == 408
+        courier.peer.sock.close()
+    node.after(5000.0)
+    silent.peer.wait_end()
+    spin(node.loop, lambda: not node.server.connections)
+
+
+def test_with_no_room_left_the_idle_give_way_and_waiting_ones_stay(path):
+    path.write_bytes(log(entry("a", 1)))
+    node = OwnNode(path, server=ServerBounds(connections=2)).ready()
+    waiting, idle = Courier(node, "c-1"), Courier(node, "c-2")
+    waiting.subscribe(1)
+    waiting.poll()
+    node.parks(1)
+    idle.subscribe(1)
+    spin(node.loop, lambda: any(connection.idle for connection in node.server.connections))
+    third = Courier(node, "c-3")
+    third.subscribe(1)
+    idle.peer.wait_end()
+    third.poll()
+    node.parks(2)
+    fourth = Courier(node, "c-4")
+    assert fourth.refusal().reason is Reason.TOO_MANY
+    node.append(entry("a", 1, "leaving"))
+    assert waiting.told().grant.complete == third.told().grant.complete == (1,)
+
+
+def test_as_many_requests_wait_as_the_bound_and_no_more(path):
+    path.write_bytes(log(entry("a", 1)))
+    node = OwnNode(path, server=ServerBounds(parked=1)).ready()
+    first, second = Courier(node, "c-1"), Courier(node, "c-2")
+    for courier in (first, second):
+        courier.subscribe(1)
+        courier.poll()
+    refusal = second.refusal()
+    assert refusal.reason is Reason.TOO_MANY and refusal.retry_ms > 0.0
+    node.append(entry("a", 1, "leaving"))
+    assert first.told().grant.complete == (1,)
+
+
+def test_until_its_list_is_read_the_node_is_not_ready(path):
+    path.write_bytes(HEADER[:5])
+    node = OwnNode(path)
+    courier = Courier(node)
+    courier.send(courier.body((1,)))
+    assert courier.refusal().reason is Reason.NOT_READY
+    courier.peer.say(b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert courier.answer().status == 503
+    courier.peer.say(b"GET /-/status HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert json.loads(courier.answer().body)["ready"] is False
+    node.append(HEADER[5:-1], entry("a", 1))
+    assert courier.subscribe(1).full
+
+
+def test_the_status_tells_figures(node):
+    courier = Courier(node)
+    courier.subscribe(1, 2)
+    courier.send(b"{")
+    courier.answer()
+    courier.poll()
+    node.parks(1)
+    node.append(entry("a", 1, "leaving"))
+    courier.told()
+    courier.peer.say(b"GET /-/status HTTP/1.1\r\nHost: n\r\n\r\n")
+    told = json.loads(courier.answer().body)
+    assert (told["leases"], told["subscriptions"], told["destinations"], told["endpoints"]) == (1, 2, 3, 4)
+    assert (told["version"], told["changes_told"], told["refused"]) == (2, 1, {"unreadable": 1})
+    assert told["source"]["offset"] == node.path.stat().st_size and told["source"]["read_at"] > 0.0
+    assert told["cpu_seconds"] > 0.0 and told["resident_bytes"] > 1_000_000
+
+
+def test_a_replaced_file_is_told_to_those_who_hold_what_differs(node):
+    courier = Courier(node)
+    courier.subscribe(1, 2)
+    courier.poll()
+    node.parks(1)
+    beside = node.path.with_suffix(".new")
+    beside.write_bytes(log(entry("a", 1), entry("b", 1), entry("x", 2)))
+    os.replace(beside, node.path)
+    node.append()
+    told = courier.told()
+    assert told.grant.complete == (2,) and idents(told) == ["x"]
+
+
+def test_at_its_end_the_node_answers_what_waits(node):
+    waiting, idle = Courier(node, "c-1"), Courier(node, "c-2")
+    waiting.subscribe(1)
+    waiting.poll()
+    idle.subscribe(1)
+    node.parks(1)
+    node.loop.spawn(node.server.stop())
+    assert waiting.refusal().reason is Reason.NOT_READY
+    idle.peer.wait_end()
+    waiting.peer.sock.close()
+    node.after(10.0)
+    spin(node.loop, lambda: not node.server.connections)
+    node.after(10.0)
+    assert not node.loop.running
+
+
+@pytest.mark.parametrize("known", [1_000, 10_000, 100_000])
+def test_a_change_costs_by_its_subscribers_whatever_is_known(path, known):
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(known))))
+    node = OwnNode(path)
+    while not node.server.is_ready():
+        node.loop.once(node.loop.now())
+    for number in range(50):
+        Courier(node, f"c-{number}").subscribe(*range(number * 10, number * 10 + 10))
+    leases, rows = node.table.work, node.source.catalogue.work
+    node.append(*(entry(f"s-{number}", number, "leaving") for number in range(100)))
+    assert node.table.work - leases == 100
+    assert node.source.catalogue.work - rows <= 100 * 4
+
+
+# The command, in processes of its own.
+
+
+def started(path, address, *more):
+    words = [
+        "discovery-node",
+        "--source",
+        str(path),
+        "--fleet",
+        "fleet",
+        "--listen",
+        address,
+        "--node",
+        "n1",
+        *more,
+    ]
+    process = subprocess.Popen([sys.executable, "-m", "calicopin", *words], stderr=subprocess.PIPE)
+    until = time.monotonic() + 60.0
+    while asked(address, "GET", "/-/ready") != 200:
+        assert process.poll() is None and time.monotonic() < until, process.stderr.read()
+        time.sleep(0.05)
+    return process
+
+
+def asked(address, method, path, body=None):
+    """A status, or None where nobody answers."""
+    answer = exchanged(address, method, path, body)
+    return answer and answer[0]
+
+
+def exchanged(address, method, path, body=None):
+    host, _, port = address.rpartition(":")
+    line = http.client.HTTPConnection(host, int(port), timeout=30.0)
+    try:
+        line.request(method, path, body)
+        answer = line.getresponse()
+        return answer.status, answer.read()
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        line.close()
+
+
+def test_a_node_that_was_killed_and_is_back_ends_the_old_leases(path):
+    path.write_bytes(log(entry("a", 1)))
+    address = free_address()
+    process = started(path, address)
+    try:
+        body = encode_request(SubscribeRequest("fleet", "c-1", subscribe=(1,)))
+        status, told = exchanged(address, "POST", "/api/targets", body)
+        lease = decode_answer(told).grant.lease
+        assert status == 200
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+        process.stderr.close()
+        process = started(path, address)
+        again = encode_request(SubscribeRequest("fleet", "c-1", lease, 0))
+        assert asked(address, "POST", "/api/targets?index=1&wait=5000", again) == 410
+        assert exchanged(address, "POST", "/api/targets", body)[0] == 200
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+def test_sigterm_answers_what_waits_and_ends_with_0(path):
+    path.write_bytes(log(entry("a", 1)))
+    address = free_address()
+    process = started(path, address)
+    try:
+        host, _, port = address.rpartition(":")
+        line = http.client.HTTPConnection(host, int(port), timeout=30.0)
+        line.request("POST", "/api/targets", encode_request(SubscribeRequest("fleet", "c-1", subscribe=(1,))))
+        told = decode_answer(line.getresponse().read())
+        renewal = encode_request(SubscribeRequest("fleet", "c-1", told.grant.lease, 0))
+        line.request("POST", f"/api/targets?index={told.version}&wait=15000", renewal)
+        until = time.monotonic() + 30.0
+        while json.loads(exchanged(address, "GET", "/-/status")[1])["parked"] < 1:
+            assert time.monotonic() < until
+        process.send_signal(signal.SIGTERM)
+        answer = line.getresponse()
+        assert answer.status == 503 and decode_refusal(answer.read()).reason is Reason.NOT_READY
+        line.close()
+        assert process.wait(30.0) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
+
+
+@pytest.mark.parametrize(
+    "words, why",
+    [
+        (["--fleet", "other"], "of the fleet 'fleet'"),
+        (["--source", "/nowhere/list.log"], "/nowhere/list.log: No such file"),
+        (["--listen", "nowhere"], "is no address"),
+        (["--leases", "10"], "1024"),
+        (["--lease", "30"], "is no time"),
+        (["--node", "x" * 200], "is no word of 1 to 128"),
+        (["--connections", "99999999"], "descriptors"),
+    ],
+)
+def test_what_cannot_be_served_is_refused_with_a_plain_line_and_2(path, words, why):
+    path.write_bytes(log(entry("a", 1)))
+    told = {"--source": str(path), "--fleet": "fleet", "--listen": "127.0.0.1:1", "--node": "n1"}
+    told |= dict(zip(words[::2], words[1::2]))
+    result = CliRunner().invoke(main, ["discovery-node", *(word for pair in told.items() for word in pair)])
+    assert result.exit_code == 2 and why in result.stderr and "Traceback" not in result.stderr
+
+
+@pytest.mark.parametrize("absent", ["--listen", "--node", "--source", "--fleet"])
+def test_a_node_wants_its_source_fleet_address_and_name(path, absent):
+    told = {"--source": str(path), "--fleet": "fleet", "--listen": "127.0.0.1:1", "--node": "n1"}
+    words = [word for pair in told.items() for word in pair if pair[0] != absent]
+    result = CliRunner().invoke(main, ["discovery-node", *words])
+    assert result.exit_code == 2 and absent in result.stderr
+
+
+def test_the_check_prints_counts_and_faults_and_serves_nothing(path):
+    path.write_bytes(log(entry("a", 1), entry("b", 2)))
+    words = ["discovery-node", "--source", str(path), "--fleet", "fleet", "--check"]
+    result = CliRunner().invoke(main, words)
+    assert result.exit_code == 0 and "3 lines, 2 destinations, 2 endpoints, 0 lines" in result.stdout
+    path.write_bytes(log(entry("a", 1), b"{"))
+    result = CliRunner().invoke(main, words)
+    assert result.exit_code == 1 and f"{path}:3: " in result.stdout
+    path.write_bytes(b'{"form":1,"fleet":"other"}\n')
+    assert CliRunner().invoke(main, words).exit_code == 2
+
+
+def test_the_couriers_own_process_reads_nothing_of_the_node_in():
+    code = "import sys, calicopin.boot.start; print([n for n in sys.modules if 'discovery_node' in n or n in ('click', 'msgspec')])"
+    out = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert out.strip() == "[]"
+
+
+def test_a_line_is_read_into_its_entry_or_its_fault():
+    assert read_line(4, entry("a", 1)) == Line(4, entry("a", 1), decode_entry(entry("a", 1)))
+    assert "cell" in read_line(4, entry("a", "x")).fault
