Discovery node: a call for readiness is no refused request

Cause: probes while the list is read filled the log and the count of refusals. Change: /-/ready answers 200 or 503 alone. Result: the tests of the node pass.

--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -20,6 +20,7 @@
 from calicopin.discovery_node.source import Source
 from calicopin.subscription.leases import LeaseTable, Tell, Wait
 from calicopin.subscription.messages import (
+    STATUS,
     Grant,
     MessageError,
     Reason,
@@ -335,10 +336,10 @@
             return unreadable(f"{path.decode()} takes {methods[path].decode()}", 405, last=False)
         if path == STATUS_PATH:
             return Reply(200, json.dumps(self.status()).encode())
+        if path == READY_PATH:
+            return Reply(200 if self.is_ready() else STATUS[Reason.NOT_READY], b"")
         if not self.is_ready():
             return self._not_ready()
-        if path == READY_PATH:
-            return Reply(200, b"")
         return (yield from self._subscribe(line, head.target, body))
 
     # Subscriptions.
