Discovery node: a change appended while a replaced file is read is told at once

Change: what is appended behind the point from which the new file is read whole is applied to the last good list too.

--- a/calicopin/discovery_node/source.py
+++ b/calicopin/discovery_node/source.py
@@ -5,6 +5,7 @@
 read into a new catalogue in slices while the last one serves on.
 """
 
+import copy
 import os
 from collections.abc import Callable, Iterable, Iterator
 
@@ -73,6 +74,17 @@
         self.offset, self.splitter.number = len(text) + 1, 1
         return True
 
+    def appended(self) -> "SourceFile":
+        """The same open file from its end on, as far as that is whole lines: read beside this one."""
+        other, before = copy.copy(self), max(0, self.size_at_open - MOST_LINE)
+        last = self._read(self.size_at_open - before, before)
+        other.splitter, other.offset = LineSplitter(), before + last.rfind(b"\n") + 1
+        return other
+
+    def size(self) -> int:
+        """Bytes of the open file, whatever its name."""
+        return os.fstat(self.descriptor).st_size
+
     def lines(self, goal: int) -> Iterator[Line]:
         """The lines from where the last read ended up to that offset, or to the end where that comes first."""
         while self.offset < goal:
@@ -224,10 +236,13 @@
             file.close()
             self._doubt(stamp, f"{self.path}: waits for its header")
             return
-        report, catalogue = FaultReport(self.path), Catalogue(file.size_at_open)
+        report, catalogue, beside = FaultReport(self.path), Catalogue(file.size_at_open), file.appended()
         try:
             lines = report.sound(file.lines(file.size_at_open))
-            yield from self._in_slices(catalogue.load(lines))
+            yield from self._in_slices(catalogue.load(lines), lambda: self._take_beside(beside))
+            for line in report.sound(file.lines(beside.offset)):
+                if line.entry is not None:
+                    catalogue.apply(line.entry, line.data)
         except OSError as fault:
             file.close()
             self._doubt(stamp, f"{self.path}: {fault.strerror}")
@@ -239,6 +254,17 @@
             return
         yield from self._take_over(file, catalogue)
 
+    def _take_beside(self, file: SourceFile) -> None:
+        """What is appended while the file is read whole is told by the last good list already: a load may last longer
+        than a change may take. Its faults are told when the load comes to them."""
+        if self.catalogue is None:
+            return
+        touched = set()
+        for line in file.lines(min(file.size(), file.offset + CHUNK)):
+            if line.entry is not None:
+                touched |= self.catalogue.apply(line.entry, line.data)
+        self._hand_over(touched)
+
     def _take_over(self, file: SourceFile, catalogue: Catalogue) -> Iterator[Until]:
         """Serves from the new catalogue at once, then tells what differs to those who hold it."""
         old_file, self.file = self.file, file
@@ -262,13 +288,17 @@
                 self._hand_over({destination})
             yield
 
-    def _in_slices(self, steps: Iterator[None]) -> Iterator[Until]:
-        """Long work a slice in each pass of the loop, so that requests are served meanwhile."""
-        began = self.loop.now()
+    def _in_slices(self, steps: Iterator[None], look: Callable[[], None] | None = None) -> Iterator[Until]:
+        """Long work a slice in each pass of the loop, so that requests are served meanwhile; a look now and then."""
+        began = looked = self.loop.now()
         for _ in steps:
-            if self.loop.now() - began >= SLICE:
-                yield Until(self.loop.now())
-                began = self.loop.now()
+            if self.loop.now() - began < SLICE:
+                continue
+            yield Until(self.loop.now())
+            began = self.loop.now()
+            if look and began >= looked + LOOK:
+                look()
+                looked = began
 
     def _hand_over(self, touched: set[int]) -> None:
         if touched:
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -371,23 +371,53 @@
         assert cut == whole and not splitter.is_waiting()
 
 
-def test_requests_are_served_in_the_middle_of_a_load(path):
-    """Each piece of a long read ends its pass of the loop: here the clock moves on with every look at it."""
+class Running(Clock):
+    """Moves on with every look at it, so that a long read is cut into slices."""
+
+    def __call__(self):
+        self.now += 0.5
+        return self.now
+
+
+def passes_until(loop, done):
+    """How many passes of the loop it takes."""
+    for passes in range(20_000):
+        if done():
+            return passes
+        loop.once(loop.now.now)
+    raise AssertionError("it never came about")
+
+
+def test_a_load_ends_its_pass_of_the_loop_after_each_slice(path):
     path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(5000))))
+    loop = Loop(now=Running())
+    source = Source(loop, str(path), "fleet", Heard().take, list)
+    assert passes_until(loop, lambda: source.catalogue) > 3
+    assert source.catalogue.endpoints == 5000
 
-    class Running(Clock):
-        def __call__(self):
-            self.now += 0.5
-            return self.now
 
+def test_what_is_appended_while_a_replaced_file_is_read_is_told_before_that_read_is_over(path):
+    entries = [entry(f"s-{number}", number) for number in range(40_000)]
+    path.write_bytes(log(*entries))
     loop, heard = Loop(now=Running()), Heard()
-    source = Source(loop, str(path), "fleet", heard.take, list)
-    passes = 0
-    while source.catalogue is None:
-        loop.once(loop.now())
-        passes += 1
-        assert passes < 4000
-    assert passes > 3 and source.catalogue.endpoints == 5000
+    source = Source(loop, str(path), "fleet", heard.take, lambda: list(range(10)))
+    passes_until(loop, lambda: source.catalogue)
+    beside, half = path.with_suffix(".new"), entry("s-3", 3, "leaving")
+    beside.write_bytes(log(entry("s-1", 1, "leaving"), *entries[2:]) + half[:9])
+    opened = source.file
+    os.replace(beside, path)
+    stepping = source.look()
+    next(stepping)  # the load has begun and waits in its first slice
+    with open(path, "ab") as file:
+        file.write(half[9:] + b"\n" + entry("s-2", 2, "leaving") + b"\n")
+    while not heard.changed:
+        next(stepping)
+    assert source.file is opened and source.loads == 1
+    assert heard.all() == {2, 3} and source.catalogue.entries(1) == (entry("s-1", 1),)
+    for _ in stepping:
+        pass
+    assert source.loads == 2 and heard.all() == {0, 1}
+    assert source.catalogue.entries(2) == (entry("s-2", 2, "leaving"),)
 
 
 def test_a_check_tells_counts_and_faults(path):
