One change of the list costs by what it names; a destination nobody uses can be forgotten

Cause: Courier.on_listed, Facade.listed and Runtime.listed walked all known endpoints at every change, and nothing forgot a destination, both of which subscriptions need.

Change: departures.py orders endpoints that left by the time they were last listed, and only overdue ones are looked at; the facade keeps the few numbers that may be known to nobody, the connections change by the places named. Whole lists cost by their length. The moment of forgetting is the same. Released(dest) and Facade.release: what was learnt goes Route.IDLE later, later where a told wait, an outage or a cold time still binds or something is held or out.

--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -90,8 +90,12 @@
             )
             return
         if whole or places:
-            self.facade.listed(places, whole)
-            self.lines.list(self.facade.places.values())
+            former, now_listed = self.facade.listed(places, whole), self.facade.places
+            if whole or self.lines.listed is None:
+                self.lines.list(now_listed.values())
+            else:
+                gone = [place for place in former.values() if place is not None]
+                self.lines.change(gone, [now_listed[number] for number in former if number in now_listed])
 
     # The turn.
 
--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -9,6 +9,7 @@
 from itertools import accumulate, islice
 from math import log
 
+from calicopin.departures import Departures
 from calicopin.interface import Close, How, Nack, Repeat, Submit, Undeliverable, Wake, Watch
 from calicopin.scheduler import Scheduler
 
@@ -37,22 +38,17 @@
         product, past = self.product, at - (self.until - self.product.validity + self.product.sla)
         if past <= 0.0 or at >= self.until:
             return float(at < self.until)
-        return (
-            max(product.late_revenue, 0.5 ** (past / product.sla))
-            if product.late_halves
-            else (1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla))
-        )
+        if product.late_halves:
+            return max(product.late_revenue, 0.5 ** (past / product.sla))
+        return 1.0 - (1.0 - product.late_revenue) * past / (product.validity - product.sla)
 
     def owed_a_call(self):
         """What a restart found taken on and untried is tried before it is given up early."""
         return self.restored and not self.tries and self.ran_at is None
 
     def nackable(self):
-        return (
-            self.ran_at is None
-            or self.product.repeat == Repeat.RESENDABLE
-            or (self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone)
-        )
+        by_reference = self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone
+        return self.ran_at is None or self.product.repeat == Repeat.RESENDABLE or by_reference
 
 
 class Call:
@@ -174,6 +170,10 @@
         self.fill()
         self.pause, self.tokens = max(self.pause, self.scheduler.now + wait), 0.0
 
+    def binds(self):
+        """Whether a told wait still runs, or an outage or the time behind it."""
+        return self.mode != "well" or self.pause > self.scheduler.now
+
     def delivered(self, elapsed):
         now, self.fastest = self.scheduler.now, min(self.fastest, elapsed)
         beyond = elapsed / 4.0 if elapsed > 8.0 * self.usual else 0.0  # were cut off: let the next ones come
@@ -298,9 +298,8 @@
         if fresh and event.limit is not None:
             route.hint(event.limit / 1000.0, event.left or 0.0, call.size)
         if how == How.UNREACHED:
-            self.kind.crowded = (
-                self.scheduler.now
-            )  # full or down: at once again, a text would use up its submits
+            self.kind.crowded = self.scheduler.now
+            # full or down: at once again, a text would use up its submits
             rest = max(route.usual, 20.0 * self.dest.tick) * 2.0**self.misses
             self.shy = self.scheduler.now + rest * (0.5 + self.scheduler.chance(self.ident))
         if fresh and how == How.BROKEN and 0.0 < call.stood and event.elapsed < route.fastest:
@@ -341,6 +340,7 @@
         self.most, self.bundle = 1, 1e9
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
         self.wanting, self.wake_at, self.held, self.came, self.load, self.round = False, 0.0, 0, 0, 0.0, 0
+        self.released = None  # since when nobody uses it
 
     def on_take(self, text):
         self.queue.append(text)
@@ -369,6 +369,12 @@
     def idle(self):
         return not (self.queue or self.held or any(r.mode == "cold" or r.sends for r in self.routes.values()))
 
+    def unused(self):
+        """Whether nothing is held or out, nothing binds, and what was learnt is as old as is remembered."""
+        past, routes = self.scheduler.now - Route.IDLE, self.routes.values()
+        known = any(route.sends or route.sent_at >= past or route.binds() for route in routes)
+        return not (self.queue or self.held or self.wanting or self.endpoints or known)
+
     def on_round(self, number):
         """Periodic; rounds that an idle destination was left out of are made up for."""
         rounds, self.round = number - self.round, number
@@ -416,16 +422,10 @@
 
     def pick(self, text):
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
-        bound = (
-            text.ran_at is not None
-            and text.product.memory_by_zone
-            and (text.product.repeat == Repeat.REFERENCED)
-        )
-        fit = [
-            e
-            for e, at in self.openings()
-            if at <= self.scheduler.now and not (bound and e.zone != text.ran_zone)
-        ]
+        by_zone = text.product.memory_by_zone and text.product.repeat == Repeat.REFERENCED
+        bound = text.ran_at is not None and by_zone
+        free = [endpoint for endpoint, at in self.openings() if at <= self.scheduler.now]
+        fit = [endpoint for endpoint in free if not (bound and endpoint.zone != text.ran_zone)]
         odds = [0.5 ** max(e.misses, e.missed[text.product]) / (1 + len(e.calls)) for e in fit]
         draw = self.scheduler.chance(text.ident) * sum(odds)
         return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
@@ -466,17 +466,8 @@
         if not endpoint:
             self.scheduler.post(self.pool, "free", self)
             return
-        texts = [
-            head,
-            *islice(
-                (
-                    text
-                    for text in self.queue
-                    if text is not head and text.ran_at is None and self.desk.turn(text)
-                ),
-                min(self.bundle, self.most) - 1,
-            ),
-        ]
+        others = (t for t in self.queue if t is not head and t.ran_at is None and self.desk.turn(t))
+        texts = [head, *islice(others, min(self.bundle, self.most) - 1)]
         for text in texts:
             self.queue.remove(text)
         endpoint.route.spend()
@@ -579,13 +570,8 @@
 
     def on_lapse(self, text, back=None):
         """Nothing is sat on: time is up, no submit is allowed any more, or it is handed back for so long."""
-        if (
-            text.call is None
-            and not text.over
-            and (
-                back is not None or self.scheduler.now >= min(text.until - 2 * self.tick, text.last_submit())
-            )
-        ):
+        due = back is not None or self.scheduler.now >= min(text.until - 2 * self.tick, text.last_submit())
+        if due and text.call is None and not text.over:
             self.scheduler.post(text.dest, "drop", text)
             self.on_give_up(text, back or 0.0)
 
@@ -616,6 +602,7 @@
         self.pool = Pool(self.scheduler, settings.slots)
         self.desk = Desk(self.scheduler, settings)
         self.dests, self.endpoints, self.inbox, self.live, self.rounds = {}, {}, deque(), {}, 0
+        self.departures, self.forgotten, self.faded = Departures(), [], []  # endpoints, destinations
         self.scheduler.later(0.0, self, "round")  # behind the texts that a restart hands in
         if settings.asks:
             self.scheduler.post(self, "ask")
@@ -630,7 +617,7 @@
         scheduler.late = max(
             0.0, scheduler.late - (now - scheduler.now), now - scheduler.due[0][0] if self.rounds else 0.0
         )
-        scheduler.now, scheduler.out = now, []
+        scheduler.now, scheduler.out, self.forgotten, self.faded = now, [], [], []
         for event in events:
             getattr(self, "on_" + type(event).__name__.lower())(event)
         scheduler.run()
@@ -701,7 +688,7 @@
         self.scheduler.later(self.scheduler.now + wait * (0.5 + self.scheduler.chance("list")), self, "ask")
 
     def on_listed(self, event):
-        self.misses, seen, changed = 0, {entry.endpoint for entry in event.entries}, {}
+        self.misses, told, changed = 0, {entry.endpoint: None for entry in event.entries}, {}
         for entry in event.entries:
             dest, kind = self.dest(entry.dest), self.kinds[min(entry.kind, len(self.kinds) - 1)]
             dest.most, place = kind.bundle, entry.endpoint if kind.apart else None
@@ -716,14 +703,41 @@
                 dest.endpoints[entry.endpoint] = self.endpoints.setdefault(
                     entry.endpoint, Endpoint(self.scheduler, entry.endpoint, entry.zone, dest, route, kind)
                 )
-            changed[dest] = None
+            changed[dest], dest.released = None, None
         for dest in changed:
             self.scheduler.post(dest, "pump")
-        for ident, endpoint in list(self.endpoints.items()):  # health is kept for one that may soon be back
-            if event.whole and ident not in seen:
-                endpoint.dest.endpoints.pop(ident, None)
-            if ident in endpoint.dest.endpoints:
-                endpoint.seen = self.scheduler.now
-            elif not endpoint.calls and self.scheduler.now - endpoint.seen > Route.IDLE:
-                del self.endpoints[ident], endpoint.kind.endpoints[ident]
-                endpoint.dest.routes.pop(ident, None)
+        if event.whole:
+            for ident in [ident for ident in self.endpoints if ident not in told]:
+                told[ident] = self.endpoints[ident].dest.endpoints.pop(ident, None)
+        self.departures.note((self.endpoints[i] for i in told if i in self.endpoints), self.scheduler.now)
+        self.forget()
+
+    def forget(self):
+        """Health is kept for one that may soon be back; of a destination given up also what binds still."""
+        now = self.scheduler.now
+        for endpoint in self.departures.overdue(now, Route.IDLE):
+            if endpoint.dest.released is not None and endpoint.route.binds():
+                self.departures.keep(endpoint, now)
+            elif not endpoint.calls:
+                self.departures.forget(endpoint)
+                del self.endpoints[endpoint.ident], endpoint.kind.endpoints[endpoint.ident]
+                endpoint.dest.routes.pop(endpoint.ident, None)
+                self.forgotten.append(endpoint.ident)
+
+    def on_released(self, event):
+        """Nobody uses the destination any more: it goes by the same span, and later where something binds still."""
+        if dest := self.dests.get(event.dest):
+            left, dest.released = list(dest.endpoints.values()), self.scheduler.now
+            dest.endpoints.clear()
+            self.departures.note(left, self.scheduler.now)
+            self.scheduler.later(self.scheduler.now + Route.IDLE + ROUND, self, "fade", dest, dest.released)
+
+    def on_fade(self, dest, since):
+        if dest.released != since:  # it is listed again
+            return
+        self.forget()
+        if dest.unused():
+            del self.dests[dest.ident]
+            self.faded.append(dest.ident)
+        else:
+            self.scheduler.later(self.scheduler.now + Route.IDLE, self, "fade", dest, since)
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -18,6 +18,7 @@
     Log,
     Nack,
     Outcome,
+    Released,
     Submit,
     Taken,
     Undeliverable,
@@ -135,6 +136,8 @@
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
         self.texts, self.places, self.events = {}, {}, []
+        self.places_of = {}  # the numbers of the endpoints that are listed, by destination
+        self.unlisted = {}  # the numbers of endpoints that may be known to nobody any more
         self.calls, self.backs, self.ends, self.lines, self.spare = (
             deque(),
             deque(),
@@ -189,13 +192,15 @@
         return dest in self.dests.index
 
     def listed(self, places, whole):
-        """News of the list; what has left is forgotten once the decisions have no more use for it."""
-        entries, before = [], self.places
+        """News of the list; what has left is forgotten once the decisions have no more use for it. Returns the
+        number of each endpoint that is named, with its place as it was before, or None."""
+        entries, before, former = [], self.places, {}
         if whole:
-            self.places = {}
+            self.places, self.places_of = {}, {}
         for place in places:
             number = self.endpoints(place.ident)
-            self.places[number] = place
+            former.setdefault(number, self._unplace(number))
+            self._place(number, place)
             entries.append(
                 Entry(
                     number,
@@ -207,11 +212,44 @@
                 )
             )
             if place.left:
-                del self.places[number]
+                self._unplace(number)
+                self.unlisted[number] = None
+        if whole:
+            self.unlisted |= {number: None for number in before if number not in self.places}
         self.events.append(Listed(entries, whole))
-        for ident, number in list(self.endpoints.index.items()):
-            if not (number in self.places or number in before or number in self.module.endpoints):
-                self.endpoints.forget(ident)
+        self._forget(before)
+        return former
+
+    def _place(self, number, place):
+        self.places[number] = place
+        self.places_of.setdefault(place.dest, {})[number] = None
+
+    def _unplace(self, number):
+        place = self.places.pop(number, None)
+        if place is not None:
+            others = self.places_of[place.dest]
+            del others[number]
+            if not others:
+                del self.places_of[place.dest]
+        return place
+
+    def _forget(self, before):
+        """Endpoints that are not listed, were not in the list before this one, and that the decisions do not know."""
+        for number in list(self.unlisted):
+            if number not in self.places and number in before:
+                continue  # the next news tells
+            del self.unlisted[number]
+            known = number in self.places or number in self.module.endpoints
+            if not known and number in self.endpoints.ident:
+                self.endpoints.forget(self.endpoints.ident[number])
+
+    def release(self, dest):
+        """The destination is used no more: what is known of it goes once the decisions have no more use for it."""
+        for number in list(self.places_of.get(dest, ())):
+            self._unplace(number)
+            self.unlisted[number] = None
+        if dest in self.dests.index:
+            self.events.append(Released(self.dests(dest)))
 
     def report(self, call, answer, elapsed):
         """How a call ended. What had its outcome before is passed over."""
@@ -276,6 +314,11 @@
         if self.events:
             events, self.events = self.events, []
             self._carry_out(now, self.module.handle(now, events))
+            self.unlisted |= dict.fromkeys(self.module.forgotten)
+            for number in self.module.faded:
+                self.dests.forget(self.dests.ident[number])
+            if self.module.faded:
+                self._forget(())
         return self.wake[0] if self.wake else float("inf")
 
     def _carry_out(self, now, actions):
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -90,7 +90,7 @@
             missed=[endpoint.missed[product] for product in module.products],
             shy=endpoint.shy,
             kind=module.kinds.index(endpoint.kind),
-            seen=endpoint.seen,
+            seen=module.departures.last_listed(endpoint),
             apart=endpoint.route is not endpoint.dest.routes.get(None),
         )
         for number, endpoint in module.endpoints.items()
@@ -180,6 +180,9 @@
         module.desk.rests[key] = (until, known.get(text.number) if text else object())
         scheduler.later(until, module.desk, "rested", key)
     calls = [under_way(facade, one, by_ident) for one in told["calls"]]
+    module.departures.append(
+        endpoint for endpoint in module.endpoints.values() if endpoint.ident not in endpoint.dest.endpoints
+    )
     facade.listed([], False)  # no news: the first turn empties the inboxes
     for dest in module.dests.values():
         if not dest.idle() and dest not in module.live:
--- a/calicopin/held/connections.py
+++ b/calicopin/held/connections.py
@@ -30,7 +30,7 @@
 
     def __init__(self, most, idle_limit):
         self.most, self.idle_limit, self.idle, self.used, self.listed = most, idle_limit, {}, 0, None
-        self.trust, self.fastest = idle_limit, {}
+        self.trust, self.fastest, self.strays = idle_limit, {}, set()
 
     @property
     def count(self):
@@ -83,6 +83,8 @@
     def answered(self, place, elapsed):
         shelf = self.shelf(place)
         self.fastest[shelf] = min(elapsed, self.fastest.get(shelf, elapsed))
+        if self.listed is not None and shelf not in self.listed:
+            self.strays.add(shelf)
 
     def gone(self, place, line, elapsed):
         """Whether a line that broke under a call was gone before it: it had stood idle, and broke sooner than any
@@ -99,6 +101,19 @@
             for line, _ in self.idle.pop(shelf):
                 line.close()
         self.fastest = {shelf: best for shelf, best in self.fastest.items() if shelf in self.listed}
+        self.strays.clear()
+
+    def change(self, gone, come):
+        """The same where the list changed in some places only: it costs by them. `gone` holds them as they were
+        before, `come` as they are."""
+        gone = {self.shelf(place) for place in gone}
+        self.listed.difference_update(gone)
+        self.listed.update(self.shelf(place) for place in come)
+        for shelf in (gone | self.strays) - self.listed:
+            self.fastest.pop(shelf, None)
+            for line, _ in self.idle.pop(shelf, ()):
+                line.close()
+        self.strays.clear()
 
     def sweep(self, now):
         """Closes what has stood idle too long or was closed by the other side; trust comes back with time."""
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -148,6 +148,13 @@
     """The list could not be had, or the watch may have ended."""
 
 
+@dataclass(slots=True)
+class Released:
+    """The destination is used no more, and its endpoints are not heard of any longer."""
+
+    dest: int
+
+
 @dataclass(slots=True)
 class Withdrawn:
     """Nothing more is owed for the text."""
