Linter: bugbear is on and clean over the tree

Cause: closures over loop variables, calls in defaults and zip without a word on lengths weren't looked for.

--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -428,7 +428,8 @@
         ]
         odds = [0.5 ** max(e.misses, e.missed[text.product]) / (1 + len(e.calls)) for e in fit]
         draw = self.scheduler.chance(text.ident) * sum(odds)
-        return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
+        drawn = (e for e, upto in zip(fit, accumulate(odds), strict=True) if draw < upto)
+        return next(drawn, fit[-1] if fit else None)
 
     def on_pump(self):
         """Ask for a slot when the first in line may go; else come back when a bucket opens."""
--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -353,7 +353,7 @@
     ]
     widths = [max(len(row[at]) for row in rows) for at in range(len(head))]
     for row in rows:
-        click.echo("  ".join(word.ljust(width) for word, width in zip(row, widths)).rstrip())
+        click.echo("  ".join(word.ljust(width) for word, width in zip(row, widths, strict=True)).rstrip())
 
 
 if __name__ == "__main__":
--- a/calicopin/drill/codec.py
+++ b/calicopin/drill/codec.py
@@ -73,7 +73,7 @@
     if len(words) != len(shape):
         raise WireFault(f"line {number}: {name} has {len(words)} values where {len(shape)} are due")
     values = []
-    for place, (read, word) in enumerate(zip(shape, words), 1):
+    for place, (read, word) in enumerate(zip(shape, words, strict=True), 1):
         try:
             values.append(read(word))
         except ValueError as fault:
--- a/calicopin/drill/door.py
+++ b/calicopin/drill/door.py
@@ -42,7 +42,7 @@
         if text is None:
             return None
         self.out[text] -= 1
-        told = dict(zip(self.reports, report)) if report else {}
+        told = dict(zip(self.reports, report, strict=False)) if report else {}
         wait = note if reason == How.FULL and note else 0.0
         event = Outcome(
             text,
--- a/calicopin/emulator/referee.py
+++ b/calicopin/emulator/referee.py
@@ -7,6 +7,7 @@
 from bisect import bisect_right
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
+from itertools import pairwise
 
 ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT = (
     "final answer",
@@ -294,7 +295,7 @@
                 ident,
                 f"its notice says that it did no harm; it may have run at {may_run[0].at:.1f}",
             )
-        for earlier, later in zip(calls, calls[1:]):
+        for earlier, later in pairwise(calls):
             if later.begun < earlier.over and later.courier == earlier.courier:
                 self.add(
                     EFFECT,
@@ -555,7 +556,7 @@
                 while line and line[0]["due"] <= at:
                     waiting.append(line.popleft())
                 worth = [self.earned(text["product"], at + works[dest] - text["due"]) for text in waiting]
-                waiting = [text for text, value in zip(waiting, worth) if value > 0.0]
+                waiting = [text for text, value in zip(waiting, worth, strict=True) if value > 0.0]
                 if waiting:
                     most = max(worth)
                     total += most
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -153,11 +153,10 @@
         destination(facade, one)
     for one in told["endpoints"]:
         endpoint(facade, one)
-    for kind, crowded in zip(
-        module.kinds, told.get("crowded", [])
-    ):  # an older version of the same form lacks it
+    # an older version of the same form lacks these two
+    for kind, crowded in zip(module.kinds, told.get("crowded", []), strict=False):
         kind.crowded = crowded
-    for kind, (reaped, trust) in zip(module.kinds, told.get("reaped", [])):
+    for kind, (reaped, trust) in zip(module.kinds, told.get("reaped", []), strict=False):
         kind.reaped, kind.trust = reaped, trust
     by_ident = {}
     for text in [*texts, *(Text(**ghost | {"body": b""}) for ghost in told["ghosts"])]:
@@ -225,7 +224,8 @@
             module.scheduler, number, facade.zones(one["zone"]), dest, route, kind
         )
     put(module.endpoints[number], ("misses", "seen", "shy"), one)
-    module.endpoints[number].missed.update(dict(zip(module.products, one.get("missed", []))))
+    missed = zip(module.products, one.get("missed", []), strict=False)
+    module.endpoints[number].missed.update(missed)
 
 
 def enter(facade, text, told, flying, ghost, now):
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -52,7 +52,7 @@
                 what, fds = self.talk.hear()
                 if what.get("end"):
                     break
-                for one, fd in zip(what["connections"], fds):
+                for one, fd in zip(what["connections"], fds, strict=False):
                     kinds[one["kind"]](loop, runtime, clients, one, socket.socket(fileno=fd))
         except Broken as fault:  # it died on the way: what did not come is broken, as after a crash
             logger.warning("the old process broke off: {fault}", event="handover.broken", fault=fault)
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -86,7 +86,7 @@
         old = super()._replay()  # the single file of before, carried over once
         for ident in self.texts:
             self._settle(ident, 0)
-        for number, after in zip(numbers, [*numbers[1:], None]):
+        for number, after in zip(numbers, [*numbers[1:], None], strict=False):
             self.number = number
             self._segment(number)
             if after is not None and after != number + 1:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -290,7 +290,7 @@
     stand = Stand()
     stand.take(60, validity=24000.0)
     first = submits(stand.done)
-    for submit in first:
+    for _ in first:
         stand.step([])
     stand.step(after=4000.0)
     for submit in first:
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -24,9 +24,9 @@
     return Place(ident, address, dest, kind, zone, ready, 1.0, left)
 
 
-def facade(now=0.0, places=(place(),), **other):
+def facade(now=0.0, places=None, **other):
     house = Facade(7, terms(**other), 8, now)
-    house.listed(list(places), True)
+    house.listed([place()] if places is None else list(places), True)
     house.tick(now)
     return house
 
@@ -314,7 +314,7 @@
         """The next notice to the platform; the watch connects there as well."""
         while True:
             peer = self.platform.meet()
-            spin(self.loop, lambda: b"\r\n\r\n" in peer.hear())
+            spin(self.loop, lambda peer=peer: b"\r\n\r\n" in peer.hear())
             if peer.heard.startswith(b"POST"):
                 peer.say(answer(204))
                 return [json.loads(line) for line in peer.heard.split(b"\r\n\r\n")[1].splitlines()]
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -3,6 +3,7 @@
 import os
 import random
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
@@ -121,9 +122,8 @@
             number += 1
         elif book.texts:
             one = rng.choice(list(book.texts.values()))
-            rng.choice(
-                [lambda: book.over(one, 0.0), lambda: book.sent(one, 1.0, "a"), lambda: book.back(one, True)]
-            )()
+            over, sent = partial(book.over, one, 0.0), partial(book.sent, one, 1.0, "a")
+            rng.choice([over, sent, partial(book.back, one, True)])()
         book.flush()
         most = max(most, on_disk(tmp_path) + blocks(book.live))  # the successor beside it while it is written
     assert number > 100 and most < disk and not book.room(disk)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -731,7 +731,7 @@
         assert next_due() - loop.now() == 2250.0
         peer.say(answer(503))
         refusals = watch.asking.refusals
-        spin(loop, lambda: watch.asking.refusals == refusals + 1)
+        spin(loop, lambda before=refusals: watch.asking.refusals == before + 1)
 
 
 def test_the_watch_goes_on_and_is_begun_again_when_broken_garbled_or_silent(loop):
@@ -743,12 +743,12 @@
     assert b"index=43" in peer.wait(b"\r\n\r\n")
     assert [(p.ident, p.dest, p.ready) for p in heard[0][0]] == [("s-5", 3, False)] and not heard[0][1]
     for trouble in (
-        lambda: peer.say(answer(200, b'{"version":1}')),
-        lambda: peer.say(answer(500)),
-        lambda: peer.sock.close(),
-        lambda: setattr(loop.now, "now", loop.now.now + 5251.0),
+        lambda peer: peer.say(answer(200, b'{"version":1}')),
+        lambda peer: peer.say(answer(500)),
+        lambda peer: peer.sock.close(),
+        lambda peer: setattr(loop.now, "now", loop.now.now + 5251.0),
     ):
-        trouble()
+        trouble(peer)
         spin(loop, lambda: loop.due and loop.due[0][0] <= loop.now() + 200.0)
         loop.now.now += 200.0
         peer = door.meet()
@@ -895,7 +895,7 @@
 
     loop.keep(watch)
     for times in (1, 2, 3):
-        spin(loop, lambda: len(begun) == times and loop.due and loop.due[0][0] > loop.now())
+        spin(loop, lambda times=times: len(begun) == times and loop.due and loop.due[0][0] > loop.now())
         loop.now.now += 100.0
 
 
