Capacity: what a backlog costs the decisions, options weighed, more senders for each destination

Waiting messages are walked whole at a round, a take and a delivery; what that costs was not known, and the issue asks whether another mechanism than the list fails first. calicopin/capacity/backlog.py measures it in virtual time.

docs/scale/backlog.json (10,000, 30,000 and 100,000 messages, three repeats, shared machine): 2.17 us of a core a second for each message that waits at a destination that is down (residual 9 % of the mean), 0.75 us at each delivery for each message in its line (6 %). At the users' size 4.5 cores of one (extrapolated 20 times): behind the list, which stays first.

--- a/calicopin/capacity/__main__.py
+++ b/calicopin/capacity/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m calicopin.capacity`: prints the tables of docs/CAPACITY.md, or writes them into the page."""
+"""`python -m calicopin.capacity`: prints the tables of docs/CAPACITY.md, or writes them."""
 
 import argparse
 import sys
@@ -13,16 +13,19 @@
         prog="python -m calicopin.capacity", description="The capacity model's tables."
     )
     parser.add_argument(
-        "--write", action="store_true", help="write them into docs/CAPACITY.md between its two markers"
+        "--write",
+        action="store_true",
+        help="write them between the markers of docs/CAPACITY.md and docs/subscriptions-design.md",
     )
     if not parser.parse_args().write:
-        print(page.generated(IN_TWO_YEARS), end="")
+        print("\n".join(page.pages(IN_TWO_YEARS).values()), end="")
         return 0
     try:
-        text = page.PAGE.read_text(encoding="utf-8")
-        page.PAGE.write_text(page.with_generated(text, IN_TWO_YEARS), encoding="utf-8")
+        for path, made in page.pages(IN_TWO_YEARS).items():
+            text = path.read_text(encoding="utf-8")
+            path.write_text(page.with_generated(text, made), encoding="utf-8")
     except (OSError, page.NoMarkers) as fault:
-        print(f"{page.PAGE.name}: {fault}", file=sys.stderr)
+        print(f"{path}: {fault}", file=sys.stderr)
         return 2
     return 0
 
--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -6,12 +6,14 @@
 from calicopin.capacity import slopes
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import Size
+from calicopin.discovery_node import source
+from calicopin.wire import asking, discovery
 
 WATCH_S = 2.0  # longest wait of a call for the list (`wire/asking.py: longest_wait`)
-PAUSE_S = 0.1  # between two calls for the list (`wire/asking.py: AGAIN`)
-MOST_LIST_BYTES = 8 << 20  # of a list's answer (`wire/discovery.py: MOST_LIST`)
-DISK_SHARE = 0.5  # of `disk` that live messages fill at most in the segmented store
-SOURCE_POLL_S = 1.0  # after which a node has read a change of its source: assumed
+PAUSE_S = asking.AGAIN / 1000.0  # between two calls for the list
+SOURCE_S = source.LOOK / 1000.0  # after which a node has seen a change of its source, at the most
+MOST_LIST_BYTES = float(discovery.MOST_LIST)  # of a list's answer
+DISK_SHARE = 0.5  # of `disk` that live messages fill at most in the segmented store (docs/store.md)
 
 
 def calls_a_second() -> float:
@@ -105,7 +107,7 @@
     return Figure(
         "a change in force at the last courier",
         "source + pause + 2 × one change",
-        SOURCE_POLL_S + PAUSE_S + 2.0 * change_time(size).value,
+        SOURCE_S + PAUSE_S + 2.0 * change_time(size).value,
         Unit.SECONDS,
         change_time(size).uses,
     )
@@ -192,7 +194,7 @@
     return Figure(
         "a change in force at the last courier",
         "source + pause + subscribers × renewal at the node + renewal at the courier",
-        SOURCE_POLL_S + PAUSE_S + work + slopes.RENEWAL_COURIER_TIME.value,
+        SOURCE_S + PAUSE_S + work + slopes.RENEWAL_COURIER_TIME.value,
         Unit.SECONDS,
         (Use(slopes.RENEWAL_NODE_TIME), Use(slopes.RENEWAL_COURIER_TIME)),
     )
@@ -212,6 +214,30 @@
     )
 
 
+def walked_down(size: Size) -> Figure:
+    """Share of a core that waiting messages take while they wait, however they lie over destinations that are down."""
+    return Figure(
+        "processor time of messages that wait at destinations that are down",
+        "waiting events a courier × waiting message a second",
+        size.waiting_a_courier * slopes.WALKED_DOWN.value,
+        Unit.CORES,
+        (Use(slopes.WALKED_DOWN, size.waiting_a_courier),),
+    )
+
+
+def walked_deliveries(size: Size) -> Figure:
+    """Share of a core of deliveries at the pace of the intake, the backlog spread over all that a courier uses."""
+    each = size.waiting_a_courier / size.destinations_a_courier
+    return Figure(
+        "processor time of deliveries from a backlog, at the pace of the intake",
+        "events a courier × (waiting events / destinations) × waiting message at a delivery",
+        size.events_a_courier * each * slopes.WALKED_DELIVERY.value,
+        Unit.CORES,
+        (Use(slopes.WALKED_DELIVERY, each),),
+        ("senders_a_destination",),
+    )
+
+
 def waiting_disk(size: Size) -> Figure:
     """What the folder has to hold."""
     return Figure(
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -8,8 +8,9 @@
 from calicopin.capacity import courier, slopes
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import SECONDS_A_DAY, SECONDS_AN_HOUR, Size
+from calicopin.wire.discovery import GRACE
 
-CONNECT_S = 0.25  # until a node that does not answer is given up (`wire/discovery.py: GRACE`)
+CONNECT_S = GRACE / 1000.0  # until a node that cannot be reached is given up
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicopin/capacity/figures.py
+++ b/calicopin/capacity/figures.py
@@ -45,19 +45,20 @@
     assumes: tuple[str, ...] = ()
 
     def basis(self) -> str:
-        """One word or two on how it is known: the weakest of its slopes counts."""
-        if self.assumes or any(use.slope.basis == Basis.ASSUMED for use in self.uses):
-            return "assumed"
+        """How it is known in a few words: the weakest of its slopes counts."""
         if not self.uses:
-            return "given"
+            return "assumed" if self.assumes else "given"
+        return self._basis_of_slopes() + ("; shape assumed" if self.assumes else "")
+
+    def _basis_of_slopes(self) -> str:
+        kinds = {use.slope.basis for use in self.uses}
+        if Basis.ASSUMED in kinds:
+            return "assumed"
         reach = max(use.reach for use in self.uses)
-        outside = any(use.slope.basis == Basis.OUTSIDE for use in self.uses)
-        where = " from an outside run" if outside else ""
+        where = " from an outside run" if Basis.OUTSIDE in kinds else ""
         if reach > 1.0:
             return f"extrapolated {plain(reach)} times{where}"
-        if all(use.slope.basis == Basis.ENCODED for use in self.uses):
-            return "counted"
-        return f"measured{where}"
+        return "counted" if kinds == {Basis.ENCODED} else f"measured{where}"
 
     def said(self) -> str:
         """The value with its unit as people read it."""
--- a/calicopin/capacity/model.py
+++ b/calicopin/capacity/model.py
@@ -82,6 +82,8 @@
                 courier.events_traffic(size),
                 courier.waiting_memory(size),
                 courier.queue_length(size),
+                courier.walked_down(size),
+                courier.walked_deliveries(size),
                 courier.waiting_disk(size),
                 courier.waiting_start(size),
             ),
--- /dev/null
+++ b/calicopin/capacity/options.py
@@ -0,0 +1,218 @@
+"""Other mechanisms than subscriptions, each with what it costs at the size. docs/subscriptions-design.md weighs them."""
+
+from dataclasses import dataclass
+from math import log2
+
+from calicopin.capacity import courier, node, slopes
+from calicopin.capacity.figures import Figure, Unit, Use
+from calicopin.capacity.size import Size
+
+VERSION_BYTES = 8.0  # a destination's number and version, packed, the least that gossip compares: assumed
+GOSSIP_PERIOD_S = 1.0  # between two exchanges of one courier: assumed
+FAN_OUT = 25.0  # children of one relay: assumed
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """One mechanism with its figures."""
+
+    name: str
+    figures: tuple[Figure, ...]
+
+
+def owners(size: Size) -> Option:
+    """Destinations hashed to owners: a courier forwards what it takes to the destination's owner."""
+    forwarded = size.events_a_courier * (1.0 - 1.0 / size.couriers)
+    body = size.shape.message_bytes
+    return Option(
+        "Destinations hashed to owners, with forwarding",
+        (
+            Figure(
+                "events forwarded a second a courier",
+                "events a courier × (1 - 1 / couriers)",
+                forwarded,
+                Unit.A_SECOND,
+            ),
+            Figure(
+                "processor time for them, taken on once more",
+                "events forwarded × event",
+                forwarded * slopes.EVENT_TIME.value,
+                Unit.CORES,
+                (Use(slopes.EVENT_TIME, forwarded),),
+            ),
+            Figure(
+                "bytes a second of bodies, out and in once more",
+                "2 × events forwarded × body",
+                2.0 * forwarded * body,
+                Unit.BYTES_A_SECOND,
+                (),
+                ("message_bytes",),
+            ),
+            Figure(
+                "changes of ownership a second that every courier hears",
+                "2 × starts a day / a day",
+                2.0 * size.starts_a_day / 86_400.0,
+                Unit.A_SECOND,
+                (),
+                ("couriers_a_machine",),
+            ),
+            Figure(
+                "waiting events that change owner at each, on disks that stay behind",
+                "waiting events a courier",
+                size.waiting_a_courier,
+                Unit.COUNT,
+            ),
+        ),
+    )
+
+
+def parts(size: Size) -> Option:
+    """Each node holds a part of the list: a courier keeps a lease at nearly every node."""
+    machines, used = size.control_machines, size.destinations_a_courier
+    nodes = machines * (1.0 - (1.0 - 1.0 / machines) ** used)
+    calls = nodes * courier.calls_a_second()
+    shape = ("senders_a_destination",)
+    return Option(
+        "Nodes that hold a part of the list each",
+        (
+            Figure(
+                "memory of the list at a node",
+                "memory of the list / control machines",
+                node.list_memory(size).value / machines,
+                Unit.BYTES,
+                node.list_memory(size).uses,
+            ),
+            Figure(
+                "nodes that a courier asks",
+                "control machines × (1 - (1 - 1 / control machines) ^ destinations a courier)",
+                nodes,
+                Unit.COUNT,
+                (),
+                shape,
+            ),
+            Figure(
+                "processor time of renewals at a courier",
+                "nodes × calls a second × renewal at the courier",
+                calls * slopes.RENEWAL_COURIER_TIME.value,
+                Unit.CORES,
+                (Use(slopes.RENEWAL_COURIER_TIME),),
+                shape,
+            ),
+            Figure(
+                "bytes a second of renewals at a courier",
+                "nodes × calls a second × renewal",
+                calls * slopes.RENEWAL_BYTES.value,
+                Unit.BYTES_A_SECOND,
+                (Use(slopes.RENEWAL_BYTES),),
+                shape,
+            ),
+            Figure(
+                "processor time of renewals at a node",
+                "couriers × nodes / control machines × calls a second × renewal at the node",
+                size.couriers * calls / machines * slopes.RENEWAL_NODE_TIME.value,
+                Unit.CORES,
+                (Use(slopes.RENEWAL_NODE_TIME),),
+                shape,
+            ),
+        ),
+    )
+
+
+def relays(size: Size) -> Option:
+    """A tree: couriers relay to others below them."""
+    children = size.couriers / FAN_OUT
+    levels = 2.0  # nodes to relays, relays to couriers
+    return Option(
+        "A tree of relays, 25 children each",
+        (
+            Figure(
+                "relays that a node serves",
+                "couriers / children / control machines",
+                children / size.control_machines,
+                Unit.COUNT,
+                (),
+                ("fan-out",),
+            ),
+            Figure(
+                "processor time at a relay for its children",
+                "children × calls a second × renewal at the node",
+                FAN_OUT * courier.calls_a_second() * slopes.RENEWAL_NODE_TIME.value,
+                Unit.CORES,
+                (Use(slopes.RENEWAL_NODE_TIME),),
+                ("fan-out",),
+            ),
+            Figure(
+                "memory at a relay for its children's sets",
+                "children × memory of the subscribed set",
+                FAN_OUT * courier.set_memory(size).value,
+                Unit.BYTES,
+                courier.set_memory(size).uses,
+                ("senders_a_destination",),
+            ),
+            Figure(
+                "couriers cut off by one lost relay",
+                "children",
+                FAN_OUT,
+                Unit.COUNT,
+                (),
+                ("fan-out",),
+            ),
+            Figure(
+                "pauses on the way of a change",
+                f"{levels:g} × pause",
+                levels * courier.PAUSE_S,
+                Unit.SECONDS,
+            ),
+        ),
+    )
+
+
+def gossip(size: Size) -> Option:
+    """Couriers tell each other; each needs the whole list, or its versions at least, to compare."""
+    rounds = log2(size.couriers)
+    return Option(
+        "Gossip between couriers",
+        (
+            Figure(
+                "memory of the list at each courier, as plain JSON",
+                "destinations × entry",
+                courier.list_bytes(size).value,
+                Unit.BYTES,
+                courier.list_bytes(size).uses,
+            ),
+            Figure(
+                "memory of versions alone",
+                f"destinations × {VERSION_BYTES:g} B",
+                size.destinations * VERSION_BYTES,
+                Unit.BYTES,
+                (),
+                ("version's bytes",),
+            ),
+            Figure(
+                "rounds until a change has reached all, at the least",
+                "log2(couriers)",
+                rounds,
+                Unit.COUNT,
+            ),
+            Figure(
+                "time for them, one exchange a second",
+                "rounds × period",
+                rounds * GOSSIP_PERIOD_S,
+                Unit.SECONDS,
+                (),
+                ("gossip period",),
+            ),
+            Figure(
+                "a start's list from a neighbour, within the budget of bytes",
+                "destinations × entry / bytes a second",
+                courier.list_start(size).value,
+                Unit.SECONDS,
+                courier.list_start(size).uses,
+            ),
+        ),
+    )
+
+
+def options(size: Size) -> tuple[Option, ...]:
+    """Every option that was weighed."""
+    return owners(size), parts(size), relays(size), gossip(size)
--- a/calicopin/capacity/page.py
+++ b/calicopin/capacity/page.py
@@ -1,14 +1,17 @@
 """The generated part of docs/CAPACITY.md: its tables, and the sentences in which figures of the model stand."""
 
+from dataclasses import replace
 from pathlib import Path
 
-from calicopin.capacity import faults, model, ranking
+from calicopin.capacity import faults, model, options, ranking
 from calicopin.capacity.figures import Figure, Unit, plain, said
 from calicopin.capacity.ranking import Demand
 from calicopin.capacity.size import Size
 from calicopin.capacity.slopes import Slope, all_slopes
 
-PAGE = Path(__file__).resolve().parents[2] / "docs" / "CAPACITY.md"
+DOCS = Path(__file__).resolve().parents[2] / "docs"
+PAGE = DOCS / "CAPACITY.md"
+NOTE = DOCS / "subscriptions-design.md"
 BEGIN = "<!-- begin: python -m calicopin.capacity --write -->"
 END = "<!-- end -->"
 
@@ -71,6 +74,13 @@
     return "## Quotients\n\n" + table(FIGURE_HEADS, [figure_row(one) for one in model.quotients(size)])
 
 
+SENDERS_MOVE = (
+    "a start has its list within the time to force, at the budget of bytes",
+    "control memory of a courier",
+    "control core of a courier",
+)
+
+
 def ranking_part(size: Size) -> str:
     """The ranking and the first that fails."""
     first = ranking.first_to_fail(size)
@@ -82,6 +92,23 @@
     )
 
 
+SENDERS = (1.0, 3.0, 10.0, 30.0)  # of one destination, for which the page tells the budgets
+
+
+def senders_part(size: Size) -> str:
+    """The users' budgets that a courier's set moves, with more senders for each destination."""
+    rows = []
+    for senders in SENDERS:
+        other = replace(size, shape=replace(size.shape, senders_a_destination=senders))
+        factors = {row.name: row.factor_subscribed for row in ranking.demands(other)}
+        told = [plain(factors[name]) for name in SENDERS_MOVE]
+        rows.append((plain(senders), plain(other.destinations_a_courier), *told))
+    return (
+        "### With more senders for each destination\n\nFactors with subscriptions: demand over budget, as in the ranking.\n\n"
+        + table(("senders", "destinations a courier", *SENDERS_MOVE), rows)
+    )
+
+
 def roles_part(size: Size) -> str:
     """A table for each role."""
     parts = ["## Roles"]
@@ -99,6 +126,15 @@
     return "\n\n".join(parts)
 
 
+def options_part(size: Size) -> str:
+    """A table for each mechanism that was weighed; it stands in the design note."""
+    parts = []
+    for option in options.options(size):
+        rows = [figure_row(one) for one in option.figures]
+        parts.append(f"**{option.name}**\n\n" + table(FIGURE_HEADS, rows))
+    return "\n\n".join(parts) + "\n"
+
+
 SLOPE_HEADS = ("slope", "value", "basis", "sizes", "residual / mean", "source")
 
 
@@ -111,6 +147,7 @@
     """All that stands between the markers."""
     parts = (
         ranking_part(size),
+        senders_part(size),
         quotients_part(size),
         roles_part(size),
         faults_part(size),
@@ -119,10 +156,15 @@
     return "\n\n".join(parts) + "\n"
 
 
-def with_generated(text: str, size: Size) -> str:
-    """The page's text with its generated part made anew; raises NoMarkers."""
+def with_generated(text: str, made: str) -> str:
+    """A page's text with its generated part made anew; raises NoMarkers."""
     before, begin, rest = text.partition(BEGIN)
     _, end, after = rest.partition(END)
     if not begin or not end:
         raise NoMarkers(f"the page lacks {BEGIN!r} or {END!r}")
-    return f"{before}{BEGIN}\n\n{generated(size)}\n{END}{after}"
+    return f"{before}{BEGIN}\n\n{made}\n{END}{after}"
+
+
+def pages(size: Size) -> dict[Path, str]:
+    """The text that belongs between the markers of each page."""
+    return {PAGE: generated(size), NOTE: options_part(size)}
--- a/calicopin/capacity/ranking.py
+++ b/calicopin/capacity/ranking.py
@@ -7,7 +7,7 @@
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import Size
 
-ONE_CORE = 1.0  # a courier, and a node, is one thread
+ONE_CORE = 1.0  # a courier is one thread, and so is a node
 
 
 class Budget(StrEnum):
@@ -49,15 +49,6 @@
         return (self.subscribed or self.today).value / self.budget
 
 
-@dataclass(frozen=True, slots=True)
-class Next:
-    """One mechanism that is missing, with the factor that it has to win; None where the model has none yet."""
-
-    mechanism: str
-    instead_of: str
-    factor: Figure
-
-
 def _machines(size: Size, calls: float, formula: str) -> Figure:
     return Figure(
         "machines of which one core is used",
@@ -121,7 +112,7 @@
         ),
         Demand(
             "an answer with the list, as it may be read",
-            float(courier.MOST_LIST_BYTES),
+            courier.MOST_LIST_BYTES,
             Unit.BYTES,
             Budget.PROGRAM,
             Fails.CONSTANT,
@@ -137,6 +128,22 @@
             courier.list_take(size),
             courier.set_take(size),
         ),
+        Demand(
+            "one thread for what waits at destinations that are down",
+            ONE_CORE,
+            Unit.CORES,
+            Budget.PROGRAM,
+            Fails.DESIGN,
+            courier.walked_down(size),
+        ),
+        Demand(
+            "one thread for deliveries from a backlog",
+            ONE_CORE,
+            Unit.CORES,
+            Budget.PROGRAM,
+            Fails.DESIGN,
+            courier.walked_deliveries(size),
+        ),
         Demand(
             "a change in force",
             size.in_force_s,
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -76,6 +76,27 @@
 WAITING_MEMORY = Slope(
     "memory of a waiting message", 490.0, "B / message", Basis.OUTSIDE, OUTSIDE_RUN + "; the decisions' part"
 )
+BACKLOG = "python -m calicopin.capacity.backlog --json docs/scale/backlog.json"
+WALKED_DOWN = Slope(
+    "a waiting message a second, its destination down",
+    2.167e-6,
+    "s / message",
+    Basis.RUN,
+    "no limit told in answers; an event each 0.68 s for the destination",
+    (10_000, 30_000, 100_000),
+    0.0889,
+    Run("docs/scale/backlog.json", "processor time a second, the destination down", BACKLOG, factor=1e-3),
+)
+WALKED_DELIVERY = Slope(
+    "a waiting message at each delivery of its destination",
+    7.498e-7,
+    "s / message",
+    Basis.RUN,
+    "the first 100 deliveries of a backlog",
+    (10_000, 30_000, 100_000),
+    0.0639,
+    Run("docs/scale/backlog.json", "processor time of one delivery", BACKLOG, factor=1e-3),
+)
 STORE_BYTES = Slope(
     "a live message in the segmented store",
     120.6e6 / 200_000,
