--- /dev/null
+++ b/calicopin/scale/fit.py
@@ -0,0 +1,71 @@
+"""Least-squares lines through measured points, and the spread of repeated ones. No I/O, no clock."""
+
+import statistics
+from dataclasses import dataclass
+from math import sqrt
+
+LEAST_SIZES = 3  # a line through two points has no residual
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One repeat of one measurement at one size."""
+
+    size: float
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """`value = intercept + slope * size`.
+
+    `residual` is the root of the mean squared distance of the samples from the line, in the unit of the value;
+    `residual_share` the same over the mean value: near 0 the line holds, near 1 it says nothing.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+    residual_share: float
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    """The repeats at one size."""
+
+    size: float
+    repeats: int
+    median: float
+    least: float
+    most: float
+
+
+def line(samples: list[Sample]) -> Line:
+    """The least-squares line; ValueError with fewer than three sizes."""
+    if len({sample.size for sample in samples}) < LEAST_SIZES:
+        raise ValueError(f"a slope takes {LEAST_SIZES} sizes at least")
+    sizes = [sample.size for sample in samples]
+    values = [sample.value for sample in samples]
+    slope, intercept = statistics.linear_regression(sizes, values)
+    squares = [(value - intercept - slope * size) ** 2 for size, value in zip(sizes, values)]
+    residual = sqrt(sum(squares) / len(squares))
+    mean = abs(sum(values) / len(values))
+    return Line(slope, intercept, residual, residual / mean if mean else 0.0)
+
+
+def spreads(samples: list[Sample]) -> list[Spread]:
+    """One row a size, smallest size first."""
+    rows = []
+    for size in sorted({sample.size for sample in samples}):
+        values = [sample.value for sample in samples if sample.size == size]
+        rows.append(Spread(size, len(values), statistics.median(values), min(values), max(values)))
+    return rows
+
+
+def percentile(values: list[float], share: float) -> float:
+    """The smallest value that at least `share` of the values do not exceed; ValueError where there are none."""
+    if not values:
+        raise ValueError("no values")
+    ordered = sorted(values)
+    position = max(0, -(-int(share * 1_000_000) * len(ordered) // 1_000_000) - 1)
+    return ordered[min(position, len(ordered) - 1)]
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,97 @@
+"""The scale tests' own parts: fits, bounds, the list source, and small forms of the slopes. No clock is asserted."""
+
+import io
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from calicopin.scale import fit, guard, measures
+from calicopin.scale.__main__ import main
+from calicopin.scale.list_source import ChangeSource, ListSize, entries, head, write
+
+
+def test_a_line_is_found_with_its_residual():
+    samples = [fit.Sample(size, 3.0 * size + 7.0) for size in (1, 10, 100)]
+    line = fit.line(samples)
+    assert line.slope == pytest.approx(3.0) and line.intercept == pytest.approx(7.0)
+    assert line.residual == pytest.approx(0.0, abs=1e-9)
+
+
+def test_a_square_does_not_pass_for_a_line():
+    line = fit.line([fit.Sample(size, size * size) for size in (1.0, 10.0, 100.0)])
+    assert line.residual_share > 0.05
+
+
+def test_two_sizes_make_no_line():
+    with pytest.raises(ValueError, match="3 sizes"):
+        fit.line([fit.Sample(1, 1), fit.Sample(2, 2), fit.Sample(2, 3)])
+
+
+def test_spreads_and_percentiles():
+    rows = fit.spreads([fit.Sample(2, 5.0), fit.Sample(1, 3.0), fit.Sample(1, 1.0), fit.Sample(1, 2.0)])
+    assert [(row.size, row.repeats, row.median, row.least, row.most) for row in rows] == [
+        (1, 3, 2.0, 1.0, 3.0),
+        (2, 1, 5.0, 5.0, 5.0),
+    ]
+    values = [float(number) for number in range(1, 101)]
+    assert [fit.percentile(values, share) for share in (0.0, 0.5, 0.99, 1.0)] == [1.0, 50.0, 99.0, 100.0]
+    assert fit.percentile([4.0], 0.99) == 4.0
+
+
+def test_a_run_over_its_bounds_is_refused():
+    allowed = guard.Bounds(memory=1000, processes=10)
+    guard.check(guard.Estimate(1000, 10), allowed)
+    with pytest.raises(guard.Refused, match="memory"):
+        guard.check(guard.Estimate(1001, 1), allowed)
+    with pytest.raises(guard.Refused, match="processes"):
+        guard.check(guard.Estimate(1, 11), allowed)
+
+
+def test_no_argument_lifts_the_bounds_over_half_of_the_machine():
+    most = guard.bounds(10**9, 10**9)
+    assert most.memory == int(guard.machine_memory() * 0.5)
+    assert most.processes == guard.MOST_PROCESSES
+
+
+def test_a_command_too_large_ends_before_it_begins_with_one_line_and_2():
+    done = CliRunner().invoke(main, ["slopes", "list", "--size", "100000000"])
+    assert done.exit_code == 2
+    assert done.stderr.startswith("refused: the run would take some") and done.stderr.count("\n") == 1
+
+
+def test_the_same_seed_makes_the_same_list():
+    size = ListSize(200, endpoints_each=2, down_share=0.1)
+    one, two, other = io.StringIO(), io.StringIO(), io.StringIO()
+    write(one, "lahore", size, 7)
+    write(two, "lahore", size, 7)
+    write(other, "lahore", size, 8)
+    assert one.getvalue() == two.getvalue() != other.getvalue()
+    lines = one.getvalue().splitlines()
+    assert json.loads(lines[0]) == {"form": 1, "fleet": "lahore"} == json.loads(head("lahore"))
+    told = [json.loads(line) for line in lines[1:]]
+    assert len(told) == 400 and len({entry["id"] for entry in told}) == 400
+    assert 0 < sum(entry["state"] == "left" for entry in told) < 80
+
+
+def test_each_change_differs_from_what_was_known():
+    size = ListSize(20)
+    known = {entry["cell"]: entry for entry in entries(size, 1)}
+    source = ChangeSource(size, 3)
+    for _ in range(500):
+        change = source.next()
+        entry = json.loads(change.line)
+        assert entry["cell"] == change.destination and entry["state"] == change.state
+        assert entry != known[change.destination]
+        known[change.destination] = entry
+
+
+def test_messages_of_a_rate_are_all_delivered():
+    told = measures.rate(33, seed=1, seconds=2.0)
+    assert told["delivered"] == told["offered"] == 66
+
+
+def test_journal_bytes_grow_by_the_messages():
+    few, many = measures.journal_bytes(50, 1), measures.journal_bytes(100, 1)
+    assert few["delivered"] == 50 and many["delivered"] == 100
+    assert 1.9 < many["bytes"] / few["bytes"] < 2.1
