--- a/calicopin/scale/measures.py
+++ b/calicopin/scale/measures.py
@@ -66,7 +66,7 @@
 
 def listed(destinations: int, seed: int) -> dict[str, float]:
     """What a list costs: its memory, a whole one at first and again, and one changed entry of it."""
-        some = places(destinations, seed)
+    some = places(destinations, seed)
     facade, empty = Facade(seed, settings(400), 400, 0.0), resident()
     # the places were read before: what the decisions hold of them in common is not counted, see list_memory
     first = _timed(facade, 100.0, some, True)
