Discovery node: a source of which much has changed is read whole again; a command that measures

Change: past 50,000 changed destinations and an eighth of all, the same file is read whole in slices; nobody is told by it. python -m calicopin.discovery_node.measure prints load, leases and changes of the parts.

--- a/calicopin/discovery_node/catalogue.py
+++ b/calicopin/discovery_node/catalogue.py
@@ -128,9 +128,14 @@
         changed = self._changed.get(destination)
         return self._loaded(destination) if changed is None else changed
 
+    @property
+    def changed(self) -> int:
+        """Destinations that changed since the load."""
+        return len(self._changed)
+
     def figures(self) -> Figures:
         """What it holds, in numbers."""
-        return Figures(self.destinations, self.endpoints, len(self._changed), len(self._block))
+        return Figures(self.destinations, self.endpoints, self.changed, len(self._block))
 
     def _load_line(self, entry: Entry, data: bytes) -> None:
         ident_hash = hash_of(entry.id)
--- /dev/null
+++ b/calicopin/discovery_node/measure.py
@@ -0,0 +1,178 @@
+"""What a node's parts cost, in one process and without sockets: `python -m calicopin.discovery_node.measure`.
+
+A made list is loaded, couriers subscribe to disjoint sets of it, destinations change one after the other. Processor
+time is this process's own; memory is what its resident size grew by.
+"""
+
+import json
+import os
+import random
+import tempfile
+import time
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+
+import click
+
+from calicopin.discovery_node.catalogue import Catalogue
+from calicopin.discovery_node.entry import decode_entry
+from calicopin.discovery_node.server import resident_bytes
+from calicopin.discovery_node.source import open_source
+from calicopin.subscription.leases import LeaseBounds, LeaseTable, Tell
+from calicopin.subscription.messages import (
+    Grant,
+    SubscribeRequest,
+    decode_request,
+    encode_answer,
+    encode_request,
+)
+
+FLEET = "measured"
+MICROSECONDS = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Cost:
+    """The figures of one run."""
+
+    destinations: int
+    couriers: int
+    subscriptions: int
+    source_bytes: int
+    load_cpu_s: float
+    load_resident_bytes: int
+    open_cpu_us: float
+    lease_bytes_per_subscription: float
+    full_answer_bytes: int
+    change_cpu_us: float
+    change_resident_bytes: float
+    change_leases_looked_at: float
+    change_rows_looked_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """What it took to grant all leases."""
+
+    cpu_s: float
+    resident_bytes: int
+    largest_answer: int
+
+
+def made_entry(number: int, state: str = "active") -> bytes:
+    """An endpoint of the destination of the same number."""
+    told = {
+        "id": f"s-{number}",
+        "addr": f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}:8080",
+        "cell": number,
+        "kind": "web",
+        "zone": f"z{number % 17}",
+        "state": state,
+        "weight": 1.0,
+    }
+    return json.dumps(told, separators=(",", ":")).encode()
+
+
+def write_source(path: str, destinations: int) -> None:
+    """A list log with one endpoint for each destination."""
+    with open(path, "wb") as file:
+        file.write(json.dumps({"form": 1, "fleet": FLEET}).encode() + b"\n")
+        for number in range(destinations):
+            file.write(made_entry(number) + b"\n")
+
+
+def load(path: str) -> Catalogue:
+    """The list as a node holds it."""
+    file = open_source(path, FLEET)
+    catalogue = Catalogue(file.size_at_open)
+    for _ in catalogue.load(file.lines(file.size_at_open)):
+        pass
+    file.close()
+    return catalogue
+
+
+def sets_of(destinations: int, couriers: int, each: int, seed: int) -> Iterator[tuple[int, ...]]:
+    """Disjoint sets by chance."""
+    numbers = random.Random(seed).sample(range(destinations), couriers * each)
+    for at in range(0, len(numbers), each):
+        yield tuple(numbers[at : at + each])
+
+
+def answer(catalogue: Catalogue, told: Tell) -> bytes:
+    """The body that goes out."""
+    servers = [entry for destination in told.destinations for entry in catalogue.entries(destination)]
+    grant = Grant(FLEET, "n1", told.lease, told.sequence, 30_000.0, told.destinations)
+    return encode_answer(told.full, told.version, servers, grant)
+
+
+def change_one(catalogue: Catalogue, table: LeaseTable, number: int) -> None:
+    """One destination's endpoint is announced as leaving, and all that hold it are answered."""
+    data = made_entry(number, "leaving")
+    for name in table.change(catalogue.apply(decode_entry(data), data)):
+        answer(catalogue, table.tell(name))
+
+
+def measure(destinations: int, couriers: int, each: int, changes: int, seed: int) -> Cost:
+    """One run."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "list.log")
+        write_source(path, destinations)
+        size, resident, began = os.path.getsize(path), resident_bytes(), time.process_time()
+        catalogue = load(path)
+        load_cpu, load_resident = time.process_time() - began, resident_bytes() - resident
+    table = LeaseTable(FLEET, "n1", "run", LeaseBounds(leases=max(couriers, 1024)))
+    requests = [
+        encode_request(SubscribeRequest(FLEET, f"c-{number}", subscribe=wanted))
+        for number, wanted in enumerate(sets_of(destinations, couriers, each, seed))
+    ]
+    opening = open_all(catalogue, table, requests)
+    held = table.subscribed()
+    changed = random.Random(seed).sample(held, min(changes, len(held)))
+    leases, rows = table.work, catalogue.work
+    resident, began = resident_bytes(), time.process_time()
+    for number in changed:
+        change_one(catalogue, table, number)
+    change_cpu, change_resident = time.process_time() - began, resident_bytes() - resident
+    return Cost(
+        destinations=destinations,
+        couriers=couriers,
+        subscriptions=table.subscriptions,
+        source_bytes=size,
+        load_cpu_s=round(load_cpu, 2),
+        load_resident_bytes=load_resident,
+        open_cpu_us=round(opening.cpu_s * MICROSECONDS / couriers, 1),
+        lease_bytes_per_subscription=round(opening.resident_bytes / table.subscriptions, 1),
+        full_answer_bytes=opening.largest_answer,
+        change_cpu_us=round(change_cpu * MICROSECONDS / len(changed), 1),
+        change_resident_bytes=round(change_resident / len(changed), 1),
+        change_leases_looked_at=round((table.work - leases) / len(changed), 3),
+        change_rows_looked_at=round((catalogue.work - rows) / len(changed), 3),
+    )
+
+
+def open_all(catalogue: Catalogue, table: LeaseTable, requests: list[bytes]) -> Opening:
+    """A lease for each request."""
+    resident, began, largest = resident_bytes(), time.process_time(), 0
+    for body in requests:
+        told = table.request(0.0, decode_request(body), None)
+        largest = max(largest, len(answer(catalogue, told)))
+    return Opening(time.process_time() - began, resident_bytes() - resident, largest)
+
+
+@click.command(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--destinations", type=click.IntRange(min=100), default=1_700_000, show_default=True)
+@click.option("--couriers", type=click.IntRange(min=1), default=613, show_default=True)
+@click.option(
+    "--each", type=click.IntRange(min=1), default=90, show_default=True, help="Destinations of a courier."
+)
+@click.option("--changes", type=click.IntRange(min=1), default=11_000, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+def main(destinations, couriers, each, changes, seed):
+    """Prints the costs of a node's parts as JSON; takes some 200 bytes of memory for each destination."""
+    if couriers * each > destinations:
+        raise click.UsageError("--couriers times --each must not pass --destinations: the sets are disjoint")
+    click.echo(json.dumps(asdict(measure(destinations, couriers, each, changes, seed)), indent=1))
+
+
+if __name__ == "__main__":
+    main()
--- a/calicopin/discovery_node/source.py
+++ b/calicopin/discovery_node/source.py
@@ -19,6 +19,10 @@
 SLICE = 10.0  # ms of a long read in one pass of the loop
 CHUNK = 256 * 1024  # bytes of one read
 MOST_LINE = 64 * 1024  # bytes of one line
+FOLD_LEAST = (
+    50_000  # destinations changed since the last load, from which on the file may be read whole again
+)
+FOLD_SHARE = 1 / 8  # of all destinations: what changed lies in plain maps, which take three times the memory
 MOST_TOLD = 20  # faults of one read that are told line by line
 
 
@@ -197,7 +201,7 @@
         stamp = (what.st_dev, what.st_ino, what.st_size, what.st_mtime_ns)
         if stamp == self._doubted:
             return
-        if self.catalogue is None or self._is_replaced(what):
+        if self.catalogue is None or self._is_replaced(what) or self._should_fold():
             yield from self._take_whole(stamp)
         elif what.st_size > self.file.offset:
             self._told = ""
@@ -207,6 +211,11 @@
         other = (what.st_dev, what.st_ino) != self.file.identity
         return self._lost or other or what.st_size < self.file.offset
 
+    def _should_fold(self) -> bool:
+        """Whether enough has changed for a whole read of the same file."""
+        catalogue = self.catalogue
+        return catalogue.changed > max(FOLD_LEAST, FOLD_SHARE * catalogue.destinations)
+
     def _take_appended(self, size: int) -> Iterator[Until]:
         """Applies the appended lines, a slice in each pass of the loop."""
         report, touched, began = FaultReport(self.path), set(), self.loop.now()
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -17,8 +17,10 @@
 
 from calicopin.command.__main__ import main
 from calicopin.discovery_node import catalogue as catalogue_module
+from calicopin.discovery_node import source as source_module
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import Line, decode_entry, read_line
+from calicopin.discovery_node.measure import measure
 from calicopin.discovery_node.node import check_source
 from calicopin.discovery_node.server import NodeServer, ServerBounds
 from calicopin.discovery_node.source import LOOK, MOST_LINE, MOST_TOLD, LineSplitter, Source, SourceError
@@ -420,6 +422,22 @@
     assert source.catalogue.entries(2) == (entry("s-2", 2, "leaving"),)
 
 
+def test_a_file_of_which_much_has_changed_is_read_whole_again_and_nobody_is_told(path, monkeypatch):
+    monkeypatch.setattr(source_module, "FOLD_LEAST", 2)
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(10))))
+    following = Following(path, subscribed=range(10))
+    for number in range(3):
+        following.append(entry(f"s-{number}", number, "leaving") + b"\n")
+    assert (following.heard.all(), following.source.loads) == ({0, 1, 2}, 1)
+    following.look()
+    following.look()
+    assert (following.heard.all(), following.source.loads) == (set(), 2)
+    assert following.source.catalogue.changed == 0
+    assert following.entries(2) == (entry("s-2", 2, "leaving"),)
+    following.append(entry("s-5", 5, "left") + b"\n")
+    assert following.heard.all() == {5}
+
+
 def test_a_check_tells_counts_and_faults(path):
     path.write_bytes(log(entry("a", 1), b"{", entry("b", 1)) + b'{"id"')
     found = check_source(str(path), "fleet")
@@ -909,6 +927,13 @@
     assert node.source.catalogue.work - rows <= 100 * 4
 
 
+def test_the_measured_costs_of_a_change_have_the_same_shape_at_each_size():
+    costs = [measure(known, couriers=20, each=10, changes=100, seed=1) for known in (1_000, 10_000)]
+    assert [cost.change_leases_looked_at for cost in costs] == [1.0, 1.0]
+    assert max(cost.change_rows_looked_at for cost in costs) < 4.0
+    assert [cost.subscriptions for cost in costs] == [200, 200]
+
+
 # The command, in processes of its own.
 
 
