--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -47,6 +47,7 @@
 AT_ONCE = 32  # connections accepted in one pass
 BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
 BODY_BASE = 4096
+MOST_READING = 64 << 20  # bytes of bodies that are read at once, all connections together
 INDEX_DIGITS = 18
 
 
@@ -139,6 +140,7 @@
         self.connections: dict[Connection, None] = {}
         self.parked: dict[str, Parked] = {}
         self.refused: Counter[Reason] = Counter()
+        self.reading = 0  # bytes that the bodies now being read may come to
         self.answers = self.changes_told = self.destinations_changed = 0
         self.stopping = False
         self._turned_away, self._told_at = 0, -FOREVER
@@ -311,19 +313,32 @@
         lengths = dict(head.headers)
         if b"content-length" in lengths and b"transfer-encoding" in lengths:
             return unreadable("both Content-Length and Transfer-Encoding")
-        if int(lengths.get(b"content-length", 0)) > self.most_body:
+        length = int(lengths.get(b"content-length", 0))
+        if length > self.most_body:
             return self._too_large()
-        body = yield from line.body(self.most_body, until)
+        expected = self.most_body if b"transfer-encoding" in lengths else length
+        if self.reading + expected > MOST_READING:
+            why = "too many long requests at once"
+            return refused(Refusal(Reason.TOO_MANY, why, TURNED_AWAY_RETRY), last=True)
+        self.reading += expected
+        try:
+            body = yield from line.body(self.most_body, until)
+        finally:
+            self.reading -= expected
         if body is TOO_LONG:
             return self._too_large()
         if body is None:
-            if line.ended:
-                return None
-            if self.loop.now() >= until:
-                return unreadable("a body that does not come", 408)
-            return unreadable("a body that cannot be read")
+            return self._unread_body(line, until)
         return (yield from self._route(line, head, body))
 
+    def _unread_body(self, line: Line, until: float) -> Reply | None:
+        """The answer where a body did not come whole."""
+        if line.ended:
+            return None
+        if self.loop.now() >= until:
+            return unreadable("a body that does not come", 408)
+        return unreadable("a body that cannot be read")
+
     def _too_large(self) -> Reply:
         return refused(Refusal(Reason.TOO_LARGE, f"a body over {self.most_body} bytes"), last=True)
 
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -17,6 +17,7 @@
 
 from calicopin.command.__main__ import main
 from calicopin.discovery_node import catalogue as catalogue_module
+from calicopin.discovery_node import server as server_module
 from calicopin.discovery_node import source as source_module
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import Line, decode_entry, read_line
@@ -780,6 +781,20 @@
     courier.peer.wait_end()
 
 
+def test_bodies_read_at_once_are_bounded_together(node, monkeypatch):
+    first, second = Courier(node, "c-1"), Courier(node, "c-2")
+    body = first.body((1,))
+    monkeypatch.setattr(server_module, "MOST_READING", 2 * len(body) - 1)
+    head = f"POST /api/targets HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n\r\n"
+    first.peer.say(head.encode() + body[:-1])
+    spin(node.loop, lambda: node.server.reading == len(body))
+    second.send(second.body((1,)))
+    assert second.refusal().reason is Reason.TOO_MANY
+    first.peer.say(body[-1:])
+    assert first.told().full and node.server.reading == 0
+    assert Courier(node, "c-2").subscribe(1).full
+
+
 def test_pipelined_requests_are_answered_in_their_order(node):
     courier = Courier(node)
     courier.send(courier.body((1,)))
