--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -1054,7 +1054,7 @@
 def test_what_cannot_be_served_is_refused_with_a_plain_line_and_2(path, words, why):
     path.write_bytes(log(entry("a", 1)))
     told = {"--source": str(path), "--fleet": "fleet", "--listen": "127.0.0.1:1", "--node": "n1"}
-    told |= dict(zip(words[::2], words[1::2]))
+    told |= dict(zip(words[::2], words[1::2], strict=True))
     result = CliRunner().invoke(main, ["discovery-node", *(word for pair in told.items() for word in pair)])
     assert result.exit_code == 2 and why in result.stderr and "Traceback" not in result.stderr
 
--- a/tests/test_list_cost.py
+++ b/tests/test_list_cost.py
@@ -6,6 +6,7 @@
 import random
 import sys
 from dataclasses import replace
+from functools import partial
 
 import pytest
 from helper import PRODUCT, Stand, submits
@@ -163,10 +164,10 @@
     for count in (100, 1000, 10000):
         courier = courier_with(count)
         costs[count] = [
-            lines_run(lambda: courier.handle(10.0, [Listed([Entry(1, 0, ready=False)])])),
-            lines_run(lambda: courier.handle(20.0, [Listed([Entry(1, 0)])])),
-            lines_run(lambda: courier.handle(30.0, [Listed([Entry(count, 0)])])),
-            lines_run(lambda: courier.handle(40.0, [Listed([])])),
+            lines_run(partial(courier.handle, 10.0, [Listed([Entry(1, 0, ready=False)])])),
+            lines_run(partial(courier.handle, 20.0, [Listed([Entry(1, 0)])])),
+            lines_run(partial(courier.handle, 30.0, [Listed([Entry(count, 0)])])),
+            lines_run(partial(courier.handle, 40.0, [Listed([])])),
         ]
     assert costs[100] == costs[1000] == costs[10000]
 
@@ -177,7 +178,7 @@
     for left in (10, 1000):
         courier = courier_with(4000)
         courier.handle(10.0, [Listed([Entry(ident, ident // 4, ready=False) for ident in range(left)])])
-        costs[left] = lines_run(lambda: courier.handle(20.0, [Listed([Entry(3999, 999, ready=False)])]))
+        costs[left] = lines_run(partial(courier.handle, 20.0, [Listed([Entry(3999, 999, ready=False)])]))
     assert costs[10] == costs[1000]
 
 
@@ -212,10 +213,10 @@
             house.tick(10.0)
 
         costs[count] = [
-            lines_run(lambda: change([row(5, ready=False)])),
-            lines_run(lambda: change([row(5)])),
-            lines_run(lambda: change([row(count)])),
-            lines_run(lambda: change([row(count, ready=False, left=True)])),
+            lines_run(partial(change, [row(5, ready=False)])),
+            lines_run(partial(change, [row(5)])),
+            lines_run(partial(change, [row(count)])),
+            lines_run(partial(change, [row(count, ready=False, left=True)])),
         ]
     assert costs[100] == costs[1000] == costs[10000]
 
