Subscriptions: the courier's side and the discovery node as they are, on one loop

Need: both sides had been tested against models of each other only. Change: tests with the real node's server, table and source: first answer, leaves, fresh subscription, give-up, a node begun anew, a lease that ended unseen.

--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -7,11 +7,15 @@
 from helper import Clock, Door, Peer, answer, spin
 from loguru import logger
 
+from calicopin.discovery_node.server import NodeServer, ServerBounds
+from calicopin.discovery_node.source import LOOK, Source
 from calicopin.facade import Place
 from calicopin.subscription.interest import InterestFullError
+from calicopin.subscription.leases import LeaseBounds, LeaseTable
 from calicopin.subscription.messages import Grant, Reason, Refusal, encode_answer, encode_refusal
 from calicopin.subscription.nodes import TRY_JITTER, ranking
 from calicopin.subscription.session import Standing
+from calicopin.system import HERE
 from calicopin.wire.asking import TOLD
 from calicopin.wire.loop import Event, Loop, Until
 from calicopin.wire.subscriber import AGAIN, PROMPT, WAIT, Subscriber
@@ -532,3 +536,118 @@
     nodes[0].tell(asked, 1, full=True, unknown=range(20000))
     spin(loop, lambda: heard)
     assert watch.use(7) is Standing.UNKNOWN
+
+
+class RealNode:
+    """A discovery node as it is, on the loop of the test; `log` is its source."""
+
+    def __init__(self, loop, log, run="1", address="127.0.0.1:0"):
+        host, port = address.split(":")
+        self.loop, self.log = loop, log
+        listener = HERE.listen(host, int(port))
+        self.address = "127.0.0.1:%d" % listener.getsockname()[1]
+        self.table = LeaseTable(FLEET, "n1", run, LeaseBounds())
+        self.server = NodeServer(loop, listener, self.table, ServerBounds())
+        self.source = Source(loop, str(log), FLEET, self.server.change, self.table.subscribed)
+        self.server.source = self.source
+
+    def write(self, *entries):
+        """Appends to the source; it is read with the node's next look."""
+        with open(self.log, "a", encoding="ascii") as file:
+            file.writelines(json.dumps(told) + "\n" for told in entries)
+        self.loop.now.now += LOOK
+
+    def kill(self):
+        """Nothing of it is left, and nobody was told."""
+        self.loop.cancel(self.server.accepting)
+        self.loop.cancel(self.source.task)
+        self.loop.close(self.server.listener)
+        for connection in list(self.server.connections):
+            self.server._hang_up(connection)
+
+
+@pytest.fixture
+def log(tmp_path):
+    path = tmp_path / "list.log"
+    first = [{"form": 1, "fleet": FLEET}, entry("e-41", 41), entry("e-7", 7)]
+    path.write_text("".join(json.dumps(told) + "\n" for told in first), encoding="ascii")
+    return path
+
+
+def run_until(loop, done, step=20.0, most=600):
+    """The clock goes on while both sides work."""
+    for _ in range(most):
+        for _ in range(4):
+            loop.once(loop.now())
+        if done():
+            return
+        loop.now.now += step
+    raise AssertionError("it never came about")
+
+
+def listed(watch):
+    return {
+        destination: sorted((told.ident, told.ready) for told in places)
+        for destination, places in watch.subscribed().items()
+    }
+
+
+def test_subscriber_and_discovery_node_agree(loop, log):
+    """Both sides as they are: a first answer, an announced leave, a leave, a fresh subscription, one given up."""
+    node, heard = RealNode(loop, log), Heard()
+    watch = subscriber(loop, [node], heard, idle=60000.0)
+    watch.use(41)
+    watch.use(99)
+    run_until(loop, lambda: watch.use(99) is Standing.UNKNOWN)
+    assert listed(watch) == {41: [("e-41", True)]}
+    node.write(entry("e-41", 41, "leaving"), entry("f-41", 41), entry("e-99", 99))
+    run_until(loop, lambda: watch.use(99) is Standing.KNOWN)
+    assert listed(watch) == {41: [("e-41", False), ("f-41", True)], 99: [("e-99", True)]}
+    node.write(entry("e-41", 41, "left"))
+    run_until(loop, lambda: listed(watch)[41] == [("f-41", True)])
+    assert ("e-41", False, True) in heard[-1][0]
+    run_until(loop, lambda: watch.session.longest_wait(watch.address, WAIT) and node.server.parked)
+    told = []
+    assert watch.use(7) is Standing.WAITING
+    watch.settled(7, told)
+    began = loop.now()
+    run_until(loop, lambda: told, step=0.0)
+    assert loop.now() == began and watch.figures().interrupted == 1, "no poll held it up"
+    assert set(node.table.subscribed()) == {41, 99, 7}
+    until = loop.now() + 60000.0 * 2.0
+    while loop.now() < until:
+        watch.use(41)
+        run_until(loop, lambda: True)
+        loop.now.now += 500.0
+    assert set(node.table.subscribed()) == {41} and sorted(heard.released) == [7, 99]
+    assert watch.figures().resyncs == 0 and not node.server.refused
+
+
+def test_discovery_node_that_begins_anew_is_subscribed_to_anew(loop, log):
+    node, heard = RealNode(loop, log), Heard()
+    watch = subscriber(loop, [node], heard)
+    watch.use(41)
+    run_until(loop, lambda: watch.use(41) is Standing.KNOWN)
+    node.kill()
+    loop.now.now += LOOK
+    with open(log, "a", encoding="ascii") as file:
+        file.write(json.dumps(entry("e-41", 41, "left")) + "\n" + json.dumps(entry("g-41", 41)) + "\n")
+    run_until(loop, lambda: watch.nodes.current is None)
+    assert watch.use(41) is Standing.KNOWN and watch.use(7) is Standing.WAITING
+    began = loop.now()
+    back = RealNode(loop, log, "2", node.address)
+    run_until(loop, lambda: watch.use(7) is Standing.KNOWN)
+    assert listed(watch) == {41: [("g-41", True)], 7: [("e-7", True)]}
+    assert loop.now() - began <= TOLD and back.server.refused[Reason.LEASE_OVER] == 1
+
+
+def test_lease_that_ended_unseen_is_begun_anew(loop, log):
+    """The process stood still for longer than its lease."""
+    node, heard = RealNode(loop, log), Heard()
+    watch = subscriber(loop, [node], heard)
+    watch.use(41)
+    run_until(loop, lambda: watch.use(41) is Standing.KNOWN and node.server.parked)
+    node.table.expire(loop.now() + 31000.0)
+    node.write(entry("e-41", 41, "left"), entry("g-41", 41))
+    run_until(loop, lambda: listed(watch) == {41: [("g-41", True)]})
+    assert node.server.refused[Reason.LEASE_OVER] >= 1 and watch.figures().node_changes == 0
