--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -593,7 +593,7 @@
 
 
 def test_subscriber_and_discovery_node_agree(loop, log):
-    """Both sides as they are: a first answer, an announced leave, a leave, a fresh subscription, one given up."""
+    """Both as they are: a first answer, an announced leave, a leave, a fresh subscription, one given up."""
     node, heard = RealNode(loop, log), Heard()
     watch = subscriber(loop, [node], heard, idle=60000.0)
     watch.use(41)
