--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from rich.console import Console
 
-from calicopin.scale import guard, results, slopes
+from calicopin.scale import fit, guard, results, sender_count, slopes
 
 
 def stop(line: str) -> None:
@@ -106,5 +106,54 @@
     finish(run, began, path)
 
 
+@main.command("sender-count")
+@click.option(
+    "--told", type=click.IntRange(min=1), multiple=True, default=(20, 190, 1900, 19000), show_default=True
+)
+@click.option("--senders", type=click.IntRange(1, 1000), default=20, show_default=True)
+@click.option(
+    "--limit", type=click.FloatRange(min=0.1), default=50.0, show_default=True, help="Calls a second."
+)
+@click.option(
+    "--offered", type=click.FloatRange(min=0.1), default=40.0, show_default=True, help="Messages a second."
+)
+@click.option("--seconds", type=click.FloatRange(min=1.0), default=60.0, show_default=True)
+@click.option(
+    "--in-answers/--not-in-answers", default=True, show_default=True, help="Whether answers tell the limit."
+)
+@click.option(
+    "--repeats", type=click.IntRange(1, 1000), default=10, show_default=True, help="Seeds from --seed on."
+)
+@SEED
+@OUTPUT
+def sender_count_(told, senders, limit, offered, seconds, in_answers, repeats, seed, path):
+    """What a told sender count costs where few of so many senders send to one destination; virtual time."""
+    arguments = {
+        "told": list(told),
+        "senders": senders,
+        "limit": limit,
+        "offered": offered,
+        "seconds": seconds,
+        "in_answers": in_answers,
+        "repeats": repeats,
+    }
+    run, began = results.begin("sender-count", arguments, seed), time.monotonic()
+    samples = {figure: [] for figure in sender_count.FIGURES}
+    with Progress() as progress:
+        for number in told:
+            for one in range(seed, seed + repeats):
+                progress(f"told {number:,}, seed {one}")
+                size = sender_count.SenderCount(
+                    number, senders, limit, offered, seconds, in_answers=in_answers
+                )
+                served = sender_count.play(size, one)
+                for figure, key in sender_count.FIGURES.items():
+                    samples[figure].append(fit.Sample(number, float(getattr(served, key))))
+    unit = "share of the messages offered"
+    for figure, some in samples.items():
+        run.slopes.append(results.slope(figure, unit, "told sender", some, fitted=False))
+    finish(run, began, path)
+
+
 if __name__ == "__main__":
     main(prog_name="python -m calicopin.scale")
