--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -7,7 +7,9 @@
 from loguru import logger
 from rich.console import Console
 
-from calicopin.scale import fit, guard, results, sender_count, slopes
+from calicopin.scale import bench, fit, guard, node_bench, results, sender_count, slopes
+from calicopin.scale.cluster import NodeFailed
+from calicopin.scale.hollow_process import HollowFailed
 
 
 def stop(line: str) -> None:
@@ -24,12 +26,16 @@
         stop(str(fault))
 
 
+QUIET_PROGRESS = 2.0  # seconds between two lines where nobody looks at them
+
+
 class Progress:
     """One line on standard error that says what is done now."""
 
     def __init__(self):
         self.console = Console(stderr=True)
         self.status = self.console.status("")
+        self.told_at = 0.0
 
     def __enter__(self):
         self.status.start()
@@ -41,7 +47,8 @@
     def __call__(self, line: str) -> None:
         if self.console.is_terminal:
             self.status.update(line)
-        else:
+        elif time.monotonic() >= self.told_at + QUIET_PROGRESS:
+            self.told_at = time.monotonic()
             click.echo(line, err=True)
 
 
@@ -155,5 +162,74 @@
     finish(run, began, path)
 
 
+def run_bench(run: results.Run, path: str | None, play) -> None:
+    """Plays what needs nodes; a node or a process that fails ends it with one plain line."""
+    began = time.monotonic()
+    try:
+        with Progress() as progress:
+            play(progress)
+    except (NodeFailed, HollowFailed) as fault:
+        stop(str(fault))
+    finish(run, began, path)
+
+
+@main.command("node")
+@click.option("--destinations", type=click.IntRange(min=100), default=1_700_000, show_default=True)
+@click.option(
+    "--couriers",
+    type=click.IntRange(min=1),
+    multiple=True,
+    default=(613,),
+    show_default=True,
+    help="One phase each, in rising order.",
+)
+@click.option(
+    "--changes",
+    type=click.FloatRange(min=0.001),
+    multiple=True,
+    default=(11_000 / 86_400,),
+    help="Changes a second, one for each phase or one for all. Without it 11,000 a day.",
+)
+@click.option(
+    "--seconds", type=click.FloatRange(min=1.0), default=60.0, show_default=True, help="Of a phase."
+)
+@click.option("--mean-set", type=click.IntRange(min=1), default=90, show_default=True)
+@click.option(
+    "--aimed",
+    type=click.FloatRange(0.0, 1.0),
+    default=0.5,
+    show_default=True,
+    help="Share of changes that meet a subscribed destination.",
+)
+@click.option(
+    "--down", type=click.FloatRange(0.0, 0.9), default=0.037, show_default=True, help="Share that is down."
+)
+@SEED
+@MEMORY
+@PROCESSES
+@OUTPUT
+def node_(destinations, couriers, changes, seconds, mean_set, aimed, down, seed, memory_mib, processes, path):
+    """One real discovery node before hollow couriers, with changes by an open-loop schedule."""
+    if list(couriers) != sorted(couriers):
+        stop("--couriers: phases come in rising order")
+    if len(changes) not in (1, len(couriers)):
+        stop("--changes: give one rate, or one for each --couriers")
+    rates = changes * len(couriers) if len(changes) == 1 else changes
+    phases = [node_bench.Phase(count, rate, seconds) for count, rate in zip(couriers, rates)]
+    size = bench.BenchSize(destinations, max(couriers), 1, mean_set, down, aimed)
+    allowed(bench.estimate(size, sum(rates) * seconds), memory_mib, processes)
+    arguments = {
+        "destinations": destinations,
+        "couriers": list(couriers),
+        "changes": list(rates),
+        "seconds": seconds,
+        "mean_set": mean_set,
+        "aimed": aimed,
+        "down": down,
+    }
+    run = results.begin("node", arguments, seed)
+    run_bench(run, path, lambda progress: node_bench.run(run, size, phases, seed, progress))
+
+
 if __name__ == "__main__":
     main(prog_name="python -m calicopin.scale")
--- a/calicopin/scale/list_source.py
+++ b/calicopin/scale/list_source.py
@@ -6,7 +6,8 @@
 
 import json
 import random
-from collections.abc import Iterator
+import zlib
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from typing import TextIO
 
@@ -32,7 +33,9 @@
     """One change: the entry's line as it is appended to the file, and the destination that it is about."""
 
     destination: int
+    ident: str
     state: str
+    weight: float
     line: str
 
 
@@ -61,13 +64,17 @@
     return encode({"form": FORM, "fleet": fleet})
 
 
+def initial(size: ListSize, seed: int, destination: int) -> list[dict]:
+    """The entries of one destination before any change."""
+    chance = zlib.crc32(f"{seed}/{destination}".encode()) / 2**32
+    state = "left" if chance < size.down_share else "active"
+    return [entry(destination, number, state) for number in range(size.endpoints_each)]
+
+
 def entries(size: ListSize, seed: int) -> Iterator[dict]:
     """The whole list, destination by destination."""
-    draw = random.Random(f"list/{seed}")
     for destination in range(size.destinations):
-        state = "left" if size.down_share and draw.random() < size.down_share else "active"
-        for number in range(size.endpoints_each):
-            yield entry(destination, number, state)
+        yield from initial(size, seed, destination)
 
 
 def write(file: TextIO, fleet: str, size: ListSize, seed: int) -> None:
@@ -78,24 +85,43 @@
 
 
 class ChangeSource:
-    """Changes of the list, one after the other: an endpoint leaves, comes back, or has another weight.
+    """Changes of the list, one after the other; no endpoint changes twice.
 
-    What it says of a destination follows from its own earlier changes, so that no two in a row say the same.
+    An active endpoint leaves, is announced as leaving, or has another weight; one that is down comes back.
     """
 
-    def __init__(self, size: ListSize, seed: int):
-        self.size = size
-        self.draw = random.Random(f"changes/{seed}")
-        self.known: dict[
-            tuple[int, int], tuple[str, int]
-        ] = {}  # state and revision by destination and number
-
-    def next(self, destination: int | None = None, state: str | None = None) -> Change:
-        """A change of that destination, or of one drawn from all; towards that state, or the other than it has."""
+    def __init__(
+        self, size: ListSize, seed: int, draw_seed: int, aims: Iterable[int] = (), aimed: float = 0.0
+    ):
+        """`aimed` is the share of the changes that meet one of the destinations in `aims`."""
+        self.size, self.seed, self.aimed = size, seed, aimed
+        self.draw = random.Random(f"changes/{draw_seed}")
+        self.aims = sorted(set(aims))
+        self.draw.shuffle(self.aims)
+        self.changed: set[int] = set()
+
+    def next(self) -> Change:
+        """The next change; LookupError where every destination has had one."""
+        destination = self._aim() if self.draw.random() < self.aimed else None
         if destination is None:
+            destination = self._any()
+        self.changed.add(destination)
+        before = initial(self.size, self.seed, destination)[self.draw.randrange(self.size.endpoints_each)]
+        down = before["state"] == "left"
+        state = "active" if down else self.draw.choice(("leaving", "left", "active"))
+        after = entry(destination, int(before["id"].rpartition(".")[2]), state, revision=1)
+        return Change(destination, after["id"], state, after["weight"], encode(after))
+
+    def _aim(self) -> int | None:
+        while self.aims:
+            if (destination := self.aims.pop()) not in self.changed:
+                return destination
+        return None
+
+    def _any(self) -> int:
+        if len(self.changed) > self.size.destinations // 2:
+            raise LookupError("every second destination has changed: ask for fewer changes or a larger list")
+        while True:
             destination = self.draw.randrange(self.size.destinations)
-        number = self.draw.randrange(self.size.endpoints_each)
-        before, revision = self.known.get((destination, number), ("active", 0))
-        after = state or ("active" if before != "active" else self.draw.choice(("leaving", "left", "active")))
-        self.known[destination, number] = after, revision + 1
-        return Change(destination, after, encode(entry(destination, number, after, revision + 1)))
+            if destination not in self.changed:
+                return destination
