--- a/calicopin/scale/results.py
+++ b/calicopin/scale/results.py
@@ -93,11 +93,11 @@
     run.machine = msgspec.structs.replace(run.machine, load_after=os.getloadavg())
 
 
-def slope(figure: str, unit: str, over: str, samples: list[fit.Sample]) -> Slope:
-    """The figure with its spread, and with its line where there are sizes enough."""
+def slope(figure: str, unit: str, over: str, samples: list[fit.Sample], fitted: bool = True) -> Slope:
+    """The figure with its spread, and with its line where there are sizes enough and one is to be `fitted`."""
     sizes = len({sample.size for sample in samples})
-    fitted = fit.line(samples) if sizes >= fit.LEAST_SIZES else None
-    return Slope(figure, unit, over, samples, fit.spreads(samples), fitted)
+    line = fit.line(samples) if fitted and sizes >= fit.LEAST_SIZES else None
+    return Slope(figure, unit, over, samples, fit.spreads(samples), line)
 
 
 def keep(run: Run, path: str) -> None:
@@ -161,4 +161,5 @@
         if one.line:
             numbers = (number(one.line.slope), number(one.line.intercept), number(one.line.residual))
             lines.add_row(one.figure, one.unit, one.over, *numbers, f"{one.line.residual_share:.3f}")
-    out.print(lines)
+    if any(one.line for one in slopes):
+        out.print(lines)
