Discovery node: a long answer is made in several passes of the loop

Cause: 100,000 destinations were looked up in one step, which held up everybody else. Change: 1,000 destinations in each pass; what changes meanwhile is told by the next answer (tested with a change in the middle).

--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -44,6 +44,7 @@
 NOT_READY_RETRY = 1000.0  # ms
 TURNED_AWAY_RETRY = 1000.0
 REPEAT = 1000.0  # ms between two lines on requests turned away
+ANSWER_STEP = 1000  # destinations of an answer that are looked up in one pass
 AT_ONCE = 32  # connections accepted in one pass
 BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
 BODY_BASE = 4096
@@ -376,7 +377,7 @@
         self._release_ended()
         if isinstance(decision, Wait):
             return (yield from self._park(line, decision.lease, poll.wait))
-        return self._answer(decision)
+        return (yield from self._answer(decision))
 
     def _park(self, line: Line, lease: str, wait: float) -> Iterator[Until]:
         """Waits for a change of the lease; None where the client has left meanwhile."""
@@ -393,7 +394,8 @@
             return None
         if self.stopping:
             return self._not_ready()
-        return self._answer(self.table.idle(lease) if parked.superseded else self.table.tell(lease))
+        told = self.table.idle(lease) if parked.superseded else self.table.tell(lease)
+        return (yield from self._answer(told))
 
     def _wait_parked(self, line: Line, parked: Parked, until: float) -> Iterator[Until]:
         """Until it is woken or its time is up; False where the client has left before."""
@@ -427,14 +429,17 @@
             self.table.expire(self.loop.now())
             self._release_ended()
 
-    def _answer(self, decision: Tell | Refusal) -> Reply:
+    def _answer(self, decision: Tell | Refusal) -> Iterator[Until]:
+        """The reply; a long one is made in several passes. What changes meanwhile is told by the next one."""
         if isinstance(decision, Refusal):
             return refused(decision)
         servers, complete, unknown = [], [], []
-        for destination in decision.destinations:
+        for position, destination in enumerate(decision.destinations, 1):
             entries = self.source.catalogue.entries(destination)
             (complete if entries else unknown).append(destination)
             servers += entries
+            if position % ANSWER_STEP == 0:
+                yield Until(self.loop.now())
         bounds = self.table.bounds
         grant = Grant(
             fleet=self.table.fleet,
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -642,6 +642,26 @@
     assert told.full and idents(told) == ["a", "b"]
 
 
+def test_a_change_in_the_middle_of_a_long_answer_is_told_by_the_next(path, monkeypatch):
+    monkeypatch.setattr(server_module, "ANSWER_STEP", 2)
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(6))))
+    node = OwnNode(path).ready()
+    courier = Courier(node)
+    courier.send(courier.body(range(6)))
+    spin(node.loop, lambda: len(node.table) == 1)
+    assert node.server.answers == 0  # it is being made
+    for number in (0, 5):
+        data = entry(f"s-{number}", number, "leaving")
+        node.server.change(node.source.catalogue.apply(decode_entry(data), data))
+    told = courier.told()
+    assert told.full and told.grant.complete == (0, 1, 2, 3, 4, 5)
+    assert {server["id"]: server["state"] for server in told.servers}["s-0"] == "active"
+    courier.poll()
+    more = courier.told()
+    assert more.grant.complete == (0, 5)
+    assert [server["state"] for server in more.servers] == ["leaving", "leaving"]
+
+
 def test_an_answer_that_its_courier_never_read_is_told_again(node):
     courier = Courier(node)
     courier.subscribe(1)
