Discovery node: a long answer is of one moment

Cause: an endpoint that moved between two destinations while a long answer was made stood in it twice, and a courier refuses such an answer whole. Change: what changed meanwhile is looked up again at the end, all of it where the list was replaced.

--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -144,6 +144,7 @@
         self.reading = 0  # bytes that the bodies now being read may come to
         self.answers = self.changes_told = self.destinations_changed = 0
         self.stopping = False
+        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, -FOREVER
         self.accepting = loop.keep(self._accept)
         loop.keep(self._expire)
@@ -151,6 +152,8 @@
     def change(self, destinations: set[int]) -> None:
         """These destinations are not as before: whoever holds them and waits is answered."""
         self.destinations_changed += len(destinations)
+        for touched in self._lookups:
+            touched |= destinations
         for name in self.table.change(destinations):
             self.changes_told += 1
             self._wake(name)
@@ -430,16 +433,13 @@
             self._release_ended()
 
     def _answer(self, decision: Tell | Refusal) -> Iterator[Until]:
-        """The reply; a long one is made in several passes. What changes meanwhile is told by the next one."""
+        """The reply; a long one is made in several passes. What changes meanwhile is told by the next one again."""
         if isinstance(decision, Refusal):
             return refused(decision)
-        servers, complete, unknown = [], [], []
-        for position, destination in enumerate(decision.destinations, 1):
-            entries = self.source.catalogue.entries(destination)
-            (complete if entries else unknown).append(destination)
-            servers += entries
-            if position % ANSWER_STEP == 0:
-                yield Until(self.loop.now())
+        entries = yield from self._look_up(decision.destinations)
+        complete = tuple(destination for destination, found in entries.items() if found)
+        unknown = tuple(destination for destination, found in entries.items() if not found)
+        servers = [entry for found in entries.values() for entry in found]
         bounds = self.table.bounds
         grant = Grant(
             fleet=self.table.fleet,
@@ -447,12 +447,28 @@
             lease=decision.lease,
             sequence=decision.sequence,
             lease_ms=bounds.lease_ms,
-            complete=tuple(complete),
-            unknown=tuple(unknown),
+            complete=complete,
+            unknown=unknown,
         )
         self.answers += 1
         return Reply(200, encode_answer(decision.full, decision.version, servers, grant))
 
+    def _look_up(self, destinations: tuple[int, ...]) -> Iterator[Until]:
+        """The entries of each destination, all as of one moment: an endpoint that moves must not stand in two."""
+        catalogue, touched, entries = self.source.catalogue, set(), {}
+        self._lookups.append(touched)
+        try:
+            for position, destination in enumerate(destinations, 1):
+                entries[destination] = catalogue.entries(destination)
+                if position % ANSWER_STEP == 0:
+                    yield Until(self.loop.now())
+        finally:
+            self._lookups = [other for other in self._lookups if other is not touched]
+        replaced = self.source.catalogue is not catalogue
+        for destination in entries if replaced else touched.intersection(entries):
+            entries[destination] = self.source.catalogue.entries(destination)
+        return entries
+
     def _not_ready(self) -> Reply:
         why = "the node ends" if self.stopping else "the node has not read its list yet"
         return refused(Refusal(Reason.NOT_READY, why, NOT_READY_RETRY), last=self.stopping)
@@ -489,4 +505,5 @@
             reason=refusal.reason.value,
             why=refusal.message,
         )
+        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, now
