Capacity: slopes of list, messages and node from the runs that measured them

The scale tests and the discovery node's page have figures; the model held one outside run's and guesses.

--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -14,6 +14,7 @@
 SOURCE_S = source.LOOK / 1000.0  # after which a node has seen a change of its source, at the most
 MOST_LIST_BYTES = float(discovery.MOST_LIST)  # of a list's answer
 DISK_SHARE = 0.5  # of `disk` that live messages fill at most in the segmented store (docs/store.md)
+JOURNAL_SHARE = 0.4  # the same in the one-file journal (`held/journal.py: Journal.limit`)
 
 
 def calls_a_second() -> float:
@@ -204,7 +205,7 @@
 
 
 def waiting_memory(size: Size) -> Figure:
-    """Memory of waiting messages in the decisions."""
+    """Memory of waiting messages: decisions, bodies and the journal's index."""
     return Figure(
         "memory of waiting messages",
         "waiting events a courier × waiting message",
@@ -238,10 +239,21 @@
     )
 
 
+def waiting_decisions(size: Size) -> Figure:
+    """Memory of waiting messages in the decisions alone."""
+    return Figure(
+        "of it in the decisions",
+        "waiting events a courier × waiting message in the decisions",
+        size.waiting_a_courier * slopes.WAITING_DECISIONS.value,
+        Unit.BYTES,
+        (Use(slopes.WAITING_DECISIONS, size.waiting_a_courier),),
+    )
+
+
 def waiting_disk(size: Size) -> Figure:
     """What the folder has to hold."""
     return Figure(
-        "disk for waiting messages",
+        "disk for waiting messages, segmented store",
         f"waiting events a courier × live message / {DISK_SHARE:g}",
         size.waiting_a_courier * slopes.STORE_BYTES.value / DISK_SHARE,
         Unit.BYTES,
@@ -249,6 +261,17 @@
     )
 
 
+def waiting_journal(size: Size) -> Figure:
+    """What the folder has to hold with the one-file journal."""
+    return Figure(
+        "disk for waiting messages, journal",
+        f"waiting events a courier × waiting message in the journal / {JOURNAL_SHARE:g}",
+        size.waiting_a_courier * slopes.JOURNAL_BYTES.value / JOURNAL_SHARE,
+        Unit.BYTES,
+        (Use(slopes.JOURNAL_BYTES, size.waiting_a_courier),),
+    )
+
+
 def waiting_start(size: Size) -> Figure:
     """Time of a start that reads all waiting messages."""
     return Figure(
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -24,9 +24,6 @@
 
 def _leases(name: str, formula: str, couriers: float, size: Size) -> tuple[Figure, Figure]:
     """Bytes and processor time at one node for so many new leases."""
-    node_time = (
-        slopes.RENEWAL_NODE_TIME.value + size.destinations_a_courier * slopes.NEW_LEASE_NODE_TIME.value
-    )
     return (
         Figure(
             f"{name}: bytes at a node",
@@ -37,10 +34,10 @@
         ),
         Figure(
             f"{name}: processor time at a node",
-            f"{formula} × (renewal + destinations a courier × subscribed destination, at the node)",
-            couriers * node_time,
+            f"{formula} × destinations a courier × subscribed destination",
+            couriers * size.destinations_a_courier * slopes.NEW_LEASE_NODE_TIME.value,
             Unit.SECONDS,
-            (Use(slopes.RENEWAL_NODE_TIME), Use(slopes.NEW_LEASE_NODE_TIME, size.destinations_a_courier)),
+            (Use(slopes.NEW_LEASE_NODE_TIME, size.destinations_a_courier),),
         ),
     )
 
--- a/calicopin/capacity/node.py
+++ b/calicopin/capacity/node.py
@@ -32,6 +32,28 @@
     )
 
 
+def changed_memory(size: Size) -> Figure:
+    """Memory of what changed in a day since a node's start, each change of another destination."""
+    return Figure(
+        "and for the changes of one day",
+        "changes a day × changed destination",
+        size.changes_a_day * slopes.NODE_CHANGED_MEMORY.value,
+        Unit.BYTES,
+        (Use(slopes.NODE_CHANGED_MEMORY, size.changes_a_day),),
+    )
+
+
+def changes_core(size: Size) -> Figure:
+    """Share of a core for all changes of the list at a node, without the calls that tell them."""
+    return Figure(
+        "processor time of changes",
+        "changes a second × change at the node",
+        size.changes_a_second * slopes.NODE_CHANGE_TIME.value,
+        Unit.CORES,
+        (Use(slopes.NODE_CHANGE_TIME, size.destinations),),
+    )
+
+
 def calls(size: Size) -> Figure:
     """Calls a second at a node where there is no news."""
     return Figure(
--- a/calicopin/capacity/outside.py
+++ b/calicopin/capacity/outside.py
@@ -28,7 +28,7 @@
 def served_ratio(size: Size) -> Figure:
     """What known senders serve over what told ones do."""
     return Figure(
-        "served with 20 known senders over served with 19,000 told",
+        "served with 20 known senders over the same told 19,000",
         "served known / served told",
         slopes.SERVED_KNOWN.value / slopes.SERVED_TOLD.value,
         Unit.COUNT,
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -22,14 +22,23 @@
     ASSUMED = "assumed"  # no run
 
 
+class Kind(StrEnum):
+    """What a slope takes from a result file."""
+
+    SLOPE = "slope"  # of the line
+    MEDIAN = "median"  # of the repeats at one size
+    VALUE = "value"  # a figure without sizes
+
+
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A result file and the figure in it: the slope of its line, or its plain value."""
+    """A result file and the figure in it: the slope of its line; or its median at one size; or its plain value."""
 
     file: str
     figure: str
     command: str
-    of_line: bool = True
+    kind: Kind = Kind.SLOPE
+    at_size: float = 0.0  # of a median
     factor: float = 1.0  # from its unit to the slope's
 
 
@@ -47,34 +56,91 @@
     run: Run | None = None
 
 
-OUTSIDE_RUN = "one run of the decisions alone on one core; no command in this repository"
+SCALE = "python -m calicopin.scale "
+LIST_FILE = "docs/scale/slopes-list-before.json"
+MESSAGES_FILE = "docs/scale/slopes-messages.json"
+LIST_SIZES = (1_000, 10_000, 50_000)
+MESSAGE_SIZES = (10_000, 30_000, 100_000)
+BEFORE = "the program before this sitting's mechanism"
+
+
+def _list_run(figure: str, factor: float = 1.0) -> Run:
+    return Run(LIST_FILE, figure, SCALE + "slopes list list-memory entry", factor=factor)
+
+
+def _messages_run(figure: str) -> Run:
+    return Run(MESSAGES_FILE, figure, SCALE + "slopes messages kept-messages rate journal")
+
 
 LISTED_MEMORY = Slope(
     "memory of a listed destination",
-    6_400.0,
+    6_391.0,
     "B / destination",
-    Basis.OUTSIDE,
-    OUTSIDE_RUN,
-    (1_000, 10_000, 50_000),
+    Basis.RUN,
+    BEFORE,
+    LIST_SIZES,
+    0.0037,
+    _list_run("memory of the list in the decisions"),
 )
 LISTED_TIME = Slope(
     "whole list taken in",
-    1.7 / 50_000,
+    3.048e-5,
     "s / destination",
-    Basis.OUTSIDE,
-    OUTSIDE_RUN + "; 1.7 s at 50,000",
-    (50_000,),
+    Basis.RUN,
+    BEFORE,
+    LIST_SIZES,
+    0.1163,
+    _list_run("time of the first whole list", 1e-3),
 )
 CHANGE_TIME = Slope(
     "one change, a known destination",
-    0.322 / 50_000,
+    1.512e-6,
     "s / destination",
-    Basis.OUTSIDE,
-    OUTSIDE_RUN + "; 0.2, 7 and 322 ms: steeper than a line, taken from the largest size",
-    (1_000, 10_000, 50_000),
+    Basis.RUN,
+    BEFORE,
+    LIST_SIZES,
+    0.1284,
+    _list_run("time of one changed entry (median in a process)", 1e-3),
+)
+ENTRY_BYTES = Slope(
+    "an entry of the list",
+    131.8,
+    "B / destination",
+    Basis.RUN,
+    "",
+    (1_000, 10_000, 100_000),
+    0.0015,
+    _list_run("bytes of the list as JSON"),
+)
+WAITING_DECISIONS = Slope(
+    "memory of a waiting message in the decisions alone",
+    552.7,
+    "B / message",
+    Basis.RUN,
+    "",
+    MESSAGE_SIZES,
+    0.0011,
+    _messages_run("memory of waiting messages in the decisions"),
 )
 WAITING_MEMORY = Slope(
-    "memory of a waiting message", 490.0, "B / message", Basis.OUTSIDE, OUTSIDE_RUN + "; the decisions' part"
+    "memory of a waiting message, all of it",
+    1_353.0,
+    "B / message",
+    Basis.RUN,
+    "decisions, message with a body of 256 B, journal",
+    MESSAGE_SIZES,
+    0.0018,
+    _messages_run("memory of waiting messages with text, 256 B body, journal"),
+)
+JOURNAL_BYTES = Slope(
+    "a waiting message in the journal",
+    512.8,
+    "B / message",
+    Basis.RUN,
+    "body of 256 B",
+    MESSAGE_SIZES,
+    0.0,
+    _messages_run("journal file of waiting messages, 256 B body"),
 )
 BACKLOG = "python -m calicopin.capacity.backlog --json docs/scale/backlog.json"
 WALKED_DOWN = Slope(
@@ -124,13 +190,6 @@
     0.1204,
     Run("docs/scale/traffic.json", "processor time of a courier a second", TRAFFIC, factor=1e-3),
 )
-ENTRY_BYTES = Slope(
-    "an entry of the list",
-    float(encoded.entry_bytes()),
-    "B / destination",
-    Basis.ENCODED,
-    "calicopin/capacity/encoded.py",
-)
 POLL_BYTES = Slope(
     "a call for the list with no news",
     float(encoded.poll_bytes()),
@@ -165,35 +224,69 @@
 RENEWAL_NODE_TIME = Slope(
     "a renewal at the node", 1e-3, "s / call", Basis.ASSUMED, "one exchange through h11 and json, guessed"
 )
+NODE_PAGE = "docs/discovery-node.md, `python -m calicopin.discovery_node.measure`"
+NODE_PROCESS = "docs/discovery-node.md, one run of a whole process"
+NODE_SIZES = (100_000, 400_000, 1_700_000)
 NEW_LEASE_NODE_TIME = Slope(
     "a subscribed destination of a new lease at the node",
-    2e-5,
+    0.7 / 613 / 90,
     "s / destination",
-    Basis.ASSUMED,
-    "one look-up and one piece of JSON, guessed",
+    Basis.PAGE,
+    NODE_PROCESS + "; 613 new leases of 90 destinations took 0.7 s of a core",
+    (90,),
 )
 NODE_LISTED_MEMORY = Slope(
     "memory of a destination at the node",
-    600.0,
+    266e6 / 1.7e6,
+    "B / destination",
+    Basis.PAGE,
+    NODE_PAGE + "; 266 MB at the largest",
+    NODE_SIZES,
+)
+NODE_CHANGED_MEMORY = Slope(
+    "memory of a destination that changed since a node's start",
+    366.0,
     "B / destination",
-    Basis.ASSUMED,
-    "its entry as bytes, a place in a map and one in an index, guessed",
+    Basis.PAGE,
+    NODE_PAGE,
+    (11_000,),
 )
 NODE_SUBSCRIPTION_MEMORY = Slope(
     "memory of one subscribed destination at the node",
-    250.0,
+    94.0,
     "B / subscription",
-    Basis.ASSUMED,
-    "a place in a set on each side, guessed",
+    Basis.PAGE,
+    NODE_PAGE,
+    (55_170,),
 )
 NODE_LEASE_MEMORY = Slope(
-    "memory of a lease and its connection at the node", 50e3, "B / courier", Basis.ASSUMED, "buffers, guessed"
+    "memory of a lease's connection at the node",
+    8e6 / 613 - 90 * 94.0,
+    "B / courier",
+    Basis.PAGE,
+    NODE_PROCESS + "; 8 MB more for 613 couriers, less their subscriptions",
+    (613,),
 )
 NODE_LOAD_TIME = Slope(
-    "a destination read by a node's start", 10e-6, "s / destination", Basis.ASSUMED, "json of a line, guessed"
+    "a destination read by a node's start",
+    16.4 / 1.7e6,
+    "s / destination",
+    Basis.PAGE,
+    NODE_PAGE + "; 14.6 to 16.4 s at the largest",
+    NODE_SIZES,
+)
+NODE_CHANGE_TIME = Slope(
+    "a change at the node, one subscriber",
+    91e-6,
+    "s / change",
+    Basis.PAGE,
+    NODE_PAGE + "; 68 to 91 µs at the largest, 84 to 87 µs at the others; no call on sockets",
+    NODE_SIZES,
 )
+
+
 SERVED_TOLD = Slope(
-    "served share, told 19,000 senders where 20 send",
+    "served share, 20 senders told that they are 19,000",
     0.594,
     "share",
     Basis.OUTSIDE,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,13 +3,14 @@
 import json
 from dataclasses import replace
 from pathlib import Path
+from statistics import median
 
 import pytest
 
 from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records
 from calicopin.capacity.figures import Figure, Unit, Use, plain, said
 from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
-from calicopin.capacity.slopes import DIGITS, Basis, Slope, all_slopes
+from calicopin.capacity.slopes import DIGITS, Basis, Kind, Slope, all_slopes
 from calicopin.subscription import messages
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -53,9 +54,26 @@
 def stands_in(slope: Slope) -> float:
     """The value of a slope's figure in the result file that it names."""
     told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
-    if not slope.run.of_line:
+    if slope.run.kind == Kind.VALUE:
         return next(one["value"] for one in told["figures"] if one["figure"] == slope.run.figure)
-    return next(one["line"]["slope"] for one in told["slopes"] if one["figure"] == slope.run.figure)
+    figure = next(one for one in told["slopes"] if one["figure"] == slope.run.figure)
+    if slope.run.kind == Kind.SLOPE:
+        return figure["line"]["slope"]
+    values = [one["value"] for one in figure["samples"] if one["size"] == slope.run.at_size]
+    return median(values)
+
+
+def residual_in(slope: Slope) -> float:
+    """The residual of the line in the result file, as a share of the mean."""
+    told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+    return next(one["line"]["residual_share"] for one in told["slopes"] if one["figure"] == slope.run.figure)
+
+
+def sizes_in(slope: Slope) -> set[float]:
+    """The sizes at which the result file has the slope's figure."""
+    told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+    figure = next(one for one in told["slopes"] if one["figure"] == slope.run.figure)
+    return {one["size"] for one in figure["samples"]}
 
 
 @pytest.mark.parametrize("slope", all_slopes(), ids=lambda slope: slope.name)
@@ -63,7 +81,9 @@
     assert slope.why or slope.run
     assert (slope.basis == Basis.RUN) == (slope.run is not None)
     if slope.run:
-        assert slope.run.file.startswith("docs/scale/") and slope.run.command and slope.sizes
+        told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+        assert slope.run.file.startswith("docs/scale/") and slope.sizes
+        assert slope.run.command.startswith(told["command"])
         assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
 
 
