--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -128,6 +128,17 @@
     )
 
 
+def process_memory(size: Size) -> Figure:
+    """Memory of a whole courier that holds few messages: the interpreter, the program and its set."""
+    return Figure(
+        "the whole process with it, few messages waiting",
+        "process with no events + destinations a courier × listed destination",
+        slopes.PROCESS_MEMORY.value + set_memory(size).value,
+        Unit.BYTES,
+        (Use(slopes.PROCESS_MEMORY), *set_memory(size).uses),
+    )
+
+
 def lease_bytes(size: Size) -> Figure:
     """A new lease on the wire, both ways."""
     return Figure(
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -196,11 +196,21 @@
     )
 
 
+def tries_when_apart(size: Size) -> Figure:
+    """Nodes that a courier in a region apart tries until one that it reaches, in an order by chance, on average."""
+    return Figure(
+        "nodes tried until one in the region answers, in an order by chance",
+        "(control machines + 1) / (nodes a region + 1)",
+        (size.control_machines + 1.0) / (size.nodes_a_region + 1.0),
+        Unit.COUNT,
+    )
+
+
 def regions_apart(size: Size) -> Fault:
     """One region without the others for the stated time; the list's source stands on the other side."""
     missed = size.changes_a_second * size.region_split_s
     moving = size.couriers_a_region * (1.0 - 1.0 / size.regions)
-    tries = (size.control_machines + 1.0) / (size.nodes_a_region + 1.0)
+    tries = tries_when_apart(size).value
     heard = missed * size.shape.senders_a_destination / size.regions
     return Fault(
         "A region apart for an hour",
@@ -214,12 +224,7 @@
                 moving,
                 Unit.COUNT,
             ),
-            Figure(
-                "nodes tried until one in the region answers, in an order by chance",
-                "(control machines + 1) / (nodes a region + 1)",
-                tries,
-                Unit.COUNT,
-            ),
+            tries_when_apart(size),
             Figure(
                 "the time of the tries that fail, without pauses",
                 f"(tries - 1) × {CONNECT_S:g} s",
--- a/calicopin/capacity/model.py
+++ b/calicopin/capacity/model.py
@@ -109,6 +109,7 @@
             "Courier, control, with subscriptions",
             (
                 courier.set_memory(size),
+                courier.process_memory(size),
                 courier.lease_bytes(size),
                 courier.lease_start(size),
                 courier.set_take(size),
--- a/calicopin/capacity/page.py
+++ b/calicopin/capacity/page.py
@@ -81,14 +81,31 @@
 )
 
 
-def ranking_part(size: Size) -> str:
-    """The ranking and the first that fails."""
+def argument(size: Size) -> str:
+    """Which budget fails first, in words."""
     first = ranking.first_to_fail(size)
-    text = table(DEMAND_HEADS, [demand_row(one) for one in ranking.demands(size)])
+    rows = {row.name: row for row in ranking.demands(size)}
+    core, waiting = rows["control core of a courier"], rows[ranking.WAITING_MEMORY]
+    return (
+        f"**The first budget of the users in which the design fails: {first.name}, {plain(first.factor)} times.** The control core is"
+        f" {plain(core.factor)} times over by the same cause, the whole list at each courier. Waiting messages in memory are"
+        f" {plain(waiting.factor)} times over if the control budget of {said(waiting.budget, waiting.unit)} is held against them, though"
+        " the users state it for control; no memory is stated for the data path."
+    )
+
+
+def ranking_part(size: Size) -> str:
+    """The ranking, the first that fails, and the mechanisms behind it."""
+    demands = table(DEMAND_HEADS, [demand_row(one) for one in ranking.demands(size)])
+    mechanisms = [
+        (str(number), one.name, one.instead_of, one.what, plain(one.factor), one.basis)
+        for number, one in enumerate(ranking.next_mechanisms(size), 1)
+    ]
     return (
-        '## Ranking\n\nDemand over budget, worst factor today first. "borrowed": none is stated for it, the nearest'
-        f" stated one stands in.\n\n{text}\n\nThe first budget of the users in which the design fails:"
-        f" **{first.name}**, {plain(first.factor)} times."
+        '## Ranking\n\nDemand over budget, worst factor today first. "borrowed": none is stated for it, the nearest stated one'
+        f' stands in; "program": a constant, or the one thread, of the program.\n\n{demands}\n\n{argument(size)}\n\n'
+        "### Next mechanisms, in order\n\n"
+        + table(("", "mechanism", "in place of", "what", "factor", "how known"), mechanisms)
     )
 
 
--- a/calicopin/capacity/ranking.py
+++ b/calicopin/capacity/ranking.py
@@ -3,10 +3,13 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from calicopin.capacity import courier, slopes
-from calicopin.capacity.figures import Figure, Unit, Use
+from calicopin.capacity import courier, faults, outside, slopes
+from calicopin.capacity.figures import Figure, Unit, Use, said
 from calicopin.capacity.size import Size
 
+WAITING_MEMORY = "waiting messages in memory"
+WAITING_WALKS = "one thread for what waits at destinations that are down"
+WAITING_START = "a start that reads its waiting messages"
 ONE_CORE = 1.0  # a courier is one thread, and so is a node
 
 
@@ -103,7 +106,7 @@
             courier.renewal_core(size),
         ),
         Demand(
-            "waiting messages in memory",
+            WAITING_MEMORY,
             budget.memory_bytes,
             Unit.BYTES,
             Budget.BORROWED,
@@ -129,7 +132,7 @@
             courier.set_take(size),
         ),
         Demand(
-            "one thread for what waits at destinations that are down",
+            WAITING_WALKS,
             ONE_CORE,
             Unit.CORES,
             Budget.PROGRAM,
@@ -154,7 +157,7 @@
             courier.subscribed_in_force(size),
         ),
         Demand(
-            "a start that reads its waiting messages",
+            WAITING_START,
             size.in_force_s,
             Unit.SECONDS,
             Budget.BORROWED,
@@ -198,3 +201,69 @@
         for row in demands(size)
         if row.set_by == Budget.USERS and row.fails == Fails.DESIGN and row.factor > 1.0
     )
+
+
+@dataclass(frozen=True, slots=True)
+class Mechanism:
+    """One mechanism that is missing, in place of what, and the figure that it has to win by how much."""
+
+    name: str
+    instead_of: str
+    what: str
+    factor: float
+    basis: str
+
+
+def _of(size: Size, name: str) -> Demand:
+    return next(row for row in demands(size) if row.name == name)
+
+
+def next_mechanisms(size: Size) -> tuple[Mechanism, ...]:
+    """What comes behind subscriptions, in order."""
+    memory, walks = _of(size, WAITING_MEMORY), _of(size, WAITING_WALKS)
+    start, served = _of(size, WAITING_START), outside.served_ratio(size)
+    apart = faults.tries_when_apart(size)
+    return (
+        Mechanism(
+            "waiting messages on disk, found by an index of destination and time",
+            "all of them in memory",
+            f"memory, over {said(memory.budget, memory.unit)} (borrowed)",
+            memory.factor,
+            memory.today.basis(),
+        ),
+        Mechanism(
+            "the same index",
+            "walks over a whole queue at each round, take and delivery",
+            "one thread",
+            walks.factor,
+            walks.today.basis(),
+        ),
+        Mechanism(
+            "a start that reads what is due first, or a snapshot",
+            "a start that reads all that waits",
+            f"time, over {said(start.budget, start.unit)} (borrowed)",
+            start.factor,
+            start.today.basis(),
+        ),
+        Mechanism(
+            "a live sender count for each destination",
+            "a limit split by all couriers",
+            "served, 20 of 19,000 sending",
+            served.value,
+            served.basis(),
+        ),
+        Mechanism(
+            "nodes ranked by nearness: zone, region, rest",
+            "all nodes alike",
+            "nodes tried in a region apart",
+            apart.value,
+            apart.basis(),
+        ),
+        Mechanism(
+            "limits held while regions are apart",
+            "a told constant, which holds on both sides",
+            "sum of shares over the limit; needed with live counts only",
+            1.0,
+            "given",
+        ),
+    )
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -26,13 +26,14 @@
     """What a slope takes from a result file."""
 
     SLOPE = "slope"  # of the line
+    INTERCEPT = "intercept"  # of the line
     MEDIAN = "median"  # of the repeats at one size
     VALUE = "value"  # a figure without sizes
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A result file and the figure in it: the slope of its line; or its median at one size; or its plain value."""
+    """A result file and the figure in it: the slope or intercept of its line, its median at one size, or its plain value."""
 
     file: str
     figure: str
@@ -142,6 +143,7 @@
     0.0,
     _messages_run("journal file of waiting messages, 256 B body"),
 )
+TRAFFIC = "python -m calicopin.capacity.traffic --json docs/scale/traffic.json"
 BACKLOG = "python -m calicopin.capacity.backlog --json docs/scale/backlog.json"
 WALKED_DOWN = Slope(
     "a waiting message a second, its destination down",
@@ -163,6 +165,16 @@
     0.0639,
     Run("docs/scale/backlog.json", "processor time of one delivery", BACKLOG, factor=1e-3),
 )
+PROCESS_MEMORY = Slope(
+    "a courier's process with no events",
+    22_650_000.0,
+    "B",
+    Basis.RUN,
+    "three destinations listed",
+    (33, 66, 132),
+    0.0033,
+    Run("docs/scale/traffic.json", "resident memory of a courier", TRAFFIC, Kind.INTERCEPT),
+)
 STORE_BYTES = Slope(
     "a live message in the segmented store",
     120.6e6 / 200_000,
@@ -179,7 +191,6 @@
     "docs/store-design.md, `python -m calicopin.store measure`",
     (1_000, 10_000, 200_000),
 )
-TRAFFIC = "python -m calicopin.capacity.traffic --json docs/scale/traffic.json"
 EVENT_TIME = Slope(
     "an event from its request to its end",
     1.737e-3,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -59,6 +59,8 @@
     figure = next(one for one in told["slopes"] if one["figure"] == slope.run.figure)
     if slope.run.kind == Kind.SLOPE:
         return figure["line"]["slope"]
+    if slope.run.kind == Kind.INTERCEPT:
+        return figure["line"]["intercept"]
     values = [one["value"] for one in figure["samples"] if one["size"] == slope.run.at_size]
     return median(values)
 
@@ -226,6 +228,11 @@
     assert ranking.first_to_fail(IN_TWO_YEARS).name == "control memory of a courier"
 
 
+def test_the_next_mechanisms_stand_in_the_order_of_their_factors_but_for_the_last_two():
+    factors = [one.factor for one in ranking.next_mechanisms(IN_TWO_YEARS)][:4]
+    assert factors == sorted(factors, reverse=True) and min(factors) > 1.0
+
+
 def test_what_is_over_its_budget_says_what_fails():
     for row in ranking.demands(IN_TWO_YEARS):
         assert row.factor <= 1.0 or row.fails != ranking.Fails.NOTHING
