Capacity: renewals and node changes by the courier's own constants

The model assumed when a courier asks the next node; wire/subscriber.py and subscription/nodes.py say it now, and the model reads their constants. tests/test_capacity.py: 90 pass.

--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -7,9 +7,10 @@
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import Size
 from calicopin.discovery_node import source
-from calicopin.wire import asking, discovery
+from calicopin.wire import asking, discovery, subscriber
 
 WATCH_S = 2.0  # longest wait of a call for the list (`wire/asking.py: longest_wait`)
+RENEWAL_S = subscriber.WAIT / 1000.0  # between the beginnings of two renewals where there is no news
 PAUSE_S = asking.AGAIN / 1000.0  # between two calls for the list
 SOURCE_S = source.LOOK / 1000.0  # after which a node has seen a change of its source, at the most
 MOST_LIST_BYTES = float(discovery.MOST_LIST)  # of a list's answer
@@ -18,10 +19,15 @@
 
 
 def calls_a_second() -> float:
-    """Calls for the list of one courier where there is no news."""
+    """Calls for the list of one courier where there is no news, today."""
     return 1.0 / (WATCH_S + PAUSE_S)
 
 
+def renewals_a_second() -> float:
+    """Renewals of one courier where there is no news."""
+    return 1.0 / RENEWAL_S
+
+
 # The courier's control part, today.
 
 
@@ -181,8 +187,8 @@
     """Share of a core for renewals and changes of the set at a courier."""
     return Figure(
         "processor time of renewals",
-        "calls a second × renewal at the courier",
-        (calls_a_second() + heard_a_second(size)) * slopes.RENEWAL_COURIER_TIME.value,
+        "renewals a second × renewal at the courier",
+        (renewals_a_second() + heard_a_second(size)) * slopes.RENEWAL_COURIER_TIME.value,
         Unit.CORES,
         (Use(slopes.RENEWAL_COURIER_TIME),),
     )
@@ -193,8 +199,8 @@
     news = heard_a_second(size) * slopes.NEW_LEASE_BYTES.value
     return Figure(
         "bytes a second between starts",
-        "calls a second × renewal + changes of the set × entry",
-        calls_a_second() * slopes.RENEWAL_BYTES.value + news,
+        "renewals a second × renewal + changes of the set × entry",
+        renewals_a_second() * slopes.RENEWAL_BYTES.value + news,
         Unit.BYTES_A_SECOND,
         (Use(slopes.RENEWAL_BYTES), Use(slopes.NEW_LEASE_BYTES)),
     )
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -8,9 +8,11 @@
 from calicopin.capacity import courier, slopes
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import SECONDS_A_DAY, SECONDS_AN_HOUR, Size
-from calicopin.wire.discovery import GRACE
+from calicopin.subscription import nodes
+from calicopin.wire import subscriber
 
-CONNECT_S = GRACE / 1000.0  # until a node that cannot be reached is given up
+CONNECT_S = subscriber.CONNECT / 1000.0  # until a node that cannot be reached is given up
+SILENCE_S = (subscriber.WAIT + subscriber.SILENCE) / 1000.0  # until one that has gone silent is
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +99,11 @@
     )
 
 
+def try_jitter_s(size: Size) -> float:
+    """Longest wait before the next node is tried."""
+    return min(nodes.TRY_JITTER, nodes.ROUND_JITTER / size.control_machines) / 1000.0
+
+
 def node_lost(size: Size) -> Fault:
     """One control machine gone: rendezvous hashing spreads its couriers over the rest."""
     each = size.couriers_a_node / (size.control_machines - 1.0)
@@ -112,6 +119,12 @@
                 Unit.COUNT,
             ),
             Figure("of them new", "couriers a node / (control machines - 1)", each, Unit.COUNT),
+            Figure(
+                "until its couriers ask another node, at the most: it fell silent",
+                f"{SILENCE_S:g} s + jitter",
+                SILENCE_S + try_jitter_s(size),
+                Unit.SECONDS,
+            ),
             *_leases("new leases", "new couriers", each, size),
         ),
     )
@@ -226,9 +239,9 @@
             ),
             tries_when_apart(size),
             Figure(
-                "the time of the tries that fail, without pauses",
-                f"(tries - 1) × {CONNECT_S:g} s",
-                (tries - 1.0) * CONNECT_S,
+                "until such a courier asks a node in the region, on average",
+                f"{SILENCE_S:g} s + (tries - 1) × ({CONNECT_S:g} s + half the jitter)",
+                SILENCE_S + (tries - 1.0) * (CONNECT_S + try_jitter_s(size) / 2.0),
                 Unit.SECONDS,
             ),
             Figure(
--- a/calicopin/capacity/model.py
+++ b/calicopin/capacity/model.py
@@ -10,7 +10,7 @@
     node.list_memory,
     node.changed_memory,
     node.lease_memory,
-    node.calls,
+    node.renewals,
     node.core,
     node.changes_core,
     node.traffic,
--- a/calicopin/capacity/node.py
+++ b/calicopin/capacity/node.py
@@ -54,12 +54,12 @@
     )
 
 
-def calls(size: Size) -> Figure:
-    """Calls a second at a node where there is no news."""
+def renewals(size: Size) -> Figure:
+    """Renewals a second at a node where there is no news."""
     return Figure(
-        "calls a second",
-        "couriers a node × calls a second of a courier",
-        size.couriers_a_node * courier.calls_a_second(),
+        "renewals a second",
+        "couriers a node × renewals a second of a courier",
+        size.couriers_a_node * courier.renewals_a_second(),
         Unit.A_SECOND,
     )
 
@@ -68,8 +68,8 @@
     """Share of a core for renewals at a node."""
     return Figure(
         "processor time of renewals",
-        "calls a second × renewal at the node",
-        calls(size).value * slopes.RENEWAL_NODE_TIME.value,
+        "renewals a second × renewal at the node",
+        renewals(size).value * slopes.RENEWAL_NODE_TIME.value,
         Unit.CORES,
         (Use(slopes.RENEWAL_NODE_TIME, size.couriers_a_node),),
     )
--- a/calicopin/capacity/options.py
+++ b/calicopin/capacity/options.py
@@ -70,7 +70,7 @@
     """Each node holds a part of the list: a courier keeps a lease at nearly every node."""
     machines, used = size.control_machines, size.destinations_a_courier
     nodes = machines * (1.0 - (1.0 - 1.0 / machines) ** used)
-    calls = nodes * courier.calls_a_second()
+    calls = nodes * courier.renewals_a_second()
     shape = ("senders_a_destination",)
     return Option(
         "Nodes that hold a part of the list each",
@@ -92,7 +92,7 @@
             ),
             Figure(
                 "processor time of renewals at a courier",
-                "nodes × calls a second × renewal at the courier",
+                "nodes × renewals a second × renewal at the courier",
                 calls * slopes.RENEWAL_COURIER_TIME.value,
                 Unit.CORES,
                 (Use(slopes.RENEWAL_COURIER_TIME),),
@@ -100,7 +100,7 @@
             ),
             Figure(
                 "bytes a second of renewals at a courier",
-                "nodes × calls a second × renewal",
+                "nodes × renewals a second × renewal",
                 calls * slopes.RENEWAL_BYTES.value,
                 Unit.BYTES_A_SECOND,
                 (Use(slopes.RENEWAL_BYTES),),
@@ -108,7 +108,7 @@
             ),
             Figure(
                 "processor time of renewals at a node",
-                "couriers × nodes / control machines × calls a second × renewal at the node",
+                "couriers × nodes / control machines × renewals a second × renewal at the node",
                 size.couriers * calls / machines * slopes.RENEWAL_NODE_TIME.value,
                 Unit.CORES,
                 (Use(slopes.RENEWAL_NODE_TIME),),
@@ -135,8 +135,8 @@
             ),
             Figure(
                 "processor time at a relay for its children",
-                "children × calls a second × renewal at the node",
-                FAN_OUT * courier.calls_a_second() * slopes.RENEWAL_NODE_TIME.value,
+                "children × renewals a second × renewal at the node",
+                FAN_OUT * courier.renewals_a_second() * slopes.RENEWAL_NODE_TIME.value,
                 Unit.CORES,
                 (Use(slopes.RENEWAL_NODE_TIME),),
                 ("fan-out",),
--- a/calicopin/capacity/ranking.py
+++ b/calicopin/capacity/ranking.py
@@ -70,8 +70,8 @@
 
 def machines_subscribed(size: Size) -> Figure:
     """Control machines with subscriptions: a change is news for its subscribers."""
-    calls = size.couriers * (courier.calls_a_second() + courier.heard_a_second(size))
-    return _machines(size, calls, "couriers × (calls + changes of the set) × renewal at the node")
+    calls = size.couriers * (courier.renewals_a_second() + courier.heard_a_second(size))
+    return _machines(size, calls, "couriers × (renewals a second + changes of the set) × renewal at the node")
 
 
 def demands(size: Size) -> tuple[Demand, ...]:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -179,7 +179,7 @@
         (courier.set_memory, {"destinations": 3.4e6}),
         (courier.set_memory, {"shape": Shape(senders_a_destination=2.0)}),
         (node.list_memory, {"destinations": 3.4e6}),
-        (node.calls, {"couriers": 38_000.0}),
+        (node.renewals, {"couriers": 38_000.0}),
         (node.news, {"changes_a_day": 22_000.0}),
     ],
 )
