--- a/calicopin/capacity/node.py
+++ b/calicopin/capacity/node.py
@@ -32,12 +32,34 @@
     )
 
 
-def calls(size: Size) -> Figure:
-    """Calls a second at a node where there is no news."""
+def changed_memory(size: Size) -> Figure:
+    """Memory of what changed in a day since a node's start, each change of another destination."""
     return Figure(
-        "calls a second",
-        "couriers a node × calls a second of a courier",
-        size.couriers_a_node * courier.calls_a_second(),
+        "and for the changes of one day",
+        "changes a day × changed destination",
+        size.changes_a_day * slopes.NODE_CHANGED_MEMORY.value,
+        Unit.BYTES,
+        (Use(slopes.NODE_CHANGED_MEMORY, size.changes_a_day),),
+    )
+
+
+def changes_core(size: Size) -> Figure:
+    """Share of a core for all changes of the list at a node, without the calls that tell them."""
+    return Figure(
+        "processor time of changes",
+        "changes a second × change at the node",
+        size.changes_a_second * slopes.NODE_CHANGE_TIME.value,
+        Unit.CORES,
+        (Use(slopes.NODE_CHANGE_TIME, size.destinations),),
+    )
+
+
+def renewals(size: Size) -> Figure:
+    """Renewals a second at a node where there is no news."""
+    return Figure(
+        "renewals a second",
+        "couriers a node × renewals a second of a courier",
+        size.couriers_a_node * courier.renewals_a_second(),
         Unit.A_SECOND,
     )
 
@@ -46,8 +68,8 @@
     """Share of a core for renewals at a node."""
     return Figure(
         "processor time of renewals",
-        "calls a second × renewal at the node",
-        calls(size).value * slopes.RENEWAL_NODE_TIME.value,
+        "renewals a second × renewal at the node",
+        renewals(size).value * slopes.RENEWAL_NODE_TIME.value,
         Unit.CORES,
         (Use(slopes.RENEWAL_NODE_TIME, size.couriers_a_node),),
     )
