Scale tests: hollow couriers before real discovery nodes, and faults with a verdict

The size in two years needs figures of the control side: no run had a node with the whole list or more than a few couriers. Hollow couriers run the real Subscriber on one loop, changes keep a schedule of their own, each is followed to every courier that uses its destination, and what couriers know is compared with the list's file.

--- /dev/null
+++ b/calicopin/scale/change_feed.py
@@ -0,0 +1,178 @@
+"""Changes of the list on a schedule of their own, appended to the file that discovery nodes read.
+
+Open loop: no change waits for the one before to be in force. An entry's weight tells its revision, by which a courier
+that heard it can be told from one that did not. Times are milliseconds of the machine's monotonic clock.
+"""
+
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from calicopin.scale.list_source import encode, entry
+
+REVISION_BASE = 1_000_000.0  # weights of the list as it was made lie below
+LEAST_GAP = (
+    15_000.0  # ms between two changes of one destination: longer than a change may take to be in force
+)
+LEAVING_SHARE = 0.3  # of the changes of an endpoint in service that say `leaving`
+WEIGHT_SHARE = 0.3  # of them that say another weight alone; the rest say `left`
+
+
+@dataclass(frozen=True, slots=True)
+class FeedPlan:
+    """How many changes a second, for how long, of which destinations. `down` names those whose endpoints have left.
+
+    With `churn` an endpoint leaves for each one that comes back, as where a fixed part of the destinations is down.
+    """
+
+    per_second: float
+    seconds: float
+    candidates: Sequence[int]
+    seed: int
+    churn: bool = False
+    down: frozenset[int] = frozenset()
+    endpoints_each: int = 1
+    least_gap: float = LEAST_GAP
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change: when it was due and when it was appended."""
+
+    due: float
+    appended: float
+    destination: int
+    ident: str
+    state: str
+    revision: int
+
+
+def now() -> float:
+    """The clock of all processes of a run."""
+    return time.monotonic() * 1000.0
+
+
+def ident_of(destination: int, number: int) -> str:
+    """An endpoint's name in the generated list."""
+    return f"e{destination}.{number}"
+
+
+def revision_of(weight: float) -> int:
+    """The revision that an entry's weight tells; 0 of one that was never changed."""
+    return int(weight - REVISION_BASE) if weight > REVISION_BASE else 0
+
+
+def line_of(destination: int, number: int, state: str, revision: int) -> str:
+    """The entry as a line of the file."""
+    told = entry(destination, number, state)
+    told["weight"] = REVISION_BASE + revision
+    return encode(told)
+
+
+class NextChange:
+    """Draws changes: of a destination that had none lately, and so that no two in a row say the same."""
+
+    def __init__(self, plan: FeedPlan):
+        self.plan, self.draw = plan, random.Random(f"feed/{plan.seed}")
+        self.states = {
+            (destination, number): "left"
+            for destination in plan.candidates
+            if destination in plan.down
+            for number in range(plan.endpoints_each)
+        }
+        self.gone = list(self.states)
+        self.changed_at: dict[int, float] = {}
+
+    def __call__(self, at: float) -> tuple[int, int, str] | None:
+        """(destination, number, state), or None where all candidates were changed lately."""
+        comes_back = self.plan.churn and self.gone and self.draw.random() < 0.5
+        for _ in range(200):
+            chosen = self._gone_one() if comes_back else self._any_one()
+            if self.changed_at.get(chosen[0], -self.plan.least_gap) + self.plan.least_gap <= at:
+                return *chosen, self._turn(chosen, at)
+        return None
+
+    def _gone_one(self) -> tuple[int, int]:
+        return self.draw.choice(self.gone)
+
+    def _any_one(self) -> tuple[int, int]:
+        return self.draw.choice(self.plan.candidates), self.draw.randrange(self.plan.endpoints_each)
+
+    def _turn(self, chosen: tuple[int, int], at: float) -> str:
+        """The state that follows."""
+        before = self.states.get(chosen, "active")
+        if before != "active":
+            state = "active"
+        else:
+            part = 1.0 if self.plan.churn else self.draw.random()
+            state = "leaving" if part < LEAVING_SHARE else "active"
+            if part >= LEAVING_SHARE + WEIGHT_SHARE:
+                state = "left"
+        self.states[chosen] = state
+        self.changed_at[chosen[0]] = at
+        if before == "left":
+            self.gone.remove(chosen)
+        if state == "left":
+            self.gone.append(chosen)
+        return state
+
+
+class ChangeFeed:
+    """Appends the changes in a thread of its own. `revisions` go on from `first_revision`."""
+
+    def __init__(self, path: str, plan: FeedPlan, first_revision: int = 1):
+        self.path, self.plan, self.revision = path, plan, first_revision
+        self.changes: list[Change] = []
+        self.most_late = 0.0  # ms by which a change was appended after its time
+        self.skipped = 0  # changes for which no destination was left that had none lately
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def schedule(self, begin: float) -> deque[float]:
+        """The times of all changes: at random, by the seed, with the mean rate asked for."""
+        draw, at, times = random.Random(f"times/{self.plan.seed}"), begin, deque()
+        while True:
+            at += draw.expovariate(self.plan.per_second) * 1000.0
+            if at >= begin + self.plan.seconds * 1000.0:
+                return times
+            times.append(at)
+
+    def start(self) -> "ChangeFeed":
+        """Begins now."""
+        self._thread.start()
+        return self
+
+    def join(self, timeout: float | None = None) -> bool:
+        """Whether all changes are appended and the time is up, waiting for it as long as told (seconds)."""
+        self._thread.join(timeout)
+        return not self._thread.is_alive()
+
+    def stop(self) -> None:
+        """Appends nothing more."""
+        self._stop.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        begin, next_change = now(), NextChange(self.plan)
+        with open(self.path, "a", encoding="ascii") as file:
+            for due in self.schedule(begin):
+                if self._stop.wait(max(0.0, due - now()) / 1000.0):
+                    return
+                self._append(file, due, next_change(due))
+        self._stop.wait(max(0.0, begin + self.plan.seconds * 1000.0 - now()) / 1000.0)
+
+    def _append(self, file, due: float, drawn: tuple[int, int, str] | None) -> None:
+        if drawn is None:
+            self.skipped += 1
+            return
+        destination, number, state = drawn
+        file.write(line_of(destination, number, state, self.revision) + "\n")
+        file.flush()
+        appended = now()
+        self.most_late = max(self.most_late, appended - due)
+        ident = ident_of(destination, number)
+        self.changes.append(Change(due, appended, destination, ident, state, self.revision))
+        self.revision += 1
--- /dev/null
+++ b/calicopin/scale/node_command.py
@@ -0,0 +1,129 @@
+"""`python -m calicopin.scale node` and `node-slopes`: one discovery node at full size."""
+
+import time
+
+import click
+
+from calicopin.scale import guard, hollow, node_run, node_slopes, results
+from calicopin.scale.node_run import DAY, Group, Load, NodePlan, NodeRun
+from calicopin.scale.options import (
+    LATE_BOUND,
+    MEMORY,
+    OUTPUT,
+    PROCESSES,
+    SEED,
+    Progress,
+    allowed,
+    finish_load,
+    stop,
+)
+
+MACHINE = 613  # couriers of one control machine
+NEIGHBOUR_GONE = 20  # more, where one of 31 machines is gone
+ZONE = 1_118  # couriers of a zone, all back at once
+CHANGES_A_DAY = 11_000
+
+
+@click.command("node")
+@click.option("--destinations", type=click.IntRange(min=100), default=1_700_000, show_default=True)
+@click.option(
+    "--couriers", type=click.IntRange(min=1), default=MACHINE, show_default=True, help="First group."
+)
+@click.option(
+    "--neighbour", type=click.IntRange(min=0), default=NEIGHBOUR_GONE, show_default=True, help="Second group."
+)
+@click.option("--zone", type=click.IntRange(min=0), default=ZONE, show_default=True, help="Third group.")
+@click.option("--changes-a-day", type=click.FloatRange(min=1.0), default=CHANGES_A_DAY, show_default=True)
+@click.option("--down", type=click.FloatRange(0.0, 0.5), default=0.037, show_default=True, help="Share down.")
+@click.option(
+    "--mean-down",
+    type=click.FloatRange(min=1.0),
+    default=3600.0,
+    show_default=True,
+    help="Seconds that a destination is down.",
+)
+@click.option("--seconds", type=click.FloatRange(min=1.0), default=60.0, show_default=True, help="Each load.")
+@SEED
+@LATE_BOUND
+@MEMORY
+@PROCESSES
+@OUTPUT
+def node(
+    destinations,
+    couriers,
+    neighbour,
+    zone,
+    changes_a_day,
+    down,
+    mean_down,
+    seconds,
+    seed,
+    late_bound,
+    memory_mib,
+    processes,
+    path,
+):
+    """One real discovery node and hollow couriers: memory, processor time, bytes, and how soon changes are in force.
+
+    Three groups of couriers in turn, each arriving at once, and for each of them three loads: the changes of a day, ten
+    times as many, and those that follow from destinations which are down and come back. Every change is of a destination
+    that some courier of the run uses, which is more than a node has of the day's changes. Exit code 3: the run is void,
+    its generator was late.
+    """
+    groups = [Group(f"{couriers} couriers", couriers)]
+    if neighbour:
+        groups.append(Group(f"{couriers} + {neighbour} couriers", neighbour))
+    if zone:
+        groups.append(Group(f"{couriers} + {zone} couriers", zone, end=neighbour))
+    day = changes_a_day / DAY
+    loads = [Load("changes of a day", day, 2 * seconds), Load("ten times", 10 * day, seconds)]
+    if down:
+        follow = 2.0 * down * destinations / mean_down
+        loads.append(Load("down and back", follow, seconds, churn=True))
+    plan = NodePlan(destinations, tuple(groups), tuple(loads), down, seed)
+    allowed(node_run.estimate(plan), memory_mib, processes)
+    try:
+        hollow.check_descriptors(node_run.most_couriers(plan) + neighbour)
+    except hollow.DescriptorsError as fault:
+        stop(str(fault))
+    arguments = {
+        "destinations": destinations,
+        "couriers": couriers,
+        "neighbour": neighbour,
+        "zone": zone,
+        "changes_a_day": changes_a_day,
+        "down": down,
+        "mean_down_s": mean_down,
+        "seconds": seconds,
+        "late_bound_ms": late_bound,
+    }
+    run, began = results.begin("node", arguments, seed), time.monotonic()
+    with Progress() as progress:
+        outcome = NodeRun(plan, progress).run()
+    run.figures, run.rows, run.faults = outcome.figures, outcome.rows, outcome.faults
+    finish_load(run, began, path, outcome.most_late, late_bound)
+
+
+@click.command("node-slopes")
+@click.argument("names", nargs=-1, type=click.Choice(list(node_slopes.MEASUREMENTS)))
+@click.option(
+    "--size", "sizes", type=click.IntRange(min=1), multiple=True, help="Other sizes, three or more."
+)
+@click.option("--repeats", type=click.IntRange(1, 100), default=3, show_default=True)
+@SEED
+@MEMORY
+@PROCESSES
+@OUTPUT
+def node_slopes_(names, sizes, repeats, seed, memory_mib, processes, path):
+    """A node's memory over destinations, its processor time over couriers, and one change over destinations known."""
+    chosen = names or tuple(node_slopes.MEASUREMENTS)
+    known = max(sizes or node_slopes.DESTINATIONS)
+    memory = known * node_run.DESTINATION_BYTES + max(sizes or node_slopes.COURIERS) * node_run.COURIER_BYTES
+    allowed(guard.Estimate(memory + 3 * guard.PROCESS, 3), memory_mib, processes)
+    arguments = {"names": list(chosen), "sizes": list(sizes), "repeats": repeats}
+    run, began = results.begin("node-slopes", arguments, seed), time.monotonic()
+    with Progress() as progress:
+        for name in chosen:
+            other = (tuple(sizes),) if sizes else ()
+            run.slopes += node_slopes.MEASUREMENTS[name](repeats, seed, progress, *other)
+    finish_load(run, began, path)
--- /dev/null
+++ b/calicopin/scale/node_slopes.py
@@ -0,0 +1,162 @@
+"""Slopes of the discovery node: memory and load over destinations, processor time over couriers, and the work of one change
+over destinations known. Repeated runs; each of them in processes of its own."""
+
+import os
+import random
+import tempfile
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+
+from calicopin.discovery_node.catalogue import Catalogue
+from calicopin.discovery_node.entry import decode_entry, read_line
+from calicopin.scale import hollow, nodes
+from calicopin.scale.change_feed import ident_of, line_of
+from calicopin.scale.fit import Sample
+from calicopin.scale.list_source import ListSize, encode, entries, write
+from calicopin.scale.node_run import MIB, READY_PATIENCE, courier_costs, node_costs
+from calicopin.scale.results import Slope, slope
+from calicopin.scale.slopes import in_own_process
+from calicopin.subscription.leases import LeaseBounds, LeaseTable
+from calicopin.subscription.messages import SubscribeRequest
+
+FLEET = "scale"
+DESTINATIONS = (100_000, 400_000, 1_700_000)
+COURIERS = (200, 613, 1_731)
+LIST_FOR_COURIERS = 100_000  # destinations known where the couriers are what varies
+CHANGES = 2_000  # of one measurement of a change
+CHANGE_COURIERS = 613
+SECONDS = 15.0  # of one measurement of processor time
+QUIET = 4.0  # seconds between the couriers' arrival and that
+
+
+def destination_costs(destinations: int, seed: int) -> dict[str, float]:
+    """A real node with so many destinations: its memory, and its time until it serves."""
+    with tempfile.TemporaryDirectory(prefix="calicopin-scale-") as folder:
+        path = os.path.join(folder, "list.log")
+        with open(path, "w", encoding="ascii") as file:
+            write(file, FLEET, ListSize(destinations), seed)
+        with nodes.NodeProcess("n0", path, FLEET, 0, folder) as node:
+            seconds, sample = node.wait_ready(READY_PATIENCE), node.sample()
+        return {"memory": sample.resident_bytes / MIB, "load": seconds, "cpu": sample.cpu_seconds}
+
+
+def courier_count_costs(couriers: int, seed: int) -> dict[str, float]:
+    """A real node and so many couriers without a change of the list: processor time, and bytes of a courier."""
+    with tempfile.TemporaryDirectory(prefix="calicopin-scale-") as folder, ExitStack() as stack:
+        path = os.path.join(folder, "list.log")
+        with open(path, "w", encoding="ascii") as file:
+            write(file, FLEET, ListSize(LIST_FOR_COURIERS), seed)
+        node = stack.enter_context(nodes.NodeProcess("n0", path, FLEET, couriers, folder))
+        node.wait_ready(READY_PATIENCE)
+        empty = node.sample().resident_bytes
+        plan = hollow.CourierPlan(FLEET, (node.address,), LIST_FOR_COURIERS, seed)
+        process = stack.enter_context(hollow.HollowProcess(plan))
+        at_start = process.start(range(couriers))
+        while any(each.answered_at is None for each in process.figures().couriers):
+            time.sleep(0.2)
+        time.sleep(QUIET)
+        node_before, before = node.sample(), process.figures()
+        time.sleep(SECONDS)
+        node_after, after = node.sample(), process.figures()
+    costs = courier_costs(before, after) | node_costs(node_before, node_after)
+    costs["node_growth_mib"] = (node_after.resident_bytes - empty) / MIB
+    costs["courier_memory_mib"] = (after.resident_bytes - at_start.resident_bytes) / MIB
+    costs["couriers_cpu_percent"] = costs["courier_cpu_percent"] * couriers
+    return costs
+
+
+def _lines(destinations: int, seed: int) -> Iterator:
+    for number, one in enumerate(entries(ListSize(destinations), seed), 2):
+        yield read_line(number, encode(one).encode())
+
+
+def change_costs(destinations: int, seed: int) -> dict[str, float]:
+    """One change in the node's decisions, of a destination that somebody holds: rows and leases looked at, and time."""
+    catalogue, table = Catalogue(), LeaseTable(FLEET, "n0", "run", LeaseBounds())
+    for _ in catalogue.load(_lines(destinations, seed)):
+        pass
+    plan = hollow.CourierPlan(FLEET, (), destinations, seed)
+    holders = hollow.subscribers_of(range(CHANGE_COURIERS), plan)
+    for courier in range(CHANGE_COURIERS):
+        wanted = hollow.destinations_of(courier, plan)
+        table.request(0.0, SubscribeRequest(FLEET, f"courier-{courier}", subscribe=wanted), None)
+    # of destinations with one holder alone: the work by the subscribers is the same at every size
+    single = [destination for destination, couriers in holders.items() if len(couriers) == 1]
+    draw = random.Random(f"change/{seed}")
+    lines = [
+        line_of(draw.choice(single), 0, "active", revision).encode() for revision in range(1, CHANGES + 1)
+    ]
+    changes = [(decode_entry(line), line) for line in lines]
+    rows, leases, began = catalogue.work, table.work, time.process_time()
+    for one, line in changes:
+        table.change(catalogue.apply(one, line))
+        catalogue.entries(one.cell)
+    seconds = time.process_time() - began
+    assert catalogue.entries(changes[-1][0].cell) and changes[-1][0].id == ident_of(changes[-1][0].cell, 0)
+    return {
+        "rows": (catalogue.work - rows) / CHANGES,
+        "leases": (table.work - leases) / CHANGES,
+        "microseconds": seconds / CHANGES * 1e6,
+    }
+
+
+def over_destinations(
+    repeats: int, seed: int, progress: Callable[[str], None], sizes: tuple[int, ...] = DESTINATIONS
+) -> list[Slope]:
+    """The node's memory and load."""
+    told = _repeat("destinations", destination_costs, sizes, repeats, seed, progress)
+    return [
+        slope("memory of the node", "MiB", "destination", told["memory"]),
+        slope("time until the node serves", "s", "destination", told["load"]),
+        slope("processor time until the node serves", "s", "destination", told["cpu"]),
+    ]
+
+
+def over_couriers(
+    repeats: int, seed: int, progress: Callable[[str], None], sizes: tuple[int, ...] = COURIERS
+) -> list[Slope]:
+    """Processor time of the node and of all couriers together, and memory, without changes."""
+    told = _repeat("couriers", courier_count_costs, sizes, repeats, seed, progress)
+    return [
+        slope("processor time of the node", "percent of a core", "courier", told["node_cpu_percent"]),
+        slope("growth of the node's memory", "MiB", "courier", told["node_growth_mib"]),
+        slope("processor time of all couriers", "percent of a core", "courier", told["couriers_cpu_percent"]),
+        slope("memory of all couriers for control", "MiB", "courier", told["courier_memory_mib"]),
+        slope("bytes sent by a courier", "bytes/s", "courier", told["courier_sent_bytes_s"]),
+        slope("bytes received by a courier", "bytes/s", "courier", told["courier_received_bytes_s"]),
+    ]
+
+
+def of_a_change(
+    repeats: int, seed: int, progress: Callable[[str], None], sizes: tuple[int, ...] = DESTINATIONS
+) -> list[Slope]:
+    """One change in the node's decisions."""
+    told = _repeat("change", change_costs, sizes, repeats, seed, progress, in_own_process)
+    return [
+        slope("rows looked at by one change", "rows", "destination known", told["rows"]),
+        slope("leases looked at by one change", "leases", "destination known", told["leases"]),
+        slope("processor time of one change", "µs", "destination known", told["microseconds"]),
+    ]
+
+
+def _repeat(
+    name: str,
+    measure: Callable[[int, int], dict[str, float]],
+    sizes: tuple[int, ...],
+    repeats: int,
+    seed: int,
+    progress: Callable[[str], None],
+    call: Callable = lambda measure, *arguments: measure(*arguments),
+) -> dict[str, list[Sample]]:
+    """Sizes in turn, so that a change of the machine's load meets all alike."""
+    told: dict[str, list[Sample]] = {}
+    for repeat in range(repeats):
+        for size in sizes:
+            progress(f"{name} at {size:,}, repeat {repeat + 1} of {repeats}")
+            for key, value in call(measure, size, seed + repeat).items():
+                told.setdefault(key, []).append(Sample(size, value))
+    return told
+
+
+MEASUREMENTS = {"destinations": over_destinations, "couriers": over_couriers, "change": of_a_change}
--- /dev/null
+++ b/calicopin/scale/nodes.py
@@ -0,0 +1,166 @@
+"""Real discovery nodes as processes: started, killed, stopped and asked for their figures."""
+
+import http.client
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+PROGRAM = (sys.executable, "-m", "calicopin", "discovery-node")
+SPARE_LEASES = 512  # over the couriers: those of a courier that was restarted last until they are over
+LEAST_LEASES = 1024
+STATUS_PATIENCE = 30.0  # seconds
+READY_STEP = 0.05  # seconds between two looks whether a node is ready
+ENDING = 5.0  # seconds that a node has to end
+
+
+class NodeError(RuntimeError):
+    """A node that did not start; the message has its last lines."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSample:
+    """What the machine's accounts say of a node's process."""
+
+    at: float  # seconds, monotonic
+    cpu_seconds: float
+    resident_bytes: int
+
+
+def free_port() -> int:
+    """A port of this machine that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def process_cpu(pid: int) -> float:
+    """Seconds of processor time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def process_resident(pid: int) -> int:
+    """Bytes that a process holds resident."""
+    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+class NodeProcess:
+    """One discovery node on an address of its own; it may be started again on the same one."""
+
+    def __init__(
+        self,
+        name: str,
+        source: str,
+        fleet: str,
+        couriers: int,
+        folder: str,
+        program: tuple[str, ...] = PROGRAM,
+    ):
+        self.name, self.port = name, free_port()
+        self.log = os.path.join(folder, f"{name}.log")
+        leases = max(LEAST_LEASES, couriers + SPARE_LEASES)
+        self.words = [
+            *program,
+            "--source",
+            source,
+            "--fleet",
+            fleet,
+            "--listen",
+            self.address,
+            "--node",
+            name,
+        ]
+        self.words += ["--leases", str(leases), "--parked", str(leases), "--connections", str(2 * leases)]
+        self.process: subprocess.Popen | None = None
+        self.is_stopped = False
+
+    @property
+    def address(self) -> str:
+        """As couriers ask it."""
+        return f"127.0.0.1:{self.port}"
+
+    def start(self) -> None:
+        """Begins the process; `wait_ready` tells when it serves."""
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(self.words, cwd=ROOT, stdin=subprocess.DEVNULL, stderr=log)
+
+    def wait_ready(self, seconds: float) -> float:
+        """The seconds until it served; raises NodeError where that took longer, or where it ended."""
+        began = time.monotonic()
+        while time.monotonic() < began + seconds:
+            if self.process.poll() is not None:
+                raise NodeError(f"{self.name} ended with {self.process.returncode}: {self.last_lines()}")
+            if self.is_ready():
+                return time.monotonic() - began
+            time.sleep(READY_STEP)
+        raise NodeError(f"{self.name} was not ready within {seconds:g} s: {self.last_lines()}")
+
+    def is_ready(self) -> bool:
+        """Whether it serves subscriptions."""
+        try:
+            return self._get("/-/ready")[0] == 200
+        except OSError:
+            return False
+
+    def status(self) -> dict:
+        """Its own figures."""
+        return json.loads(self._get("/-/status")[1])
+
+    def _get(self, path: str) -> tuple[int, bytes]:
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=STATUS_PATIENCE)
+        try:
+            connection.request("GET", path)
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        finally:
+            connection.close()
+
+    def sample(self) -> NodeSample:
+        """Of the process as the machine accounts for it."""
+        pid = self.process.pid
+        return NodeSample(time.monotonic(), process_cpu(pid), process_resident(pid))
+
+    def last_lines(self) -> str:
+        """The end of what it wrote."""
+        return Path(self.log).read_text(errors="replace")[-400:].strip()
+
+    def kill(self) -> None:
+        """SIGKILL."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self) -> None:
+        """SIGSTOP: its connections stay open, and nothing is answered."""
+        self.process.send_signal(signal.SIGSTOP)
+        self.is_stopped = True
+
+    def go_on(self) -> None:
+        """SIGCONT."""
+        self.process.send_signal(signal.SIGCONT)
+        self.is_stopped = False
+
+    def end(self) -> None:
+        """SIGTERM, and SIGKILL where that is not enough."""
+        if self.process is None or self.process.poll() is not None:
+            return
+        if self.is_stopped:
+            self.go_on()
+        self.process.terminate()
+        try:
+            self.process.wait(ENDING)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def __enter__(self):
+        self.start()
+        return self
+
+    def __exit__(self, *_):
+        self.end()
--- /dev/null
+++ b/calicopin/scale/options.py
@@ -0,0 +1,95 @@
+"""What the commands of `python -m calicopin.scale` share: options, a progress line, bounds, and how a run ends."""
+
+import sys
+
+import click
+from rich.console import Console
+
+from calicopin.scale import guard, results
+
+
+def stop(line: str) -> None:
+    """One plain line on standard error, and exit code 2."""
+    click.echo(line, err=True)
+    sys.exit(2)
+
+
+def allowed(estimate: guard.Estimate, memory_mib: int | None, processes: int | None) -> None:
+    """Refuses a run that would pass its bounds."""
+    try:
+        guard.check(estimate, guard.bounds(memory_mib, processes))
+    except guard.Refused as fault:
+        stop(str(fault))
+
+
+class Progress:
+    """One line on standard error that says what is done now."""
+
+    def __init__(self):
+        self.console = Console(stderr=True)
+        self.status = self.console.status("")
+
+    def __enter__(self):
+        self.status.start()
+        return self
+
+    def __exit__(self, *_):
+        self.status.stop()
+
+    def __call__(self, line: str) -> None:
+        if self.console.is_terminal:
+            self.status.update(line)
+        else:
+            click.echo(line, err=True)
+
+
+def finish(run: results.Run, began: float, path: str | None) -> None:
+    """The record as a table, and as JSON where a path is given; exit code 1 where the run is void."""
+    results.end(run, began)
+    results.show(run)
+    if path:
+        results.keep(run, path)
+    if run.void:
+        sys.exit(1)
+
+
+def finish_load(
+    run: results.Run, began: float, path: str | None, most_late: float = 0.0, late_bound: float = float("inf")
+) -> None:
+    """The record, a verdict line, and the exit code: 3 where the generator was late, 1 where a fault was found."""
+    late = most_late > late_bound
+    if late:
+        run.void = (
+            f"the generator was {most_late:.0f} ms behind its schedule, {late_bound:.0f} ms is the bound"
+        )
+    results.end(run, began)
+    results.show(run)
+    if path:
+        results.keep(run, path)
+    for fault in run.faults:
+        click.echo(f"FAULT: {fault}")
+    click.echo("verdict: " + ("void" if late else f"{len(run.faults)} faults" if run.faults else "holds"))
+    if late or run.faults:
+        sys.exit(LATE if late else FOUND)
+
+
+FOUND, LATE = 1, 3  # exit codes
+SEED = click.option("--seed", type=int, default=1, show_default=True)
+OUTPUT = click.option(
+    "--json", "path", type=click.Path(dir_okay=False, writable=True), help="Keep the run's record here."
+)
+MEMORY = click.option(
+    "--memory-mib", type=click.IntRange(min=1), help="Most memory; half of the machine's without it."
+)
+PROCESSES = click.option(
+    "--processes",
+    type=click.IntRange(1, guard.MOST_PROCESSES),
+    help=f"Most processes; {guard.MOST_PROCESSES} without it.",
+)
+LATE_BOUND = click.option(
+    "--late-bound",
+    type=click.FloatRange(min=1.0),
+    default=250.0,
+    show_default=True,
+    help="Milliseconds that the generator may be late.",
+)
--- a/calicopin/scale/results.py
+++ b/calicopin/scale/results.py
@@ -14,6 +14,7 @@
 from calicopin.scale import fit, guard
 
 ROOT = Path(__file__).resolve().parents[2]
+MOST_COLUMNS = 10  # of a table with a row a line
 PROGRAM = ("calicopin", ":!calicopin/scale")  # what the runs measure, as git names it
 
 
@@ -64,6 +65,7 @@
     figures: list[Figure] = []
     rows: list[dict] = []
     void: str = ""
+    faults: list[str] = []
 
 
 def _git(*words: str) -> str:
@@ -138,7 +140,9 @@
             bound = "" if one.bound is None else number(one.bound)
             table.add_row(one.figure, number(one.value), one.unit, bound, one.note)
         out.print(table)
-    if run.rows:
+    if run.rows and len(run.rows[0]) > MOST_COLUMNS:
+        out.print(_upright(run.rows))
+    elif run.rows:
         heads = list(run.rows[0])
         table = Table(*heads, box=None)
         for row in run.rows:
@@ -149,6 +153,18 @@
         out.print(f"VOID: {run.void}", highlight=False)
 
 
+def _cell(value) -> str:
+    return number(value) if value is None or isinstance(value, float) else str(value)
+
+
+def _upright(rows: list[dict]) -> Table:
+    """One column a row, where the rows are too wide."""
+    table = Table("", *[str(position) for position, _ in enumerate(rows, 1)], box=None)
+    for head in rows[0]:
+        table.add_row(head, *[_cell(row.get(head)) for row in rows])
+    return table
+
+
 def _show_slopes(out: Console, slopes: list[Slope]) -> None:
     table = Table("figure", "unit", "over", "size", "repeats", "median", "least", "most", box=None)
     for one in slopes:
