--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,11 +2,12 @@
 
 import io
 import json
+from dataclasses import replace
 
 import pytest
 from click.testing import CliRunner
 
-from calicopin.scale import fit, guard, measures
+from calicopin.scale import fit, guard, measures, sender_count
 from calicopin.scale.__main__ import main
 from calicopin.scale.list_source import ChangeSource, ListSize, entries, head, write
 
@@ -95,3 +96,14 @@
     few, many = measures.journal_bytes(50, 1), measures.journal_bytes(100, 1)
     assert few["delivered"] == 50 and many["delivered"] == 100
     assert 1.9 < many["bytes"] / few["bytes"] < 2.1
+
+
+def test_a_told_count_far_over_the_senders_costs_deliveries():
+    size = sender_count.SenderCount(told=20, seconds=10.0)
+    known = sender_count.play(size, seed=1)
+    far = sender_count.play(replace(size, told=19_000), seed=1)
+    assert known.offered == far.offered
+    assert known.delivered + known.given_up == pytest.approx(1.0)
+    assert far.delivered + far.given_up == pytest.approx(1.0)
+    assert known.served > far.served
+    assert known == sender_count.play(size, seed=1)
