Scale tests: a feed that knows what has left already; SIGTERM ends a run's processes; small forms

A trial at full size was ended: its feed took every destination for one in service at each load's begin, so that a leave of one already down was counted as never in force. The state is now read from the source before each load.

--- a/calicopin/scale/change_feed.py
+++ b/calicopin/scale/change_feed.py
@@ -8,7 +8,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from calicopin.scale.list_source import encode, entry
@@ -17,6 +17,7 @@
 LEAST_GAP = (
     15_000.0  # ms between two changes of one destination: longer than a change may take to be in force
 )
+DRAWS = 200  # until no destination counts as free for a change
 LEAVING_SHARE = 0.3  # of the changes of an endpoint in service that say `leaving`
 WEIGHT_SHARE = 0.3  # of them that say another weight alone; the rest say `left`
 
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One change: when it was due and when it was appended."""
+    """One change: when it was due, and when it began to be appended."""
 
     due: float
     appended: float
@@ -84,15 +85,26 @@
             for number in range(plan.endpoints_each)
         }
         self.gone = list(self.states)
+        self.level = len(self.gone)  # that churn keeps to
         self.changed_at: dict[int, float] = {}
 
     def __call__(self, at: float) -> tuple[int, int, str] | None:
         """(destination, number, state), or None where all candidates were changed lately."""
-        comes_back = self.plan.churn and self.gone and self.draw.random() < 0.5
-        for _ in range(200):
-            chosen = self._gone_one() if comes_back else self._any_one()
+        chosen = None
+        if self.plan.churn and len(self.gone) > self.level:
+            chosen = self._draw_from(self._gone_one, at)
+        chosen = chosen or self._draw_from(self._any_one, at)
+        return None if chosen is None else (*chosen, self._turn(chosen, at))
+
+    def _draw_from(self, draw: Callable[[], tuple[int, int]], at: float) -> tuple[int, int] | None:
+        """One that had no change lately, and with churn, of all, one that has not left."""
+        wants_present = self.plan.churn and draw == self._any_one
+        for _ in range(DRAWS):
+            chosen = draw()
+            if wants_present and chosen in self.states and self.states[chosen] == "left":
+                continue
             if self.changed_at.get(chosen[0], -self.plan.least_gap) + self.plan.least_gap <= at:
-                return *chosen, self._turn(chosen, at)
+                return chosen
         return None
 
     def _gone_one(self) -> tuple[int, int]:
@@ -169,10 +181,10 @@
             self.skipped += 1
             return
         destination, number, state = drawn
+        appended = now()  # before it is: a courier may hear of it at once
         file.write(line_of(destination, number, state, self.revision) + "\n")
         file.flush()
-        appended = now()
-        self.most_late = max(self.most_late, appended - due)
+        self.most_late = max(self.most_late, now() - due)
         ident = ident_of(destination, number)
         self.changes.append(Change(due, appended, destination, ident, state, self.revision))
         self.revision += 1
--- a/calicopin/scale/fault_command.py
+++ b/calicopin/scale/fault_command.py
@@ -14,6 +14,7 @@
     SEED,
     Progress,
     allowed,
+    end_on_sigterm,
     finish_load,
     stop,
 )
@@ -64,6 +65,7 @@
         "late_bound_ms": late_bound,
     }
     run, began, most_late = results.begin("fault", arguments, seed), time.monotonic(), 0.0
+    end_on_sigterm()
     with Progress() as progress:
         for plan in plans:
             outcome = FaultRun(plan, progress).run()
--- a/calicopin/scale/faults.py
+++ b/calicopin/scale/faults.py
@@ -29,7 +29,7 @@
 LOOK = 0.2  # seconds between two looks at what was heard
 RESTARTED_SHARE = 0.1
 DESTINATION_BYTES = 1_000  # of a node's memory, for the estimate before a run
-COURIER_BYTES = 2 << 20  # of the hollow process' memory, for the same
+COURIER_BYTES = 400_000  # of the hollow process' memory, for the same
 
 
 class Fault(StrEnum):
--- a/calicopin/scale/node_command.py
+++ b/calicopin/scale/node_command.py
@@ -4,7 +4,7 @@
 
 import click
 
-from calicopin.scale import guard, hollow, node_run, node_slopes, results
+from calicopin.scale import hollow, node_run, node_slopes, results
 from calicopin.scale.node_run import DAY, Group, Load, NodePlan, NodeRun
 from calicopin.scale.options import (
     LATE_BOUND,
@@ -14,6 +14,7 @@
     SEED,
     Progress,
     allowed,
+    end_on_sigterm,
     finish_load,
     stop,
 )
@@ -98,6 +99,7 @@
         "late_bound_ms": late_bound,
     }
     run, began = results.begin("node", arguments, seed), time.monotonic()
+    end_on_sigterm()
     with Progress() as progress:
         outcome = NodeRun(plan, progress).run()
     run.figures, run.rows, run.faults = outcome.figures, outcome.rows, outcome.faults
@@ -117,11 +119,10 @@
 def node_slopes_(names, sizes, repeats, seed, memory_mib, processes, path):
     """A node's memory over destinations, its processor time over couriers, and one change over destinations known."""
     chosen = names or tuple(node_slopes.MEASUREMENTS)
-    known = max(sizes or node_slopes.DESTINATIONS)
-    memory = known * node_run.DESTINATION_BYTES + max(sizes or node_slopes.COURIERS) * node_run.COURIER_BYTES
-    allowed(guard.Estimate(memory + 3 * guard.PROCESS, 3), memory_mib, processes)
+    allowed(node_slopes.estimate(chosen, tuple(sizes)), memory_mib, processes)
     arguments = {"names": list(chosen), "sizes": list(sizes), "repeats": repeats}
     run, began = results.begin("node-slopes", arguments, seed), time.monotonic()
+    end_on_sigterm()
     with Progress() as progress:
         for name in chosen:
             other = (tuple(sizes),) if sizes else ()
--- a/calicopin/scale/node_run.py
+++ b/calicopin/scale/node_run.py
@@ -26,7 +26,7 @@
 READY_PATIENCE = 600.0  # seconds that a node has to read its list
 ANSWER_PATIENCE = 120.0  # seconds that couriers have for their first answer
 DESTINATION_BYTES = 700  # of a node's memory, for the estimate before a run
-COURIER_BYTES = 2 << 20  # of the hollow process' memory, for the same
+COURIER_BYTES = 400_000  # of the hollow process' memory, for the same
 MIB = 1 << 20
 
 
@@ -227,9 +227,8 @@
 
     def _feed_plan(self, load: Load, candidates: tuple[int, ...]) -> FeedPlan:
         self.feeds += 1
-        wanted = set(candidates)
-        source = read_source(self.path, wanted) if load.churn else {}
-        down = frozenset(one for one in wanted if not source.get(one)) if load.churn else frozenset()
+        source = read_source(self.path, set(candidates))
+        down = frozenset(one for one in candidates if not source.get(one))
         seed = self.plan.seed * 1000 + self.feeds
         return FeedPlan(
             load.per_second,
--- a/calicopin/scale/node_slopes.py
+++ b/calicopin/scale/node_slopes.py
@@ -5,16 +5,23 @@
 import random
 import tempfile
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import ExitStack
 
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import decode_entry, read_line
-from calicopin.scale import hollow, nodes
+from calicopin.scale import guard, hollow, nodes
 from calicopin.scale.change_feed import line_of
 from calicopin.scale.fit import Sample
 from calicopin.scale.list_source import ListSize, encode, entries, write
-from calicopin.scale.node_run import MIB, READY_PATIENCE, courier_costs, node_costs
+from calicopin.scale.node_run import (
+    COURIER_BYTES,
+    DESTINATION_BYTES,
+    MIB,
+    READY_PATIENCE,
+    courier_costs,
+    node_costs,
+)
 from calicopin.scale.results import Slope, slope
 from calicopin.scale.slopes import in_own_process
 from calicopin.subscription.leases import LeaseBounds, LeaseTable
@@ -159,3 +166,11 @@
 
 
 MEASUREMENTS = {"destinations": over_destinations, "couriers": over_couriers, "change": of_a_change}
+
+
+def estimate(names: Sequence[str], sizes: tuple[int, ...]) -> guard.Estimate:
+    """What the largest of these measurements will take."""
+    couriers = max(sizes or COURIERS) if "couriers" in names else CHANGE_COURIERS
+    known = max(sizes or DESTINATIONS) if set(names) - {"couriers"} else LIST_FOR_COURIERS
+    memory = known * DESTINATION_BYTES + couriers * COURIER_BYTES
+    return guard.Estimate(memory + 3 * guard.PROCESS, 3)
--- a/calicopin/scale/options.py
+++ b/calicopin/scale/options.py
@@ -53,6 +53,11 @@
         sys.exit(1)
 
 
+def end_on_sigterm() -> None:
+    """SIGTERM ends a run as an exception does, so that its processes and files are gone behind it."""
+    signal.signal(signal.SIGTERM, lambda number, _: sys.exit(128 + number))
+
+
 def finish_load(
     run: results.Run, began: float, path: str | None, most_late: float = 0.0, late_bound: float = float("inf")
 ) -> None:
--- /dev/null
+++ b/tests/test_scale_faults.py
@@ -0,0 +1,109 @@
+"""Faults of nodes and couriers in small: real nodes and subscribers on loopback, with a verdict. No clock is asserted."""
+
+import sys
+from dataclasses import replace
+
+import pytest
+
+from calicopin.scale.faults import Fault, FaultPlan, FaultRun, estimate
+from calicopin.scale.hollow import HollowCourier, HollowFleet
+
+SMALL = FaultPlan(
+    Fault.NODE_KILLED,
+    nodes=3,
+    destinations=300,
+    couriers=12,
+    per_second=20.0,
+    seed=2,
+    lead=1.0,
+    during=1.0,
+    after=1.0,
+    bound=float("inf"),
+    endpoints_each=2,
+    least_gap=1500.0,
+    settle=60.0,
+)
+
+LOSING_NODE = """
+import sys
+from calicopin.discovery_node.catalogue import Catalogue
+
+apply, count = Catalogue.apply, [0]
+
+def losing(self, entry, data):
+    count[0] += 1
+    return set() if count[0] % 5 == 0 else apply(self, entry, data)
+
+Catalogue.apply = losing
+from calicopin.command.__main__ import main
+main(["discovery-node", *sys.argv[1:]])
+"""
+
+
+def quiet(_):
+    """A progress line that nobody reads."""
+
+
+def figure(outcome, name):
+    return next(one.value for one in outcome.figures if one.figure == name)
+
+
+@pytest.mark.parametrize("fault", list(Fault))
+def test_after_a_fault_every_courier_knows_what_the_source_has(fault):
+    outcome = FaultRun(replace(SMALL, fault=fault), quiet).run()
+    assert outcome.faults == [] and outcome.holds
+    assert outcome.differences.couriers == 12 and outcome.differences.none
+    assert len(outcome.pairs) > 50 and all(pair.at is not None for pair in outcome.pairs)
+
+
+def test_the_couriers_of_a_killed_node_are_all_at_the_rest():
+    outcome = FaultRun(SMALL, quiet).run()
+    lost, before = (
+        figure(outcome, "couriers of the killed node"),
+        figure(outcome, "couriers of the rest before"),
+    )
+    assert lost + before == 12 and outcome.holds
+
+
+class ForgettingCourier(HollowCourier):
+    """Its subscription keeps what has left and loses a change: one courier's answers lose their first entry."""
+
+    def __init__(self, loop, number, *others):
+        super().__init__(loop, number, *others)
+        if number == 0:
+            learn = self.subscriber.session._learn
+            self.subscriber.session._learn = lambda answer, places, released: learn(
+                answer, places if answer.full else places[1:], released
+            )
+
+
+class ForgettingFleet(HollowFleet):
+    """Couriers of which one loses what an increment tells."""
+
+    courier_class = ForgettingCourier
+
+
+def test_a_courier_that_drops_an_increment_is_found():
+    plan = replace(SMALL, fault=Fault.RESTART_TENTH, per_second=60.0, settle=2.0)
+    outcome = FaultRun(plan, quiet, ForgettingFleet).run()
+    assert not outcome.holds and not outcome.differences.none
+    assert outcome.differences.missing > 0
+
+
+def test_a_node_that_loses_a_change_is_found():
+    losing = (sys.executable, "-c", LOSING_NODE)
+    plan = replace(SMALL, fault=Fault.HALF_OPEN, nodes=2, per_second=30.0, settle=2.0)
+    outcome = FaultRun(plan, quiet, programs=(losing, losing)).run()
+    assert not outcome.holds
+    assert any("never came into force" in line for line in outcome.faults)
+    assert not outcome.differences.none
+
+
+def test_a_change_that_takes_too_long_is_found():
+    outcome = FaultRun(replace(SMALL, bound=0.0), quiet).run()
+    assert any("took over" in line for line in outcome.faults)
+
+
+def test_the_estimate_grows_with_what_is_asked_for():
+    assert estimate(replace(SMALL, couriers=2000)).memory > estimate(SMALL).memory
+    assert estimate(replace(SMALL, nodes=9)).processes == 11
--- /dev/null
+++ b/tests/test_scale_hollow.py
@@ -0,0 +1,302 @@
+"""Hollow couriers, their feed of changes and the verdict; small seeded runs of a node on loopback. No clock is asserted."""
+
+import io
+import json
+import resource
+
+import pytest
+from click.testing import CliRunner
+
+from calicopin.scale import hollow, node_run, node_slopes, options, results
+from calicopin.scale.__main__ import main
+from calicopin.scale.change_feed import (
+    Change,
+    ChangeFeed,
+    FeedPlan,
+    NextChange,
+    ident_of,
+    line_of,
+    revision_of,
+)
+from calicopin.scale.hollow import (
+    LEFT,
+    CourierPlan,
+    Heard,
+    HollowCourier,
+    HollowFleet,
+    Known,
+    KnownEndpoint,
+    destinations_of,
+    subscribers_of,
+)
+from calicopin.scale.list_source import ListSize, write
+from calicopin.scale.node_run import Group, Load, NodePlan, NodeRun
+from calicopin.scale.verdict import compare, in_force, read_source
+
+PLAN = CourierPlan("scale", ("127.0.0.1:9",), 10_000, 3)
+
+
+def quiet(_):
+    """A progress line that nobody reads."""
+
+
+# Sets.
+
+
+def test_a_courier_has_the_same_set_in_every_process_and_another_than_the_next():
+    assert destinations_of(7, PLAN) == destinations_of(7, PLAN)
+    assert destinations_of(7, PLAN) != destinations_of(8, PLAN)
+
+
+def test_sets_are_of_some_ninety_destinations_and_skewed():
+    sizes = sorted(len(destinations_of(courier, PLAN)) for courier in range(300))
+    assert 70 < sum(sizes) / len(sizes) < 110 and sizes[-1] > 4 * sizes[150]
+    held = sorted(len(couriers) for couriers in subscribers_of(range(300), PLAN).values())
+    assert held[len(held) // 2] <= 2 and held[-1] > 50
+
+
+def test_more_couriers_than_descriptors_are_refused_beforehand():
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    hollow.check_descriptors(10)
+    with pytest.raises(hollow.DescriptorsError, match="descriptors"):
+        hollow.check_descriptors(limit)
+
+
+# Changes.
+
+
+def feed_plan(**other):
+    told = dict(per_second=5.0, seconds=1.0, candidates=tuple(range(50)), seed=1, least_gap=1000.0)
+    return FeedPlan(**(told | other))
+
+
+def test_a_destination_is_not_changed_twice_within_the_gap():
+    next_change, last = NextChange(feed_plan()), {}
+    for at in range(0, 60_000, 100):
+        destination, _, _ = next_change(float(at))
+        assert at - last.get(destination, -1000) >= 1000
+        last[destination] = at
+
+
+def test_no_change_says_what_was_said_before():
+    next_change, states = NextChange(feed_plan(endpoints_each=2)), {}
+    for at in range(0, 300_000, 300):
+        destination, number, state = next_change(float(at))
+        before = states.get((destination, number), "active")
+        assert before == "active" or state == "active"
+        states[destination, number] = state
+    assert {"left", "leaving", "active"} <= set(states.values())
+
+
+def test_churn_keeps_as_many_down():
+    plan = feed_plan(candidates=tuple(range(400)), churn=True, down=frozenset(range(40)))
+    next_change = NextChange(plan)
+    for at in range(0, 2_000_000, 100):
+        assert next_change(float(at))[2] in ("left", "active")
+    assert 10 < len(next_change.gone) < 120
+
+
+def test_with_nothing_left_to_change_the_feed_skips():
+    next_change = NextChange(feed_plan(candidates=(1, 2)))
+    assert next_change(0.0) and next_change(0.0) and next_change(0.0) is None
+
+
+def test_the_schedule_is_the_seed_s_and_of_the_rate(tmp_path):
+    feed = ChangeFeed(str(tmp_path / "log"), feed_plan(seconds=200.0))
+    assert feed.schedule(0.0) == feed.schedule(0.0)
+    assert 850 < len(feed.schedule(0.0)) < 1150
+
+
+def test_a_feed_appends_lines_that_tell_their_revisions(tmp_path):
+    path = tmp_path / "log"
+    path.write_text('{"form":1,"fleet":"scale"}\n')
+    feed = ChangeFeed(str(path), feed_plan(per_second=100.0, seconds=0.3, least_gap=100.0), 7).start()
+    assert feed.join(30.0)
+    lines = [json.loads(line) for line in path.read_text().splitlines()[1:]]
+    assert [revision_of(line["weight"]) for line in lines] == [one.revision for one in feed.changes]
+    assert [line["id"] for line in lines] == [one.ident for one in feed.changes]
+    assert feed.changes[0].revision == 7 and len(lines) > 5
+
+
+# The verdict.
+
+
+def change(revision, at, state="active", destination=1):
+    return Change(at, at, destination, ident_of(destination, 0), state, revision)
+
+
+def heard(at, revision, courier=0, ident="e1.0"):
+    return Heard(at, courier, ident, revision)
+
+
+def took(changes, told, **other):
+    return [pair.took for pair in in_force(changes, {1: [0]}, told, **other)]
+
+
+def test_a_change_is_in_force_when_it_or_a_later_one_is_heard():
+    assert took([change(1, 0.0), change(2, 50.0)], [heard(80.0, 2)]) == [80.0, 30.0]
+
+
+def test_a_change_that_nobody_heard_is_never_in_force():
+    assert took([change(1, 0.0), change(2, 50.0)], [heard(30.0, 1)]) == [30.0, None]
+
+
+def test_every_courier_that_holds_the_destination_counts_and_no_other():
+    pairs = in_force([change(1, 0.0)], {1: [0, 1], 2: [2]}, [heard(5.0, 1), heard(9.0, 1, courier=2)])
+    assert [(pair.courier, pair.at) for pair in pairs] == [(0, 5.0), (1, None)]
+
+
+def test_a_leave_that_is_heard_counts_for_the_last_leave_before_it():
+    changes = [change(1, 0.0, "left"), change(2, 100.0), change(3, 200.0, "left")]
+    assert took(changes, [heard(20.0, LEFT), heard(130.0, 2)]) == [20.0, 30.0, None]
+    assert took(changes, [heard(130.0, 2), heard(230.0, LEFT)]) == [130.0, 30.0, 30.0]
+
+
+def test_what_left_before_any_change_stands_for_no_change():
+    assert took([change(1, 100.0, "left")], [heard(50.0, LEFT)]) == [None]
+
+
+def test_time_counts_from_the_reach_of_a_node_where_that_came_later():
+    assert took([change(1, 0.0)], [heard(900.0, 1)], reach=lambda *_: 700.0) == [200.0]
+    assert took([change(1, 0.0)], [heard(30.0, 1)], reach=lambda *_: 700.0) == [30.0]
+
+
+def endpoint(ident, ready=True, weight=5.0, destination=1):
+    return KnownEndpoint(destination, ident, "10.0.0.1:80", ready, weight)
+
+
+@pytest.mark.parametrize(
+    "known, counts",
+    [
+        ([endpoint("a"), endpoint("b")], (0, 0, 0)),
+        ([endpoint("a")], (1, 0, 0)),
+        ([endpoint("a"), endpoint("b"), endpoint("c")], (0, 1, 0)),
+        ([endpoint("a"), endpoint("b", ready=False)], (0, 0, 1)),
+        ([endpoint("a"), endpoint("b", weight=6.0)], (0, 0, 1)),
+    ],
+)
+@pytest.mark.parametrize("only_told", [False, True])
+def test_what_a_courier_knows_is_compared_with_the_source(known, counts, only_told):
+    right = frozenset([endpoint("a"), endpoint("b")])
+    source = {1: {one.ident: one for one in right}, 2: {"z": endpoint("z", destination=2)}}
+    one = Known(0, right if only_told else frozenset(known), frozenset(known))
+    found = compare([one], {0: (1,)}, source)
+    assert (found.missing, found.left_but_known, found.outdated) == counts
+    assert found.none == (counts == (0, 0, 0)) and found.couriers == 1
+
+
+def test_of_the_source_the_last_line_of_an_endpoint_holds(tmp_path):
+    path = tmp_path / "log"
+    with open(path, "w", encoding="ascii") as file:
+        write(file, "scale", ListSize(4, 2), 1)
+        file.write(line_of(1, 0, "left", 1) + "\n" + line_of(1, 1, "leaving", 2) + "\n")
+        file.write(line_of(2, 0, "left", 3) + "\n" + line_of(2, 0, "active", 4) + "\n")
+    source = read_source(str(path), {1, 2})
+    assert sorted(source) == [1, 2] and sorted(source[1]) == ["e1.1"] and not source[1]["e1.1"].ready
+    assert revision_of(source[2]["e2.0"].weight) == 4 and source[2]["e2.0"].ready
+
+
+# A whole small run: one real node, real subscribers, three groups of couriers.
+
+SMALL = NodePlan(
+    destinations=400,
+    groups=(Group("first", 8), Group("more", 2), Group("many", 15, end=2)),
+    loads=(Load("some", 8.0, 1.0), Load("down and back", 20.0, 1.0, churn=True)),
+    down_share=0.05,
+    seed=4,
+    least_gap=700.0,
+    quiet=0.2,
+    settle=60.0,
+)
+
+
+def figure(outcome, name):
+    return next(one.value for one in outcome.figures if one.figure == name)
+
+
+def test_couriers_before_a_node_know_what_its_source_has():
+    outcome = NodeRun(SMALL, quiet).run()
+    assert outcome.faults == []
+    assert [row["couriers"] for row in outcome.rows] == [8, 8, 10, 10, 23, 23]
+    assert all(row["never"] == 0 and row["changes"] > 0 for row in outcome.rows)
+    assert figure(outcome, "couriers compared with the source") == 23
+    assert figure(outcome, "destinations in service at the start") < 400
+    assert outcome.rows[-1]["courier_sent_bytes_s"] > 0 and outcome.rows[-1]["courier_cpu_percent"] > 0
+
+
+class DroppingCourier(HollowCourier):
+    """Its data path loses the increments of one courier."""
+
+    def hear(self, places, whole):
+        """Takes the first answer alone."""
+        if self.number != 0 or self.answered_at is None:
+            super().hear(places, whole)
+
+
+class DroppingFleet(HollowFleet):
+    """Couriers of which one loses what it is told."""
+
+    courier_class = DroppingCourier
+
+
+def test_a_courier_that_drops_an_increment_is_found():
+    plan = NodePlan(60, (Group("first", 3),), (Load("some", 40.0, 2.0),), 0.0, 4, 500.0, 0.2, 2.0)
+    outcome = NodeRun(plan, quiet, DroppingFleet).run()
+    assert any("never came into force" in fault for fault in outcome.faults)
+    assert any("other than the source" in fault for fault in outcome.faults)
+
+
+# Shapes by counts of work.
+
+
+def test_the_work_of_a_change_does_not_grow_with_the_destinations_known():
+    told = [node_slopes.change_costs(size, 1) for size in (500, 2_000, 8_000)]
+    assert {one["leases"] for one in told} == {1.0}
+    assert max(one["rows"] for one in told) < 1.5 * min(one["rows"] for one in told)
+
+
+# The commands.
+
+
+def run(*words):
+    return CliRunner().invoke(main, words)
+
+
+def test_a_run_that_takes_too_much_is_refused_beforehand():
+    told = run("node", "--destinations", "900000000")
+    assert told.exit_code == 2 and "refused" in told.output
+    assert run("fault", "--couriers", "19990").exit_code == 2
+
+
+@pytest.mark.parametrize(
+    "faults, late, code, said",
+    [([], 10.0, 0, "holds"), (["a fault"], 10.0, 1, "1 faults"), (["a fault"], 300.0, 3, "void")],
+)
+def test_the_verdict_is_the_exit_code_and_stands_in_the_record(tmp_path, capsys, faults, late, code, said):
+    record = results.begin("node", {}, 1)
+    record.faults = faults
+    path = str(tmp_path / "run.json")
+    try:
+        options.finish_load(record, 0.0, path, late, 250.0)
+        ended = 0
+    except SystemExit as end:
+        ended = end.code
+    assert ended == code and said in capsys.readouterr().out
+    kept = results.load(path)
+    assert kept.faults == faults and bool(kept.void) == (code == 3)
+
+
+def test_the_estimate_covers_the_largest_group():
+    assert node_run.most_couriers(SMALL) == 23
+    assert node_run.estimate(SMALL).processes == 3
+
+
+def test_wide_rows_are_shown_upright(monkeypatch):
+    from rich.console import Console
+
+    out = io.StringIO()
+    monkeypatch.setattr(results, "console", lambda: Console(file=out, width=100))
+    record = results.begin("node", {}, 1)
+    record.rows = [{f"key{number}": 1.5 * number for number in range(12)}, {"key11": None}]
+    results.show(record)
+    assert "key11" in out.getvalue() and "16.5" in out.getvalue()
