--- a/calicopin/scale/node_slopes.py
+++ b/calicopin/scale/node_slopes.py
@@ -78,18 +78,18 @@
         yield read_line(number, encode(one).encode())
 
 
-def change_costs(destinations: int, seed: int) -> dict[str, float]:
+def change_costs(destinations: int, seed: int, couriers: int = CHANGE_COURIERS) -> dict[str, float]:
     """One change in the node's decisions, of a destination that somebody holds: rows and leases looked at, and time."""
     catalogue, table = Catalogue(), LeaseTable(FLEET, "n0", "run", LeaseBounds())
     for _ in catalogue.load(_lines(destinations, seed)):
         pass
     plan = hollow.CourierPlan(FLEET, (), destinations, seed)
-    holders = hollow.subscribers_of(range(CHANGE_COURIERS), plan)
-    for courier in range(CHANGE_COURIERS):
+    holders = hollow.subscribers_of(range(couriers), plan)
+    for courier in range(couriers):
         wanted = hollow.destinations_of(courier, plan)
         table.request(0.0, SubscribeRequest(FLEET, f"courier-{courier}", subscribe=wanted), None)
     # of destinations with one holder alone: the work by the subscribers is the same at every size
-    single = [destination for destination, couriers in holders.items() if len(couriers) == 1]
+    single = [destination for destination, those in holders.items() if len(those) == 1]
     draw = random.Random(f"change/{seed}")
     lines = [
         line_of(draw.choice(single), 0, "active", revision).encode() for revision in range(1, CHANGES + 1)
--- a/calicopin/scale/options.py
+++ b/calicopin/scale/options.py
@@ -1,5 +1,6 @@
 """What the commands of `python -m calicopin.scale` share: options, a progress line, bounds, and how a run ends."""
 
+import signal
 import sys
 
 import click
