--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -1,79 +1,12 @@
 """`python -m calicopin.scale`: scale tests by command, with results as JSON and as a table."""
 
-import sys
 import time
 
 import click
 from loguru import logger
-from rich.console import Console
 
-from calicopin.scale import bench, fit, guard, node_bench, results, sender_count, slopes
-from calicopin.scale.cluster import NodeFailed
-from calicopin.scale.hollow_process import HollowFailed
-
-
-def stop(line: str) -> None:
-    """One plain line on standard error, and exit code 2."""
-    click.echo(line, err=True)
-    sys.exit(2)
-
-
-def allowed(estimate: guard.Estimate, memory_mib: int | None, processes: int | None) -> None:
-    """Refuses a run that would pass its bounds."""
-    try:
-        guard.check(estimate, guard.bounds(memory_mib, processes))
-    except guard.Refused as fault:
-        stop(str(fault))
-
-
-QUIET_PROGRESS = 2.0  # seconds between two lines where nobody looks at them
-
-
-class Progress:
-    """One line on standard error that says what is done now."""
-
-    def __init__(self):
-        self.console = Console(stderr=True)
-        self.status = self.console.status("")
-        self.told_at = 0.0
-
-    def __enter__(self):
-        self.status.start()
-        return self
-
-    def __exit__(self, *_):
-        self.status.stop()
-
-    def __call__(self, line: str) -> None:
-        if self.console.is_terminal:
-            self.status.update(line)
-        elif time.monotonic() >= self.told_at + QUIET_PROGRESS:
-            self.told_at = time.monotonic()
-            click.echo(line, err=True)
-
-
-def finish(run: results.Run, began: float, path: str | None) -> None:
-    """The record as a table, and as JSON where a path is given; exit code 1 where the run is void."""
-    results.end(run, began)
-    results.show(run)
-    if path:
-        results.keep(run, path)
-    if run.void:
-        sys.exit(1)
-
-
-SEED = click.option("--seed", type=int, default=1, show_default=True)
-OUTPUT = click.option(
-    "--json", "path", type=click.Path(dir_okay=False, writable=True), help="Keep the run's record here."
-)
-MEMORY = click.option(
-    "--memory-mib", type=click.IntRange(min=1), help="Most memory; half of the machine's without it."
-)
-PROCESSES = click.option(
-    "--processes",
-    type=click.IntRange(1, guard.MOST_PROCESSES),
-    help=f"Most processes; {guard.MOST_PROCESSES} without it.",
-)
+from calicopin.scale import fault_command, fit, node_command, results, sender_count, slopes
+from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -84,7 +17,7 @@
     python -m calicopin.scale slopes --json docs/scale/slopes.json
 
     A run that would pass half of the machine's memory or a few hundred processes is refused before it begins. All
-    figures are of this machine. Exit codes: 0 done, 1 the run is void or found a fault, 2 refused.
+    figures are of this machine. Exit codes: 0 done, 1 the run is void or found a fault, 2 refused, 3 the load itself was late.
     """
     logger.remove()
 
@@ -162,73 +95,9 @@
     finish(run, began, path)
 
 
-def run_bench(run: results.Run, path: str | None, play) -> None:
-    """Plays what needs nodes; a node or a process that fails ends it with one plain line."""
-    began = time.monotonic()
-    try:
-        with Progress() as progress:
-            play(progress)
-    except (NodeFailed, HollowFailed) as fault:
-        stop(str(fault))
-    finish(run, began, path)
-
-
-@main.command("node")
-@click.option("--destinations", type=click.IntRange(min=100), default=1_700_000, show_default=True)
-@click.option(
-    "--couriers",
-    type=click.IntRange(min=1),
-    multiple=True,
-    default=(613,),
-    show_default=True,
-    help="One phase each, in rising order.",
-)
-@click.option(
-    "--changes",
-    type=click.FloatRange(min=0.001),
-    multiple=True,
-    default=(11_000 / 86_400,),
-    help="Changes a second, one for each phase or one for all. Without it 11,000 a day.",
-)
-@click.option(
-    "--seconds", type=click.FloatRange(min=1.0), default=60.0, show_default=True, help="Of a phase."
-)
-@click.option("--mean-set", type=click.IntRange(min=1), default=90, show_default=True)
-@click.option(
-    "--aimed",
-    type=click.FloatRange(0.0, 1.0),
-    default=0.5,
-    show_default=True,
-    help="Share of changes that meet a subscribed destination.",
-)
-@click.option(
-    "--down", type=click.FloatRange(0.0, 0.9), default=0.037, show_default=True, help="Share that is down."
-)
-@SEED
-@MEMORY
-@PROCESSES
-@OUTPUT
-def node_(destinations, couriers, changes, seconds, mean_set, aimed, down, seed, memory_mib, processes, path):
-    """One real discovery node before hollow couriers, with changes by an open-loop schedule."""
-    if list(couriers) != sorted(couriers):
-        stop("--couriers: phases come in rising order")
-    if len(changes) not in (1, len(couriers)):
-        stop("--changes: give one rate, or one for each --couriers")
-    rates = changes * len(couriers) if len(changes) == 1 else changes
-    phases = [node_bench.Phase(count, rate, seconds) for count, rate in zip(couriers, rates)]
-    size = bench.BenchSize(destinations, max(couriers), 1, mean_set, down, aimed)
-    allowed(bench.estimate(size, sum(rates) * seconds), memory_mib, processes)
-    arguments = {
-        "destinations": destinations,
-        "couriers": list(couriers),
-        "changes": list(rates),
-        "seconds": seconds,
-        "mean_set": mean_set,
-        "aimed": aimed,
-        "down": down,
-    }
-    run = results.begin("node", arguments, seed)
-    run_bench(run, path, lambda progress: node_bench.run(run, size, phases, seed, progress))
+main.add_command(node_command.node)
+main.add_command(node_command.node_slopes_)
+main.add_command(fault_command.fault)
 
 
 if __name__ == "__main__":
--- a/calicopin/scale/hollow.py
+++ b/calicopin/scale/hollow.py
@@ -1,300 +1,370 @@
-"""Hollow couriers: the real control side of many couriers on one loop, without a data path.
+"""Hollow couriers: the control side of a courier over loopback sockets, without a data path, many in one process.
 
-Each has the program's own `Subscriber` with its session, choice of node and retries. What it would tell the decisions
-is kept as what it knows, and each difference is recorded with its time. A process of its own serves them; the
-controller sends typed orders through a pipe.
+Each runs the real `Subscriber` on one loop that all share. The process is asked over a pipe; its times are those of the
+machine's monotonic clock in milliseconds, so that other processes can compare them with their own.
 """
 
+import math
+import multiprocessing
 import os
 import random
+import resource
 import time
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from math import log
 from multiprocessing.connection import Connection
 
 from loguru import logger
 
 from calicopin.facade import Place
-from calicopin.scale.in_force import Heard, State
-from calicopin.scale.list_source import ListSize, initial
-from calicopin.scale.measures import resident
+from calicopin.scale.change_feed import ident_of, revision_of
 from calicopin.system import HERE
 from calicopin.wire.loop import FOREVER, READ, Loop, Until
 from calicopin.wire.subscriber import Subscriber
 
-SKEW = 0.8  # sigma of the log-normal sizes of sets
-MOST_OF_MEAN = 10  # the largest set, in means
-POPULAR_SHARE = 0.05  # of a set is drawn from the popular destinations, which many couriers use
-POPULAR = 0.001  # part of all destinations that is popular
-WAIT = 2000.0  # milliseconds that a request may be parked, as in a courier
-SETTLED = 200.0  # milliseconds between two looks at whether all have their first answer
+MEDIAN_SET = 60  # destinations of one courier; with the spread below some 90 on average
+SET_SPREAD = 0.9  # sigma of the set's size, log-normal
+MOST_SET = 2000
+POPULARITY = 3.0  # exponent of the skew: few destinations are used by many couriers, most by one or none
+LONGEST_WAIT = 2000.0  # ms that a request waits at the node
+LEFT = -1  # in place of a revision: the endpoint is not known any more
+SPARE_DESCRIPTORS = 64  # beside the connections
+ANSWER_PATIENCE = 120.0  # seconds in which the process answers whatever it is asked
+
+
+class DescriptorsError(ValueError):
+    """More couriers than this process may have descriptors; the message is one plain line."""
 
 
 @dataclass(frozen=True, slots=True)
-class HollowSettings:
-    """Which couriers: they differ by number, and all follows from the seed."""
+class CourierPlan:
+    """What all couriers of a run have in common; `nodes` are addresses."""
 
-    nodes: tuple[str, ...]
     fleet: str
-    size: ListSize
-    list_seed: int
+    nodes: tuple[str, ...]
+    destinations: int
     seed: int
-    mean_set: int = 90
+    endpoints_each: int = 1
 
 
-def subscription_set(settings: HollowSettings, courier: int) -> list[int]:
-    """The destinations that a courier subscribes to: log-normal sizes with the mean asked for."""
-    draw = random.Random(f"set/{settings.seed}/{courier}")
-    mean, total = settings.mean_set, settings.size.destinations
-    size = int(draw.lognormvariate(log(mean) - SKEW * SKEW / 2.0, SKEW) + 0.5)
-    size = max(1, min(size, MOST_OF_MEAN * mean, total // 2))
-    popular, chosen = max(1, int(total * POPULAR)), {}
-    while len(chosen) < size:
-        few = draw.random() < POPULAR_SHARE and popular > size
-        chosen[draw.randrange(popular if few else total)] = None
-    return list(chosen)
-
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A courier heard an endpoint at a revision, or that it has left."""
 
-def subscribers(settings: HollowSettings, couriers: int) -> dict[int, list[int]]:
-    """The couriers by the destination that they subscribe to."""
-    found: dict[int, list[int]] = {}
-    for courier in range(couriers):
-        for destination in subscription_set(settings, courier):
-            found.setdefault(destination, []).append(courier)
-    return found
+    at: float
+    courier: int
+    ident: str
+    revision: int
 
 
-def state_of(state: str, weight: float) -> State:
-    """What a courier that knows the entry knows of it."""
-    return None if state == "left" else (state == "active", float(weight))
+@dataclass(frozen=True, slots=True)
+class CourierFigures:
+    """One courier since its start; `node` is the address that it asks."""
 
+    courier: int
+    started_at: float
+    answered_at: float | None
+    node: str
+    bytes_sent: int
+    bytes_received: int
+    calls: int
+    resyncs: int
+    node_changes: int
 
-class HollowCourier:
-    """One courier's control side, with a record of what it hears."""
-
-    def __init__(self, loop: Loop, settings: HollowSettings, number: int, start: int, record: list[Heard]):
-        self.loop, self.number, self.record = loop, number, record
-        self.destinations = subscription_set(settings, number)
-        self.known: dict[str, State] = {}  # as the decisions were told; without those that left
-        self.confirmed_whole = 0
-        self.shown: dict[str, State] = {}  # what is taken as known in the record
-        for destination in self.destinations:
-            for one in initial(settings.size, settings.list_seed, destination):
-                self.shown[one["id"]] = state_of(one["state"], one["weight"])
-        self.subscriber = Subscriber(
-            loop,
-            list(settings.nodes),
-            settings.fleet,
-            f"courier-{number}",
-            WAIT,
-            self.heard,
-            settings.seed * 1_000_003 + number * 101 + start,
-            None,
-            lambda _: True,
-            lambda _: None,
-        )
-        for destination in self.destinations:
-            self.subscriber.use(destination)
 
-    def heard(self, places: list[Place], whole: bool) -> None:
-        """What the decisions would be told."""
-        now, told = self.loop.now(), {}
-        for place in places:
-            told[place.ident] = None if place.left else (place.ready, place.agreed)
-        if whole:
-            self.confirmed_whole += 1
-            self.known = {}
-        for ident, state in told.items():
-            if state is None:
-                self.known.pop(ident, None)
-            else:
-                self.known[ident] = state
-        for ident in self.shown if whole else told:
-            state = self.known.get(ident)
-            if self.shown.get(ident) != state:
-                self.shown[ident] = state
-                self.record.append(Heard(now, self.number, ident, state))
+@dataclass(frozen=True, slots=True)
+class ProcessFigures:
+    """The process of all couriers."""
 
-    def has_all(self) -> bool:
-        """Whether every destination of its set was answered for."""
-        return all(self.subscriber.session.confirmed(destination) for destination in self.destinations)
+    at: float
+    cpu_seconds: float
+    resident_bytes: int
+    lateness_ms: float
+    couriers: tuple[CourierFigures, ...]
 
-    def retire(self) -> None:
-        """It is gone, without a word to its node."""
-        self.subscriber.retire()
 
+@dataclass(frozen=True, slots=True)
+class KnownEndpoint:
+    """An endpoint as a courier knows it."""
 
-# Orders of the controller, and answers.
+    destination: int
+    ident: str
+    address: str
+    ready: bool
+    weight: float
 
 
 @dataclass(frozen=True, slots=True)
-class Begin:
-    """Starts couriers up to that number, and answers with a `Mark` once each has its whole set."""
+class Known:
+    """What one courier knows: by its subscription, and by what its data path was told."""
 
-    couriers: int
+    courier: int
+    subscribed: frozenset[KnownEndpoint]
+    told: frozenset[KnownEndpoint]
 
 
 @dataclass(frozen=True, slots=True)
-class Restart:
-    """These couriers end and start anew at once, with nothing known; answers at once."""
+class Start:
+    """Starts these couriers; the answer is the process' figures just before."""
 
     couriers: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Take:
-    """Answers with a `Mark`; `wait_whole`: once each courier has its whole set."""
+class Retire:
+    """Ends these couriers without a word to the node; the answer is the figures just before."""
 
-    wait_whole: bool = False
+    couriers: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Verify:
-    """Compares what each courier knows with the source: the initial list and these changes over it."""
-
-    changes: dict[str, State]
+class TellFigures:
+    """The answer is `ProcessFigures`."""
 
 
 @dataclass(frozen=True, slots=True)
-class Report:
-    """Answers with all that was heard."""
+class TellHeard:
+    """The answer is a list of `Heard` since the last time this was asked."""
 
 
 @dataclass(frozen=True, slots=True)
-class Stop:
-    """Ends the process."""
+class TellKnown:
+    """The answer is a list of `Known`."""
 
 
 @dataclass(frozen=True, slots=True)
-class Mark:
-    """What the process and its couriers have taken so far. Bytes are those of HTTP with its heads."""
+class End:
+    """The process ends without an answer."""
 
-    at: float
-    cpu: float
-    resident: int
-    couriers: int
-    calls: int
-    resyncs: int
-    node_changes: int
-    bytes_sent: int
-    bytes_received: int
-    lateness: float
-    at_node: dict[str, int]
 
+def check_descriptors(couriers: int) -> None:
+    """Raises DescriptorsError where so many couriers do not fit into one process' descriptors."""
+    allowed, needed = resource.getrlimit(resource.RLIMIT_NOFILE)[0], couriers + SPARE_DESCRIPTORS
+    if allowed != resource.RLIM_INFINITY and needed > allowed:
+        raise DescriptorsError(
+            f"refused: {couriers} couriers take {needed} descriptors, and {allowed} is the process' limit"
+        )
 
-@dataclass(frozen=True, slots=True)
-class Differences:
-    """Endpoints of which a courier knows other than the source has: how many, and the first ones in words."""
 
-    compared: int
-    wrong: int
-    first: tuple[str, ...]
+def destinations_of(courier: int, plan: CourierPlan) -> tuple[int, ...]:
+    """The courier's set, by the seed: skewed in its size and in which destinations are used by many."""
+    draw = random.Random(f"set/{plan.seed}/{courier}")
+    drawn = round(draw.lognormvariate(math.log(MEDIAN_SET), SET_SPREAD))
+    size = max(1, min(drawn, MOST_SET, plan.destinations // 2))
+    chosen: dict[int, None] = {}
+    while len(chosen) < size:
+        chosen[int(plan.destinations * draw.random() ** POPULARITY)] = None
+    return tuple(chosen)
+
 
+def subscribers_of(couriers: Iterable[int], plan: CourierPlan) -> dict[int, list[int]]:
+    """The couriers that hold each destination."""
+    holders: dict[int, list[int]] = {}
+    for courier in couriers:
+        for destination in destinations_of(courier, plan):
+            holders.setdefault(destination, []).append(courier)
+    return holders
 
-class HollowCouriers:
-    """All couriers of one process."""
 
-    def __init__(self, loop: Loop, settings: HollowSettings):
-        self.loop, self.settings = loop, settings
-        self.couriers: list[HollowCourier] = []
-        self.record: list[Heard] = []
-        self.starts = 0
-        self.gone = [0, 0, 0, 0, 0]  # figures of couriers that were restarted
+class HollowCourier:
+    """One courier's control side, with what its data path would have been told."""
+
+    def __init__(self, loop: Loop, number: int, plan: CourierPlan, log: list[Heard]):
+        self.loop, self.number, self.log = loop, number, log
+        self.wanted = destinations_of(number, plan)
+        self.endpoints_each = plan.endpoints_each
+        self.told: dict[str, Place] = {}
+        self.started_at, self.answered_at = loop.now(), None
+        self.subscriber = Subscriber(
+            loop,
+            list(plan.nodes),
+            plan.fleet,
+            f"courier-{number}",
+            LONGEST_WAIT,
+            self.hear,
+            plan.seed + number,
+            None,
+            in_use=lambda _: True,
+            released=lambda _: None,
+        )
+        for destination in self.wanted:
+            self.subscriber.use(destination)
 
-    def begin(self, couriers: int) -> None:
-        """Starts couriers up to that number."""
-        while len(self.couriers) < couriers:
-            self.couriers.append(self._start(len(self.couriers)))
+    def hear(self, places: list[Place], whole: bool) -> None:
+        """Takes news as a courier's data path does, and notes the revisions in it."""
+        now, first = self.loop.now(), self.answered_at is None
+        if first:
+            self.answered_at = now
+        if whole:
+            self.told = {}
+        for place in places:
+            self._take(place, now)
+        if first or whole:
+            self._note_absent(now)
+
+    def _take(self, place: Place, now: float) -> None:
+        if place.left:
+            self.told.pop(place.ident, None)
+            self.log.append(Heard(now, self.number, place.ident, LEFT))
+            return
+        self.told[place.ident] = place
+        revision = revision_of(place.agreed)
+        if revision:
+            self.log.append(Heard(now, self.number, place.ident, revision))
+
+    def _note_absent(self, now: float) -> None:
+        """Of a whole set, what is not in it has left."""
+        for destination in self.wanted:
+            for number in range(self.endpoints_each):
+                ident = ident_of(destination, number)
+                if ident not in self.told:
+                    self.log.append(Heard(now, self.number, ident, LEFT))
+
+    def known(self) -> Known:
+        """What it knows now."""
+        places = [place for some in self.subscriber.subscribed().values() for place in some]
+        return Known(self.number, known_endpoints(places), known_endpoints(self.told.values()))
+
+    def figures(self) -> CourierFigures:
+        """Its counts since the start."""
+        told = self.subscriber.figures()
+        return CourierFigures(
+            self.number,
+            self.started_at,
+            self.answered_at,
+            self.subscriber.address,
+            told.bytes_sent,
+            told.bytes_received,
+            told.calls,
+            told.resyncs,
+            told.node_changes,
+        )
 
-    def _start(self, number: int) -> HollowCourier:
-        self.starts += 1
-        return HollowCourier(self.loop, self.settings, number, self.starts, self.record)
 
-    def restart(self, numbers: tuple[int, ...]) -> None:
-        """These end and start anew."""
+def known_endpoints(places: Iterable[Place]) -> frozenset[KnownEndpoint]:
+    """Endpoints as they are compared with the source."""
+    return frozenset(
+        KnownEndpoint(place.dest, place.ident, place.address, place.ready, place.agreed) for place in places
+    )
+
+
+def resident_bytes() -> int:
+    """Of this process."""
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+class HollowFleet:
+    """All couriers of the process. `courier_class` is another one in tests that show a fault to be found."""
+
+    courier_class = HollowCourier
+
+    def __init__(self, loop: Loop, plan: CourierPlan):
+        self.loop, self.plan = loop, plan
+        self.couriers: dict[int, HollowCourier] = {}
+        self.log: list[Heard] = []
+
+    def answer(self, request):
+        """What is asked over the pipe."""
+        if isinstance(request, Start):
+            return self._start(request.couriers)
+        if isinstance(request, Retire):
+            return self._retire(request.couriers)
+        if isinstance(request, TellFigures):
+            return self._figures()
+        if isinstance(request, TellHeard):
+            heard = self.log[:]
+            self.log.clear()
+            return heard
+        return [courier.known() for courier in self.couriers.values()]
+
+    def _start(self, numbers: Iterable[int]) -> ProcessFigures:
+        before = self._figures()
         for number in numbers:
-            old = self.couriers[number]
-            old.retire()
-            self.gone = [before + more for before, more in zip(self.gone, _figures(old))]
-            self.couriers[number] = self._start(number)
-
-    def have_all(self) -> bool:
-        """Whether each courier has its whole set."""
-        return all(courier.has_all() for courier in self.couriers)
-
-    def mark(self) -> Mark:
-        """What was taken so far."""
-        sums = list(self.gone)
-        at_node: dict[str, int] = {}
-        for courier in self.couriers:
-            sums = [before + more for before, more in zip(sums, _figures(courier))]
-            node = courier.subscriber.nodes.current or ""
-            at_node[node] = at_node.get(node, 0) + 1
+            self.couriers[number] = self.courier_class(self.loop, number, self.plan, self.log)
+        return before
+
+    def _retire(self, numbers: Iterable[int]) -> ProcessFigures:
+        before = self._figures()
+        for number in numbers:
+            self.couriers.pop(number).subscriber.retire()
+        return before
+
+    def _figures(self) -> ProcessFigures:
+        couriers = tuple(courier.figures() for courier in self.couriers.values())
         lateness, self.loop.lateness = self.loop.lateness, 0.0
-        return Mark(
-            self.loop.now(), time.process_time(), resident(), len(self.couriers), *sums, lateness, at_node
-        )
+        return ProcessFigures(self.loop.now(), time.process_time(), resident_bytes(), lateness, couriers)
 
-    def verify(self, changes: dict[str, State]) -> Differences:
-        """What each courier knows against the source."""
-        compared, wrong, first = 0, 0, []
-        for courier in self.couriers:
-            truth: dict[str, State] = {}
-            for destination in courier.destinations:
-                for one in initial(self.settings.size, self.settings.list_seed, destination):
-                    truth[one["id"]] = changes.get(one["id"], state_of(one["state"], one["weight"]))
-            compared += len(truth)
-            for ident in truth.keys() | courier.known.keys():
-                known, told = courier.known.get(ident), truth.get(ident)
-                if known != told:
-                    wrong += 1
-                    first.append(f"courier {courier.number} knows {ident} as {known}, it is {told}")
-        return Differences(compared, wrong, tuple(first[:10]))
-
-
-def _figures(courier: HollowCourier) -> list[int]:
-    told = courier.subscriber.figures()
-    return [told.calls, told.resyncs, told.node_changes, told.bytes_sent, told.bytes_received]
-
-
-def serve(connection: Connection, settings: HollowSettings) -> None:
-    """The process of the hollow couriers: orders from the pipe, until `Stop` or the controller's end."""
+
+def serve(connection: Connection, plan: CourierPlan, fleet_class: type[HollowFleet]) -> None:
+    """The process of the couriers, until it is told to end or its parent is gone."""
     logger.remove()
     loop = Loop()
-    hollow = HollowCouriers(loop, settings)
+    fleet = fleet_class(loop, plan)
     HERE.settle()
 
-    def orders():
+    def answer() -> Iterator[Until]:
         while True:
             yield Until(FOREVER, connection.fileno(), READ)
             try:
-                order = connection.recv()
-            except EOFError:
-                order = Stop()
-            if isinstance(order, Stop):
-                loop.running = False
-                return
-            yield from _obey(loop, hollow, order, connection)
-
-    loop.spawn(orders(), ahead=True)
-    connection.send(resident())
+                request = connection.recv()
+                if isinstance(request, End):
+                    break
+                connection.send(fleet.answer(request))
+            except (EOFError, OSError):
+                break
+        loop.running = False
+
+    loop.spawn(answer(), ahead=True)
     loop.run()
-    os._exit(0)  # thousands of open connections and coroutines need no orderly end
-
-
-def _obey(loop: Loop, hollow: HollowCouriers, order, connection: Connection):
-    """One order and its answer."""
-    if isinstance(order, Begin):
-        hollow.begin(order.couriers)
-    elif isinstance(order, Restart):
-        hollow.restart(order.couriers)
-    elif isinstance(order, Verify):
-        connection.send(hollow.verify(order.changes))
-        return
-    elif isinstance(order, Report):
-        connection.send(hollow.record)
-        return
-    if isinstance(order, Begin) or isinstance(order, Take) and order.wait_whole:
-        while not hollow.have_all():
-            yield Until(loop.now() + SETTLED)
-    connection.send(hollow.mark())
+
+
+class HollowProcess:
+    """The process of hollow couriers, as the one that started it sees it."""
+
+    def __init__(self, plan: CourierPlan, fleet_class: type[HollowFleet] = HollowFleet):
+        context = multiprocessing.get_context("spawn")
+        self._connection, other = context.Pipe()
+        self._process = context.Process(target=serve, args=(other, plan, fleet_class), daemon=True)
+        self._process.start()
+        other.close()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        try:
+            self._connection.send(End())
+        except OSError:
+            pass
+        self._process.join(5.0)
+        if self._process.is_alive():
+            self._process.kill()
+            self._process.join()
+
+    def ask(self, request):
+        """The answer; TimeoutError where none comes, EOFError where the process has ended."""
+        self._connection.send(request)
+        if not self._connection.poll(ANSWER_PATIENCE):
+            raise TimeoutError(f"the hollow couriers gave no answer to {request!r:.60}")
+        return self._connection.recv()
+
+    def start(self, couriers: Iterable[int]) -> ProcessFigures:
+        """Starts couriers by their numbers."""
+        return self.ask(Start(tuple(couriers)))
+
+    def retire(self, couriers: Iterable[int]) -> ProcessFigures:
+        """Ends couriers by their numbers."""
+        return self.ask(Retire(tuple(couriers)))
+
+    def figures(self) -> ProcessFigures:
+        """Counts, processor time and memory."""
+        return self.ask(TellFigures())
+
+    def heard(self) -> list[Heard]:
+        """What was heard since the last call."""
+        return self.ask(TellHeard())
+
+    def known(self) -> list[Known]:
+        """What each courier knows now."""
+        return self.ask(TellKnown())
