--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -6,7 +6,14 @@
 from calicopin.wire.discovery import read
 from calicopin.wire.loop import FOREVER, READ, Until
 
-LASTING = ("name", "listen", "folder", "admin")  # what only a restart takes up, with the terms
+LASTING = (
+    "name",
+    "listen",
+    "folder",
+    "admin",
+    "fleet",
+    "max_age",
+)  # what only a restart takes up, with the terms
 
 
 class Renewal:
@@ -21,6 +28,7 @@
             stop,
         )
         self.discovery, self.clients, self.runtime, self.renewed = discovery, clients, runtime, False
+        self.subscribes = bool(post.nodes)
 
     def wait(self):
         while True:
@@ -42,6 +50,15 @@
             _, _, places = read(post.known)
             self.runtime.listed(places, True)
 
+    def limit_disk(self, disk):
+        """So many bytes may the folder hold; the list in it has its part where destinations are subscribed to."""
+        if self.subscribes:
+            from calicopin.held.known_list import journal_bytes
+
+            self.runtime.subscribed.known_list.limit(disk)
+            disk = journal_bytes(disk)
+        self.runtime.journal.limit(disk)
+
     def renew(self):
         """A file that cannot be read changes nothing."""
         try:
@@ -60,12 +77,15 @@
             agent=post.discovery,
             notices=len(self.runtime.notices.owed),
         )
+        if self.subscribes and post.nodes:
+            self.discovery.move(list(post.nodes))
         if post.discovery and old.discovery:
-            self.discovery.move(post.discovery)
+            if not self.subscribes:
+                self.discovery.move(post.discovery)
             self.runtime.notices.move(post.discovery)
         elif post.notices and old.notices:
             self.runtime.notices.move(post.notices)
-        if post.sheet and not post.discovery and not old.discovery:
+        if post.sheet and not (post.discovery or old.discovery or self.subscribes or post.nodes):
             self.relist(post, old)
         if post.descriptors != old.descriptors:
             budget = Budget(post.descriptors, old.terms["familyInfo"]["workers"], bool(old.admin))
@@ -77,7 +97,7 @@
                 before=old.descriptors,
             )
         if post.disk != old.disk:
-            self.runtime.journal.limit(post.disk)
+            self.limit_disk(post.disk)
             logger.info(
                 "SIGHUP: {now} bytes of disk, {before} before",
                 event="reload.disk",
@@ -85,6 +105,7 @@
                 before=old.disk,
             )
         waits = [name for name in LASTING if getattr(post, name) != getattr(old, name)]
+        waits += ["nodes"] if bool(post.nodes) != self.subscribes else []
         waits += sorted(
             name for name in {**old.terms, **post.terms} if post.terms.get(name) != old.terms.get(name)
         )
--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -18,6 +18,7 @@
     def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
+        self.subscribed = None  # with discovery nodes: a `boot.subscribed.Subscribed`
         self.agent = None  # where it is told: nothing is decided before its first call for the list has ended
         self.waiting, self.calls, self.given_up, self.calling, self.refusing = [], [], [], True, False
         self.flights, self.ledger = {}, ledger
@@ -61,10 +62,10 @@
         come again (0: none told)."""
         if self.journal.knows(text.ident):
             return 409, 0.0
-        if not self.facade.serves(text.dest):
-            self.ledger.refused(text, again=not self.current)
-            return (404 if self.current else 503), 0.0
-        if self.refusing or self.stuck or self.facade.full() or not self.journal.room(len(text.body)):
+        if (refusal := self.no_destination(text)) is not None:
+            self.ledger.refused(text, again=refusal[0] == 503)
+            return refusal
+        if self.closed_to(text):
             self.ledger.refused(text, again=True)
             return 503, self.facade.advice(text)
         self.journal.taken(text)
@@ -72,6 +73,33 @@
         self.ledger.taken += 1
         return None
 
+    def no_destination(self, text):
+        """The status and the wait that refuse a text whose destination is not known; None where it is."""
+        if self.subscribed is not None:
+            status = self.subscribed.refusal(text.dest)
+            return status and (status, self.facade.advice(text) if status == 503 else 0.0)
+        return None if self.facade.serves(text.dest) else ((404 if self.current else 503), 0.0)
+
+    def closed_to(self, text):
+        """Whether nothing more is taken on, or there is no room for this text."""
+        return self.refusing or self.stuck or self.facade.full() or not self.journal.room(len(text.body))
+
+    def first_answer(self, text):
+        """What a text has to wait for before it can be taken on or refused: the first answer on its destination. None
+        where that is known, and where the text is refused in any case."""
+        if self.subscribed is None or self.closed_to(text) or self.journal.knows(text.ident):
+            return None
+        return self.subscribed.first_answer(text.dest)
+
+    def waited(self, event):
+        """A text that waited for the event is decided on now, or its client has left."""
+        self.subscribed.waited(event)
+
+    def stop_waiting(self):
+        """Nothing more is taken on: texts that wait for a first answer are refused."""
+        if self.subscribed is not None:
+            self.subscribed.stop_waiting()
+
     def kept(self, event):
         self.waiting.append(event)
         return event
@@ -82,7 +110,7 @@
     def listed(self, places, whole):
         """News of discovery's. Guards all texts against an agent that has no list yet and says so with an empty one."""
         self.current = True
-        if whole and not places and self.facade.places:
+        if whole and not places and self.facade.places and self.subscribed is None:
             logger.warning(
                 "an empty list is passed over, {endpoints} endpoints serve on",
                 event="discovery.empty",
@@ -97,6 +125,12 @@
                 gone = [place for place in former.values() if place is not None]
                 self.lines.change(gone, [now_listed[number] for number in former if number in now_listed])
 
+    def released(self, destination):
+        """The subscription to a destination was given up."""
+        gone = self.facade.release(destination)
+        if self.lines.listed is not None:
+            self.lines.change(gone, [])
+
     # The turn.
 
     def turn(self):
@@ -228,6 +262,7 @@
                 idle_connections=self.lines.count,
                 destinations=self.facade.state(),
             )
+            | (dict(subscription=self.subscribed.status()) if self.subscribed else {})
         ).encode()
 
     def told(self, text):
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -54,6 +54,9 @@
     )
     meeting: str = ""  # a folder that this process and the one that follows it both see
     durable: bool = False  # a 202 outlasts the machine's loss of power too
+    nodes: tuple = ()  # discovery nodes: where there are some, destinations are subscribed to
+    fleet: str = ""  # as the nodes name what they serve
+    max_age: float = 0.0  # milliseconds: of the list in the folder, at a start
 
 
 def address(word):
@@ -81,6 +84,11 @@
         told = json.loads(system.read(path))
         if "settings" in told:
             check(told["settings"])
+    subscription = {}
+    if not {"nodes", "fleet", "list_age"}.isdisjoint(told):
+        from calicopin.boot.nodes import subscription_told
+
+        subscription = subscription_told(told, path)
     discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
     first, other = reversed(discovery) if renewed else discovery
     second = second or told.get("admin_addr")
@@ -92,7 +100,7 @@
     return Post(
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
-        discovery=address(first or other) if first or other or not sheet else "",
+        discovery=address(first or other) if first or other or not (sheet or subscription) else "",
         admin=address(second) if second else "",
         passed=passed,
         meeting=meeting,
@@ -109,6 +117,7 @@
         log=told.get("log", "lines"),
         store=told.get("store", "file"),
         durable=told.get("durability") == "machine",
+        **subscription,
     )
 
 
@@ -133,13 +142,18 @@
     idle = (ceilings.get("idleClose") or 10.0) * 1000.0
     lasting = max(grade["giveUp"] for grade in terms["grades"]) * 1000.0
     budget = Budget(post.descriptors, terms["familyInfo"]["workers"], bool(post.admin))
+    disk = post.disk
+    if post.nodes:
+        from calicopin.held.known_list import journal_bytes
+
+        disk = journal_bytes(disk)
     offset, boot, out = loop.system.wall() - loop.now(), loop.system.boot(), taker.flying if taker else None
     if post.store == "segments":
         from calicopin.store.segments import Segments
 
-        journal = Segments(post.folder, post.disk, offset, loop.system, lasting, boot, post.durable, out)
+        journal = Segments(post.folder, disk, offset, loop.system, lasting, boot, post.durable, out)
     else:
-        journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot, out)
+        journal = Journal(post.folder, disk, offset, loop.system, lasting, boot, out)
     facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again and not taker)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
     runtime = Runtime(
@@ -147,15 +161,22 @@
     )
     teller = post.discovery or post.notices
     runtime.notices = Notices(loop, teller, runtime.told) if teller else NoticeLines(loop, runtime.told)
+    wait = longest_wait((terms["rules"].get("askWithin") or 10.0) * 1000.0)
     if taker:
         version, places = taker.told["version"], ()
         runtime.inherit(taker)
-    else:
-        version, places = listed(post.known)
+    if post.nodes:
+        from calicopin.boot.subscribed import subscribe
+
+        runtime.subscribed = subscribe(post, loop, runtime, wait, facade.places.values() if taker else None)
+    if not taker:
+        version, places = (None, runtime.subscribed.places()) if post.nodes else listed(post.known)
         facade.listed(places, True)
         runtime.restore()
-    wait = longest_wait((terms["rules"].get("askWithin") or 10.0) * 1000.0)
-    if post.discovery:
+    if post.nodes:
+        discovery = runtime.subscribed.begin()
+        runtime.agent = None if taker else discovery  # what another process knew was heard until now
+    elif post.discovery:
         told = pushed(terms)
         anew = told and not taker  # its list is old, and the agent has the whole of it
         discovery = Discovery(
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -33,6 +33,8 @@
         while step := leave.at(now(), self.busy()):
             self.clients.leaving, self.runtime.calling = True, step.calling
             self.runtime.refusing = self.runtime.refusing or step.refusing
+            if self.runtime.refusing:
+                self.runtime.stop_waiting()
             if not step.listening:
                 self.clients.stop_listening()
             if step.closing:
@@ -57,6 +59,7 @@
         # guards the last turn's texts where the process stood still through the steps: one turn keeps what was taken on and its
         # answers go out, and what is read from here on is refused, since nothing would keep it
         runtime.calling, runtime.refusing = False, True
+        runtime.stop_waiting()
         self.clients.close_between_requests()
         yield Until(self.loop.now())
         self.clients.end()
--- /dev/null
+++ b/calicopin/boot/subscribed.py
@@ -0,0 +1,192 @@
+"""A courier that subscribes to the destinations it uses: the subscription, the decisions and the list in the folder joined.
+
+Only a courier with discovery nodes in its configuration reads this module in.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from calicopin.facade import Place
+from calicopin.held.known_list import KnownList
+from calicopin.subscription.interest import InterestFullError
+from calicopin.subscription.session import Standing
+from calicopin.wire.loop import Event
+from calicopin.wire.subscriber import Subscriber
+
+REFUSALS = {Standing.KNOWN: None, Standing.UNKNOWN: 404, Standing.WAITING: 503}
+
+
+class FirstAnswer(Event):
+    """Set once the first answer on a destination is there; `came` stays true from then on."""
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.came = False
+
+    def set(self):
+        """Wakes whoever waits for it."""
+        self.came = True
+        super().set()
+
+
+@dataclass(frozen=True, slots=True)
+class SubscriptionSettings:
+    """What the configuration says of subscriptions. Times are milliseconds."""
+
+    nodes: tuple[str, ...]
+    fleet: str
+    courier: str
+    wait: float
+    seed: int
+    max_age: float  # of the list in the folder, at a start
+    folder: str
+    disk: int
+
+
+class Subscribed:
+    """Answers the clients' side on destinations and tells the runtime and the file what the nodes say.
+
+    `places`: what another process had, in place of the file.
+    """
+
+    def __init__(self, loop, settings: SubscriptionSettings, runtime, places: Iterable[Place] | None):
+        self.loop, self.runtime, self.facade = loop, runtime, runtime.facade
+        self.known_list = KnownList(loop, settings.folder, settings.fleet, settings.max_age, settings.disk)
+        self.waiting: dict[FirstAnswer, int] = {}  # messages that wait for a first answer: their destinations
+        self.waiting_for: Counter[int] = Counter()  # by destination
+        self.heard_at = None  # when a node answered last
+        self.restored = self.known_list.read() if places is None else by_destination(places)
+        self.settings = settings
+        self.subscriber = self.task = None
+
+    def begin(self) -> Subscriber:
+        """The subscription, with all that the last process knew or held."""
+        settings = self.settings
+        self.subscriber = Subscriber(
+            self.loop,
+            list(settings.nodes),
+            settings.fleet,
+            settings.courier,
+            settings.wait,
+            self.heard,
+            settings.seed,
+            self.restored,
+            self.in_use,
+            self.released,
+        )
+        self.known_list.known = self.subscriber.subscribed
+        for text in self.facade.texts.values():
+            self.refusal(text.dest)
+        for destination in self.facade.destinations():
+            if destination not in self.restored and not self.in_use(destination):
+                self.facade.release(destination)
+        self.task = self.loop.keep(self.known_list.keep)
+        return self.subscriber
+
+    def retire(self) -> None:
+        """Another process has taken its place, and the file is that one's."""
+        self.loop.cancel(self.task)
+        self.stop_waiting()
+
+    def places(self) -> list[Place]:
+        """The endpoints that the last process knew."""
+        return [place for places in self.restored.values() for place in places]
+
+    # What clients ask.
+
+    def refusal(self, destination: int) -> int | None:
+        """The status that refuses a message for the destination, None where it is known. Subscribes to it."""
+        try:
+            return REFUSALS[self.subscriber.use(destination)]
+        except InterestFullError:
+            return 503
+
+    def first_answer(self, destination: int) -> FirstAnswer | None:
+        """The event of the first answer for a destination that is not known yet; None where none is waited for."""
+        try:
+            standing = self.subscriber.use(destination)
+        except InterestFullError:
+            return None
+        if standing is not Standing.WAITING:
+            return None
+        event = FirstAnswer(self.loop)
+        self.waiting[event] = destination
+        self.waiting_for[destination] += 1
+        self.facade.awaited += 1
+        self.subscriber.settled(destination, event)
+        return event
+
+    def waited(self, event: FirstAnswer) -> None:
+        """Nobody waits for the event any longer."""
+        if (destination := self.waiting.pop(event, None)) is not None:
+            self.facade.awaited -= 1
+            self.waiting_for[destination] -= 1
+            if not self.waiting_for[destination]:
+                del self.waiting_for[destination]
+
+    def stop_waiting(self) -> None:
+        """Nothing more is taken on: who waits is answered now."""
+        for event in list(self.waiting):
+            event.set()
+
+    # What the subscription asks and tells.
+
+    def in_use(self, destination: int) -> bool:
+        """Whether a message for the destination is held or waits to be."""
+        return destination in self.waiting_for or self.facade.in_use(destination)
+
+    def heard(self, places: list[Place], whole: bool) -> None:
+        """News of a node's."""
+        self.heard_at = self.loop.now()
+        self.runtime.listed(places, whole)
+        self.known_list.confirmed()
+        if places or whole:
+            self.known_list.changed()
+
+    def released(self, destination: int) -> None:
+        """The destination was given up: nothing is told of it any more."""
+        self.runtime.released(destination)
+        self.known_list.changed()
+
+    # What operators ask.
+
+    def status(self) -> dict:
+        """The subscription as `GET /-/status` tells it."""
+        subscriber, now = self.subscriber, self.loop.now()
+        figures = subscriber.figures()
+        return dict(
+            node=subscriber.nodes.current,
+            destinations=len(subscriber.interest),
+            waiting=len(self.waiting),
+            lease=subscriber.version is not None,
+            heard_ms=None if self.heard_at is None else round(now - self.heard_at, 1),
+            calls=figures.calls,
+            resyncs=figures.resyncs,
+            node_changes=figures.node_changes,
+            bytes_sent=figures.bytes_sent,
+            bytes_received=figures.bytes_received,
+        )
+
+
+def by_destination(places: Iterable[Place]) -> dict[int, list[Place]]:
+    """The endpoints of each destination."""
+    table = {}
+    for place in places:
+        table.setdefault(place.dest, []).append(place)
+    return table
+
+
+def subscribe(post, loop, runtime, wait: float, places: Iterable[Place] | None) -> Subscribed:
+    """As a courier's configuration says; `places` is what another process handed over."""
+    settings = SubscriptionSettings(
+        nodes=post.nodes,
+        fleet=post.fleet,
+        courier=post.name,
+        wait=wait,
+        seed=post.seed,
+        max_age=post.max_age,
+        folder=post.folder,
+        disk=post.disk,
+    )
+    return Subscribed(loop, settings, runtime, places)
--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -11,7 +11,7 @@
 
 LEAST_BODY, RECORD = 512, 400  # bytes of disk for a text, without its body: what the journal counts with
 TIMES = {
-    "courier": ("connect", "idle", "advice", "settle", "tick"),
+    "courier": ("connect", "idle", "advice", "settle", "tick", "list_age"),
     "returning": ("cold", "span"),
     "product": ("sla", "validity", "memory"),
     "kind": ("answers",),
@@ -126,6 +126,32 @@
                     "take notices or agent out",
                 )
 
+        self.nodes()
+
+    def nodes(self):
+        """Discovery nodes and what goes with them."""
+        courier = self.sheet.courier
+        for number, node in enumerate(courier.nodes):
+            self.address(f"courier.nodes[{number}]", node)
+            if node in courier.nodes[:number]:
+                self.fault(f"courier.nodes[{number}]", f"{node} stands there twice", "name each once")
+            if node in (courier.listen, courier.admin):
+                self.fault(
+                    f"courier.nodes[{number}]",
+                    f"{node} is where the courier itself listens",
+                    "give the discovery node's address",
+                )
+        if courier.nodes and not courier.fleet:
+            self.fault(
+                "courier.fleet",
+                "which fleet the nodes serve is not said",
+                "give the name that the nodes were started with",
+            )
+        if courier.fleet and not courier.nodes:
+            self.fault(
+                "courier.fleet", "there are no nodes that serve it", "give courier.nodes, or take it out"
+            )
+
     def address(self, key, word):
         try:
             units.address(word)
@@ -248,6 +274,8 @@
             self.fault(
                 "courier.tick", f"{courier.tick} is no time between two turns", "give 1ms to 1s; 5ms is usual"
             )
+        if self.ms["courier.list_age"] <= 0.0:
+            self.fault("courier.list_age", "no list is as new as that", "give a time; 24h is usual")
         if courier.durability == "machine" and courier.store != "segments":
             self.fault(
                 "courier.durability",
@@ -315,12 +343,16 @@
     def partners(self):
         """The list, where it stands here or in a file of its own."""
         sheet = self.sheet
-        ways = [bool(sheet.courier.agent), bool(sheet.partner), bool(sheet.partners_file)]
+        ways = [
+            bool(sheet.courier.agent or sheet.courier.nodes),
+            bool(sheet.partner),
+            bool(sheet.partners_file),
+        ]
         if sum(ways) != 1:
             self.fault(
                 "courier.agent" if not any(ways) else "partners_file" if ways[2] else "partner",
                 "there is no list of partners" if not any(ways) else "the list of partners is given twice",
-                "give one of courier.agent, [[partner]] tables or partners_file",
+                "give one of courier.agent, courier.nodes, [[partner]] tables or partners_file",
             )
             return
         some, place = sheet.partner, self.read.place
--- a/calicopin/configuration/compare.py
+++ b/calicopin/configuration/compare.py
@@ -5,6 +5,7 @@
 AT_ONCE = (
     "courier.agent",
     "courier.notices",
+    "courier.nodes",
     "courier.descriptors",
     "courier.disk",
     "partner",
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -99,6 +99,8 @@
         told["watched"] = os.path.join(folder, sheet.partners_file)
     if courier.admin:
         told["admin_addr"] = courier.admin
+    if courier.nodes:
+        told |= dict(nodes=list(courier.nodes), fleet=courier.fleet, list_age=seconds(courier.list_age))
     told |= dict(
         status=courier.status,
         notices=courier.notices,
@@ -149,6 +151,9 @@
                 state=told.get("state") or "state",
                 agent=told.get("discovery") or "",
                 admin=told.get("admin_addr") or "",
+                nodes=list(told.get("nodes") or []),
+                fleet=told.get("fleet") or "",
+                list_age=time_word(told["list_age"]) if told.get("list_age") else "24h",
                 status=bool(told.get("status")),
                 log=told.get("log") or "lines",
                 store=told.get("store") or "file",
--- a/calicopin/configuration/sheet.py
+++ b/calicopin/configuration/sheet.py
@@ -39,6 +39,18 @@
             "where texts that end undelivered are told (POST /v1/outcomes) where there is no agent; empty: in the log alone"
         ),
     ] = ""
+    nodes: Annotated[
+        list[str],
+        about(
+            "discovery nodes, each an IPv4 address and port: only the destinations in use are subscribed to there (docs/subscriptions.md); empty for the whole list"
+        ),
+    ] = field(default_factory=list)
+    fleet: Annotated[
+        str, about("the fleet that these nodes serve, by the name that they have for it", max_length=256)
+    ] = ""
+    list_age: Annotated[
+        str, about("how old the list in its folder may be for a start that reaches no node; with nodes only")
+    ] = "24h"
     number: Annotated[
         int, about("its place among the couriers that send to the same partners, from 0", ge=0)
     ] = 0
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -135,6 +135,7 @@
         last = {"restarted": now} if restarted else {}
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
+        self.awaited = 0  # messages that wait for the first answer on their destination
         self.texts, self.places, self.events = {}, {}, []
         self.places_of = {}  # the numbers of the endpoints that are listed, by destination
         self.unlisted = {}  # the numbers of endpoints that may be known to nobody any more
@@ -152,10 +153,12 @@
 
     def full(self):
         """Whether as many texts are held as the settings allow."""
-        return len(self.texts) >= self.room
+        return len(self.texts) + self.awaited >= self.room
 
     def advice(self, text):
         """The milliseconds after which a text that is turned away may come again (0: none told)."""
+        if text.dest not in self.dests.index:  # nothing is known of it, and nothing is to be kept for it
+            return self.module.desk.advice
         return self.module.advice(self.dests(text.dest))
 
     def hand_in(self, text, restored=False):
@@ -244,12 +247,25 @@
                 self.endpoints.forget(self.endpoints.ident[number])
 
     def release(self, dest):
-        """The destination is used no more: what is known of it goes once the decisions have no more use for it."""
-        for number in list(self.places_of.get(dest, ())):
-            self._unplace(number)
-            self.unlisted[number] = None
+        """The destination is used no more: what is known of it goes once the decisions have no more use for it.
+        Returns its endpoints as they were listed."""
+        numbers = list(self.places_of.get(dest, ()))
+        self.unlisted |= dict.fromkeys(numbers)
         if dest in self.dests.index:
             self.events.append(Released(self.dests(dest)))
+        return [self._unplace(number) for number in numbers]
+
+    def in_use(self, dest):
+        """Whether a message for the destination is held: in its queue, out, or handed in since the last tick."""
+        number = self.dests.index.get(dest)
+        known = self.module.dests.get(number)
+        return (known is not None and bool(known.queue or known.held)) or any(
+            isinstance(event, Taken) and event.dest == number for event in self.events
+        )
+
+    def destinations(self):
+        """All destinations of which something is known."""
+        return list(self.dests.index)
 
     def report(self, call, answer, elapsed):
         """How a call ended. What had its outcome before is passed over."""
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -137,7 +137,7 @@
         return written(self.runtime.facade, calls) | dict(
             until=[flight.until for flight in flights],
             began=[flight.began for flight in flights],
-            version=getattr(self.discovery, "version", None),
+            version=None if self.runtime.subscribed else getattr(self.discovery, "version", None),
             current=self.runtime.current,
             renewed=self.renewal.renewed,
             trust=lines.trust,
@@ -201,6 +201,8 @@
             [],
         )
         runtime.refusing = self.stop.retired = True
+        if runtime.subscribed is not None:
+            runtime.subscribed.retire()
         self.stop.end_drain()
         self.clients.closing = self.clients.leaving = True
         sock.setblocking(False)
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -21,6 +21,7 @@
 PAUSE = (
     100.0  # after a request that could not be taken: guards the others against one that comes at full speed
 )
+ANSWER = 20.0  # before a text's time is up, for its client to hear that it was not taken on
 AT_ONCE = 32  # connections accepted in one pass, for the same reason
 MOST_WORD = 256  # of an id, a reference or a key
 MOST_TIME = 86400.0  # seconds; beyond a day no validity period is meant
@@ -243,6 +244,7 @@
             visit.pause = PAUSE
             self.complain(fault.status, fault)
             return (yield from self.reply(line, fault.status, str(fault).encode()))
+        yield from self.wait_for_destination(line, text)
         if line.left():  # it waited too long and hands the text in elsewhere; else a refusal does no harm
             return (yield from self.reply(line, 503))
         refusal = self.acceptor.take(text)
@@ -259,6 +261,21 @@
             self.acceptor.withdraw(text)
         return bool(more)
 
+    def wait_for_destination(self, line, text):
+        """Where the text's destination is not known yet, until its first answer is there, the text's time is up, or its
+        client has left. Nothing is kept of the text meanwhile."""
+        event = self.acceptor.first_answer(text)
+        if event is None:
+            return
+        until, fd = text.until - ANSWER, line.sock.fileno()
+        try:
+            while not event.came and self.loop.now() < until and not line.left():
+                if not line.quiet():  # its next request: that waits its turn, and hides whether it leaves
+                    fd = -1
+                yield Until(until, fd, READ if fd >= 0 else 0, event)
+        finally:
+            self.acceptor.waited(event)
+
     def next_head(self, visit):
         """Waits between requests; only here may the courier close the connection."""
         line = visit.line
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -276,6 +276,9 @@
     def __init__(self):
         self.texts, self.events, self.refusal, self.withdrawn = [], [], None, []
 
+    def first_answer(self, _):
+        return None
+
     def take(self, text):
         if self.refusal is None:
             self.texts.append(text)
