--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -369,7 +369,8 @@
                 return
             place = lambda key: f"{origin.get(key, path)}: {key}"  # noqa: E731
         self.faults += lists.faults(some, sheet, place)
-        self.reach(some, place)
+        if not sheet.courier.nodes:  # the nodes tell which partners there are
+            self.reach(some, place)
         if self.faults:
             return
         for number, partner in enumerate(some):
