--- a/calicopin/configuration/posting.py
+++ b/calicopin/configuration/posting.py
@@ -4,7 +4,7 @@
 from calicopin.facade import Place
 
 
-class Refused(ValueError):
+class Refused(ValueError):  # noqa: N818 (docs/glossary.md)
     """A configuration that a courier does not start with; one line for each thing that is wrong."""
 
 
--- a/calicopin/configuration/read.py
+++ b/calicopin/configuration/read.py
@@ -33,7 +33,7 @@
         return f"{self.place}: {self.why}" + (f"; {self.do}" if self.do else "")
 
 
-class Unusable(Exception):
+class Unusable(Exception):  # noqa: N818 (docs/glossary.md)
     """A configuration that cannot be used; `faults` has at least one."""
 
     def __init__(self, faults):
--- a/calicopin/drill/__main__.py
+++ b/calicopin/drill/__main__.py
@@ -3,7 +3,7 @@
 import sys
 import traceback
 
-from calicopin.drill.codec import WireFault, batches, plain
+from calicopin.drill.codec import WireError, batches, plain
 from calicopin.drill.door import Door
 
 
@@ -13,7 +13,7 @@
     page, left = None, 0
     for number, name, values in events:
         if left and name != "ENDPOINT":
-            raise WireFault(f"line {number}: page {page} lacks {left} of its entries")
+            raise WireError(f"line {number}: page {page} lacks {left} of its entries")
         if name == "FOR":
             who = values[0]
         elif name == "PAGE":
@@ -21,25 +21,25 @@
             pages[page] = []
         elif name == "ENDPOINT":
             if not left:
-                raise WireFault(f"line {number}: ENDPOINT outside a page")
+                raise WireError(f"line {number}: ENDPOINT outside a page")
             pages[page].append(values)
             left -= 1
         elif who is None:
-            raise WireFault(f"line {number}: {name} before any FOR")
+            raise WireError(f"line {number}: {name} before any FOR")
         elif name == "DETACH":
             doors.pop(who, None)
             notes.pop(who, None)
         elif name == "HELLO":
             doors[who], notes[who] = Door(values[0], values[1], number), []
         elif who not in doors:
-            raise WireFault(f"line {number}: {name} for instance {who}, which has not begun")
+            raise WireError(f"line {number}: {name} for instance {who}, which has not begun")
         else:
             event = doors[who].read(number, name, values, pages)
             notes.setdefault(who, [])
             if event is not None:
                 notes[who].append(event)
     if left:
-        raise WireFault(f"page {page} lacks {left} of its entries at the end of the batch")
+        raise WireError(f"page {page} lacks {left} of its entries at the end of the batch")
     for who in list(notes):
         try:
             lines = doors[who].act(clock * 1000.0, notes[who])
@@ -62,7 +62,7 @@
             reply = answer(clock, events, doors, pages)
             sink.write("".join(line + "\n" for line in reply) + f"YIELD {number}\n")
             sink.flush()
-    except WireFault as fault:
+    except WireError as fault:
         print(f"calicopin.drill: {fault}", file=sys.stderr)
         return 2
     return 0
--- a/calicopin/drill/codec.py
+++ b/calicopin/drill/codec.py
@@ -4,7 +4,7 @@
 import math
 
 
-class WireFault(Exception):
+class WireError(Exception):
     """A line that cannot be read, with a plain sentence about it."""
 
 
@@ -64,20 +64,20 @@
 
 
 def read_line(line, number):
-    """One line as (name, values); raises WireFault with the line and the fault."""
+    """One line as (name, values); raises WireError with the line and the fault."""
     name, _, rest = line.partition(" ")
     shape = EVENTS.get(name)
     if shape is None:
-        raise WireFault(f"line {number}: {name[:40]!r} is no message of this wire")
+        raise WireError(f"line {number}: {name[:40]!r} is no message of this wire")
     words = rest.split(" ", len(shape) - 1 if name == "HELLO" else -1) if rest else []
     if len(words) != len(shape):
-        raise WireFault(f"line {number}: {name} has {len(words)} values where {len(shape)} are due")
+        raise WireError(f"line {number}: {name} has {len(words)} values where {len(shape)} are due")
     values = []
     for place, (read, word) in enumerate(zip(shape, words, strict=True), 1):
         try:
             values.append(read(word))
         except ValueError as fault:
-            raise WireFault(f"line {number}: value {place} of {name} cannot be read: {fault}") from None
+            raise WireError(f"line {number}: value {place} of {name} cannot be read: {fault}") from None
     return name, values
 
 
@@ -88,17 +88,17 @@
         name, values = read_line(line.rstrip("\r\n"), number)
         if clock is None:
             if name != "CLOCK":
-                raise WireFault(f"line {number}: {name} stands where a batch begins with CLOCK")
+                raise WireError(f"line {number}: {name} stands where a batch begins with CLOCK")
             clock, events = values, []
         elif name == "CLOCK":
-            raise WireFault(f"line {number}: CLOCK inside a batch")
+            raise WireError(f"line {number}: CLOCK inside a batch")
         elif name == "EOB":
             yield clock[0], clock[1], events
             clock = None
         else:
             events.append((number, name, values))
     if clock is not None:
-        raise WireFault(f"the input ends inside batch {clock[1]}")
+        raise WireError(f"the input ends inside batch {clock[1]}")
 
 
 def seconds(ms):
--- a/calicopin/drill/door.py
+++ b/calicopin/drill/door.py
@@ -1,6 +1,6 @@
 """The door of one courier: the wire's names, seconds and ids outside; ours inside."""
 
-from calicopin.drill.codec import WireFault, plain, seconds
+from calicopin.drill.codec import WireError, plain, seconds
 from calicopin.interface import Entry, How, Listed, ListFailed, Outcome, Taken, Withdrawn, Woken
 from calicopin.terms import Indices, agreed, courier, ms, reports
 
@@ -14,7 +14,7 @@
         try:
             self.courier = courier(seed, env)
         except (KeyError, TypeError, ValueError, IndexError) as fault:
-            raise WireFault(f"line {number}: the settings of HELLO lack or garble {fault}") from None
+            raise WireError(f"line {number}: the settings of HELLO lack or garble {fault}") from None
         self.reports = reports(env)
         self.agreed = agreed(env)
         self.grades = len(env["grades"])
@@ -29,7 +29,7 @@
     def _accept(self, number, values, _):
         handle, dest, group, _, resource, until, qos, _ = values
         if qos >= self.grades:
-            raise WireFault(f"line {number}: ACCEPT names class {qos} of {self.grades}")
+            raise WireError(f"line {number}: ACCEPT names class {qos} of {self.grades}")
         text, self.next_text = self.next_text, self.next_text + 1
         self.texts[handle], self.handles[text], self.out[text] = text, handle, 0
         return Taken(text, self.dests(dest), qos, until * 1000.0, resource, group or 0)
@@ -37,7 +37,7 @@
     def _verdict(self, number, values, _):
         handle, _, note, finished, endpoint, reason, elapsed, report = values
         if reason not in How._value2member_map_:
-            raise WireFault(f"line {number}: VERDICT holds the unknown outcome {reason}")
+            raise WireError(f"line {number}: VERDICT holds the unknown outcome {reason}")
         text = self.texts.get(handle)
         if text is None:
             return None
@@ -78,7 +78,7 @@
         if kind == FAILED:
             return ListFailed()
         if bank not in pages:
-            raise WireFault(f"line {number}: PEERS_KNOWN names page {bank}, which was not sent")
+            raise WireError(f"line {number}: PEERS_KNOWN names page {bank}, which was not sent")
         return Listed(
             [
                 Entry(
--- a/calicopin/emulator/__main__.py
+++ b/calicopin/emulator/__main__.py
@@ -14,7 +14,7 @@
 
 from calicopin.emulator import fleet, runs
 from calicopin.emulator.faults import FAULTS
-from calicopin.emulator.scenario import Unreadable, dump, load, names
+from calicopin.emulator.scenario import ScenarioError, dump, load, names
 from calicopin.emulator.story import story
 
 SHOWN = ("revenue", "of_best", "in_sla", "p50_ms", "p99_ms", "refused", "waste", "fairness")
@@ -41,7 +41,7 @@
 def read(word):
     try:
         return load(word)
-    except Unreadable as fault:
+    except ScenarioError as fault:
         click.echo(str(fault), err=True)
         sys.exit(2)
 
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -1,6 +1,6 @@
 """Scenario files: the parties, their traffic and their troubles, read from TOML and checked before anything begins.
 
-A file that cannot be read is one line that names the file and the place, as `Unreadable`. Times in it are seconds or
+A file that cannot be read is one line that names the file and the place, as `ScenarioError`. Times in it are seconds or
 milliseconds, as each key says (`_s`, `_ms`); shares and odds lie between 0 and 1.
 """
 
@@ -66,7 +66,7 @@
 TROUBLES = PARTNER_TROUBLES + COURIER_TROUBLES + WORLD_TROUBLES
 
 
-class Unreadable(Exception):
+class ScenarioError(Exception):
     """A scenario that cannot be used, with one line that names file and place."""
 
 
@@ -230,7 +230,7 @@
     """What the types cannot say; the first fault is raised."""
 
     def fault(place, why):
-        raise Unreadable(f"{where}: {place}: {why}")
+        raise ScenarioError(f"{where}: {place}: {why}")
 
     for many, what in ((scenario.product, "product"), (scenario.partner, "partner")):
         names = [one.name for one in many]
@@ -287,20 +287,20 @@
 
 
 def parse(data, where):
-    """A scenario from the bytes of its file; Unreadable with one line otherwise."""
+    """A scenario from the bytes of its file; ScenarioError with one line otherwise."""
     if len(data) > MOST:
-        raise Unreadable(f"{where}: over {MOST} bytes: this is no scenario")
+        raise ScenarioError(f"{where}: over {MOST} bytes: this is no scenario")
     try:
         text = data.decode("utf-8-sig")
     except UnicodeDecodeError as fault:
-        raise Unreadable(f"{where}: byte {fault.start}: not UTF-8") from None
+        raise ScenarioError(f"{where}: byte {fault.start}: not UTF-8") from None
     try:
         return check(msgspec.toml.decode(text, type=Scenario), where)
     except msgspec.ValidationError as fault:
         why, _, place = str(fault).partition(" - at ")
-        raise Unreadable(f"{where}: {place.strip('`') or 'the file'}: {why}") from None
+        raise ScenarioError(f"{where}: {place.strip('`') or 'the file'}: {why}") from None
     except msgspec.DecodeError as fault:
-        raise Unreadable(f"{where}: {fault}") from None
+        raise ScenarioError(f"{where}: {fault}") from None
 
 
 def names():
@@ -314,9 +314,9 @@
     try:
         return parse(path.read_bytes(), path.name)
     except FileNotFoundError:
-        raise Unreadable(f"{word}: no such scenario; there are {', '.join(names())}") from None
+        raise ScenarioError(f"{word}: no such scenario; there are {', '.join(names())}") from None
     except OSError as fault:
-        raise Unreadable(f"{word}: {fault.strerror}") from None
+        raise ScenarioError(f"{word}: {fault.strerror}") from None
 
 
 def dump(scenario):
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from calicopin.handover.meeting import Broken, Talk, ours
+from calicopin.handover.meeting import HandoverError, Talk, ours
 from calicopin.handover.state import FORM, written
 from calicopin.wire.loop import AGAIN, FOREVER, READ, Until
 
@@ -100,13 +100,13 @@
             talk = Talk(sock, PATIENCE)
             self.settle()
             if runtime.stuck:
-                raise Broken("the journal cannot be written")
+                raise HandoverError("the journal cannot be written")
             flights = [flight for flight in runtime.flights if flight.call.open]
             talk.say(self.told(flights))
             if talk.hear()[0].get("ready") is not True:
-                raise Broken("it is not ready")
+                raise HandoverError("it is not ready")
             if self.stop.stopping or runtime.journal.buffer:
-                raise Broken("this process has gone on")
+                raise HandoverError("this process has gone on")
             talk.say({"go": True, "fds": 1}, [self.lock])
         except Exception as fault:  # whatever it is, this process serves on
             logger.warning(
--- a/calicopin/handover/meeting.py
+++ b/calicopin/handover/meeting.py
@@ -13,7 +13,7 @@
 CREDENTIALS = struct.Struct("3i")
 
 
-class Broken(ConnectionAbortedError):
+class HandoverError(ConnectionAbortedError):
     """The other side is gone, silent for too long, or says what cannot be read."""
 
 
@@ -86,7 +86,7 @@
             done = socket.send_fds(self.sock, [data], list(fds)) if fds else 0
             self.sock.sendall(memoryview(data)[done:])
         except OSError as fault:
-            raise Broken(f"it does not listen: {fault}") from None
+            raise HandoverError(f"it does not listen: {fault}") from None
 
     def hear(self):
         """(what, descriptors) of the next frame; they are the caller's to close."""
@@ -94,26 +94,26 @@
             if len(self.data) >= HEAD.size:
                 (size,) = HEAD.unpack_from(self.data)
                 if size > MOST_FRAME:
-                    raise Broken("a frame that is too long")
+                    raise HandoverError("a frame that is too long")
                 if len(self.data) >= HEAD.size + size:
                     break
             try:
                 data, fds, _, _ = socket.recv_fds(self.sock, CHUNK, MOST_FDS, socket.MSG_CMSG_CLOEXEC)
             except OSError as fault:
-                raise Broken(f"it does not answer: {fault}") from None
+                raise HandoverError(f"it does not answer: {fault}") from None
             if not data:
-                raise Broken("it is gone")
+                raise HandoverError("it is gone")
             self.data += data
             self.fds += fds
         try:
             what = json.loads(bytes(self.data[HEAD.size : HEAD.size + size]))
             count = int(what.get("fds", 0))
         except (ValueError, AttributeError, TypeError, RecursionError) as fault:
-            raise Broken(f"a frame that cannot be read: {fault}") from None
+            raise HandoverError(f"a frame that cannot be read: {fault}") from None
         del self.data[: HEAD.size + size]
         fds, self.fds = self.fds[:count], self.fds[count:]
         if len(fds) < count:
-            raise Broken("a frame without its descriptors")
+            raise HandoverError("a frame without its descriptors")
         return what, fds
 
     def close(self):
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -7,7 +7,7 @@
 import h11
 from loguru import logger
 
-from calicopin.handover.meeting import Broken, Talk
+from calicopin.handover.meeting import HandoverError, Talk
 from calicopin.handover.state import FORM, read
 from calicopin.wire.clients import Visit
 from calicopin.wire.endpoints import Flight
@@ -18,7 +18,7 @@
 TELL = 5.0  # between two lines while it waits
 
 
-class Told(Exception):
+class Told(Exception):  # noqa: N818 (docs/glossary.md)
     """A signal came before there was anything to stop."""
 
 
@@ -40,11 +40,11 @@
         return [text for text in journal.texts.values() if text.verdict is not None]
 
     def take(self, loop, runtime, clients):
-        """From here on this process decides. Returns the folder's lock. Broken where it does not come to that."""
+        """From here on this process decides. Returns the folder's lock. HandoverError where it does not come to that."""
         self.talk.say({"ready": True})
         go, fds = self.talk.hear()
         if go.get("go") is not True or len(fds) != 1:
-            raise Broken("it was not told to go on")
+            raise HandoverError("it was not told to go on")
         lock, kinds = fds[0], {"call": self.call, "client": self.client, "idle": self.idle}
         self.flights = dict(enumerate(self.calls))
         try:
@@ -54,7 +54,7 @@
                     break
                 for one, fd in zip(what["connections"], fds, strict=False):
                     kinds[one["kind"]](loop, runtime, clients, one, socket.socket(fileno=fd))
-        except Broken as fault:  # it died on the way: what did not come is broken, as after a crash
+        except HandoverError as fault:  # it died on the way: what did not come is broken, as after a crash
             logger.warning("the old process broke off: {fault}", event="handover.broken", fault=fault)
         for call in self.flights.values():
             runtime.lost(call)
@@ -115,7 +115,7 @@
         sock.sendall(b"calicopin %d\n" % FORM)
         told, _ = talk.hear()
         if told.get("form") != FORM:
-            raise Broken(f"it speaks form {told.get('form')!r}, this process {FORM}")
+            raise HandoverError(f"it speaks form {told.get('form')!r}, this process {FORM}")
         return Taker(talk, told)
     except OSError as fault:
         logger.warning("no handover: {fault}", event="handover.refused", fault=fault)
--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -7,7 +7,7 @@
 import click
 from loguru import logger
 
-from calicopin.store.segments import ENDING, Newer, Segments, frames
+from calicopin.store.segments import ENDING, NewerFormError, Segments, frames
 from calicopin.system import HERE, System
 
 KINDS = {
@@ -65,7 +65,7 @@
     held(folder)
     try:
         return Segments(folder, FOREVER, 0.0, system or Look(), DAY)
-    except Newer as fault:
+    except NewerFormError as fault:
         stop(str(fault))
     except OSError as fault:
         stop(f"{folder}: {fault.strerror}")
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -26,7 +26,7 @@
 CHUNK = 200  # ids of ended texts in one record
 
 
-class Newer(Exception):
+class NewerFormError(Exception):
     """A folder that a newer version wrote."""
 
 
@@ -110,7 +110,7 @@
             if kind == SEALED:
                 sealed = json.loads(rest)[0]
             elif kind == BEGUN and json.loads(rest)[2:3] != [FORM]:
-                raise Newer(f"{self._path(number)} has a form that this version does not read")
+                raise NewerFormError(f"{self._path(number)} has a form that this version does not read")
             else:
                 self._apply(number, kind, rest)
         torn = sealed is None and holes and holes[-1][0] + holes[-1][1] == len(data)
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -29,7 +29,7 @@
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
-class Refused(Exception):
+class Refused(Exception):  # noqa: N818 (docs/glossary.md)
     """A request that cannot be taken, with its status and a plain sentence."""
 
     def __init__(self, status, why):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -15,7 +15,7 @@
 from calicopin.emulator.disk import Disk
 from calicopin.emulator.faults import FAULTS, SHOWN_BY
 from calicopin.emulator.net import Listener, Network
-from calicopin.emulator.scenario import Unreadable, load, names, parse
+from calicopin.emulator.scenario import ScenarioError, load, names, parse
 from calicopin.emulator.world import World
 
 
@@ -58,7 +58,7 @@
     ],
 )
 def test_a_scenario_that_cannot_be_used_is_told_by_file_and_place(data, told):
-    with pytest.raises(Unreadable) as fault:
+    with pytest.raises(ScenarioError) as fault:
         parse(data, "f.toml")
     assert (
         str(fault.value).startswith("f.toml: ") and told in str(fault.value) and "\n" not in str(fault.value)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,7 +16,7 @@
 from helper import free_address, terms
 
 from calicopin.handover import state
-from calicopin.handover.meeting import Broken, Talk
+from calicopin.handover.meeting import HandoverError, Talk
 
 ROOT = os.path.join(os.path.dirname(__file__), "..")
 DRIVER = """
@@ -462,11 +462,11 @@
     talk = Talk(b, 1.0)
     for said in (b"\xff\xff\xff\xff", b"\x03\x00\x00\x00{{{"):
         a.sendall(said)
-        with pytest.raises(Broken):
+        with pytest.raises(HandoverError):
             talk.hear()
         talk.data.clear()
     Talk(a, 1.0).say({"fds": 2}, [a.fileno()])
-    with pytest.raises(Broken):
+    with pytest.raises(HandoverError):
         talk.hear()
     talk.close()
     a.close()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -15,7 +15,7 @@
 from calicopin.store.__main__ import main
 from calicopin.store.measure import SIDES
 from calicopin.store.measure import one as side
-from calicopin.store.segments import Newer, Segments, frames
+from calicopin.store.segments import NewerFormError, Segments, frames
 from calicopin.system import HERE, System
 
 OFFSET, LASTING = 5e11, 60000.0
@@ -137,7 +137,7 @@
     assert book(tmp_path, 400_000).damage
     sealed = sorted(tmp_path.iterdir())[0]
     sealed.write_bytes(store._record(b"H", b'["b", 1.0, 2]'))
-    with pytest.raises(Newer):
+    with pytest.raises(NewerFormError):
         book(tmp_path, 400_000)
 
 
