--- a/calicopin/__main__.py
+++ b/calicopin/__main__.py
@@ -1,4 +1,7 @@
-"""The courier on sockets, told by the platform's variables: `python -m calicopin`. With words behind it, the command line."""
+"""The courier on sockets, told by the platform's variables: `python -m calicopin`.
+
+With words behind it, the command line.
+"""
 
 import os
 import sys
@@ -14,7 +17,9 @@
 
 
 def main():
-    """Serves as a courier where the platform's variables ask for it, else runs the command line; returns the exit code."""
+    """Serves as a courier where the platform's variables ask for it, else runs the command line; returns
+    the exit code.
+    """
     try:
         if len(sys.argv) > 1 or "LB_CONFIG" not in os.environ:
             return run_command_line()
--- a/calicopin/admin/server.py
+++ b/calicopin/admin/server.py
@@ -1,4 +1,7 @@
-"""One call to one connection: health, figures, quiesce, resume. Answered ahead of clients, and never with an effect on a text."""
+"""One call to one connection: health, figures, quiesce, resume.
+
+Answered ahead of clients, and never with an effect on a text.
+"""
 
 import json
 
@@ -18,8 +21,12 @@
 
 
 class AdminServer:
-    """Listens on `address`. `calls` holds, by path, the method and a function that returns the body. At most `most` callers are
-    heard at once; one more closes the one that has been silent longest, so that callers who say nothing keep nobody out."""
+    """Listens on `address`.
+
+    `calls` holds, by path, the method and a function that returns the body. At most `most` callers are heard
+    at once; one more closes the one that has been silent longest, so that callers who say nothing keep nobody
+    out.
+    """
 
     def __init__(self, loop, address, calls, most):
         self.loop, self.calls, self.most, self.callers = loop, calls, most, {}
--- a/calicopin/boot/events.py
+++ b/calicopin/boot/events.py
@@ -1,4 +1,7 @@
-"""Log records as JSON: one object a line, with a stable event name and figures as fields. Names stand in `docs/events.md`."""
+"""Log records as JSON: one object a line, with a stable event name and figures as fields.
+
+Names stand in `docs/events.md`.
+"""
 
 import json
 import re
@@ -20,7 +23,9 @@
 
 
 def line(name, record):
-    """One record as JSON: time (UTC, ISO 8601), level, courier, event, message, then its own fields and a fault."""
+    """One record as JSON: time (UTC, ISO 8601), level, courier, event, message, then its own fields and a
+    fault.
+    """
     told = fields(record["extra"])
     out = {
         "time": record["time"].astimezone(timezone.utc).isoformat(timespec="milliseconds"),
--- a/calicopin/boot/leave.py
+++ b/calicopin/boot/leave.py
@@ -1,5 +1,8 @@
-"""How a courier leaves, step by step: for good after SIGTERM, for a while after a call to quiesce. No I/O: the time since it was
-asked and what is still under way go in, the step it is in comes out. Times are milliseconds."""
+"""How a courier leaves, step by step: for good after SIGTERM, for a while after a call to quiesce.
+
+No I/O: the time since it was asked and what is still under way go in, the step it is in comes out. Times are
+milliseconds.
+"""
 
 from dataclasses import dataclass
 
@@ -16,9 +19,10 @@
 
 @dataclass(frozen=True)
 class Step:
-    """Lasts until `least`, and then while something of `busy` is under way (always, where that is None), `most` at the most.
-    What holds in it: `closing` (connections are given back), `refusing` (no text is taken on), `calling`, `listening`, and
-    `emptying` (what waits is handed back)."""
+    """Lasts until `least`, and then while something of `busy` is under way (always, where that is None),
+    `most` at the most. What holds in it: `closing` (connections are given back), `refusing` (no text is
+    taken on), `calling`, `listening`, and `emptying` (what waits is handed back).
+    """
 
     name: str
     least: float
--- a/calicopin/boot/log_import.py
+++ b/calicopin/boot/log_import.py
@@ -10,9 +10,11 @@
 
 
 def load_logging():
-    """Reads loguru in without asyncio, which it needs for sinks that are coroutines only; with asyncio come ssl, subprocess and
-    concurrent: 5.9 MB of 25 and a fifth of the CPU of a start. Guards couriers with little memory, above all while two versions run
-    side by side. It would hurt whoever adds a sink that is a coroutine: that is told by `no_loop`. asyncio itself may be imported as ever."""
+    """Reads loguru in without asyncio, which it needs for sinks that are coroutines only; with asyncio
+    come ssl, subprocess and concurrent: 5.9 MB of 25 and a fifth of the CPU of a start. Guards couriers
+    with little memory, above all while two versions run side by side. It would hurt whoever adds a sink
+    that is a coroutine: that is told by `no_loop`. asyncio itself may be imported as ever.
+    """
     if "asyncio" in sys.modules or "loguru" in sys.modules:
         return
     stand_in = types.ModuleType("asyncio")
--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -57,8 +57,9 @@
     # What clients ask of the acceptor.
 
     def take(self, text):
-        """None where the text is taken on, else the status that refuses it and the milliseconds after which to
-        come again (0: none told)."""
+        """None where the text is taken on, else the status that refuses it and the milliseconds after
+        which to come again (0: none told).
+        """
         if self.journal.knows(text.ident):
             return 409, 0.0
         if not self.facade.serves(text.dest):
@@ -80,7 +81,10 @@
         self.facade.withdraw(text)
 
     def listed(self, places, whole):
-        """News of discovery's. Guards all texts against an agent that has no list yet and says so with an empty one."""
+        """News of discovery's.
+
+        Guards all texts against an agent that has no list yet and says so with an empty one.
+        """
         self.current = True
         if whole and not places and self.facade.places:
             logger.warning(
@@ -98,7 +102,8 @@
     def turn(self):
         """Decides on all that a pass brought; a fault in that is logged and the courier serves on."""
         try:
-            # guards drains against a start: what came since the last process is told already, and its list is old
+            # guards drains against a start: what came since the last process is told already, and its list is
+            # old
             due = self.facade.tick(self.loop.now()) if self.agent is None or self.agent.tried else FOREVER
             self.note_down()
         except Exception:
@@ -114,8 +119,8 @@
         if self.stuck:
             logger.info("turns go on, {turns} ended by a fault", event="turn.again", turns=self.stuck)
             self.stuck, late = 0, self.calls
-            # guards memories of references, waits and validity periods against calls that the journal held up: each is
-            # decided anew. It costs a submit of the text's allowance.
+            # guards memories of references, waits and validity periods against calls that the journal held
+            # up: each is decided anew. It costs a submit of the text's allowance.
             self.calls, due = [], self.loop.now()
             for call in late:
                 self.facade.report(call, Answer(Far.CALLED_OFF), 0.0)
@@ -242,7 +247,8 @@
             self.lines.sweep(self.loop.now())
             if self.loop.now() >= report:
                 line = (
-                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, {given_up} given up, "
+                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, "
+                    "{given_up} given up, "
                     "{held} held, {out} out"
                 )
                 ledger = self.ledger
--- a/calicopin/boot/signals.py
+++ b/calicopin/boot/signals.py
@@ -5,8 +5,11 @@
 
 
 class SignalReader:
-    """SIGHUP calls for the configuration anew, SIGTERM and SIGINT for the stop. Made before anything else of the
-    program, so that none of them ends it by default; what comes before the loop runs is not lost."""
+    """SIGHUP calls for the configuration anew, SIGTERM and SIGINT for the stop.
+
+    Made before anything else of the program, so that none of them ends it by default; what comes before the
+    loop runs is not lost.
+    """
 
     STOPS = (signal.SIGTERM, signal.SIGINT)
 
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -66,8 +66,9 @@
 
 
 def posted(environ, renewed=False, system=HERE):
-    """What the platform tells: addresses and folder by its variables first, all else by its file; once the file
-    was replaced, its discovery stands before the variable."""
+    """What the platform tells: addresses and folder by its variables first, all else by its file; once the
+    file was replaced, its discovery stands before the variable.
+    """
     path, sheet = environ["LB_CONFIG"], None
     second, passed, meeting = (
         environ.get(name, "") for name in ("LB_ADMIN_ADDR", "LB_PASSED_SOCKET", "TMPDIR")
@@ -113,7 +114,9 @@
 
 
 def listed(known):
-    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has the whole of it."""
+    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has
+    the whole of it.
+    """
     try:
         version, _, places = read(known)
     except ValueError as fault:
@@ -125,8 +128,11 @@
 
 
 def build(post, loop, signal_reader, again, lock=None, taker=None):
-    """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
-    more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
+    """The parts of one courier; what was journalled is handed in before any client is heard.
+
+    `again` reads once more what the platform tells. `lock` is the folder's, `taker` holds what another
+    process gives instead of it.
+    """
     terms = post.terms
     ceilings = terms["ceilings"]
     connect = (ceilings.get("connectTimeout") or 1.0) * 1000.0
@@ -266,8 +272,9 @@
 
 
 def follow(post, environ, signal_reader, system):
-    """(lock, what another process gives, the post): waits until the folder is free or the one that holds it gives it. A post
-    of None where a signal comes first."""
+    """(lock, what another process gives, the post): waits until the folder is free or the one that holds
+    it gives it. A post of None where a signal comes first.
+    """
     from calicopin.handover.meeting import Place
     from calicopin.handover.taker import Told, begin
 
@@ -305,7 +312,8 @@
         serve(os.environ, signal_reader)
     except BlockingIOError:
         print(
-            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own",
+            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; "
+            "give each its own",
             file=sys.stderr,
         )
         return 2
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -1,4 +1,6 @@
-"""Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of `boot/leave.py`."""
+"""Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of
+`boot/leave.py`.
+"""
 
 from loguru import logger
 
@@ -9,7 +11,10 @@
 
 
 class Stop:
-    """`asked` rings for the stop. A courier that was quiesced stays so until it is told to resume, or ends."""
+    """`asked` rings for the stop.
+
+    A courier that was quiesced stays so until it is told to resume, or ends.
+    """
 
     def __init__(self, loop, runtime, clients):
         self.loop, self.runtime, self.clients = loop, runtime, clients
@@ -54,8 +59,9 @@
         self.stopping = True
         self.end_drain()
         yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
-        # guards the last turn's texts where the process stood still through the steps: one turn keeps what was taken on and its
-        # answers go out, and what is read from here on is refused, since nothing would keep it
+        # guards the last turn's texts where the process stood still through the steps: one turn keeps what
+        # was taken on and its answers go out, and what is read from here on is refused, since nothing would
+        # keep it
         runtime.calling, runtime.refusing = False, True
         self.clients.close_between_requests()
         yield Until(self.loop.now())
--- a/calicopin/command/__init__.py
+++ b/calicopin/command/__init__.py
@@ -1,1 +1,1 @@
-"""The command line: run, write, check, compare and show configurations, and ask a running courier. An optional extra."""
+"""The command line: run, write, check, compare and show configurations, and ask a running courier."""
--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -61,8 +61,9 @@
     calicopin run courier.toml                   a courier, until SIGTERM
     calicopin status courier.toml                what a running courier does
 
-    Values come from the file, what it includes before it, CALICOPIN_* variables over it (CALICOPIN_COURIER__SLOTS=30), and --set over
-    those. Exit codes: 0 done, 1 something found, 2 something that cannot be read.
+    Values come from the file, what it includes before it, CALICOPIN_* variables over it
+    (CALICOPIN_COURIER__SLOTS=30), and --set over those. Exit codes: 0 done, 1 something found, 2 something
+    that cannot be read.
     """
 
 
@@ -72,7 +73,10 @@
     "--rate", type=click.FloatRange(0.5, 200.0), default=30.0, show_default=True, help="Texts a second."
 )
 def demo(seconds, rate):
-    """A courier, partners and a client on loopback with live figures; a partner goes out and comes back. Ends by itself."""
+    """A courier, partners and a client on loopback with live figures; a partner goes out and comes back.
+
+    Ends by itself.
+    """
     try:
         from rich.console import Console
 
@@ -80,7 +84,8 @@
     except ImportError as fault:
         stop(
             [
-                f"the demo wants a library that is not here ({fault.name}): pip install -r requirements-emulator.txt"
+                f"the demo wants a library that is not here ({fault.name}): pip install -r "
+                "requirements-emulator.txt"
             ]
         )
     sys.exit(0 if play(seconds, rate, Console()) else 1)
@@ -92,8 +97,9 @@
 def run(file, application):
     """Starts a courier from the operator's FILE and stays in the foreground; SIGHUP reads FILE again.
 
-    With `-- APPLICATION WORDS...` it starts that application once the courier listens (CALICOPIN_LISTEN tells it where), starts the courier
-    again if it falls, and stops it in order after the application; the exit code is the application's.
+    With `-- APPLICATION WORDS...` it starts that application once the courier listens (CALICOPIN_LISTEN tells
+    it where), starts the courier again if it falls, and stops it in order after the application; the exit
+    code is the application's.
     """
     if application:
         from calicopin.command.sidecar import Pair
@@ -184,7 +190,10 @@
 
 def change(key, before, after):
     """One key that differs between two files."""
-    return f"{key}: {'-' if before is None else json.dumps(before)} -> {'-' if after is None else json.dumps(after)}"
+    return (
+        f"{key}: {'-' if before is None else json.dumps(before)} -> "
+        f"{'-' if after is None else json.dumps(after)}"
+    )
 
 
 @main.command()
@@ -263,9 +272,11 @@
 )
 @click.option("--dry-run", is_flag=True, help="Shows what would be written and changes nothing.")
 def migrate_(old, output, senders, reports, once_only, dry_run):
-    """Reads OLD, a file for few couriers, and writes its counterpart for many; lists what it could not carry over.
+    """Reads OLD, a file for few couriers, and writes its counterpart for many; lists what it could not
+    carry over.
 
-    OLD is never changed. Exit codes: 0 written, 1 the counterpart would not be sound, 2 something cannot be read or written.
+    OLD is never changed. Exit codes: 0 written, 1 the counterpart would not be sound, 2 something cannot be
+    read or written.
     """
     from calicopin.configuration import migrate
 
--- a/calicopin/command/demo.py
+++ b/calicopin/command/demo.py
@@ -1,4 +1,6 @@
-"""`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner goes out and comes back."""
+"""`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner
+goes out and comes back.
+"""
 
 import http.client
 import http.server
@@ -247,7 +249,8 @@
     dead = set(notices.ended) - nacked
     lost = taken - delivered - nacked - dead
     console.print(
-        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, {len(nacked - delivered)} nacked, "
+        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, "
+        f"{len(nacked - delivered)} nacked, "
         f"{len(dead - delivered)} undeliverable, {len(lost)} without an end",
         soft_wrap=True,
     )
--- a/calicopin/command/sidecar.py
+++ b/calicopin/command/sidecar.py
@@ -1,7 +1,8 @@
 """A courier beside one application: up before it, down after it, started again if it falls.
 
-The courier is a process of its own; the application is told where it listens by `CALICOPIN_LISTEN`. SIGTERM and SIGINT go to the
-application first; once that has ended the courier drains and stops. Its folder outlasts both.
+The courier is a process of its own; the application is told where it listens by `CALICOPIN_LISTEN`. SIGTERM
+and SIGINT go to the application first; once that has ended the courier drains and stops. Its folder outlasts
+both.
 """
 
 import os
@@ -65,7 +66,8 @@
             self.falls = 1 if now - self.since >= CALM else self.falls + 1
             self.next = now + back_off(self.falls)
             self.say(
-                f"the courier ended with {self.courier.returncode}; the next start in {back_off(self.falls):.1f} s"
+                f"the courier ended with {self.courier.returncode}; "
+                f"the next start in {back_off(self.falls):.1f} s"
             )
             self.courier = None
         if self.courier is None and now >= self.next:
--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -1,4 +1,7 @@
-"""What the types cannot say: settings that are legal one by one and wrong together. Every finding says what to do."""
+"""What the types cannot say: settings that are legal one by one and wrong together.
+
+Every finding says what to do.
+"""
 
 import math
 import os
@@ -21,7 +24,9 @@
 
 
 class Checks:
-    """One configuration under examination; `faults` are what stops it, `doubts` what an operator should know."""
+    """One configuration under examination; `faults` are what stops it, `doubts` what an operator should
+    know.
+    """
 
     def __init__(self, read):
         self.read, self.sheet, self.faults, self.doubts, self.ms = read, read.sheet, [], [], {}
@@ -85,7 +90,8 @@
         if self.sheet.courier.number >= self.sheet.courier.senders:
             self.fault(
                 "courier.number",
-                f"{self.sheet.courier.number} is not among {self.sheet.courier.senders} senders, which count from 0",
+                f"{self.sheet.courier.number} is not among {self.sheet.courier.senders} senders, "
+                "which count from 0",
                 "raise senders or lower number",
             )
 
@@ -170,7 +176,8 @@
             if product.repeat == "referenced" and 0.0 < memory < min(sla, validity):
                 self.fault(
                     f"{key}.memory",
-                    f"partners forget a reference after {product.memory}, before a text's SLA time {product.sla} is over, "
+                    f"partners forget a reference after {product.memory}, "
+                    f"before a text's SLA time {product.sla} is over, "
                     "so it may not be sent again in time",
                     "ask the partner for a longer memory, or make it once-only",
                 )
@@ -179,7 +186,8 @@
             if answers >= validity:
                 self.fault(
                     f"{key}.validity",
-                    f"{product.validity} is over before any of its partners answers, which takes {units.spell(answers)}",
+                    f"{product.validity} is over before any of its partners answers, "
+                    f"which takes {units.spell(answers)}",
                     "raise validity",
                 )
             elif product.repeat != "once-only" and validity < connect + 2.0 * answers:
@@ -198,13 +206,15 @@
             if connect >= validity:
                 self.fault(
                     "courier.connect",
-                    f"{courier.connect} is longer than the validity period of {product.name!r}, {product.validity}",
+                    f"{courier.connect} is longer than the validity period of {product.name!r}, "
+                    f"{product.validity}",
                     "lower connect: a connection that does not come up must leave time for another",
                 )
             if product.in_order and self.ms["courier.settle"] >= validity:
                 self.fault(
                     "courier.settle",
-                    f"an order key rests for {courier.settle}, longer than a text of {product.name!r} is valid",
+                    f"an order key rests for {courier.settle}, "
+                    f"longer than a text of {product.name!r} is valid",
                     "lower settle",
                 )
 
@@ -214,14 +224,16 @@
         if budget.calls < courier.slots:
             self.fault(
                 "courier.descriptors",
-                f"{courier.descriptors} leave descriptors for {budget.calls} calls, not for {courier.slots} slots",
+                f"{courier.descriptors} leave descriptors for {budget.calls} calls, "
+                f"not for {courier.slots} slots",
                 f"raise it to {least_descriptors(courier.slots)} at least, or lower slots",
             )
         needs = courier.held * (LEAST_BODY + RECORD)
         if needs > self.disk * 2 // 5:
             self.fault(
                 "courier.disk",
-                f"{courier.held} texts of {LEAST_BODY} bytes need {units.spell_size(math.ceil(needs * 2.5 / 1e5) * 1e5)}; live "
+                f"{courier.held} texts of {LEAST_BODY} bytes need "
+                f"{units.spell_size(math.ceil(needs * 2.5 / 1e5) * 1e5)}; live "
                 "texts may fill two fifths of it",
                 "raise disk or lower held",
             )
@@ -235,7 +247,8 @@
         if idle <= connect:
             self.doubt(
                 "courier.idle",
-                f"connections idle for {courier.idle} are closed in the time that one takes to open, {courier.connect}",
+                f"connections idle for {courier.idle} are closed in the time that one takes to open, "
+                f"{courier.connect}",
                 "few calls will find one",
             )
         if courier.give_back and idle <= 0.0:
@@ -297,7 +310,8 @@
         if part.cold_from * part.multiple >= 1.0:
             self.doubt(
                 "returning.multiple",
-                f"{part.multiple:g} times the {part.cold_from:g} that a cold partner can do is all it can do when warm",
+                f"{part.multiple:g} times the {part.cold_from:g} that a cold partner can do is all it can "
+                "do when warm",
                 "nothing will be spared; lower one of them",
             )
 
@@ -349,7 +363,8 @@
                         place(f"partner[{number}].limit").rpartition(": ")[2]
                         if not sheet.partners_file
                         else "partners_file",
-                        f"{partner.limit:g} calls a second of {sheet.courier.senders} senders are {each:.2f} calls of this one "
+                        f"{partner.limit:g} calls a second of {sheet.courier.senders} senders are "
+                        f"{each:.2f} calls of this one "
                         f"to {partner.name!r} in the longest validity period",
                         "agree a higher limit, or send from fewer couriers",
                     )
@@ -367,7 +382,9 @@
 
 
 def calls_each(limit, senders, longest):
-    """Calls of one sender at a limit in calls a second of all, in the longest validity period in milliseconds."""
+    """Calls of one sender at a limit in calls a second of all, in the longest validity period in
+    milliseconds.
+    """
     return limit / senders * longest / 1000.0
 
 
--- a/calicopin/configuration/compare.py
+++ b/calicopin/configuration/compare.py
@@ -1,4 +1,6 @@
-"""What changes from one configuration to the next, and when it takes hold: with SIGHUP, or only with a restart."""
+"""What changes from one configuration to the next, and when it takes hold: with SIGHUP, or only with a
+restart.
+"""
 
 import msgspec
 
@@ -53,7 +55,9 @@
 
 
 def changes(old, new):
-    """(key, before, after, "SIGHUP" or "restart") of every key that differs; None stands for a key that is not there."""
+    """(key, before, after, "SIGHUP" or "restart") of every key that differs; None stands for a key that is
+    not there.
+    """
     before, after = whole(old), whole(new)
     return [
         (key, before.get(key), after.get(key), "SIGHUP" if at_once(key) else "restart")
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -1,4 +1,7 @@
-"""To and from the platform's JSON. What the platform says beyond our keys is kept as it is, so that nothing is lost."""
+"""To and from the platform's JSON.
+
+What the platform says beyond our keys is kept as it is, so that nothing is lost.
+"""
 
 import copy
 import os
--- a/calicopin/configuration/migrate.py
+++ b/calicopin/configuration/migrate.py
@@ -1,6 +1,7 @@
 """From a file of the old shape (few couriers, partners that tell much) to its counterpart for many couriers.
 
-The form stays version 1: only values and keys change. What cannot be carried over is told, never dropped in silence.
+The form stays version 1: only values and keys change. What cannot be carried over is told, never dropped in
+silence.
 """
 
 import copy
@@ -32,9 +33,12 @@
 
 
 def migrate(told, senders, reports=None, once_only=(), environ=os.environ):
-    """(the new sheet, what was not carried over as (place, why) pairs). `told` is a file as it was read; `reports` says whether partners'
-    answers still tell their limits (None: as before); `once_only` names products that may not run twice any more.
-    Unusable where a name is not in the file or the number of senders does not hold the courier's own."""
+    """(the new sheet, what was not carried over as (place, why) pairs).
+
+    `told` is a file as it was read; `reports` says whether partners' answers still tell their limits (None:
+    as before); `once_only` names products that may not run twice any more. Unusable where a name is not in
+    the file or the number of senders does not hold the courier's own.
+    """
     sheet, lost, faults = copy.deepcopy(told.sheet), [], []
     names = [product.name for product in sheet.product]
     for name in once_only:
@@ -92,7 +96,8 @@
             lost.append(
                 (
                     f"partner[{partner.name}].limit",
-                    f"{partner.limit:g} calls a second of {senders} senders are under one call of this courier "
+                    f"{partner.limit:g} calls a second of {senders} senders are under one call of this "
+                    "courier "
                     "in the longest validity period: it learns the pace from refusals instead",
                 )
             )
@@ -101,7 +106,8 @@
         lost.append(
             (
                 "partners_file",
-                f"{sheet.partners_file} is not rewritten: its limits are read anew, and `calicopin check` tells of those that are too small",
+                f"{sheet.partners_file} is not rewritten: its limits are read anew, "
+                "and `calicopin check` tells of those that are too small",
             )
         )
     return sheet, lost
--- a/calicopin/configuration/partners.py
+++ b/calicopin/configuration/partners.py
@@ -1,4 +1,6 @@
-"""The list of partners, from the tables of a configuration or of a watched file of its own: checked whole, or not taken."""
+"""The list of partners, from the tables of a configuration or of a watched file of its own: checked whole,
+or not taken.
+"""
 
 import tomllib
 import zlib
@@ -13,7 +15,9 @@
 
 
 def seal(data):
-    """A list file's bytes with the end that tells it whole: how many partners, and a checksum over all before it."""
+    """A list file's bytes with the end that tells it whole: how many partners, and a checksum over all
+    before it.
+    """
     body = data.split(END)[0].rstrip() + b"\n\n"
     count = len(tomllib.loads(body.decode()).get("partner", []))
     return body + END + b'\ncrc32 = "%08x"\npartners = %d\n' % (zlib.crc32(body), count)
--- a/calicopin/configuration/read.py
+++ b/calicopin/configuration/read.py
@@ -1,4 +1,5 @@
-"""Reads a configuration: the file, what it includes, then `CALICOPIN_*` variables, then `--set`; each over the one before.
+"""Reads a configuration: the file, what it includes, then `CALICOPIN_*` variables, then `--set`; each over
+the one before.
 
 A fault names file, line or key, what is wrong and what to do; all faults of a file are told at once.
 """
@@ -43,7 +44,10 @@
 
 @dataclass(slots=True)
 class Read:
-    """A configuration as it was read. `origin` tells for each key in the plain form `product[0].sla` where it came from."""
+    """A configuration as it was read.
+
+    `origin` tells for each key in the plain form `product[0].sla` where it came from.
+    """
 
     sheet: Sheet
     origin: dict = field(default_factory=dict)
@@ -59,8 +63,10 @@
 
 
 def lines(text):
-    """The line of each key in TOML text, by its plain form. Good enough to point at: values over many lines count at
-    their first."""
+    """The line of each key in TOML text, by its plain form.
+
+    Good enough to point at: values over many lines count at their first.
+    """
     out, counts, prefix = {}, {}, ""
     for number, line in enumerate(text.splitlines(), 1):
         if header := HEADER.match(line):
@@ -274,7 +280,9 @@
 
 
 def read(path, environ=None, over=()):
-    """A configuration by its file; `environ` holds the variables, `over` pairs (key, word) of the command line."""
+    """A configuration by its file; `environ` holds the variables, `over` pairs (key, word) of the command
+    line.
+    """
     tables, origin, paths = gather(path)
     for name, word in sorted((environ or {}).items()):
         if name.startswith(PREFIX):
--- a/calicopin/configuration/sheet.py
+++ b/calicopin/configuration/sheet.py
@@ -1,4 +1,6 @@
-"""The types of a configuration. Times and sizes are words with units (`units.py`); every default is stated here once.
+"""The types of a configuration.
+
+Times and sizes are words with units (`units.py`); every default is stated here once.
 
 The docstrings and `Meta` descriptions make `docs/configuration.md` and the JSON Schema.
 """
@@ -36,7 +38,8 @@
     notices: Annotated[
         str,
         about(
-            "where texts that end undelivered are told (POST /v1/outcomes) where there is no agent; empty: in the log alone"
+            "where texts that end undelivered are told (POST /v1/outcomes) where there is no agent; "
+            "empty: in the log alone"
         ),
     ] = ""
     number: Annotated[
@@ -56,7 +59,8 @@
     give_back: Annotated[
         bool,
         about(
-            "whether idle connections are closed after their call where a partner of that kind refused one: for many couriers at partners that take few"
+            "whether idle connections are closed after their call where a partner of that kind refused one: "
+            "for many couriers at partners that take few"
         ),
     ] = False
     advice: Annotated[str, about("the longest wait that clients are advised; 0s for none")] = "2s"
@@ -65,7 +69,8 @@
     store: Annotated[
         Literal["file", "segments"],
         about(
-            "how its folder is kept: one journal that is rewritten, or segments that are cleaned in small steps"
+            "how its folder is kept: one journal that is rewritten, "
+            "or segments that are cleaned in small steps"
         ),
     ] = "file"
     durability: Annotated[
--- a/calicopin/configuration/write.py
+++ b/calicopin/configuration/write.py
@@ -1,4 +1,6 @@
-"""Writes a configuration from a short description of an application, with the reason for each value that it chose."""
+"""Writes a configuration from a short description of an application, with the reason for each value that
+it chose.
+"""
 
 import json
 import math
@@ -134,7 +136,8 @@
     disk = math.ceil(held * (max(body, LEAST_BODY) + RECORD) * 3.0 / 1e6)
     connect = min(1500.0, min(useful for _, useful in spans) / 4.0)
     page.say(
-        f"# The courier beside {app.name}, written by `calicopin write`. `calicopin check` examines it, `calicopin run` starts it."
+        f"# The courier beside {app.name}, written by `calicopin write`. `calicopin check` examines it, "
+        "`calicopin run` starts it."
     )
     page.put("version", 1)
     page.say()
@@ -157,7 +160,8 @@
     page.put(
         "disk",
         f"{disk}MB",
-        f"{held} texts of {units.spell_size(body)} at most, two fifths of it for live ones, and room to rewrite",
+        f"{held} texts of {units.spell_size(body)} at most, two fifths of it for live ones, "
+        "and room to rewrite",
     )
     page.put("connect", units.spell(connect), "a connection that does not come up leaves time for another")
     for one in app.sends:
--- a/calicopin/emulator/__main__.py
+++ b/calicopin/emulator/__main__.py
@@ -1,4 +1,6 @@
-"""`python -m calicopin.emulator`: runs of scenarios, judged; one that broke played again, in words, or made smaller."""
+"""`python -m calicopin.emulator`: runs of scenarios, judged; one that broke played again, in words, or
+made smaller.
+"""
 
 import json
 import os
@@ -236,7 +238,8 @@
     )
     for trouble in troubles:
         click.echo(
-            f"  {trouble.kind} at {trouble.at_s:g} s for {trouble.for_s:g} s, {trouble.whom}, size {trouble.size:g}"
+            f"  {trouble.kind} at {trouble.at_s:g} s for {trouble.for_s:g} s, {trouble.whom}, "
+            f"size {trouble.size:g}"
         )
     click.echo(f"BROKEN {found}")
     sys.exit(1)
--- a/calicopin/emulator/day.py
+++ b/calicopin/emulator/day.py
@@ -159,8 +159,11 @@
 
 
 class Day:
-    """A scenario and a seed, played by `play`; the trace lies in `world.trace`. `begin` is the program under test. `kills`
-    are the numbers of system calls at which the first courier's processes end, one after the other."""
+    """A scenario and a seed, played by `play`; the trace lies in `world.trace`.
+
+    `begin` is the program under test. `kills` are the numbers of system calls at which the first courier's
+    processes end, one after the other.
+    """
 
     def __init__(self, scenario, seed, begin, troubles=None, texts=None, kills=()):
         self.scenario, self.seed, self.world = scenario, seed, World(seed)
@@ -428,7 +431,9 @@
         self.world.after(self.scenario.couriers.restart_ms, self.start, one)
 
     def _roll(self, trouble, lasts):
-        """All couriers are restarted, one after the other over that time: one is told to end, the next one killed outright."""
+        """All couriers are restarted, one after the other over that time: one is told to end, the next one
+        killed outright.
+        """
         for place, one in enumerate(self.couriers):
             self.world.after(lasts * place / len(self.couriers), self._restart, one, place % 2 == 1)
 
@@ -452,7 +457,9 @@
             self.world.note("emptied", one.name, len(self.clients.idle[one.name]))
 
     def scrape(self, one):
-        """An operator's round, for as long as the run lasts; the holders' connections end and begin with it."""
+        """An operator's round, for as long as the run lasts; the holders' connections end and begin with
+        it.
+        """
         if not one.over:
             self.operator.call(one, "stats")
             for _ in range(self.scenario.couriers.holders):
@@ -576,7 +583,8 @@
 
     def play(self):
         """To its end; returns the world."""
-        gc.collect()  # what another program in this process left behind would else end, and log, in the middle of the run
+        # what another program in this process left behind would else end, and log, in the middle of the run
+        gc.collect()
         collecting = gc.isenabled()
         gc.disable()
         sink = logger.add(self.log, format=lambda record: "{message}", level="INFO", catch=False)
--- a/calicopin/emulator/disk.py
+++ b/calicopin/emulator/disk.py
@@ -4,8 +4,11 @@
 
 
 class Disk:
-    """Flat paths to contents. Troubles: `room` (bytes in all), `broken` (odds that a write fails), `short` (odds that
-    one takes only a part), `slow` (ms a write takes)."""
+    """Flat paths to contents.
+
+    Troubles: `room` (bytes in all), `broken` (odds that a write fails), `short` (odds that one takes only a
+    part), `slow` (ms a write takes).
+    """
 
     def __init__(self, rng, room=float("inf")):
         self.rng, self.files, self.room = rng, {}, room
--- a/calicopin/emulator/fleet.py
+++ b/calicopin/emulator/fleet.py
@@ -1,7 +1,7 @@
 """The decisions alone through the same scenarios: hundreds of couriers without sockets, processes or disks.
 
-Partners are those of the emulated network, and the referee is the same; troubles of couriers, platform and network are
-passed over, as there is nothing for them to meet.
+Partners are those of the emulated network, and the referee is the same; troubles of couriers, platform and
+network are passed over, as there is nothing for them to meet.
 """
 
 import time
--- a/calicopin/emulator/net.py
+++ b/calicopin/emulator/net.py
@@ -1,8 +1,8 @@
 """The network: machines, connections with latency and bandwidth, and everything that may go wrong with them.
 
-A connection has two `End`s. What is sent on one travels in pieces, in order, to the other; a piece that meets a cut
-network is tried again as TCP does it, later each time. Stand-ins hear by callbacks at once; a courier's end is read
-through `process.Socket`.
+A connection has two `End`s. What is sent on one travels in pieces, in order, to the other; a piece that meets
+a cut network is tried again as TCP does it, later each time. Stand-ins hear by callbacks at once; a courier's
+end is read through `process.Socket`.
 """
 
 from collections import deque
@@ -36,8 +36,11 @@
 
 
 class End:
-    """One side of a connection. Callbacks, where set: `on_data(data, sent_at)`, `on_end(reset)`,
-    `on_change()` (readable, writable or over), `on_peer_closed()` (at once: what only the referee may see)."""
+    """One side of a connection.
+
+    Callbacks, where set: `on_data(data, sent_at)`, `on_end(reset)`, `on_change()` (readable, writable or
+    over), `on_peer_closed()` (at once: what only the referee may see).
+    """
 
     def __init__(self, net, machine):
         self.net, self.machine, self.boot, self.peer = net, machine, machine.boots, None
@@ -100,7 +103,9 @@
 
 
 class Network:
-    """`latency(one, other)` draws the time of one piece in ms; `cuts` holds pairs of machines that cannot speak."""
+    """`latency(one, other)` draws the time of one piece in ms; `cuts` holds pairs of machines that cannot
+    speak.
+    """
 
     def __init__(self, world, latency=(1.0, 3.0), bandwidth=0.0, pieces=0.0):
         self.world, self.span, self.bandwidth, self.pieces = world, latency, bandwidth, pieces
--- a/calicopin/emulator/partners.py
+++ b/calicopin/emulator/partners.py
@@ -1,7 +1,8 @@
-"""What a partner does with a call: limits, workers and queues, outages, the cold time after them and falling over.
+"""What a partner does with a call: limits, workers and queues, outages, the cold time after them and
+falling over.
 
-One `Destination` for each number; it knows nothing of wires, so that the stand-in on the emulated network and the
-fleet mode share it. Written from the platform's protocol page.
+One `Destination` for each number; it knows nothing of wires, so that the stand-in on the emulated network and
+the fleet mode share it. Written from the platform's protocol page.
 """
 
 import heapq
@@ -14,8 +15,11 @@
 
 @dataclass(slots=True)
 class Reply:
-    """What comes back, and when: `after` ms from the arrival (NEVER: nothing). `ran` are the texts that run and when;
-    `lost` ends the connection in place of the answer, `spoilt` garbles it."""
+    """What comes back, and when: `after` ms from the arrival (NEVER: nothing).
+
+    `ran` are the texts that run and when; `lost` ends the connection in place of the answer, `spoilt` garbles
+    it.
+    """
 
     after: float
     status: int = 200
--- a/calicopin/emulator/process.py
+++ b/calicopin/emulator/process.py
@@ -1,7 +1,8 @@
 """A process of the real program: its greenlet, its system calls, its signals and its ends.
 
-The program runs unchanged on `Calls`, which stands where `calicopin.system.System` does. Each call may be the last (a
-kill between any two of them), may find the process stopped, and is counted, so that a loop that never waits is found.
+The program runs unchanged on `Calls`, which stands where `calicopin.system.System` does. Each call may be the
+last (a kill between any two of them), may find the process stopped, and is counted, so that a loop that never
+waits is found.
 """
 
 import errno
@@ -363,7 +364,9 @@
 
 
 class Process:
-    """A courier's machine and the process that runs on it; `begin(environ, signal_reader, system)` is the real program."""
+    """A courier's machine and the process that runs on it; `begin(environ, signal_reader, system)` is the
+    real program.
+    """
 
     def __init__(self, world, net, name, host, begin, environ, descriptors, rng, pass_ms=0.0, short_odds=0.0):
         self.world, self.net, self.name, self.host, self.begin, self.environ = (
--- a/calicopin/emulator/referee.py
+++ b/calicopin/emulator/referee.py
@@ -1,6 +1,9 @@
-"""Judges the six rules from what passed between the parties, and counts what was earned. It knows no courier's insides.
+"""Judges the six rules from what passed between the parties, and counts what was earned.
 
-A break is (rule, time, who, plain sentence). What a courier could not know or help is excused in the open: `Excuses`.
+It knows no courier's insides.
+
+A break is (rule, time, who, plain sentence). What a courier could not know or help is excused in the open:
+`Excuses`.
 """
 
 import json
@@ -18,7 +21,9 @@
     "wait",
 )
 SOUND = "soundness"  # not one of the six: a fault, a crash or a loop that never waits
-SERVICE = "service"  # nor this: an operator's call that is late or wrong, figures that are untrue, a drained courier that holds clients
+# nor this: an operator's call that is late or wrong, figures that are untrue, a drained courier that holds
+# clients
+SERVICE = "service"
 RULES = (ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT, SOUND, SERVICE)
 OVERDUE = 350.0  # after its time is up
 READY = 1500.0  # after a courier is ready again no notice is overdue
@@ -225,7 +230,9 @@
                 life.excused.append((at, at + ms + 1000.0))
 
     def _excuses(self):
-        """A courier that is down owes nothing until it is back; one that never came back owes nothing more."""
+        """A courier that is down owes nothing until it is back; one that never came back owes nothing
+        more.
+        """
         for life in self.lives.values():
             if len(life.ends) >= len(life.starts) and life.ends and life.ends[-1] < self.ended - 1.0:
                 life.excused.append((life.ends[-1], INFINITE))
@@ -380,9 +387,10 @@
                     )
 
     def _service(self):
-        """Operators' calls, and the figures against what passed between the parties: 1% (2% of messages written) or 3 may be off, and
-        half a second late. What ended for a client that had left may stand under any count, and a notice travels: it may be owed
-        by the process before."""
+        """Operators' calls, and the figures against what passed between the parties: 1% (2% of messages
+        written) or 3 may be off, and half a second late. What ended for a client that had left may stand
+        under any count, and a notice travels: it may be owed by the process before.
+        """
         seen = self._counted() if self.operators else {}
         for at, courier, path, asked, status, body in self.operators:
             life = self.lives[courier]
@@ -403,7 +411,9 @@
                     self.add(SERVICE, at, courier, f"{name}: {why}")
 
     def _counted(self):
-        """By courier and count: (when it happened at the earliest and latest, what), as the parties saw it."""
+        """By courier and count: (when it happened at the earliest and latest, what), as the parties saw
+        it.
+        """
         seen = defaultdict(lambda: defaultdict(list))
         for ident, (at, status) in self.answers.items():
             name = "declined" if status in (429, 503) else "aborted" if status == 404 else None
@@ -533,8 +543,10 @@
         return kind.revenue * (1.0 - (1.0 - kind.late_revenue) * (late - sla) / (validity - sla))
 
     def best(self):
-        """What a sender that sees everything could have had: at each partner's full pace while it is up, each turn goes
-        to the text that earns most just then. Greedy: no bound in the strict sense, and not far from one."""
+        """What a sender that sees everything could have had: at each partner's full pace while it is up,
+        each turn goes to the text that earns most just then. Greedy: no bound in the strict sense, and not
+        far from one.
+        """
         total, lines = 0.0, defaultdict(list)
         pace = {
             number: partner.bundle
--- a/calicopin/emulator/runs.py
+++ b/calicopin/emulator/runs.py
@@ -1,4 +1,6 @@
-"""Many runs: seeds spread over processes, and one that fails made smaller for as long as the same rule breaks."""
+"""Many runs: seeds spread over processes, and one that fails made smaller for as long as the same rule
+breaks.
+"""
 
 import multiprocessing
 import signal
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -1,7 +1,8 @@
-"""Scenario files: the parties, their traffic and their troubles, read from TOML and checked before anything begins.
+"""Scenario files: the parties, their traffic and their troubles, read from TOML and checked before
+anything begins.
 
-A file that cannot be read is one line that names the file and the place, as `ScenarioError`. Times in it are seconds or
-milliseconds, as each key says (`_s`, `_ms`); shares and odds lie between 0 and 1.
+A file that cannot be read is one line that names the file and the place, as `ScenarioError`. Times in it are
+seconds or milliseconds, as each key says (`_s`, `_ms`); shares and odds lie between 0 and 1.
 """
 
 import os
@@ -75,8 +76,10 @@
 
 
 class Couriers(Strict):
-    """`front` deals clients out to any courier; without it each client sits beside one. `lists`: whether an agent beside each
-    courier is sent the list of partners, or discovery is asked for it."""
+    """`front` deals clients out to any courier; without it each client sits beside one.
+
+    `lists`: whether an agent beside each courier is sent the list of partners, or discovery is asked for it.
+    """
 
     count: Count = 2
     slots: Count = 24
@@ -123,7 +126,10 @@
 
 
 class Partner(Strict):
-    """`destinations` of one make, each with so many endpoints. `limit` is calls a second of all couriers (0: none)."""
+    """`destinations` of one make, each with so many endpoints.
+
+    `limit` is calls a second of all couriers (0: none).
+    """
 
     name: Word
     destinations: Count = 1
@@ -174,8 +180,10 @@
 
 
 class Platform(Strict):
-    """`late_ms`: how long a change takes to reach a courier; `stale`: odds that a start finds an old list; `told`: whether a
-    change counts as told once it is written to the courier, or once its agent has it, watch or none, also before a start."""
+    """`late_ms`: how long a change takes to reach a courier; `stale`: odds that a start finds an old list;
+    `told`: whether a change counts as told once it is written to the courier, or once its agent has it,
+    watch or none, also before a start.
+    """
 
     late_ms: Two = (300.0, 1500.0)
     stale: Odds = 0.0
@@ -183,8 +191,9 @@
 
 
 class Trouble(Strict):
-    """One fault: when it begins, how long it lasts, whom it meets (`partner:NAME`, `destination:N`, `courier:N` or
-    any) and how hard."""
+    """One fault: when it begins, how long it lasts, whom it meets (`partner:NAME`, `destination:N`,
+    `courier:N` or any) and how hard.
+    """
 
     kind: Literal[TROUBLES]
     at_s: Span
--- a/calicopin/emulator/standins.py
+++ b/calicopin/emulator/standins.py
@@ -1,7 +1,7 @@
 """The other parties on the emulated network: partners' endpoints, the platform's agent, and clients.
 
-They speak HTTP/1.1 by httptools, another reading of it than the courier's h11, and note down for the referee what
-passed: nothing in those notes comes from inside a courier.
+They speak HTTP/1.1 by httptools, another reading of it than the courier's h11, and note down for the referee
+what passed: nothing in those notes comes from inside a courier.
 """
 
 import base64
@@ -33,7 +33,9 @@
 
 
 class Parsed:
-    """Whole messages out of a stream; `done(message)` has them as (line, headers, body, first byte's time)."""
+    """Whole messages out of a stream; `done(message)` has them as (line, headers, body, first byte's
+    time).
+    """
 
     def __init__(self, make, done):
         self.parser, self.done, self.fault = make(self), done, False
@@ -66,7 +68,9 @@
 
 
 class Server:
-    """One connection to a stand-in; one request at a time, and `answer(line, headers, body, begun)` deals with it."""
+    """One connection to a stand-in; one request at a time, and `answer(line, headers, body, begun)` deals
+    with it.
+    """
 
     def __init__(self, end, answer, closed=None):
         self.end, self.answer, self.closed = end, answer, closed
@@ -232,8 +236,11 @@
 
 
 class Registry:
-    """What stands behind all agents. While `work` is above 0 it is overbooked: it works off one new watch after the other, `work` ms
-    each, also those whose courier it has told no meanwhile; a watch that goes on costs it nothing."""
+    """What stands behind all agents.
+
+    While `work` is above 0 it is overbooked: it works off one new watch after the other, `work` ms each, also
+    those whose courier it has told no meanwhile; a watch that goes on costs it nothing.
+    """
 
     PATIENCE, LINE, GOES_ON, NO = 2000.0, 24, 200.0, 60.0
 
@@ -250,7 +257,10 @@
 
 
 class Platform:
-    """The agent beside one courier: the list, watches on it and notices. `entries` are the list as it is told."""
+    """The agent beside one courier: the list, watches on it and notices.
+
+    `entries` are the list as it is told.
+    """
 
     def __init__(self, world, net, courier, host, entries, late, rng, registry):
         self.world, self.net, self.courier, self.late, self.rng = world, net, courier, late, rng
@@ -424,7 +434,9 @@
 
 
 class Rude:
-    """A connection that misbehaves: each way once in a while, and hung up after a while if the courier does not."""
+    """A connection that misbehaves: each way once in a while, and hung up after a while if the courier
+    does not.
+    """
 
     WAYS = (
         b"GET /",
@@ -433,7 +445,8 @@
         b"\x16\x03\x01\x02\x00\x01\x00",
         b"",
         b"NONSENSE\r\n\r\n",
-        b"POST /nothing HTTP/1.1\r\nHost: c\r\nX-Request-ID: q\r\nX-Timeout: soon\r\nContent-Length: 0\r\n\r\n",
+        b"POST /nothing HTTP/1.1\r\nHost: c\r\nX-Request-ID: q\r\nX-Timeout: soon\r\n"
+        b"Content-Length: 0\r\n\r\n",
         b"POST /x HTTP/1.1\r\nHost: c\r\nContent-Length: 100\r\n\r\nhalf a body",
         b"GET /-/ready HTTP/1.1\r\nHost: c\r\n\r\n" * 40,
     )
@@ -466,8 +479,9 @@
 class Clients:
     """Hands texts in on their schedule, again where that is harmless, and leaves after its patience.
 
-    A text is (number, destination, product, key, body, due, until); each handing-in has an id of its own unless the
-    scenario says `same`."""
+    A text is (number, destination, product, key, body, due, until); each handing-in has an id of its own
+    unless the scenario says `same`.
+    """
 
     def __init__(self, world, net, traffic, products, couriers):
         self.world, self.net, self.traffic, self.products, self.couriers = (
@@ -507,7 +521,8 @@
         key = f"Idempotency-Key: {text['reference']}\r\n" if text["reference"] else ""
         left = (text["until"] - now) / 1000.0
         head = (
-            f"POST /{path} HTTP/1.1\r\nHost: courier\r\nX-Request-ID: {ask.ident}\r\nX-Timeout: {left:.3f}\r\n{key}"
+            f"POST /{path} HTTP/1.1\r\nHost: courier\r\nX-Request-ID: {ask.ident}\r\n"
+            f"X-Timeout: {left:.3f}\r\n{key}"
             f"X-Envelope: dest={text['dest']}\r\nContent-Length: {len(text['body'])}\r\n\r\n"
         )
         ask.sent = True
@@ -538,7 +553,10 @@
             self.again(ask, max(wait, self.rng.uniform(200.0, 800.0)))
 
     def broken(self, ask):
-        """The connection ended before the answer. One that crossed the courier's closing goes once more on a new one."""
+        """The connection ended before the answer.
+
+        One that crossed the courier's closing goes once more on a new one.
+        """
         if ask.over:
             return
         if ask.sent and not ask.again and not ask.arrived:
@@ -567,7 +585,9 @@
             self.again(ask, max(wait if heeds else 0.0, self.rng.uniform(200.0, 800.0)))
 
     def again(self, ask, wait, unheard=False):
-        """The text is handed in once more; where its first answer was not heard, perhaps under the same id."""
+        """The text is handed in once more; where its first answer was not heard, perhaps under the same
+        id.
+        """
         traffic, number = self.traffic, ask.text["number"]
         if traffic.again == "never" or self.tries[number] > traffic.agains:
             return
@@ -581,7 +601,9 @@
 
 
 class Operator:
-    """Calls couriers at their admin addresses, one call to a connection, and holds connections with half a call."""
+    """Calls couriers at their admin addresses, one call to a connection, and holds connections with half a
+    call.
+    """
 
     PORT, PATIENCE, HOLD = 9800, 3000.0, 4000.0
 
--- a/calicopin/emulator/world.py
+++ b/calicopin/emulator/world.py
@@ -1,7 +1,7 @@
 """Virtual time, chance and the trace of one run: one seed gives one run, byte for byte.
 
-Times are float milliseconds since the run began. Everything that happens is a due time in one heap; equal times keep
-the order in which they were asked for.
+Times are float milliseconds since the run began. Everything that happens is a due time in one heap; equal
+times keep the order in which they were asked for.
 """
 
 import hashlib
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -240,13 +240,17 @@
             self.ends.append(End(text, None, delivered=outcome == How.DELIVERED))
 
     def avoided(self):
-        """How many of the listed endpoints are in an outage as far as is known: next to nothing is sent there."""
+        """How many of the listed endpoints are in an outage as far as is known: next to nothing is sent
+        there.
+        """
         known = self.module.endpoints
         return sum(number in known and known[number].route.mode == "out" for number in self.places)
 
     def state(self):
-        """What is known of each destination that was ever listed: as on-call staff would ask for it. Rates are calls a
-        second, times milliseconds."""
+        """What is known of each destination that was ever listed: as on-call staff would ask for it.
+
+        Rates are calls a second, times milliseconds.
+        """
         out = []
         for ident, number in self.dests.index.items():
             dest = self.module.dests.get(number)
@@ -298,10 +302,13 @@
                 self.lines.append(action.line)
 
     def _submit(self, now, action, shared):
-        """Submits of one tick to one endpoint travel as one call, as far as the settings allow. The first of their time-outs
-        ends the whole call. Guards the one final answer: a text whose time was up while its call went on for the others might
-        yet have run, and an endpoint that sees its time up may let go of all of them. A text that went again meanwhile would
-        be a second copy, and one behind a text of its key out of turn. It may hurt where much shares calls near its end."""
+        """Submits of one tick to one endpoint travel as one call, as far as the settings allow.
+
+        The first of their time-outs ends the whole call. Guards the one final answer: a text whose time was
+        up while its call went on for the others might yet have run, and an endpoint that sees its time up may
+        let go of all of them. A text that went again meanwhile would be a second copy, and one behind a text
+        of its key out of turn. It may hurt where much shares calls near its end.
+        """
         text, place = self.texts.get(action.text), self.places[action.endpoint]
         if text is None:  # withdrawn meanwhile
             self.events.append(Outcome(action.text, action.endpoint, How.NOT_SENT, ended=True))
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -1,8 +1,9 @@
 """The process that serves: hears the one that is to follow it, gives it all, and stands by until SIGTERM.
 
-Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the other one decides,
-and this one does nothing but end what cannot change hands. If the other one dies before SIGTERM comes, this one begins anew
-from the folder, as after a crash."""
+Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the
+other one decides, and this one does nothing but end what cannot change hands. If the other one dies before
+SIGTERM comes, this one begins anew from the folder, as after a crash.
+"""
 
 import base64
 
@@ -23,7 +24,10 @@
 
 
 class Giver:
-    """Gives away the courier whose parts it is handed. `lock` is the folder's; `again` begins this process anew."""
+    """Gives away the courier whose parts it is handed.
+
+    `lock` is the folder's; `again` begins this process anew.
+    """
 
     def __init__(self, place, lock, again, loop, runtime, clients, discovery, renewal, stop):
         self.lock, self.again = lock, again
@@ -83,7 +87,9 @@
         return not why
 
     def settle(self):
-        """Calls that have not begun come back, what is decided is in the journal, and answers are on their way."""
+        """Calls that have not begun come back, what is decided is in the journal, and answers are on their
+        way.
+        """
         for _ in range(8):
             self.loop.step()
             for flight in [flight for flight in self.runtime.flights if not flight.far]:
--- a/calicopin/handover/meeting.py
+++ b/calicopin/handover/meeting.py
@@ -1,4 +1,6 @@
-"""Where the process that serves and the one that is to follow it meet: a Unix socket, frames of JSON, descriptors beside them."""
+"""Where the process that serves and the one that is to follow it meet: a Unix socket, frames of JSON,
+descriptors beside them.
+"""
 
 import json
 import os
@@ -23,7 +25,9 @@
 
 
 class Place:
-    """The meeting place of the courier whose texts lie in `folder`; `where` is a folder that both processes see."""
+    """The meeting place of the courier whose texts lie in `folder`; `where` is a folder that both
+    processes see.
+    """
 
     def __init__(self, where, folder):
         self.where, self.name = where, name(folder)
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -1,5 +1,7 @@
-"""What the decisions know, as plain values and back: exactly as it was, so that two processes never add up to more than one
-courier. No I/O, and nothing here decides anything. Times are milliseconds of the machine's monotonic clock, which both share."""
+"""What the decisions know, as plain values and back: exactly as it was, so that two processes never add up
+to more than one courier. No I/O, and nothing here decides anything. Times are milliseconds of the
+machine's monotonic clock, which both share.
+"""
 
 from dataclasses import asdict
 
@@ -141,8 +143,11 @@
 
 
 def read(facade, told, texts, now):
-    """Puts it into a new facade. `texts` are those that its journal holds, in the order in which they were taken on.
-    Returns the calls that are out."""
+    """Puts it into a new facade.
+
+    `texts` are those that its journal holds, in the order in which they were taken on. Returns the calls that
+    are out.
+    """
     module, scheduler = facade.module, facade.module.scheduler
     for one in told["dests"]:
         facade.dests(one["ident"])
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -1,4 +1,6 @@
-"""The process that is to follow another: waits for the folder, takes over all that the other one holds, and only then serves."""
+"""The process that is to follow another: waits for the folder, takes over all that the other one holds,
+and only then serves.
+"""
 
 import base64
 import socket
@@ -40,7 +42,10 @@
         return [text for text in journal.texts.values() if text.verdict is not None]
 
     def take(self, loop, runtime, clients):
-        """From here on this process decides. Returns the folder's lock. HandoverError where it does not come to that."""
+        """From here on this process decides.
+
+        Returns the folder's lock. HandoverError where it does not come to that.
+        """
         self.talk.say({"ready": True})
         go, fds = self.talk.hear()
         if go.get("go") is not True or len(fds) != 1:
@@ -83,8 +88,9 @@
 
 
 def begin(place, folder, signal_reader, system):
-    """(the folder's lock, None) where no other process holds it, else (None, a Taker) once the other has told all.
-    Told where a signal comes first."""
+    """(the folder's lock, None) where no other process holds it, else (None, a Taker) once the other has
+    told all. Told where a signal comes first.
+    """
     said = -TELL
     while True:
         try:
--- a/calicopin/held/connections.py
+++ b/calicopin/held/connections.py
@@ -20,11 +20,14 @@
 
 
 class Lines:
-    """Connections to endpoints, `most` with those in use. Idle ones lie by endpoint and address, since an address
-    may pass to another endpoint; the one used last is taken first, the oldest makes room.
+    """Connections to endpoints, `most` with those in use.
 
-    `trust` is how long one may stand idle and still be believed in: where idle ones turn out to be gone under the
-    next call, a new one is cheaper than a call that may have run."""
+    Idle ones lie by endpoint and address, since an address may pass to another endpoint; the one used last is
+    taken first, the oldest makes room.
+
+    `trust` is how long one may stand idle and still be believed in: where idle ones turn out to be gone under
+    the next call, a new one is cheaper than a call that may have run.
+    """
 
     LEAST = 10.0  # a connection used just now is believed in
 
@@ -85,8 +88,9 @@
         self.fastest[shelf] = min(elapsed, self.fastest.get(shelf, elapsed))
 
     def gone(self, place, line, elapsed):
-        """Whether a line that broke under a call was gone before it: it had stood idle, and broke sooner than any
-        answer of this endpoint ever came. The next idle ones are believed in half as long."""
+        """Whether a line that broke under a call was gone before it: it had stood idle, and broke sooner
+        than any answer of this endpoint ever came. The next idle ones are believed in half as long.
+        """
         gone = line.stood is not None and elapsed < self.fastest.get(self.shelf(place), 0.0)
         if gone:
             self.trust = max(self.LEAST, min(self.trust, line.stood / 2.0))
--- a/calicopin/held/journal.py
+++ b/calicopin/held/journal.py
@@ -33,9 +33,12 @@
 
 
 class Journal:
-    """`offset` turns the module's milliseconds into wall time; `lasting` is the longest validity period. `boot` names
-    the run of the machine whose milliseconds these are: within it, a wall clock that was set matters to nobody.
-    `out` are ids of texts whose calls another process still has out; then nothing is written before `begin`."""
+    """`offset` turns the module's milliseconds into wall time; `lasting` is the longest validity period.
+
+    `boot` names the run of the machine whose milliseconds these are: within it, a wall clock that was set
+    matters to nobody. `out` are ids of texts whose calls another process still has out; then nothing is
+    written before `begin`.
+    """
 
     def __init__(self, folder, most, offset, system=HERE, lasting=FOREVER, boot="", out=None):
         self.path, self.offset, self.system = os.path.join(folder, "journal"), offset, system
--- a/calicopin/held/ledger.py
+++ b/calicopin/held/ledger.py
@@ -1,9 +1,14 @@
-"""The one ledger of counts: written where a text's end, submit or refusal is decided, read by whoever tells figures."""
+"""The one ledger of counts: written where a text's end, submit or refusal is decided, read by whoever
+tells figures.
+"""
 
 
 class Ledger:
-    """Counts since this process began, by product where `products` names one. Each text that is handed in ends under just
-    one of `succeeded`, `declined`, `aborted` and `withdrawn`; the table in `docs/service.md` says which."""
+    """Counts since this process began, by product where `products` names one.
+
+    Each text that is handed in ends under just one of `succeeded`, `declined`, `aborted` and `withdrawn`; the
+    table in `docs/service.md` says which.
+    """
 
     def __init__(self, products):
         self.products = list(products)
--- a/calicopin/held/texts.py
+++ b/calicopin/held/texts.py
@@ -33,8 +33,10 @@
 
 
 class Past:
-    """Ids of texts that are over, for as long as a text may live. Guards against a second text under the id of
-    one that has just ended: its submits would be copies."""
+    """Ids of texts that are over, for as long as a text may live.
+
+    Guards against a second text under the id of one that has just ended: its submits would be copies.
+    """
 
     def __init__(self, span):
         self.span, self.idents, self.order = span, {}, deque()
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -66,10 +66,10 @@
 class CourierSettings:
     """What one instance of the decisions is told at its start. Times in milliseconds.
 
-    `number` is its place among `senders` instances that send to the same destinations; `slots` bounds calls out
-    at once, `room` the texts held, `tries` the submits of one text; `tick` is the time between two turns.
-    `asks`: the list of endpoints is asked for and counts as told `ask_within` after its last call; `restarted`
-    is the time of a start behind which texts of the last process may still run.
+    `number` is its place among `senders` instances that send to the same destinations; `slots` bounds calls
+    out at once, `room` the texts held, `tries` the submits of one text; `tick` is the time between two turns.
+    `asks`: the list of endpoints is asked for and counts as told `ask_within` after its last call;
+    `restarted` is the time of a start behind which texts of the last process may still run.
     """
 
     seed: int
--- a/calicopin/scheduler.py
+++ b/calicopin/scheduler.py
@@ -14,8 +14,8 @@
 class Scheduler:
     """One cooperative event loop: messages lie in the inboxes of the parts, due times in one heap.
 
-    `now` is the time of the current batch, `late` how far the batches run behind their due times, `out` collects
-    the actions of the batch; `number` and `seed` make the draws of one sender its own.
+    `now` is the time of the current batch, `late` how far the batches run behind their due times, `out`
+    collects the actions of the batch; `number` and `seed` make the draws of one sender its own.
     """
 
     def __init__(self, number, seed):
--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -73,7 +73,10 @@
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main():
-    """A courier's folder of segments. Never on a folder in use. Exit codes: 0 sound, 1 damage found, 2 cannot be read."""
+    """A courier's folder of segments.
+
+    Never on a folder in use. Exit codes: 0 sound, 1 damage found, 2 cannot be read.
+    """
     logger.remove()
     logger.add(sys.stderr, format="{message}", level="WARNING")
 
@@ -96,12 +99,14 @@
     store = opened(folder)
     for number in sorted(store.sizes)[:-1]:
         click.echo(
-            f"{number:08d}  {store.sizes[number]:>10} bytes  {len(store.homes[number]):>7} texts live  {len(store.ended[number]):>7} ids ended"
+            f"{number:08d}  {store.sizes[number]:>10} bytes  {len(store.homes[number]):>7} texts live  "
+            f"{len(store.ended[number]):>7} ids ended"
         )
     may = sum(text.ran_at is not None for text in store.texts.values())
     owed = sum(text.verdict is not None for text in store.texts.values())
     click.echo(
-        f"{len(store.texts)} texts live ({store.live} bytes): {may} may have run, {owed} wait for their notice to be heard"
+        f"{len(store.texts)} texts live ({store.live} bytes): {may} may have run, "
+        f"{owed} wait for their notice to be heard"
     )
 
 
--- a/calicopin/store/measure.py
+++ b/calicopin/store/measure.py
@@ -1,6 +1,8 @@
-"""The store beside the old journal, a plain append of the same bytes, and SQLite: one run, one machine, one load.
+"""The store beside the old journal, a plain append of the same bytes, and SQLite: one run, one machine,
+one load.
 
-Each side takes on and ends texts at so many that live at once; the time of each turn (what one flush takes) is kept.
+Each side takes on and ends texts at so many that live at once; the time of each turn (what one flush takes)
+is kept.
 """
 
 import gc
@@ -45,7 +47,8 @@
         self.base = sqlite3.connect(os.path.join(folder, "base"), isolation_level=None)
         self.base.executescript(
             "pragma journal_mode=wal; pragma synchronous=off;"
-            "create table if not exists text(id text primary key, until real, tries int, body blob) without rowid; begin"
+            "create table if not exists text(id text primary key, until real, tries int, body blob) "
+            "without rowid; begin"
         )
         self.texts = {}
 
@@ -80,7 +83,9 @@
 
 
 def one(name, live, turns, a_turn=10):
-    """Figures of one side: texts a second, turns in ms, bytes written for each byte of the texts' own records."""
+    """Figures of one side: texts a second, turns in ms, bytes written for each byte of the texts' own
+    records.
+    """
     most = max(3_000_000, live * 2500)
     with tempfile.TemporaryDirectory() as folder:
         side, number, times, peak = SIDES[name](folder, most), 0, [], 0
--- a/calicopin/store/plan.py
+++ b/calicopin/store/plan.py
@@ -13,11 +13,14 @@
 
 
 def step(total, live, most, segment, written, oldest_live):
-    """Bytes of the oldest segment's live records to move forward now. `total` is what the log holds on disk, `live` what
-    it has to hold, `most` what it may; `written` is what this turn wrote, `oldest_live` what is left of the oldest.
+    """Bytes of the oldest segment's live records to move forward now.
 
-    Nothing while the log is small against what lives; else in step with traffic, bounded, so that no turn waits long;
-    all of the oldest where the disk would else be full before the next turn."""
+    `total` is what the log holds on disk, `live` what it has to hold, `most` what it may; `written` is what
+    this turn wrote, `oldest_live` what is left of the oldest.
+
+    Nothing while the log is small against what lives; else in step with traffic, bounded, so that no turn
+    waits long; all of the oldest where the disk would else be full before the next turn.
+    """
     if total + segment + oldest_live > most:
         return oldest_live
     if total <= max(3 * segment, SLACK * live):
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -1,12 +1,14 @@
 """The journal's calls on a log of segments.
 
-Segments are numbered and only the newest is written to. A text's home is the segment that holds its whole record; state
-records behind it lie in the same segment or in later ones. The oldest segment is cleaned first: what lives there is written
-whole to the newest, which makes every record before that worthless, and then its file is removed. No other order of removal
-is possible, so a text whose end stands in a later segment never comes back, and no manifest is needed: one file's removal is
-the only step that takes anything away, and it comes after what replaces it was written.
-
-Taken from LFS and Bitcask (a log that is the store), and from TigerBeetle (recovery that believes checksums, not lengths).
+Segments are numbered and only the newest is written to. A text's home is the segment that holds its whole
+record; state records behind it lie in the same segment or in later ones. The oldest segment is cleaned first:
+what lives there is written whole to the newest, which makes every record before that worthless, and then its
+file is removed. No other order of removal is possible, so a text whose end stands in a later segment never
+comes back, and no manifest is needed: one file's removal is the only step that takes anything away, and it
+comes after what replaces it was written.
+
+Taken from LFS and Bitcask (a log that is the store), and from TigerBeetle (recovery that believes checksums,
+not lengths).
 """
 
 import json
@@ -50,8 +52,11 @@
 
 
 class Segments(Journal):
-    """`texts`, `past` and the calls are the journal's own. `sizes` holds each file's size, `homes` the live texts of each
-    segment with what they take, `ended` the ids whose end stands there; `damage` counts spans that could not be read."""
+    """`texts`, `past` and the calls are the journal's own.
+
+    `sizes` holds each file's size, `homes` the live texts of each segment with what they take, `ended` the
+    ids whose end stands there; `damage` counts spans that could not be read.
+    """
 
     def __init__(self, folder, most, offset, system, lasting, boot="", durable=False, out=None):
         self.folder, self.durable = folder, durable
@@ -68,7 +73,10 @@
         super().__init__(folder, most, offset, system, lasting, boot, out)
 
     def limit(self, most):
-        """So many bytes the folder may hold. Live records may fill half: no second copy of all is ever written."""
+        """So many bytes the folder may hold.
+
+        Live records may fill half: no second copy of all is ever written.
+        """
         self.segment = plan.segment_size(most)
         self.most, self.most_live, self.most_past = most - most // 20, most // 2, most // 20
 
@@ -145,8 +153,9 @@
             self._read(kind, rest)
 
     def _damaged(self, number, place, what, cost):
-        """What could not be read may have been a submit or an end of any text that lives: none of them may go again
-        where that would be a second effect."""
+        """What could not be read may have been a submit or an end of any text that lives: none of them may
+        go again where that would be a second effect.
+        """
         self.damage += 1
         logger.error(
             "{path} at {place}: {what}; {cost}",
@@ -256,8 +265,10 @@
         return sum(map(blocks, self.sizes.values()))
 
     def _clean(self, written):
-        """The oldest segment's live records move forward, a few at a time; an empty one goes. Where the disk would else be
-        full, one after the other until it is not."""
+        """The oldest segment's live records move forward, a few at a time; an empty one goes.
+
+        Where the disk would else be full, one after the other until it is not.
+        """
         stepped = False
         for oldest in sorted(self.sizes)[
             :-1
@@ -294,7 +305,9 @@
                 self._seal()
 
     def _carry(self, idents):
-        """Ids that ended, for which a copy may still come, are written on before the segment of their end goes."""
+        """Ids that ended, for which a copy may still come, are written on before the segment of their end
+        goes.
+        """
         most = self.most_past // ENTRY
         kept = [
             (ident, at + self.offset)
--- a/calicopin/subscription/__init__.py
+++ b/calicopin/subscription/__init__.py
@@ -1,1 +1,3 @@
-"""Subscriptions to parts of the list of endpoints: messages and decisions, without I/O and without a clock."""
+"""Subscriptions to parts of the list of endpoints: messages and decisions, without I/O and without a
+clock.
+"""
--- a/calicopin/subscription/messages.py
+++ b/calicopin/subscription/messages.py
@@ -1,9 +1,9 @@
 """The messages of a subscription, as types and as JSON: one field more in each message of the list exchange.
 
-A courier sends `POST /api/targets?index=VERSION&wait=MILLISECONDS` with a JSON body of one field, `subscription`.
-A discovery node answers 200 with the list's own form (`full`, `version`, `servers`) and the field `subscription`,
-or another status with a `Refusal`. What cannot be read raises `MessageError`, which names the place.
-docs/subscriptions-design.md has the exchange; times are milliseconds.
+A courier sends `POST /api/targets?index=VERSION&wait=MILLISECONDS` with a JSON body of one field,
+`subscription`. A discovery node answers 200 with the list's own form (`full`, `version`, `servers`) and the
+field `subscription`, or another status with a `Refusal`. What cannot be read raises `MessageError`, which
+names the place. docs/subscriptions-design.md has the exchange; times are milliseconds.
 """
 
 import json
@@ -53,8 +53,8 @@
     """A courier's subscription: a new lease with the whole set, or a renewal with what changed in the set.
 
     `sequence` counts the modifications of the set under one lease, from 0 at its start: a renewal with the
-    sequence that the node has changes nothing (its answer may have been lost), one more applies the change, any
-    other is refused with `LEASE_OVER`.
+    sequence that the node has changes nothing (its answer may have been lost), one more applies the change,
+    any other is refused with `LEASE_OVER`.
     """
 
     fleet: str
@@ -69,9 +69,9 @@
 class Grant:
     """The field `subscription` of an answer.
 
-    `complete` names the destinations of which `servers` holds all endpoints, so that any other known endpoint of
-    them has left; `unknown` those subscribed ones that do not exist. Of a `full` answer both together are the
-    whole set. The lease ends `lease_ms` after the last request that renewed it.
+    `complete` names the destinations of which `servers` holds all endpoints, so that any other known endpoint
+    of them has left; `unknown` those subscribed ones that do not exist. Of a `full` answer both together are
+    the whole set. The lease ends `lease_ms` after the last request that renewed it.
     """
 
     fleet: str
@@ -95,7 +95,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Why a request was refused, in one plain line, and after how many milliseconds to come again (0: none told)."""
+    """Why a request was refused, in one plain line, and after how many milliseconds to come again (0: none
+    told).
+    """
 
     reason: Reason
     message: str
@@ -207,7 +209,9 @@
 
 
 def decode_answer(data: bytes) -> SubscribeAnswer:
-    """Raises MessageError where it cannot be read; the entries themselves are checked by the list's reader."""
+    """Raises MessageError where it cannot be read; the entries themselves are checked by the list's
+    reader.
+    """
     body = _table(_object(data, "answer"), "answer", ("full", "version", "servers", "subscription"))
     told = _table(body.get("subscription"), "subscription", GRANT_FIELDS)
     _form(told, "subscription")
--- a/calicopin/system.py
+++ b/calicopin/system.py
@@ -1,7 +1,8 @@
 """The one narrow place through which the courier asks its surroundings: clocks, waiting, sockets and files.
 
-The emulator puts a world of its own in its place; signals come through `boot/signals.py`, which has to be there before
-anything else. Nothing here decides anything, and faults come as the operating system's own OSError.
+The emulator puts a world of its own in its place; signals come through `boot/signals.py`, which has to be
+there before anything else. Nothing here decides anything, and faults come as the operating system's own
+OSError.
 """
 
 import errno
@@ -15,7 +16,10 @@
 
 
 class System:
-    """The operating system. Times are float milliseconds; files are descriptors, paths and contents are plain."""
+    """The operating system.
+
+    Times are float milliseconds; files are descriptors, paths and contents are plain.
+    """
 
     @staticmethod
     def now():
@@ -29,8 +33,9 @@
 
     @staticmethod
     def boot():
-        """A name for the machine's run since it was started, as long as which the monotonic clock goes on; "" where
-        there is none to be had."""
+        """A name for the machine's run since it was started, as long as which the monotonic clock goes on;
+        "" where there is none to be had.
+        """
         try:
             with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
                 return file.read().strip()
@@ -39,7 +44,9 @@
 
     @staticmethod
     def poller():
-        """Something with `register`, `modify`, `unregister` and `poll` (seconds), as `select.epoll` has them."""
+        """Something with `register`, `modify`, `unregister` and `poll` (seconds), as `select.epoll` has
+        them.
+        """
         return select.epoll()
 
     @staticmethod
@@ -58,8 +65,9 @@
 
     @staticmethod
     def passed(word):
-        """The listening socket that this process inherited as the descriptor of that number, as one that does not block;
-        ValueError where it is none."""
+        """The listening socket that this process inherited as the descriptor of that number, as one that
+        does not block; ValueError where it is none.
+        """
         try:
             sock = socket.socket(fileno=int(word))
             listening = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
@@ -95,7 +103,9 @@
 
     @staticmethod
     def lock(folder):
-        """Makes the folder where there is none and holds it until the process ends; OSError where another holds it."""
+        """Makes the folder where there is none and holds it until the process ends; OSError where another
+        holds it.
+        """
         os.makedirs(folder, mode=0o700, exist_ok=True)
         file = os.open(os.path.join(folder, "lock"), os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -48,8 +48,9 @@
 
 
 def check(env):
-    """Raises ValueError with the place of the first setting that cannot be read by its meaning: another customer's settings are
-    refused by name at the start, and not met by chance in the middle of a day."""
+    """Raises ValueError with the place of the first setting that cannot be read by its meaning: another
+    customer's settings are refused by name at the start, and not met by chance in the middle of a day.
+    """
 
     def table(value, place):
         if not isinstance(value, dict):
@@ -127,12 +128,16 @@
 
 
 def pushed(env):
-    """Whether an agent beside the courier is sent the list, and answers at once and at no cost with what it has."""
+    """Whether an agent beside the courier is sent the list, and answers at once and at no cost with what
+    it has.
+    """
     return env.get("discovery") != "ask"
 
 
 def gives_back(ceilings):
-    """Whether idle connections are given back: unless it says otherwise, wherever partners keep them at all."""
+    """Whether idle connections are given back: unless it says otherwise, wherever partners keep them at
+    all.
+    """
     return bool(ceilings.get("giveBack", ceilings.get("idleClose")))
 
 
--- a/calicopin/wire/agent.py
+++ b/calicopin/wire/agent.py
@@ -1,4 +1,6 @@
-"""What the watch and the notices share: one lasting connection to the platform's agent, whose address may change."""
+"""What the watch and the notices share: one lasting connection to the platform's agent, whose address may
+change.
+"""
 
 from calicopin.wire.http import dial
 
--- a/calicopin/wire/asking.py
+++ b/calicopin/wire/asking.py
@@ -1,11 +1,15 @@
-"""When a courier asks for the list: what a whole fleet asks at once is bounded by each courier's share. No I/O in it."""
+"""When a courier asks for the list: what a whole fleet asks at once is bounded by each courier's share.
+
+No I/O in it.
+"""
 
 import zlib
 from itertools import count
 
 AGAIN = 100.0  # a watch goes on where the next call comes within 200 ms
 TOLD = 6000.0  # all that could be had counts as told so long after, whatever became of the calls for it
-FIRST = 0.4  # of the longest time: with what a call may take it is the 6 s after which all counts as told, heard or not
+# of the longest time: with what a call may take it is the 6 s after which all counts as told, heard or not
+FIRST = 0.4
 
 
 def longest_wait(ask_within):
@@ -14,18 +18,23 @@
 
 
 def longest_pause(wait, grace):
-    """Until a call falls due, so that from one that failed, was refused or given up the next answer is heard within TOLD, if there
-    is one: the pause, then connecting, the wait and the answer with `grace` each."""
+    """Until a call falls due, so that from one that failed, was refused or given up the next answer is
+    heard within TOLD, if there is one: the pause, then connecting, the wait and the answer with `grace`
+    each.
+    """
     return TOLD - wait - 2.0 * grace
 
 
 class Asking:
-    """Guards a discovery that serves few calls at a time against all couriers together: each waits for its turn by chance,
-    over a time that grows with the sender count and with each refusal. A refused call still costs the one who refuses it, so
-    whatever makes it ask sooner keeps it from serving anybody. It hurts where just then an endpoint leaves: that is heard late.
-    Where the list is `pushed`, an agent of this courier's own answers at no cost, and what it has counts as told from the first
-    moment: it is asked at once, and again without a draw. `senders` is the told count, `most` the longest time in which one call
-    falls due, `pause` a bound on that whatever the rest says, `seed` that of the draws; milliseconds."""
+    """Guards a discovery that serves few calls at a time against all couriers together: each waits for its
+    turn by chance, over a time that grows with the sender count and with each refusal. A refused call
+    still costs the one who refuses it, so whatever makes it ask sooner keeps it from serving anybody. It
+    hurts where just then an endpoint leaves: that is heard late. Where the list is `pushed`, an agent of
+    this courier's own answers at no cost, and what it has counts as told from the first moment: it is
+    asked at once, and again without a draw. `senders` is the told count, `most` the longest time in which
+    one call falls due, `pause` a bound on that whatever the rest says, `seed` that of the draws;
+    milliseconds.
+    """
 
     def __init__(self, senders, most, seed, pushed=False, pause=float("inf")):
         self.senders, self.most, self.seed, self.draws, self.refusals, self.pause = (
@@ -55,7 +64,9 @@
         self.refusals += 1
 
     def silent(self):
-        """It may be down and then told nobody anything, or at work on a line of calls: taken for the first by degrees."""
+        """It may be down and then told nobody anything, or at work on a line of calls: taken for the first
+        by degrees.
+        """
         self.refusals = max(0, self.refusals - 1)
 
     def again(self):
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -61,8 +61,10 @@
 
 
 def misframed(head):
-    """Why the end of a request with this head cannot be relied on, with a status; or None. Two lengths may hide a
-    second request in the body of the first."""
+    """Why the end of a request with this head cannot be relied on, with a status; or None.
+
+    Two lengths may hide a second request in the body of the first.
+    """
     told = {name: value for name, value in head.headers if name in (b"content-length", b"transfer-encoding")}
     if len(told) == 2:
         return 400, "both Content-Length and Transfer-Encoding"
@@ -85,8 +87,10 @@
 class Clients:
     """Accepts connections as far as descriptors allow and serves what comes on them.
 
-    `acceptor` takes the texts: `acceptor.take(text)` is None where it is taken on, else the status that refuses it and
-    the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept` is set."""
+    `acceptor` takes the texts: `acceptor.take(text)` is None where it is taken on, else the status that
+    refuses it and the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept`
+    is set.
+    """
 
     def __init__(self, loop, address, products, budget, acceptor, listener=None):
         self.loop, self.products, self.budget, self.acceptor = loop, products, budget, acceptor
@@ -147,7 +151,10 @@
         self.visits[visit] = self.loop.spawn(self.serve(visit))
 
     def give(self, visit):
-        """The connection, if all that came on it can be read again from its bytes: it is no longer ours. Else None."""
+        """The connection, if all that came on it can be read again from its bytes: it is no longer ours.
+
+        Else None.
+        """
         line = visit.line
         if visit.whole or line.ended or line in self.lingering or visit not in self.visits:
             return None
@@ -158,8 +165,10 @@
         return line
 
     def relieve(self):
-        """Closes what may be closed until descriptors are no longer short: connections that were shown out, then
-        new ones that said nothing, then those between requests, longest first; never one with a request begun."""
+        """Closes what may be closed until descriptors are no longer short: connections that were shown
+        out, then new ones that said nothing, then those between requests, longest first; never one with a
+        request begun.
+        """
         now, short = self.loop.now(), self.budget.clients
         self.relieved = now
         for task in list(self.lingering.values()):
@@ -280,8 +289,11 @@
         yield from self.reply(line, status, why.encode("latin-1", "replace"), [("Connection", "close")])
 
     def show_out(self, line):
-        """The last answer on a connection is out: the client is given time to read it and to close. Where descriptors are
-        short only one that has sent more, since over unread bytes the connection would be reset and take the answer with it."""
+        """The last answer on a connection is out: the client is given time to read it and to close.
+
+        Where descriptors are short only one that has sent more, since over unread bytes the connection would
+        be reset and take the answer with it.
+        """
         if line.ended or line.h11.our_state is h11.IDLE:
             return
         if self.open < self.budget.clients or not line.quiet():
@@ -328,7 +340,9 @@
         self.loop.close(self.listener)
 
     def end(self):
-        """No turn follows that would keep a message: what was asked and has no answer is refused, which does no harm."""
+        """No turn follows that would keep a message: what was asked and has no answer is refused, which
+        does no harm.
+        """
         for visit in self.visits:
             line = visit.line
             if line.ended or line.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -12,15 +12,18 @@
 from calicopin.wire.http import TOO_LONG
 from calicopin.wire.loop import Until
 
-GRACE = 250.0  # to connect, and beyond the wait that was asked for: the agent is on this machine and answers at once
+# to connect, and beyond the wait that was asked for: the agent is on this machine and answers at once
+GRACE = 250.0
 MOST_LIST = 8 << 20
 STATES = ("active", "leaving", "left")
 MOST_WAITS = 5.0  # of an asked wait: the time after which the platform takes a courier that asks for told
 
 
 def read(data):
-    """(version, whole, places) from the list's own form; raises ValueError where it cannot be read. Of changes the same
-    endpoint may have several: the last one holds."""
+    """(version, whole, places) from the list's own form; raises ValueError where it cannot be read.
+
+    Of changes the same endpoint may have several: the last one holds.
+    """
     try:
         whole, places = (
             bool(data["full"]),
@@ -53,14 +56,18 @@
 
 
 class Discovery(Agent):
-    """`version` is that of the list as it is known; None asks for the whole of it. `senders` and `seed` are the asking's;
-    where `spread`, the first call waits for its turn too. `pushed`: an agent beside this courier has the list. `tried` once
-    the first call has ended, heard or not."""
+    """`version` is that of the list as it is known; None asks for the whole of it.
+
+    `senders` and `seed` are the asking's; where `spread`, the first call waits for its turn too. `pushed`: an
+    agent beside this courier has the list. `tried` once the first call has ended, heard or not.
+    """
 
     def __init__(self, loop, address, version, wait, heard, senders=1, seed=0, spread=False, pushed=False):
         self.version, self.wait, self.heard, self.spread, self.tried = version, wait, heard, spread, False
         self.unread = None  # the fault that was last told: it may come ten times a second
-        self.silent = 0  # calls in a row that met silence: meanwhile short ones only, what it has to tell is told once it is back
+        # calls in a row that met silence: meanwhile short ones only, what it has to tell is told once it is
+        # back
+        self.silent = 0
         self.asking = Asking(senders, MOST_WAITS * wait, seed, pushed, longest_pause(wait, GRACE))
         super().__init__(loop, address)
 
@@ -113,8 +120,11 @@
             self.version = version
 
     def patience(self):
-        """For an answer beyond the wait. Guards against a discovery that answers each call late, since it is asked by many, and was
-        never heard: three calls after a watch that fell silent one is as patient as the watch, within the 6 s."""
+        """For an answer beyond the wait.
+
+        Guards against a discovery that answers each call late, since it is asked by many, and was never
+        heard: three calls after a watch that fell silent one is as patient as the watch, within the 6 s.
+        """
         if self.asking.pushed or not self.silent:
             return GRACE
         return min(self.wait + GRACE, GRACE * 4.0 ** (self.silent - 1))
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -89,7 +89,9 @@
 
 
 def status_of(begun):
-    """The status that the beginning of an answer tells; None where it is not there yet, 0 where it never will."""
+    """The status that the beginning of an answer tells; None where it is not there yet, 0 where it never
+    will.
+    """
     told = STATUS.match(begun)
     if told:
         return int(told[1])
@@ -107,9 +109,12 @@
 
 
 def submit(loop, lines, flight, connect_timeout, still, written, tell):
-    """One call from its start to its outcome, as a value that says how far it came. Guards drains, waits and
-    memories of references against a connection that came up late: `still(call, now)` is asked again then.
-    `written` is called once the last byte is out; `tell` hears what is certain before the answer has come to its end."""
+    """One call from its start to its outcome, as a value that says how far it came.
+
+    Guards drains, waits and memories of references against a connection that came up late: `still(call, now)`
+    is asked again then. `written` is called once the last byte is out; `tell` hears what is certain before
+    the answer has come to its end.
+    """
     call, until, place = flight.call, flight.until, flight.call.place
     line, keep = lines.take(place, loop.now()), False
     try:
@@ -136,7 +141,10 @@
 
 
 def go_on(loop, lines, flight, line, heard, tell):
-    """A call whose last byte another process wrote: from there to its outcome. `heard` is what came of the answer."""
+    """A call whose last byte another process wrote: from there to its outcome.
+
+    `heard` is what came of the answer.
+    """
     lines.used, keep = lines.used + 1, False
     try:
         line.encode(*encode(flight.call, 1.0))  # h11 is to know that a whole request is out
@@ -199,7 +207,10 @@
 
 
 def early(line, call, until):
-    """The outcome of a call whose last byte never went out. It has not run, but an answer may lie there, and a wait in it binds."""
+    """The outcome of a call whose last byte never went out.
+
+    It has not run, but an answer may lie there, and a wait in it binds.
+    """
     if not line.peek():
         return Answer(Far.UNSENT)
     outcome, _ = yield from read(line, call, until)
@@ -209,7 +220,10 @@
 
 
 def read(line, call, until):
-    """Any other answer counts only as a whole: a spoilt one may stand for a call that has run. A wait in its head binds all the same."""
+    """Any other answer counts only as a whole: a spoilt one may stand for a call that has run.
+
+    A wait in its head binds all the same.
+    """
     rest = min(until, line.loop.now() + REST)
     event = yield from line.event(rest)
     if not isinstance(event, h11.Response):
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -74,7 +74,9 @@
         return event
 
     def _read(self, until):
-        """What lies there, also where it came in the instant in which the time was up; None where nothing did."""
+        """What lies there, also where it came in the instant in which the time was up; None where nothing
+        did.
+        """
         waited = True
         while True:
             try:
@@ -87,8 +89,10 @@
                 return b""
 
     def write(self, data, until, heed=False):
-        """How many bytes were taken on before the connection broke or the time was up; where the other side is to be
-        heeded, before it said something. Guards against waiting for one that has answered and reads no more."""
+        """How many bytes were taken on before the connection broke or the time was up; where the other
+        side is to be heeded, before it said something. Guards against waiting for one that has answered
+        and reads no more.
+        """
         done = 0
         while done < len(data):
             try:
@@ -111,8 +115,10 @@
         return b"".join(parts)
 
     def body(self, most, until):
-        """The body of the message whose head was read; None if it does not come whole. One that is too long is
-        not read on."""
+        """The body of the message whose head was read; None if it does not come whole.
+
+        One that is too long is not read on.
+        """
         parts, size = [], 0
         while True:
             event = yield from self.event(until)
@@ -174,7 +180,9 @@
         return False
 
     def spent(self):
-        """Whether more lies on it than was asked for or read, or its end: behind an answer nobody can tell whose."""
+        """Whether more lies on it than was asked for or read, or its end: behind an answer nobody can tell
+        whose.
+        """
         return bool(self.unread()) or not self.quiet()
 
     def close(self):
--- a/calicopin/wire/listfile.py
+++ b/calicopin/wire/listfile.py
@@ -8,8 +8,9 @@
 
 
 class ListFile:
-    """`load` returns the places of a sound list or raises ValueError with one line for each thing that is wrong; `heard`
-    takes a whole list. A file that is damaged, cut or gone changes nothing."""
+    """`load` returns the places of a sound list or raises ValueError with one line for each thing that is
+    wrong; `heard` takes a whole list. A file that is damaged, cut or gone changes nothing.
+    """
 
     def __init__(self, loop, path, load, heard):
         self.loop, self.path, self.load, self.heard = loop, path, load, heard
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -168,8 +168,9 @@
             task = self.fds.get(fd)
             if task is not None:
                 self.resume(task, True)
-        # Guards answers that lie there unread against a time-out when the process stood still since it asked for them:
-        # only what was due by then is over; the rest is due in the next pass, behind what that one brings.
+        # Guards answers that lie there unread against a time-out when the process stood still since it asked
+        # for them: only what was due by then is over; the rest is due in the next pass, behind what that one
+        # brings.
         now = self.now()
         told = min(now, max(asked, at) if wait and not events else asked)
         while self.due and self.due[0][0] <= told:
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -8,8 +8,10 @@
 from calicopin.wire.agent import Agent
 from calicopin.wire.loop import AGAIN, Event, Until
 
-PATIENCE = 200.0  # for an answer, which is owed at once: a notice that waits longer on a silent connection comes too late
-MOST_PATIENCE = 2000.0  # doubled up to this each time: guards an agent that is slow against the same notices over and over
+# for an answer, which is owed at once: a notice that waits longer on a silent connection comes too late
+PATIENCE = 200.0
+# doubled up to this each time: guards an agent that is slow against the same notices over and over
+MOST_PATIENCE = 2000.0
 REPEAT = 1000.0  # between two lines on notices that were not heard
 MOST = 500  # lines in one request
 MOST_ANSWER = 65536
@@ -57,8 +59,10 @@
 
 
 class Notices(Agent):
-    """What has gathered while one request was out goes with the next. All that was not heard at an address is told
-    at the next one, at once."""
+    """What has gathered while one request was out goes with the next.
+
+    All that was not heard at an address is told at the next one, at once.
+    """
 
     def __init__(self, loop, address, heard):
         self.heard, self.owed, self.event, self.patience, self.told = (
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,6 @@
-"""What all tests share: signals as they were, a loop with a clock that the test moves, and the list of tests known to fail."""
+"""What all tests share: signals as they were, a loop with a clock that the test moves, and the list of
+tests known to fail.
+"""
 
 import signal
 
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -87,7 +87,8 @@
     return [action for action in actions if isinstance(action, Submit)]
 
 
-# For the courier on sockets: a clock that the test moves, a loop that is spun, and small stand-ins on loopback.
+# For the courier on sockets: a clock that the test moves, a loop that is spun, and small stand-ins on
+# loopback.
 
 
 class Clock:
@@ -99,7 +100,9 @@
 
 
 class Rebooted(System):
-    """The clock that the test hands in begins anew, so that only the wall clock tells how long ago something was."""
+    """The clock that the test hands in begins anew, so that only the wall clock tells how long ago
+    something was.
+    """
 
     @staticmethod
     def boot():
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,5 +1,8 @@
-"""KNOWN-RED.txt: tests that fail for a real fault which is not mended yet. Each is expected to fail, strictly: one that passes again
-turns the run red until its line goes. A missing or empty file means none."""
+"""KNOWN-RED.txt: tests that fail for a real fault which is not mended yet.
+
+Each is expected to fail, strictly: one that passes again turns the run red until its line goes. A missing or
+empty file means none.
+"""
 
 import pathlib
 
@@ -26,7 +29,9 @@
 
 
 def unnamed(rows, collected, whole):
-    """Tests that a line names and that are not there; of a run of some tests only files that were collected tell."""
+    """Tests that a line names and that are not there; of a run of some tests only files that were
+    collected tell.
+    """
     files = {name.partition("::")[0] for name in collected}
     return [
         test for test, _, _ in rows if test not in collected and (whole or test.partition("::")[0] in files)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -87,7 +87,9 @@
 
 
 def test_a_loss_met_before_takes_a_longer_streak_to_be_an_outage():
-    """Where half of the calls were lost, five in a row came by chance and closed the door for the rule's cold time."""
+    """Where half of the calls were lost, five in a row came by chance and closed the door for the rule's
+    cold time.
+    """
     stand = Stand()
     for how in (How.BROKEN, How.DELIVERED) * 20 + (How.BROKEN,) * 7:
         stand.outcome(submits(stand.take(1))[0], how, ended=True)
@@ -98,7 +100,9 @@
 
 
 def test_a_shared_call_that_broke_makes_the_next_ones_smaller():
-    """All that share a call are lost with its answer: calls of ten broke again and again where one text in four did."""
+    """All that share a call are lost with its answer: calls of ten broke again and again where one text in
+    four did.
+    """
     stand, sizes = Stand(slots=1, partners=[Partner(bundle=8)]), []
     call = submits(stand.take(1))
     stand.take(60)
@@ -172,7 +176,9 @@
 
 
 def test_two_refusals_are_no_outage():
-    """One of 200 couriers sees few answers: refusals above a limit, two seconds apart, once put destinations out."""
+    """One of 200 couriers sees few answers: refusals above a limit, two seconds apart, once put
+    destinations out.
+    """
     stand = Stand(senders=200)
     first = submits(stand.take(1))[0]
     for _ in range(2):
@@ -184,8 +190,10 @@
 
 
 def test_a_fleet_refused_just_after_its_start_goes_on_at_what_it_asked_for():
-    """40 couriers that had lived for half a second counted their few calls over the whole cooldown of 4 s: refused together, they left
-    a limit of 45 a second to itself for seconds, at a start and after a release. Summed over the fleet."""
+    """40 couriers that had lived for half a second counted their few calls over the whole cooldown of 4 s:
+    refused together, they left a limit of 45 a second to itself for seconds, at a start and after a
+    release. Summed over the fleet.
+    """
     went, asked = 0, 0
     for number in range(40):
         stand = Stand(senders=40, number=number)
@@ -200,8 +208,10 @@
 
 
 def test_calls_of_a_courier_that_has_lived_longer_are_counted_over_the_cooldown():
-    """Where nothing tells the limit, over the last four calls or five cooldowns: at pasay-main one call within 4 s, counted by each of
-    35 couriers, kept a limit of 2 a second that refused calls use up at nothing for 26 s."""
+    """Where nothing tells the limit, over the last four calls or five cooldowns: at pasay-main one call
+    within 4 s, counted by each of 35 couriers, kept a limit of 2 a second that refused calls use up at
+    nothing for 26 s.
+    """
     for agreed, span in ((0.02, 4000.0), (None, 20000.0)):
         stand = Stand(senders=40, entries=[Entry(0, 0, agreed=agreed), Entry(1, 0, agreed=agreed)])
         stand.step(after=20000.0)
@@ -211,8 +221,10 @@
 
 
 def test_what_a_shared_call_tells_of_the_room_is_split_by_sender_count():
-    """A call of ten texts was believed ten times: all couriers took idle shares as theirs at one good answer, were refused together,
-    and held back together at the next one. Summed over 40 couriers, after one call of ten each. One alone still believes it ten times."""
+    """A call of ten texts was believed ten times: all couriers took idle shares as theirs at one good
+    answer, were refused together, and held back together at the next one. Summed over 40 couriers, after
+    one call of ten each. One alone still believes it ten times.
+    """
     alone = Stand(partners=[Partner(bundle=10)], senders=1)
     alone.step(
         [
@@ -234,7 +246,9 @@
 
 
 def test_a_limit_that_refusals_use_up_gets_less_than_the_even_share():
-    """At the even share exactly, 223 couriers kept a throttled partner at its limit: it took nothing for 25 s."""
+    """At the even share exactly, 223 couriers kept a throttled partner at its limit: it took nothing for
+    25 s.
+    """
     stand = Stand(senders=4)
     for submit in submits(stand.take(9))[::-1]:
         stand.outcome(submit, How.FULL if submit.text else How.DELIVERED, limit=4.0, left=0.0)
@@ -244,7 +258,9 @@
 
 
 def test_refusals_without_an_end_are_paced_by_their_age():
-    """Small couriers saw too few refusals to call a shut partner out, and together felled it on its return."""
+    """Small couriers saw too few refusals to call a shut partner out, and together felled it on its
+    return.
+    """
     route = Stand(senders=200).courier.dests[0].routes[None]
     route.rate, route.fails, route.fail_since = 0.001, 2, -8000.0
     assert route.speed() == pytest.approx(0.2 * 2.0**0.5 / (8000.0 + 3000.0)), (
@@ -339,7 +355,9 @@
 
 
 def test_a_once_only_text_is_cut_off_after_its_sla_time_or_eight_times_the_usual():
-    """Where answers are lost, each held its slot to the end of its validity: at tanger-platform 16 s, with three slots a courier."""
+    """Where answers are lost, each held its slot to the end of its validity: at tanger-platform 16 s, with
+    three slots a courier.
+    """
     stand = Stand([Product(Repeat.ONCE_ONLY, 2000.0, 16000.0, 1.0, 0.4)])
     first = submits(stand.take(1))[0]
     assert first.timeout == 2000.0
@@ -355,7 +373,9 @@
 
 
 def test_an_endpoint_that_refuses_connections_does_not_use_up_a_texts_submits():
-    """At pasay-main eight submits of a text went within 200 ms to an endpoint whose connections were all taken."""
+    """At pasay-main eight submits of a text went within 200 ms to an endpoint whose connections were all
+    taken.
+    """
     stand, went = Stand(entries=[Entry(0, 0)]), 0
     stand.take(1)
     for _ in range(100):
@@ -368,7 +388,9 @@
 
 
 def test_what_would_earn_too_little_by_its_turn_is_nacked_at_once_and_with_advice():
-    """Texts behind a closed bucket lay there for 20 s, their whole validity, filled the store and were nacked then."""
+    """Texts behind a closed bucket lay there for 20 s, their whole validity, filled the store and were
+    nacked then.
+    """
     stand = Stand(
         [Product(Repeat.RESENDABLE, 800.0, 6000.0, 1.0, 0.0, late_halves=True)],
         senders=100,
@@ -394,7 +416,9 @@
 
 
 def test_misses_of_one_product_outlast_deliveries_of_another():
-    """One endpoint failed one product and took the other: each delivery of that made it as good as its neighbour again."""
+    """One endpoint failed one product and took the other: each delivery of that made it as good as its
+    neighbour again.
+    """
     picked = Counter()
     stand = Stand(
         [
@@ -412,7 +436,9 @@
 
 
 def test_where_a_limit_is_told_texts_wait_for_it():
-    """What is left of it may open the bucket at any answer: giving up early there cost lahore-senders-later rough-1 a third of its score."""
+    """What is left of it may open the bucket at any answer: giving up early there cost
+    lahore-senders-later rough-1 a third of its score.
+    """
     stand = Stand([Product(Repeat.RESENDABLE, 800.0, 6000.0, 1.0, 0.0, late_halves=True)], senders=100)
     stand.outcome(submits(stand.take(1, validity=6000.0))[0], How.FULL, limit=4.0, left=0.0)
     stand.take(3, validity=6000.0)
@@ -420,7 +446,9 @@
 
 
 def test_a_full_store_moves_the_line_up_that_earns_least():
-    """It gave up the last of the line, which earns least, and left all before it as late as they were: lahore-senders overload .82 to .75."""
+    """It gave up the last of the line, which earns least, and left all before it as late as they were:
+    lahore-senders overload .82 to .75.
+    """
     one = Product(Repeat.RESENDABLE, 4000.0, 60000.0, 1.0, 0.1)
     stand = Stand([one], senders=1, room=6, slots=1, entries=[Entry(0, 0)])
     stand.outcome(submits(stand.take(1, validity=60000.0))[0], How.FULL, limit=1.0, left=0.0)
@@ -430,7 +458,9 @@
 
 
 def test_idle_connections_are_given_back_where_one_was_gone_under_its_call():
-    """Each next call went over a connection that had been dropped unseen: 28 of 100 calls were reset on ahmedabad-relay, and may have run."""
+    """Each next call went over a connection that had been dropped unseen: 28 of 100 calls were reset on
+    ahmedabad-relay, and may have run.
+    """
     stand = Stand(
         entries=[Entry(0, 0), Entry(1, 1), Entry(2, 2, kind=1)],
         partners=[Partner(), Partner()],
@@ -453,7 +483,9 @@
 
 
 def test_a_call_that_timed_out_after_idling_was_gone_under_it_where_the_next_one_is_answered():
-    """Dropped without a word, such connections cost each call over them a whole time-out: 150 in 5 s on ahmedabad-relay."""
+    """Dropped without a word, such connections cost each call over them a whole time-out: 150 in 5 s on
+    ahmedabad-relay.
+    """
     for answered in (True, False):
         stand = Stand(entries=[Entry(0, 0), Entry(1, 1)], partners=[Partner()], gives_back=True)
         for dest in (0, 1):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,6 @@
-"""Operators' files: what is wrong is told by place and reason; what is sound starts a courier; lists come whole or not at all."""
+"""Operators' files: what is wrong is told by place and reason; what is sound starts a courier; lists come
+whole or not at all.
+"""
 
 import json
 import os
@@ -366,7 +368,8 @@
         runtime, loop, signal_reader = start(made)
         peer = client(loop, sheet.courier.listen)
         peer.say(
-            f"POST /{sheet.product[0].name} HTTP/1.1\r\nHost: x\r\nX-Request-ID: a{number}\r\nX-Timeout: 9\r\n"
+            f"POST /{sheet.product[0].name} HTTP/1.1\r\nHost: x\r\nX-Request-ID: a{number}\r\n"
+            "X-Timeout: 9\r\n"
             f"X-Envelope: dest={sheet.partner[0].destination}\r\nContent-Length: 0\r\n\r\n".encode()
         )
         assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
@@ -461,7 +464,8 @@
     out = []
     for number in range(count):
         out.append(
-            f'[[partner]]\nname = "p{number}"\ndestination = {number}\nkind = "gateway"\n\n[[partner.endpoint]]\n'
+            f'[[partner]]\nname = "p{number}"\ndestination = {number}\nkind = "gateway"\n\n'
+            "[[partner.endpoint]]\n"
             f'address = "127.0.0.1:{first + number}"\n'
         )
     return partners.seal("\n".join(out).encode())
@@ -518,7 +522,9 @@
 
 
 def test_every_text_is_answered_while_its_list_is_rewritten_with_damage(tmp_path):
-    """Partners come and go under traffic; nobody listens at their addresses, so each text ends in a notice."""
+    """Partners come and go under traffic; nobody listens at their addresses, so each text ends in a
+    notice.
+    """
     sheet, rng, listen = watched(tmp_path), random.Random(9), free_address()
     (tmp_path / "c.toml").write_text((tmp_path / "c.toml").read_text().replace("127.0.0.1:5000", listen))
     runtime, loop, signal_reader = start(tmp_path / "c.toml")
@@ -530,7 +536,8 @@
             data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
         rewrite(path, data)
         peer.say(
-            f"POST /stock HTTP/1.1\r\nHost: x\r\nX-Request-ID: t{number}\r\nX-Timeout: 2\r\nX-Envelope: dest={rng.randrange(5)}\r\n"
+            f"POST /stock HTTP/1.1\r\nHost: x\r\nX-Request-ID: t{number}\r\nX-Timeout: 2\r\n"
+            f"X-Envelope: dest={rng.randrange(5)}\r\n"
             "Content-Length: 0\r\n\r\n".encode()
         )
         heard = peer.wait(b"\r\n\r\n")
@@ -570,7 +577,8 @@
     peer = client(loop, listen)
     for ident, dest in (("a", 0), ("b", 1)):
         peer.say(
-            f"POST /stock HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: 3\r\nX-Envelope: dest={dest}\r\n"
+            f"POST /stock HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: 3\r\n"
+            f"X-Envelope: dest={dest}\r\n"
             "Content-Length: 0\r\n\r\n".encode()
         )
         assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
@@ -754,7 +762,8 @@
 def hand_in(ident):
     for _ in range(100):
         try:
-            line.request("POST", "/stock", b"", {"X-Request-ID": ident, "X-Timeout": "3", "X-Envelope": "dest=1"})
+            told = {"X-Request-ID": ident, "X-Timeout": "3", "X-Envelope": "dest=1"}
+            line.request("POST", "/stock", b"", told)
             return line.getresponse().read() is not None and line
         except OSError:
             line.close()
@@ -916,7 +925,9 @@
 
 
 def test_idle_connections_are_kept_unless_the_file_says_otherwise(tmp_path):
-    """The default leaves a courier as it was; a partner that keeps no idle connection leaves none to give back."""
+    """The default leaves a courier as it was; a partner that keeps no idle connection leaves none to give
+    back.
+    """
     for line, want, faults in (
         ("", False, 0),
         ("give_back = true", True, 0),
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -158,8 +158,11 @@
 
 
 def test_a_shared_call_ends_with_the_first_of_its_texts():
-    """It once stayed out for the rest. Endpoints that hung let go of all of it when the time of the first was up, and still answered
-    that all were delivered: the others were taken on and had no end."""
+    """It once stayed out for the rest.
+
+    Endpoints that hung let go of all of it when the time of the first was up, and still answered that all
+    were delivered: the others were taken on and had no end.
+    """
     house = facade(places=[place(kind="many")])
     house.hand_in(text("a", until=700.0))
     house.hand_in(text("b"))
@@ -177,7 +180,9 @@
 
 
 def test_what_a_restored_text_may_still_do():
-    """Sent and not heard of: resendable and referenced go again, once-only is given up, and so is a spent one."""
+    """Sent and not heard of: resendable and referenced go again, once-only is given up, and so is a spent
+    one.
+    """
     house = facade(now=1000.0)
     house.hand_in(text("resendable", 0, ran_at=10.0, ran_zone="a", tries=1))
     house.hand_in(text("referenced", 1, ran_at=10.0, ran_zone="a", tries=1))
@@ -249,7 +254,9 @@
 
 
 class House:
-    """A courier on loopback with stand-ins of an endpoint and of the platform; `kill` leaves just its folder."""
+    """A courier on loopback with stand-ins of an endpoint and of the platform; `kill` leaves just its
+    folder.
+    """
 
     def __init__(self, folder, clock=None, endpoint=None, disk=3_000_000, asked=True, **settings):
         self.loop = Loop(now=clock or Clock(), system=Rebooted())
@@ -369,7 +376,9 @@
 
 
 def test_the_id_of_another_text_neither_replaces_nor_withdraws_it_nor_sends_it_again(tmp_path):
-    """A second client's leaving once withdrew the first one's text, and an id just ended was sent once more."""
+    """A second client's leaving once withdrew the first one's text, and an id just ended was sent once
+    more.
+    """
     house = House(tmp_path)
     assert house.post("a") == b"202"
     peer = house.endpoint.meet()
@@ -396,7 +405,9 @@
 
 
 def test_a_start_calls_nobody_by_an_old_list_where_an_agent_has_a_newer_one(tmp_path):
-    """In a roll of 186 couriers a new process asked up to ten seconds late, and called endpoints announced as leaving before it began."""
+    """In a roll of 186 couriers a new process asked up to ten seconds late, and called endpoints announced
+    as leaving before it began.
+    """
     house = House(tmp_path, asked=False)
     other = Door(house.loop)
     assert house.post("a") == b"202", "taken on at once all the same"
@@ -434,7 +445,9 @@
 
 
 def test_a_list_of_1024_endpoints_is_taken_changed_and_served_by_one_of_1024_couriers(tmp_path, monkeypatch):
-    """Each entry once had its destination look at all endpoints anew: five seconds of a core for such a list."""
+    """Each entry once had its destination look at all endpoints anew: five seconds of a core for such a
+    list.
+    """
     asked = []
     monkeypatch.setattr(
         brain.Route, "opens", lambda route, opens=brain.Route.opens: asked.append(route) or opens(route)
@@ -703,7 +716,9 @@
 
 
 def test_a_call_that_the_journal_held_up_is_decided_anew(tmp_path):
-    """It once went out when the disk was back, after its text's time and beyond the memory of its reference."""
+    """It once went out when the disk was back, after its text's time and beyond the memory of its
+    reference.
+    """
     house = House(tmp_path)
     flush, house.runtime.journal.flush = house.runtime.journal.flush, lambda: os.write(-1, b"")
     house.runtime.take(Text("a", 7, 0, None, None, house.loop.now() + 5000.0, b""))
@@ -743,7 +758,9 @@
 
 
 def named_for_closing(house, *told):
-    """The endpoints whose idle connections are given back after one call to each of these destinations ended so."""
+    """The endpoints whose idle connections are given back after one call to each of these destinations
+    ended so.
+    """
     for now, (dest, answered) in enumerate(told):
         house.hand_in(text(f"t-{dest}", dest=dest, until=900.0))
         house.tick(float(now))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,4 +1,6 @@
-"""The emulator: same seed, same run; scenarios that are checked; a referee that sees what the courier does wrong."""
+"""The emulator: same seed, same run; scenarios that are checked; a referee that sees what the courier does
+wrong.
+"""
 
 import errno
 import json
@@ -27,7 +29,10 @@
     logger.add(sys.stderr)
 
 
-LEAST = b'version = 1\nname = "a"\nabout = ""\nproduct = [{name = "x", repeat = "resendable"}]\npartner = [{name = "p"}]\n'
+LEAST = (
+    b'version = 1\nname = "a"\nabout = ""\nproduct = [{name = "x", repeat = "resendable"}]\n'
+    b'partner = [{name = "p"}]\n'
+)
 
 
 @pytest.mark.parametrize("name", names())
@@ -66,7 +71,9 @@
 
 
 def test_forty_couriers_killed_at_once_all_hold_a_watch_again_at_a_discovery_that_serves_few():
-    """With the calls for the list as they were, up to three still had none ten seconds on and most calls were turned away."""
+    """With the calls for the list as they were, up to three still had none ten seconds on and most calls
+    were turned away.
+    """
     day, referee, _ = runs.play(load("herd-large"), 1)
     back = {}
     for at, kind, *told in day.world.trace:
@@ -87,8 +94,10 @@
 
 @pytest.mark.parametrize("seed", [1287, 1354, 1432, 1897, 1923, 1983, 2158, 2190, 2252])
 def test_what_the_search_found_stays_mended(seed):
-    """Calls held up by a full disk (1287, 1432); a text sent in a shared call after its final answer (1923); keys out of
-    turn behind a text whose time was up in one (2158, 2190, 2252); and four that the referee had misjudged."""
+    """Calls held up by a full disk (1287, 1432); a text sent in a shared call after its final answer
+    (1923); keys out of turn behind a text whose time was up in one (2158, 2190, 2252); and four that the
+    referee had misjudged.
+    """
     _, referee, _ = runs.play(load("mixed"), seed)
     assert not referee.breaks, list(map(str, referee.breaks[:5]))
 
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -1,4 +1,6 @@
-"""The instants in which something ends and something is still owed: each crossing is made by the test, on loopback."""
+"""The instants in which something ends and something is still owed: each crossing is made by the test, on
+loopback.
+"""
 
 import json
 import os
@@ -23,7 +25,9 @@
 
 
 def test_a_last_answer_is_not_lost_to_a_request_that_was_already_on_its_way(loop):
-    """Closed right behind the answer, over what lay unread, the connection was reset and took the answer with it."""
+    """Closed right behind the answer, over what lay unread, the connection was reset and took the answer
+    with it.
+    """
     house, address = clients(loop)
     peer = client(loop, address)
     peer.say(request())
@@ -110,7 +114,8 @@
     """A request of which all but the last byte was read."""
     peer, count = client(house.loop, house.listen), house.clients.open
     peer.say(
-        f"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: 20\r\nX-Envelope: dest=7\r\n"
+        f"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: 20\r\n"
+        "X-Envelope: dest=7\r\n"
         "Content-Length: 3\r\n\r\nab".encode()
     )
     spin(house.loop, lambda: house.clients.open == count + 1 and len(house.clients.idle) == 1)
@@ -118,7 +123,9 @@
 
 
 def test_what_is_taken_on_in_the_last_pass_is_answered_and_what_comes_behind_it_is_refused(house):
-    """The loop ended in the pass in which the message was taken on: the journal held it, and its client never heard a word."""
+    """The loop ended in the pass in which the message was taken on: the journal held it, and its client
+    never heard a word.
+    """
     last, late = begun(house, "last"), begun(house, "late")
     passed(house, LEAVE - LAST_TEXT + 99.0)
     house.loop.now.now += STEP
@@ -182,7 +189,9 @@
 )
 @pytest.mark.parametrize("then", ["holds", "ends"])
 def test_an_answer_that_comes_while_the_call_is_still_written_is_heard(loop, status, far, then):
-    """The courier wrote on to its time-out, or took a closed connection for one that never came up, and passed over the wait."""
+    """The courier wrote on to its time-out, or took a closed connection for one that never came up, and
+    passed over the wait.
+    """
     out, peer = blocked(loop, Door(loop))
     peer.say(answer(status, X_Retry_In_Ms="700"))
     if then == "ends":
@@ -199,7 +208,9 @@
 
 @pytest.mark.parametrize("said,far", [(b"HTTP/1.1 200 OK\r\n", Far.ANSWERED), (b"HTTP/1.1 200 O", Far.SENT)])
 def test_an_answer_in_the_instant_of_the_time_out_counts_if_its_first_line_is_whole(loop, said, far):
-    """The process stands still; the answer and the time-out lie there together, and the time-out is resumed first."""
+    """The process stands still; the answer and the time-out lie there together, and the time-out is
+    resumed first.
+    """
     door = Door(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
@@ -248,7 +259,9 @@
 def test_half_a_line_that_comes_behind_the_look_at_an_idle_connection_makes_the_answer_unreadable(
     loop, monkeypatch
 ):
-    """What stands in front of the answer may be the end of another: the call may have run, and the connection serves no more."""
+    """What stands in front of the answer may be the end of another: the call may have run, and the
+    connection serves no more.
+    """
     door, lines = Door(loop), Lines(4, 1000.0)
     first = Out(loop, call(door.address), lines)
     peer = door.meet()
@@ -273,8 +286,9 @@
 
 
 def test_from_any_call_that_failed_the_next_answer_is_heard_within_six_seconds():
-    """At the usual settings a refused courier waited up to ten seconds, and a silent watch alone took longer where the settings
-    allowed a long time between two calls."""
+    """At the usual settings a refused courier waited up to ten seconds, and a silent watch alone took
+    longer where the settings allowed a long time between two calls.
+    """
     for ask_within in (200.0, 3000.0, 10000.0, 60000.0, 1e7):
         wait = longest_wait(ask_within)
         for senders in (1, 20, 200, 1024):
@@ -288,7 +302,9 @@
 
 
 def test_a_discovery_that_answers_each_call_late_is_heard_in_time(loop):
-    """Every call behind a silent watch was given up after 0.25 s: one that works off a line of calls was not heard again."""
+    """Every call behind a silent watch was given up after 0.25 s: one that works off a line of calls was
+    not heard again.
+    """
     door, heard = Door(loop), []
     began = loop.now()
     Discovery(loop, door.address, 41, 2000.0, lambda places, whole: heard.append(loop.now()), 30, 1)
@@ -320,7 +336,9 @@
 
 
 def test_what_a_restart_finds_untried_is_called_for_before_it_is_given_up(tmp_path):
-    """A line on the point of being served gave up what would earn under half, also what no process had tried yet."""
+    """A line on the point of being served gave up what would earn under half, also what no process had
+    tried yet.
+    """
     ends = {}
     for restored in (False, True):
         house = facade()
@@ -365,7 +383,9 @@
 
 
 def test_idle_clients_that_fill_the_descriptors_keep_neither_the_list_nor_a_call_out(tmp_path, monkeypatch):
-    """While discovery is silent; what comes back needs descriptors of its own, and they are not the clients' to fill."""
+    """While discovery is silent; what comes back needs descriptors of its own, and they are not the
+    clients' to fill.
+    """
     made = []
     monkeypatch.setattr("calicopin.boot.start.Clients", lambda *told: made.append(Clients(*told)) or made[0])
     house = House(tmp_path, asked=False)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,4 +1,6 @@
-"""Many instances of the decisions before one destination that returns cold: what they send together, in virtual time."""
+"""Many instances of the decisions before one destination that returns cold: what they send together, in
+virtual time.
+"""
 
 import heapq
 import random
@@ -29,7 +31,9 @@
 
 
 class Destination:
-    """One destination: it takes `limit` calls a second and can do no more, is silent or refuses connections for a while, and returns cold."""
+    """One destination: it takes `limit` calls a second and can do no more, is silent or refuses
+    connections for a while, and returns cold.
+    """
 
     def __init__(self, limit, back, silent, cold_from):
         self.limit, self.back, self.silent, self.cold_from, self.taken = limit, back, silent, cold_from, []
@@ -100,8 +104,10 @@
 
 
 def passed_over(senders, seed, silent, limit, multiple, span):
-    """By how many calls the fleet passes what chance is allowed in the worst span after the return of which two thirds come from
-    couriers that had met the outage: the rule as the users word it, with N + 2 root N + 2."""
+    """By how many calls the fleet passes what chance is allowed in the worst span after the return of
+    which two thirds come from couriers that had met the outage: the rule as the users word it, with N + 2
+    root N + 2.
+    """
     calls, partner = play(senders, seed, silent, limit, multiple, span)
     times, worst = [at for at, _ in calls], float("-inf")
     for place, at in enumerate(times):
@@ -123,8 +129,9 @@
 
 @pytest.mark.parametrize("senders,limit", [(20, 4.0), (30, 6.0), (200, 20.0)])
 def test_couriers_that_met_an_outage_by_one_call_alone_share_the_return(senders, limit):
-    """Once-only messages end with the call that was cut off, so that each courier knows of one failure only: none was called an
-    outage, and at the return all went at once."""
+    """Once-only messages end with the call that was cut off, so that each courier knows of one failure
+    only: none was called an outage, and at the return all went at once.
+    """
     once, span, multiple, cold_from = Product(Repeat.ONCE_ONLY, 1000.0, 20000.0, 1.0, 0.3), 3000.0, 2.0, 0.2
     budget = multiple * limit * (cold_from + (1.0 - cold_from) * span / 2.0 / 10000.0) * span / 1000.0
     every, began, back = (
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,5 +1,7 @@
-"""A new version under load: two real processes on loopback, one listening socket, one folder. The whole sweep of kills:
-CALICOPIN_SWEEP=all python -m pytest -q tests/test_handover.py"""
+"""A new version under load: two real processes on loopback, one listening socket, one folder.
+
+The whole sweep of kills: CALICOPIN_SWEEP=all python -m pytest -q tests/test_handover.py
+"""
 
 import http.client
 import json
@@ -65,7 +67,8 @@
         real(*args)
     return begin
 giver.Giver.__init__ = disarm()  # the handover is over: a kill from here on is any crash
-arm(giver.Giver, "fit") if role == "old" else arm(taker, "ask")  # a broken variant counts its steps and is never killed
+# a broken variant counts its steps and is never killed
+arm(giver.Giver, "fit") if role == "old" else arm(taker, "ask")
 system.System.again = staticmethod(lambda: os.execv(sys.executable, [sys.executable, "-m", "calicopin"]))
 sys.argv = sys.argv[:1]
 from calicopin.boot.start import main
@@ -283,7 +286,8 @@
         and platform.post("hold-once", "once") == 202
     )
     half.sendall(
-        b"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: half\r\nX-Timeout: 15\r\nX-Envelope: dest=7\r\nContent-Length: 4\r\n\r\nab"
+        b"POST /notice HTTP/1.1\r\nHost: x\r\nX-Request-ID: half\r\nX-Timeout: 15\r\nX-Envelope: dest=7\r\n"
+        b"Content-Length: 4\r\n\r\nab"
     )
     platform.until(lambda: platform.heard.count("hold-1") and platform.heard.count("hold-once"))
     assert platform.post("warm") == 202
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -199,7 +199,9 @@
 
 
 def test_a_connection_does_not_pass_to_the_next_endpoint_at_an_address():
-    """Idle connections once lay by address; the call of one endpoint went to another that had its address before."""
+    """Idle connections once lay by address; the call of one endpoint went to another that had its address
+    before.
+    """
     lines, idle, out = Lines(5, 1000.0), FakeLine(), FakeLine()
     assert lines.take(place("s-1"), 0.0) is lines.take(place("s-1"), 0.0) is None
     lines.keep(place("s-1"), idle, 0.0)
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -1,4 +1,6 @@
-"""The package as it is installed: what the wheel holds, and the commands in a fresh environment, without a network."""
+"""The package as it is installed: what the wheel holds, and the commands in a fresh environment, without a
+network.
+"""
 
 import os
 import subprocess
@@ -45,7 +47,9 @@
 
 
 def needed(requirements, extra=""):
-    """The names of all distributions that these requirements bring, those that they need in turn with them."""
+    """The names of all distributions that these requirements bring, those that they need in turn with
+    them.
+    """
     names, left = set(), [Requirement(line) for line in requirements]
     while left:
         requirement = left.pop()
@@ -58,7 +62,9 @@
 
 
 class Installation:
-    """A fresh environment with the wheel and no other distributions than those named, copied from this one."""
+    """A fresh environment with the wheel and no other distributions than those named, copied from this
+    one.
+    """
 
     def __init__(self, folder, wheel, names):
         venv.create(folder, symlinks=True, with_pip=False)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -37,7 +37,9 @@
         """(status, body) of one call."""
         peer = client(self.loop, self.admin)
         peer.say(
-            f"{method} /admin/{path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode()
+            (
+                f"{method} /admin/{path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n{extra}\r\n"
+            ).encode()
             + body
         )
         head, _, data = peer.wait_end().partition(b"\r\n\r\n")
@@ -264,12 +266,15 @@
 
 
 def test_a_courier_is_read_in_without_asyncio_and_ssl():
-    """They come with the log's library and are a quarter of the memory of a courier; two of them stand side by side in an upgrade."""
+    """They come with the log's library and are a quarter of the memory of a courier; two of them stand
+    side by side in an upgrade.
+    """
     import subprocess
     import sys
 
     script = (
-        "import sys; from calicopin.boot.log_import import load_logging; load_logging(); import calicopin.boot.start, calicopin.handover.giver;"
+        "import sys; from calicopin.boot.log_import import load_logging; load_logging(); "
+        "import calicopin.boot.start, calicopin.handover.giver;"
         "assert not {'ssl', 'asyncio', 'subprocess', 'concurrent'} & set(sys.modules), 'read in';"
         "from loguru import logger; logger.info('said'); import asyncio; asyncio.run(asyncio.sleep(0))"
     )
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -63,7 +63,9 @@
 def test_what_cannot_be_read_by_its_meaning_is_refused_by_its_place(
     path, value, named, tmp_path, monkeypatch, capsys
 ):
-    """Most of these once ended in a fault in the middle of a day, or kept every message to its end without a call."""
+    """Most of these once ended in a fault in the middle of a day, or kept every message to its end without
+    a call.
+    """
     told = with_(path, value)
     with pytest.raises(ValueError) as fault:
         check(told)
@@ -114,7 +116,9 @@
     ],
 )
 def test_zero_absent_and_enormous_values_are_read_by_their_meaning(path, value):
-    """Each message still ends, through refusals, silence and answers; a cold time or a span of 0 once stopped every turn by a fault."""
+    """Each message still ends, through refusals, silence and answers; a cold time or a span of 0 once
+    stopped every turn by a fault.
+    """
     check(told := with_(path, value))
     house = Facade(7, told, 8, 0.0)
     house.listed([place()], True)
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,4 +1,6 @@
-"""Our own variants of a deployment, `deploy/sites/`: what a courier there would be told is read as any other customer's settings."""
+"""Our own variants of a deployment, `deploy/sites/`: what a courier there would be told is read as any
+other customer's settings.
+"""
 
 import pathlib
 import tomllib
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -30,7 +30,9 @@
 
 
 def state(store):
-    """What of each text must outlast a restart; times to a hundredth of a millisecond, as wall time keeps them."""
+    """What of each text must outlast a restart; times to a hundredth of a millisecond, as wall time keeps
+    them.
+    """
     return {
         t.ident: (
             t.tries,
@@ -87,7 +89,9 @@
 
 
 def test_cut_at_any_byte_no_record_before_the_cut_is_lost(tmp_path):
-    """The newest segment as a kill may leave it: every text whose record lies whole before the cut is there."""
+    """The newest segment as a kill may leave it: every text whose record lies whole before the cut is
+    there.
+    """
     store = book(tmp_path)
     drive(store, random.Random(2), 25)
     path = store._path(store.number)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -106,7 +106,9 @@
 
 
 def test_a_connection_that_was_gone_before_its_call_is_no_fault_of_the_endpoint(loop):
-    """Kept connections were reset under the next call, 25 to 40 in 100 on one day, and each counted against it."""
+    """Kept connections were reset under the next call, 25 to 40 in 100 on one day, and each counted
+    against it.
+    """
     door, lines = Door(loop), Lines(4, 8000.0)
     peer = None
     for took, gone in ((50.0, None), (0.0, True), (50.0, None), (60.0, False)):
@@ -177,7 +179,9 @@
     ],
 )
 def test_a_text_alone_is_delivered_once_the_first_line_says_so(loop, rest):
-    """Whatever becomes of the rest, the call has run; it once counted as failed, or waited for its time-out."""
+    """Whatever becomes of the rest, the call has run; it once counted as failed, or waited for its
+    time-out.
+    """
     door = Door(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
@@ -530,7 +534,9 @@
 
 
 def test_descriptors_run_short_at_those_that_stand_silent_longest(loop):
-    """A client between requests has two seconds, a new one half a second, one with a request begun all its time."""
+    """A client between requests has two seconds, a new one half a second, one with a request begun all its
+    time.
+    """
     house, address = clients(loop, most=4)
     held = [asked_once(loop, house, address) for _ in range(2)]
     loop.now.now += REST - NEW
@@ -551,7 +557,10 @@
 
 
 def test_where_there_is_no_room_at_all_a_client_is_turned_away_at_once(loop):
-    """It once waited, not accepted, behind those who said nothing. One that was served and stands idle gives way."""
+    """It once waited, not accepted, behind those who said nothing.
+
+    One that was served and stands idle gives way.
+    """
     house, address = clients(loop, most=2)
     idle = asked_once(loop, house, address)
     silent = [client(loop, address) for _ in range(2)]
@@ -649,8 +658,10 @@
 
 
 def seats(couriers, work=143.0, line=24, patience=2000.0, most=10000.0):
-    """When each courier holds its watch at a discovery that works off one call after the other, also those whose caller it has told
-    no meanwhile, has room for a few in its line and turns away what it does not reach in time. Watches that are held cost it nothing."""
+    """When each courier holds its watch at a discovery that works off one call after the other, also those
+    whose caller it has told no meanwhile, has room for a few in its line and turns away what it does not
+    reach in time. Watches that are held cost it nothing.
+    """
     askings = [Asking(couriers, most, seed) for seed in range(couriers)]
     calls = [(asking.first(), number) for number, asking in enumerate(askings)]
     heapq.heapify(calls)
@@ -671,8 +682,10 @@
 
 
 def test_a_fleet_that_starts_together_is_seated_at_a_discovery_that_serves_few_calls_at_a_time():
-    """40 couriers asked for the list 50 times a second together after a release: hardly one was served in 20 s, and their calls
-    went on to endpoints that were gone. Seven calls a second were possible. Simulated."""
+    """40 couriers asked for the list 50 times a second together after a release: hardly one was served in
+    20 s, and their calls went on to endpoints that were gone. Seven calls a second were possible.
+    Simulated.
+    """
     for couriers in (3, 28, 40, 48):
         seated = seats(couriers)
         assert len(seated) == couriers and max(seated.values()) < 2.0 * 143.0 * couriers, (
@@ -704,7 +717,9 @@
 
 
 def test_an_agent_that_is_sent_the_list_is_asked_at_once_at_any_sender_count():
-    """What it has counts as told from the first moment of a process; at 186 senders the draw took up to ten seconds."""
+    """What it has counts as told from the first moment of a process; at 186 senders the draw took up to
+    ten seconds.
+    """
     for senders in (1, 3, 230, 1024):
         asking = Asking(senders, 10000.0, 1, pushed=True)
         assert asking.first() == 0.0
@@ -714,7 +729,9 @@
 
 
 def test_whoever_is_turned_away_asks_later_and_then_waits_for_its_answer():
-    """Turned away, a courier once hung up after 0.25 s and asked anew; at a discovery with a line each such call is work for nothing."""
+    """Turned away, a courier once hung up after 0.25 s and asked anew; at a discovery with a line each
+    such call is work for nothing.
+    """
     loop = Loop(now=Clock())
     door, began = Door(loop), loop.now()
     watch = Discovery(loop, door.address, 41, 2000.0, lambda places, whole: None, 40, 5, spread=True)
@@ -937,7 +954,9 @@
 
 
 def test_what_lies_unread_goes_before_a_time_out_after_a_standstill(loop):
-    """A process that stood still just after it asked for events once held answers that lay there for time-outs."""
+    """A process that stood still just after it asked for events once held answers that lay there for
+    time-outs.
+    """
     door, lines = Door(loop), Lines(4, 1000.0)
     out = Out(loop, call(door.address), lines)
     peer = door.meet()
