Linter: docstrings on modules, packages and public classes everywhere, on functions in part

Cause: public items of the wire, what is held, the store and the operators' server said neither units nor meaning.

--- a/calicopin/admin/server.py
+++ b/calicopin/admin/server.py
@@ -35,6 +35,7 @@
         self.accepting = loop.keep(self.accept, ahead=True)
 
     def accept(self):
+        """A coroutine that serves each new connection with one of its own; it must not end."""
         while True:
             for _ in range(AT_ONCE):
                 try:
@@ -56,6 +57,9 @@
                 yield Until(self.loop.now())
 
     def serve(self, line):
+        """One connection: reads its call, answers it and closes. A caller has `PATIENCE` for each of the
+        two.
+        """
         try:
             until = self.loop.now() + PATIENCE
             status, body = yield from self.hear(line, until)
@@ -94,6 +98,7 @@
             return self.refuse(409, str(fault))
 
     def refuse(self, status, why):
+        """(status, body) of a call that is turned away; logged once in `REST` ms at most."""
         if self.loop.now() >= self.told + REST:
             logger.warning(
                 "a call at the admin address was turned away with {status}: {why}",
@@ -105,6 +110,7 @@
         return status, {"error": why}
 
     def reply(self, line, status, body, until):
+        """Writes an answer as JSON, until `until` (ms of the loop's clock) at the latest."""
         data = json.dumps(body).encode() + b"\n"
         allow = [("Allow", "GET, POST")] if status == 405 else []
         try:
--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -15,6 +15,8 @@
 
 
 class Runtime:
+    """One courier: what it holds, what decides and what speaks, with the state that a turn moves on."""
+
     def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
--- a/calicopin/command/demo.py
+++ b/calicopin/command/demo.py
@@ -36,6 +36,8 @@
 
 
 class Calls(http.server.BaseHTTPRequestHandler):
+    """Answers each call after a short while; while the partner is out, connections end without an answer."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
@@ -70,6 +72,8 @@
 
 
 class Heard(http.server.BaseHTTPRequestHandler):
+    """Notes the end of each text that a notice tells."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
--- a/calicopin/emulator/referee.py
+++ b/calicopin/emulator/referee.py
@@ -34,6 +34,8 @@
 
 @dataclass(slots=True)
 class Break:
+    """One break of a rule: which, when in ms, who, and why in a plain sentence."""
+
     rule: str
     at: float
     who: str
@@ -45,6 +47,8 @@
 
 @dataclass(slots=True)
 class Call:
+    """One call as the partner saw it; times are ms of virtual time."""
+
     number: int
     at: float
     courier: str
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -72,7 +72,7 @@
 
 
 class Strict(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    pass
+    """A table of a scenario's file; a field that it does not know is a fault."""
 
 
 class Couriers(Strict):
@@ -112,6 +112,8 @@
 
 
 class Product(Strict):
+    """A kind of text: whether it may be repeated, its times, what it earns and its share of the traffic."""
+
     name: Word
     repeat: Literal["resendable", "referenced", "once-only"]
     sla_s: Positive = 2.0
@@ -173,6 +175,8 @@
 
 
 class Net(Strict):
+    """The network: latency among couriers and to partners, bandwidth, odds that data comes in pieces."""
+
     latency_ms: Two = (0.5, 3.0)
     partner_ms: Two = (5.0, 25.0)
     bandwidth_mb_s: Span = 0.0
@@ -212,6 +216,8 @@
 
 
 class Scenario(Strict, kw_only=True):
+    """A scenario as its file tells it; the seed draws the rest."""
+
     version: Literal[1]
     name: Word
     about: str
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -125,6 +125,8 @@
 
 
 class Facade:
+    """The decisions in blocking style: texts and news go in, calls and ends come out. Times are ms."""
+
     def __init__(self, seed, settings, slots, now, restarted=False):
         self.partners = terms.partners(settings)
         self.agreed, self.columns = terms.agreed(settings), terms.reports(settings)
--- a/calicopin/held/connections.py
+++ b/calicopin/held/connections.py
@@ -42,6 +42,7 @@
 
     @staticmethod
     def shelf(place):
+        """The key under which idle connections to an endpoint are kept."""
         return place.ident, place.address
 
     def good(self, line, since, now):
@@ -84,6 +85,9 @@
             line.close()
 
     def answered(self, place, elapsed):
+        """Notes how long an answer took, in ms: the fastest of an endpoint tells what broke before its
+        call.
+        """
         shelf = self.shelf(place)
         self.fastest[shelf] = min(elapsed, self.fastest.get(shelf, elapsed))
 
--- a/calicopin/held/journal.py
+++ b/calicopin/held/journal.py
@@ -22,6 +22,7 @@
 
 
 def blocks(size):
+    """A size in bytes, rounded up to whole blocks of the disk."""
     return -(-size // BLOCK) * BLOCK
 
 
@@ -161,22 +162,31 @@
         return record
 
     def taken(self, text):
+        """A text was accepted. It is safe once `flush` has returned."""
         self.texts[text.ident] = text
         self.buffer += self._count(text, self._taken(text))
 
     def sent(self, text, at, zone):
+        """A submit of the text is about to go out to the zone; `at` in ms."""
         text.went_out(at, zone)
         self._put(SENT, text.ident, at + self.offset, zone)
 
     def back(self, text, may_have_run):
+        """The submit that was out has ended; `may_have_run` says whether the other side may have executed
+        it.
+        """
         text.came_back(may_have_run)
         self._put(BACK, text.ident, may_have_run)
 
     def given_up(self, text, verdict, wait):
+        """The text ends undelivered: `verdict` is the notice that is owed now, `wait` the ms that it
+        tells.
+        """
         text.verdict, text.wait = verdict, wait
         self._put(GIVEN_UP, text.ident, verdict, wait)
 
     def over(self, text, now):
+        """Nothing is owed for the text any more; its id is remembered from `now` on, in ms."""
         if self.texts.pop(text.ident, None) is not None:
             self.live -= self.costs.pop(text.ident)
             self._put(OVER, text.ident, now + self.offset)
--- a/calicopin/held/texts.py
+++ b/calicopin/held/texts.py
@@ -7,6 +7,8 @@
 
 @dataclass(slots=True)
 class Text:
+    """One message that was accepted, with what a restart must know of its submits. Times are ms."""
+
     ident: str
     dest: int
     product: int
@@ -24,9 +26,11 @@
     wait: float = 0.0
 
     def went_out(self, at, zone):
+        """A submit goes out to the zone; `at` in ms."""
         self.tries, self.out_at, self.out_zone = self.tries + 1, at, zone
 
     def came_back(self, may_have_run):
+        """The submit that was out has ended; the first that may have run is remembered."""
         if may_have_run and self.ran_at is None:
             self.ran_at, self.ran_zone = self.out_at, self.out_zone
         self.out_at = self.out_zone = None
@@ -42,6 +46,7 @@
         self.span, self.idents, self.order = span, {}, deque()
 
     def add(self, ident, now):
+        """Remembers an id that is over at `now`, in ms, and forgets those whose time is up."""
         if ident not in self.idents:
             self.idents[ident] = now + self.span
             self.order.append((now + self.span, ident))
--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -29,18 +29,22 @@
 
     @staticmethod
     def now():
+        """The wall clock, in ms."""
         return System.wall()
 
     @staticmethod
     def create(path):
+        """A file that takes everything and keeps nothing."""
         return os.open(os.devnull, os.O_WRONLY)
 
     @staticmethod
     def write(_, data):
+        """How many bytes it took: all of them."""
         return len(data)
 
     @staticmethod
     def remove(path):
+        """Removes nothing."""
         pass
 
 
@@ -56,6 +60,7 @@
 
 
 def stop(line):
+    """Ends the command with one line on standard error and exit code 2."""
     click.echo(line, err=True)
     sys.exit(2)
 
--- a/calicopin/store/measure.py
+++ b/calicopin/store/measure.py
@@ -20,6 +20,7 @@
 
 
 def made(number):
+    """A text of the load, resendable under a reference and valid for an hour."""
     return Text(f"{number:016x}", 7, 0, f"r{number:015x}", None, HERE.now() + 3.6e6, BODY)
 
 
@@ -32,6 +33,7 @@
         self.texts, self.size = self.inner.texts, 0
 
     def flush(self):
+        """Appends what has gathered since the last call."""
         self.size += len(self.inner.buffer)
         write_all(HERE, self.file, self.inner.buffer)
         self.inner.buffer.clear()
@@ -53,19 +55,23 @@
         self.texts = {}
 
     def taken(self, text):
+        """A text was accepted: a row of its own."""
         self.texts[text.ident] = text
         self.base.execute(
             "insert or replace into text values(?,?,?,?)", (text.ident, text.until, text.tries, text.body)
         )
 
     def sent(self, text, at, zone):
+        """A submit goes out: one try more in its row."""
         self.base.execute("update text set tries=tries+1 where id=?", (text.ident,))
 
     def over(self, text, now):
+        """The text has ended: its row is deleted."""
         del self.texts[text.ident]
         self.base.execute("delete from text where id=?", (text.ident,))
 
     def flush(self):
+        """Commits what has gathered since the last call."""
         self.base.execute("commit")
         self.base.execute("begin")
 
@@ -79,6 +85,7 @@
 
 
 def disk(folder):
+    """The bytes of all files in a folder."""
     return sum(entry.stat().st_size for entry in os.scandir(folder))
 
 
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -194,6 +194,9 @@
         return record
 
     def over(self, text, now):
+        """Nothing is owed for the text any more; its id stands in the segment written now, from `now` (ms)
+        on.
+        """
         if text.ident in self.texts:
             del self.texts[text.ident]
             self._leave(text.ident)
--- a/calicopin/wire/agent.py
+++ b/calicopin/wire/agent.py
@@ -13,6 +13,7 @@
         self.task = loop.keep(self.talk)
 
     def move(self, address):
+        """Goes on at another address, from a new connection."""
         self.retire()
         self.address, self.task = address, self.loop.keep(self.talk)
 
@@ -22,6 +23,7 @@
         self.hang_up()
 
     def hang_up(self):
+        """Closes the connection, if there is one."""
         line, self.line = self.line, None
         if line:
             line.close()
--- a/calicopin/wire/asking.py
+++ b/calicopin/wire/asking.py
@@ -48,9 +48,13 @@
         self.pushed = pushed
 
     def chance(self):
+        """The next draw, at least 0 and under 1."""
         return zlib.crc32(f"{self.seed}:list:{next(self.draws)}".encode()) / 2**32
 
     def over(self, times, most):
+        """A draw from a time, in ms, that grows with the sender count and `times`, and is `most` and
+        `pause` at most.
+        """
         return self.chance() * min(most, self.pause, AGAIN * self.senders * times)
 
     def first(self):
@@ -58,9 +62,11 @@
         return 0.0 if self.pushed else self.over(1.0, FIRST * self.most)
 
     def answered(self):
+        """The list came: the refusals before it no longer count."""
         self.refusals = 0
 
     def refused(self):
+        """The call was turned away: the next is drawn from twice the time."""
         self.refusals += 1
 
     def silent(self):
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -38,6 +38,7 @@
 
 
 def envelope(word):
+    """The words of an `X-Envelope` header by their names; separated by semicolons, commas or ampersands."""
     return dict(parse_qsl(word.replace(";", "&").replace(",", "&").replace(" ", "")))
 
 
@@ -105,6 +106,9 @@
         self.accepting = loop.keep(self.accept)
 
     def accept(self):
+        """A coroutine that accepts connections until listening ends; again after `AGAIN` ms where the
+        system refuses.
+        """
         while True:
             try:
                 more = self.accept_some()
@@ -147,6 +151,7 @@
         line.close()
 
     def receive(self, visit):
+        """Serves a connection by a coroutine of its own."""
         self.open += 1
         self.visits[visit] = self.loop.spawn(self.serve(visit))
 
@@ -185,11 +190,13 @@
                     self.loop.cancel(visit.task)
 
     def keep_house(self):
+        """A coroutine that closes what may be closed where descriptors are short, every `SWEEP` ms."""
         while True:
             yield Until(self.loop.now() + SWEEP)
             self.relieve()
 
     def serve(self, visit):
+        """One connection from its first request to its close."""
         line = visit.line
         try:
             more = True
@@ -285,6 +292,9 @@
         return (yield from line.event(visit.until))
 
     def fault(self, line, status, why):
+        """Answers a request that cannot be taken with a status and the reason; the connection is closed
+        after it.
+        """
         self.complain(status, why)
         yield from self.reply(line, status, why.encode("latin-1", "replace"), [("Connection", "close")])
 
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -186,6 +186,7 @@
         return bool(self.unread()) or not self.quiet()
 
     def close(self):
+        """Closes the socket; whoever waits for it is not resumed for it any more."""
         self.loop.close(self.sock)
 
 
--- a/calicopin/wire/listfile.py
+++ b/calicopin/wire/listfile.py
@@ -22,6 +22,7 @@
         self.loop.cancel(self.task)
 
     def watch(self):
+        """A coroutine that looks at the file every `LOOK` ms and reads it once it has changed."""
         while True:
             yield Until(self.loop.now() + LOOK)
             stamp = self.loop.system.stamp(self.path)
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -34,6 +34,7 @@
         self.loop, self.task, self.is_set = loop, None, False
 
     def set(self):
+        """Resumes the coroutine that waits; where none does, the next to wait goes on at once."""
         if self.task is None:
             self.is_set = True
         else:
@@ -193,6 +194,9 @@
                 self._step(task, value)
 
     def run(self):
+        """Passes until `running` is false; each waits for events until the turn of the last has something
+        due.
+        """
         until = FOREVER
         while self.running:
             until = self.once(until)
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -18,6 +18,7 @@
 
 
 def encode(text):
+    """The notice of a text that was given up, as one line of JSON."""
     notice = {"ref": text.ident, "result": text.verdict}
     if text.wait > 0.0:
         notice["wait_ms"] = round(text.wait)
@@ -34,6 +35,7 @@
         loop.keep(self.talk)
 
     def owe(self, text):
+        """A text has ended; its line is written in the next pass."""
         self.owed.append(text)
         self.event.set()
 
@@ -44,6 +46,7 @@
         """Nothing is owed any more."""
 
     def talk(self):
+        """A coroutine that writes a line for each text that has ended; it must not end."""
         while True:
             while self.owed:
                 text = self.owed.pop(0)
@@ -75,6 +78,7 @@
         super().__init__(loop, address)
 
     def owe(self, text):
+        """A text was given up; its notice goes out with the next request."""
         self.owed.append(text)
         self.event.set()
 
@@ -117,6 +121,7 @@
                 yield Until(self.loop.now() + (0.0 if silent else AGAIN))
 
     def post(self, line, body, until):
+        """Sends the notices; returns the status, or 0 where no whole answer came until `until` (ms)."""
         head = h11.Request(
             method="POST",
             target="/v1/outcomes",
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -92,6 +92,8 @@
 
 
 class Clock:
+    """A clock that stands until the test moves it; ms."""
+
     def __init__(self, now=1000.0):
         self.now = now
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,3 +1,5 @@
+"""The decisions alone: what a courier does with texts, answers, lists and time, event by event."""
+
 from collections import Counter
 
 import pytest
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -184,6 +184,8 @@
 
 
 class Heard:
+    """What one end of a connection has heard, and how it ended."""
+
     def __init__(self, end):
         self.data, self.ends, self.end = b"", [], end
         end.on_data, end.on_end = self.take, self.ends.append
--- a/tests/test_held.py
+++ b/tests/test_held.py
@@ -158,6 +158,8 @@
 
 
 class FakeLine:
+    """An idle connection that the test closes or makes speak."""
+
     def __init__(self):
         self.closed, self.silent = False, True
 
