--- /dev/null
+++ b/calicopin/capacity/__main__.py
@@ -0,0 +1,34 @@
+"""`python -m calicopin.capacity`: prints the tables of docs/CAPACITY.md, or writes them."""
+
+import argparse
+import sys
+
+from calicopin.capacity import page
+from calicopin.capacity.size import IN_TWO_YEARS
+
+
+def main() -> int:
+    """Exit code 0; 2 where the page cannot be read or lacks its markers."""
+    parser = argparse.ArgumentParser(
+        prog="python -m calicopin.capacity", description="The capacity model's tables."
+    )
+    parser.add_argument(
+        "--write",
+        action="store_true",
+        help="write them between the markers of docs/CAPACITY.md and docs/subscriptions-design.md",
+    )
+    if not parser.parse_args().write:
+        print("\n".join(page.pages(IN_TWO_YEARS).values()), end="")
+        return 0
+    try:
+        for path, made in page.pages(IN_TWO_YEARS).items():
+            text = path.read_text(encoding="utf-8")
+            path.write_text(page.with_generated(text, made), encoding="utf-8")
+    except (OSError, page.NoMarkers) as fault:
+        print(f"{path}: {fault}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/calicopin/capacity/page.py
@@ -0,0 +1,170 @@
+"""The generated part of docs/CAPACITY.md: its tables, and the sentences in which figures of the model stand."""
+
+from dataclasses import replace
+from pathlib import Path
+
+from calicopin.capacity import faults, model, options, ranking
+from calicopin.capacity.figures import Figure, Unit, plain, said
+from calicopin.capacity.ranking import Demand
+from calicopin.capacity.size import Size
+from calicopin.capacity.slopes import Slope, all_slopes
+
+DOCS = Path(__file__).resolve().parents[2] / "docs"
+PAGE = DOCS / "CAPACITY.md"
+NOTE = DOCS / "subscriptions-design.md"
+BEGIN = "<!-- begin: python -m calicopin.capacity --write -->"
+END = "<!-- end -->"
+
+
+class NoMarkers(ValueError):
+    """The page lacks the markers between which the generated part stands."""
+
+
+def table(heads: tuple[str, ...], rows: list[tuple[str, ...]]) -> str:
+    """One table in Markdown."""
+    lines = [heads, tuple("---" for _ in heads), *rows]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def figure_row(figure: Figure) -> tuple[str, ...]:
+    """A figure's name, formula, value and how it is known."""
+    return figure.name, figure.formula, figure.said(), figure.basis()
+
+
+FIGURE_HEADS = ("figure", "formula", "value", "how known")
+
+
+def slope_row(slope: Slope) -> tuple[str, ...]:
+    """A slope with where it comes from."""
+    sizes = " / ".join(f"{size:,.0f}" for size in slope.sizes) or "-"
+    residual = "-" if slope.residual is None else f"{slope.residual:.1%}"
+    source = slope.why
+    if slope.run:
+        source = f"`{slope.run.command}`, {slope.run.file}" + (f"; {slope.why}" if slope.why else "")
+    return slope.name, value_of(slope), slope.basis.value, sizes, residual, source
+
+
+def value_of(slope: Slope) -> str:
+    """A slope's value and unit as people read them."""
+    if slope.unit.startswith("s /"):
+        return said(slope.value, Unit.SECONDS) + slope.unit.removeprefix("s")
+    return f"{plain(slope.value)} {slope.unit}"
+
+
+def demand_row(demand: Demand) -> tuple[str, ...]:
+    """A budget with its demand and factor, today and with subscriptions."""
+    subscribed = demand.subscribed
+    after = "unchanged" if subscribed is None else f"{subscribed.said()} ({subscribed.basis()})"
+    return (
+        demand.name,
+        f"{said(demand.budget, demand.unit)} ({demand.set_by.value})",
+        f"{demand.today.said()} ({demand.today.basis()})",
+        f"**{plain(demand.factor)}**",
+        after,
+        plain(demand.factor_subscribed),
+        demand.fails.value if demand.factor > 1.0 else "-",
+    )
+
+
+DEMAND_HEADS = ("what", "budget", "today", "factor", "subscribed", "factor", "fails")
+
+
+def quotients_part(size: Size) -> str:
+    """What follows from the users' numbers alone."""
+    return "## Quotients\n\n" + table(FIGURE_HEADS, [figure_row(one) for one in model.quotients(size)])
+
+
+SENDERS_MOVE = (
+    "a start has its list within the time to force, at the budget of bytes",
+    "control memory of a courier",
+    "control core of a courier",
+)
+
+
+def ranking_part(size: Size) -> str:
+    """The ranking and the first that fails."""
+    first = ranking.first_to_fail(size)
+    text = table(DEMAND_HEADS, [demand_row(one) for one in ranking.demands(size)])
+    return (
+        '## Ranking\n\nDemand over budget, worst factor today first. "borrowed": none is stated for it, the nearest'
+        f" stated one stands in.\n\n{text}\n\nThe first budget of the users in which the design fails:"
+        f" **{first.name}**, {plain(first.factor)} times."
+    )
+
+
+SENDERS = (1.0, 3.0, 10.0, 30.0)  # of one destination, for which the page tells the budgets
+
+
+def senders_part(size: Size) -> str:
+    """The users' budgets that a courier's set moves, with more senders for each destination."""
+    rows = []
+    for senders in SENDERS:
+        other = replace(size, shape=replace(size.shape, senders_a_destination=senders))
+        factors = {row.name: row.factor_subscribed for row in ranking.demands(other)}
+        told = [plain(factors[name]) for name in SENDERS_MOVE]
+        rows.append((plain(senders), plain(other.destinations_a_courier), *told))
+    return (
+        "### With more senders for each destination\n\nFactors with subscriptions: demand over budget, as in the ranking.\n\n"
+        + table(("senders", "destinations a courier", *SENDERS_MOVE), rows)
+    )
+
+
+def roles_part(size: Size) -> str:
+    """A table for each role."""
+    parts = ["## Roles"]
+    for role in model.roles(size):
+        parts.append(f"### {role.name}\n\n" + table(FIGURE_HEADS, [figure_row(one) for one in role.figures]))
+    return "\n\n".join(parts)
+
+
+def faults_part(size: Size) -> str:
+    """A table for each fault."""
+    parts = ["## Faults in figures"]
+    for fault in faults.faults(size):
+        rows = [figure_row(one) for one in fault.figures]
+        parts.append(f"### {fault.name} ({fault.how_often})\n\n" + table(FIGURE_HEADS, rows))
+    return "\n\n".join(parts)
+
+
+def options_part(size: Size) -> str:
+    """A table for each mechanism that was weighed; it stands in the design note."""
+    parts = []
+    for option in options.options(size):
+        rows = [figure_row(one) for one in option.figures]
+        parts.append(f"**{option.name}**\n\n" + table(FIGURE_HEADS, rows))
+    return "\n\n".join(parts) + "\n"
+
+
+SLOPE_HEADS = ("slope", "value", "basis", "sizes", "residual / mean", "source")
+
+
+def slopes_part() -> str:
+    """Every slope with its source."""
+    return "## Slopes\n\n" + table(SLOPE_HEADS, [slope_row(one) for one in all_slopes()])
+
+
+def generated(size: Size) -> str:
+    """All that stands between the markers."""
+    parts = (
+        ranking_part(size),
+        senders_part(size),
+        quotients_part(size),
+        roles_part(size),
+        faults_part(size),
+        slopes_part(),
+    )
+    return "\n\n".join(parts) + "\n"
+
+
+def with_generated(text: str, made: str) -> str:
+    """A page's text with its generated part made anew; raises NoMarkers."""
+    before, begin, rest = text.partition(BEGIN)
+    _, end, after = rest.partition(END)
+    if not begin or not end:
+        raise NoMarkers(f"the page lacks {BEGIN!r} or {END!r}")
+    return f"{before}{BEGIN}\n\n{made}\n{END}{after}"
+
+
+def pages(size: Size) -> dict[Path, str]:
+    """The text that belongs between the markers of each page."""
+    return {PAGE: generated(size), NOTE: options_part(size)}
