--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -15,6 +15,8 @@
 
 
 class Runtime:
+    """One courier: what it holds, what decides and what speaks, with the state that a turn moves on."""
+
     def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
@@ -58,8 +60,9 @@
     # What clients ask of the acceptor.
 
     def take(self, text):
-        """None where the text is taken on, else the status that refuses it and the milliseconds after which to
-        come again (0: none told)."""
+        """None where the text is taken on, else the status that refuses it and the milliseconds after
+        which to come again (0: none told).
+        """
         if self.journal.knows(text.ident):
             return 409, 0.0
         if (refusal := self.no_destination(text)) is not None:
@@ -108,7 +111,10 @@
         self.facade.withdraw(text)
 
     def listed(self, places, whole):
-        """News of discovery's. Guards all texts against an agent that has no list yet and says so with an empty one."""
+        """News of discovery's.
+
+        Guards all texts against an agent that has no list yet and says so with an empty one.
+        """
         self.current = True
         if whole and not places and self.facade.places and self.subscribed is None:
             logger.warning(
@@ -136,7 +142,8 @@
     def turn(self):
         """Decides on all that a pass brought; a fault in that is logged and the courier serves on."""
         try:
-            # guards drains against a start: what came since the last process is told already, and its list is old
+            # guards drains against a start: what came since the last process is told already, and its list is
+            # old
             due = self.facade.tick(self.loop.now()) if self.agent is None or self.agent.tried else FOREVER
             self.note_down()
         except Exception:
@@ -152,8 +159,8 @@
         if self.stuck:
             logger.info("turns go on, {turns} ended by a fault", event="turn.again", turns=self.stuck)
             self.stuck, late = 0, self.calls
-            # guards memories of references, waits and validity periods against calls that the journal held up: each is
-            # decided anew. It costs a submit of the text's allowance.
+            # guards memories of references, waits and validity periods against calls that the journal held
+            # up: each is decided anew. It costs a submit of the text's allowance.
             self.calls, due = [], self.loop.now()
             for call in late:
                 self.facade.report(call, Answer(Far.CALLED_OFF), 0.0)
@@ -281,7 +288,8 @@
             self.lines.sweep(self.loop.now())
             if self.loop.now() >= report:
                 line = (
-                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, {given_up} given up, "
+                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, "
+                    "{given_up} given up, "
                     "{held} held, {out} out"
                 )
                 ledger = self.ledger
--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -7,7 +7,7 @@
 import click
 from loguru import logger
 
-from calicopin.store.segments import ENDING, Newer, Segments, frames
+from calicopin.store.segments import ENDING, NewerFormError, Segments, frames
 from calicopin.system import HERE, System
 
 KINDS = {
@@ -29,18 +29,22 @@
 
     @staticmethod
     def now():
+        """The wall clock, in ms."""
         return System.wall()
 
     @staticmethod
     def create(path):
+        """A file that takes everything and keeps nothing."""
         return os.open(os.devnull, os.O_WRONLY)
 
     @staticmethod
     def write(_, data):
+        """How many bytes it took: all of them."""
         return len(data)
 
     @staticmethod
     def remove(path):
+        """Removes nothing."""
         pass
 
 
@@ -56,6 +60,7 @@
 
 
 def stop(line):
+    """Ends the command with one line on standard error and exit code 2."""
     click.echo(line, err=True)
     sys.exit(2)
 
@@ -65,7 +70,7 @@
     held(folder)
     try:
         return Segments(folder, FOREVER, 0.0, system or Look(), DAY)
-    except Newer as fault:
+    except NewerFormError as fault:
         stop(str(fault))
     except OSError as fault:
         stop(f"{folder}: {fault.strerror}")
@@ -73,7 +78,10 @@
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 def main():
-    """A courier's folder of segments. Never on a folder in use. Exit codes: 0 sound, 1 damage found, 2 cannot be read."""
+    """A courier's folder of segments.
+
+    Never on a folder in use. Exit codes: 0 sound, 1 damage found, 2 cannot be read.
+    """
     logger.remove()
     logger.add(sys.stderr, format="{message}", level="WARNING")
 
@@ -96,12 +104,14 @@
     store = opened(folder)
     for number in sorted(store.sizes)[:-1]:
         click.echo(
-            f"{number:08d}  {store.sizes[number]:>10} bytes  {len(store.homes[number]):>7} texts live  {len(store.ended[number]):>7} ids ended"
+            f"{number:08d}  {store.sizes[number]:>10} bytes  {len(store.homes[number]):>7} texts live  "
+            f"{len(store.ended[number]):>7} ids ended"
         )
     may = sum(text.ran_at is not None for text in store.texts.values())
     owed = sum(text.verdict is not None for text in store.texts.values())
     click.echo(
-        f"{len(store.texts)} texts live ({store.live} bytes): {may} may have run, {owed} wait for their notice to be heard"
+        f"{len(store.texts)} texts live ({store.live} bytes): {may} may have run, "
+        f"{owed} wait for their notice to be heard"
     )
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -15,7 +15,7 @@
 from calicopin.store.__main__ import main
 from calicopin.store.measure import SIDES
 from calicopin.store.measure import one as side
-from calicopin.store.segments import Newer, Segments, frames
+from calicopin.store.segments import NewerFormError, Segments, frames
 from calicopin.system import HERE, System
 
 OFFSET, LASTING = 5e11, 60000.0
@@ -30,7 +30,9 @@
 
 
 def state(store):
-    """What of each text must outlast a restart; times to a hundredth of a millisecond, as wall time keeps them."""
+    """What of each text must outlast a restart; times to a hundredth of a millisecond, as wall time keeps
+    them.
+    """
     return {
         t.ident: (
             t.tries,
@@ -87,7 +89,9 @@
 
 
 def test_cut_at_any_byte_no_record_before_the_cut_is_lost(tmp_path):
-    """The newest segment as a kill may leave it: every text whose record lies whole before the cut is there."""
+    """The newest segment as a kill may leave it: every text whose record lies whole before the cut is
+    there.
+    """
     store = book(tmp_path)
     drive(store, random.Random(2), 25)
     path = store._path(store.number)
@@ -137,7 +141,7 @@
     assert book(tmp_path, 400_000).damage
     sealed = sorted(tmp_path.iterdir())[0]
     sealed.write_bytes(store._record(b"H", b'["b", 1.0, 2]'))
-    with pytest.raises(Newer):
+    with pytest.raises(NewerFormError):
         book(tmp_path, 400_000)
 
 
