--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -7,20 +7,27 @@
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import Size
 from calicopin.discovery_node import source
-from calicopin.wire import asking, discovery
+from calicopin.wire import asking, discovery, subscriber
 
 WATCH_S = 2.0  # longest wait of a call for the list (`wire/asking.py: longest_wait`)
+RENEWAL_S = subscriber.WAIT / 1000.0  # between the beginnings of two renewals where there is no news
 PAUSE_S = asking.AGAIN / 1000.0  # between two calls for the list
 SOURCE_S = source.LOOK / 1000.0  # after which a node has seen a change of its source, at the most
 MOST_LIST_BYTES = float(discovery.MOST_LIST)  # of a list's answer
 DISK_SHARE = 0.5  # of `disk` that live messages fill at most in the segmented store (docs/store.md)
+JOURNAL_SHARE = 0.4  # the same in the one-file journal (`held/journal.py: Journal.limit`)
 
 
 def calls_a_second() -> float:
-    """Calls for the list of one courier where there is no news."""
+    """Calls for the list of one courier where there is no news, today."""
     return 1.0 / (WATCH_S + PAUSE_S)
 
 
+def renewals_a_second() -> float:
+    """Renewals of one courier where there is no news."""
+    return 1.0 / RENEWAL_S
+
+
 # The courier's control part, today.
 
 
@@ -127,6 +134,17 @@
     )
 
 
+def process_memory(size: Size) -> Figure:
+    """Memory of a whole courier that holds few messages: the interpreter, the program and its set."""
+    return Figure(
+        "the whole process with it, few messages waiting",
+        "process with no events + destinations a courier × listed destination",
+        slopes.PROCESS_MEMORY.value + set_memory(size).value,
+        Unit.BYTES,
+        (Use(slopes.PROCESS_MEMORY), *set_memory(size).uses),
+    )
+
+
 def lease_bytes(size: Size) -> Figure:
     """A new lease on the wire, both ways."""
     return Figure(
@@ -169,8 +187,8 @@
     """Share of a core for renewals and changes of the set at a courier."""
     return Figure(
         "processor time of renewals",
-        "calls a second × renewal at the courier",
-        (calls_a_second() + heard_a_second(size)) * slopes.RENEWAL_COURIER_TIME.value,
+        "renewals a second × renewal at the courier",
+        (renewals_a_second() + heard_a_second(size)) * slopes.RENEWAL_COURIER_TIME.value,
         Unit.CORES,
         (Use(slopes.RENEWAL_COURIER_TIME),),
     )
@@ -181,8 +199,8 @@
     news = heard_a_second(size) * slopes.NEW_LEASE_BYTES.value
     return Figure(
         "bytes a second between starts",
-        "calls a second × renewal + changes of the set × entry",
-        calls_a_second() * slopes.RENEWAL_BYTES.value + news,
+        "renewals a second × renewal + changes of the set × entry",
+        renewals_a_second() * slopes.RENEWAL_BYTES.value + news,
         Unit.BYTES_A_SECOND,
         (Use(slopes.RENEWAL_BYTES), Use(slopes.NEW_LEASE_BYTES)),
     )
@@ -204,7 +222,7 @@
 
 
 def waiting_memory(size: Size) -> Figure:
-    """Memory of waiting messages in the decisions."""
+    """Memory of waiting messages: decisions, bodies and the journal's index."""
     return Figure(
         "memory of waiting messages",
         "waiting events a courier × waiting message",
@@ -238,10 +256,21 @@
     )
 
 
+def waiting_decisions(size: Size) -> Figure:
+    """Memory of waiting messages in the decisions alone."""
+    return Figure(
+        "of it in the decisions",
+        "waiting events a courier × waiting message in the decisions",
+        size.waiting_a_courier * slopes.WAITING_DECISIONS.value,
+        Unit.BYTES,
+        (Use(slopes.WAITING_DECISIONS, size.waiting_a_courier),),
+    )
+
+
 def waiting_disk(size: Size) -> Figure:
     """What the folder has to hold."""
     return Figure(
-        "disk for waiting messages",
+        "disk for waiting messages, segmented store",
         f"waiting events a courier × live message / {DISK_SHARE:g}",
         size.waiting_a_courier * slopes.STORE_BYTES.value / DISK_SHARE,
         Unit.BYTES,
@@ -249,6 +278,17 @@
     )
 
 
+def waiting_journal(size: Size) -> Figure:
+    """What the folder has to hold with the one-file journal."""
+    return Figure(
+        "disk for waiting messages, journal",
+        f"waiting events a courier × waiting message in the journal / {JOURNAL_SHARE:g}",
+        size.waiting_a_courier * slopes.JOURNAL_BYTES.value / JOURNAL_SHARE,
+        Unit.BYTES,
+        (Use(slopes.JOURNAL_BYTES, size.waiting_a_courier),),
+    )
+
+
 def waiting_start(size: Size) -> Figure:
     """Time of a start that reads all waiting messages."""
     return Figure(
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -8,9 +8,11 @@
 from calicopin.capacity import courier, slopes
 from calicopin.capacity.figures import Figure, Unit, Use
 from calicopin.capacity.size import SECONDS_A_DAY, SECONDS_AN_HOUR, Size
-from calicopin.wire.discovery import GRACE
+from calicopin.subscription import nodes
+from calicopin.wire import subscriber
 
-CONNECT_S = GRACE / 1000.0  # until a node that cannot be reached is given up
+CONNECT_S = subscriber.CONNECT / 1000.0  # until a node that cannot be reached is given up
+SILENCE_S = (subscriber.WAIT + subscriber.SILENCE) / 1000.0  # until one that has gone silent is
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,9 +26,6 @@
 
 def _leases(name: str, formula: str, couriers: float, size: Size) -> tuple[Figure, Figure]:
     """Bytes and processor time at one node for so many new leases."""
-    node_time = (
-        slopes.RENEWAL_NODE_TIME.value + size.destinations_a_courier * slopes.NEW_LEASE_NODE_TIME.value
-    )
     return (
         Figure(
             f"{name}: bytes at a node",
@@ -37,10 +36,10 @@
         ),
         Figure(
             f"{name}: processor time at a node",
-            f"{formula} × (renewal + destinations a courier × subscribed destination, at the node)",
-            couriers * node_time,
+            f"{formula} × destinations a courier × subscribed destination",
+            couriers * size.destinations_a_courier * slopes.NEW_LEASE_NODE_TIME.value,
             Unit.SECONDS,
-            (Use(slopes.RENEWAL_NODE_TIME), Use(slopes.NEW_LEASE_NODE_TIME, size.destinations_a_courier)),
+            (Use(slopes.NEW_LEASE_NODE_TIME, size.destinations_a_courier),),
         ),
     )
 
@@ -100,6 +99,11 @@
     )
 
 
+def try_jitter_s(size: Size) -> float:
+    """Longest wait before the next node is tried."""
+    return min(nodes.TRY_JITTER, nodes.ROUND_JITTER / size.control_machines) / 1000.0
+
+
 def node_lost(size: Size) -> Fault:
     """One control machine gone: rendezvous hashing spreads its couriers over the rest."""
     each = size.couriers_a_node / (size.control_machines - 1.0)
@@ -115,6 +119,12 @@
                 Unit.COUNT,
             ),
             Figure("of them new", "couriers a node / (control machines - 1)", each, Unit.COUNT),
+            Figure(
+                "until its couriers ask another node, at the most: it fell silent",
+                f"{SILENCE_S:g} s + jitter",
+                SILENCE_S + try_jitter_s(size),
+                Unit.SECONDS,
+            ),
             *_leases("new leases", "new couriers", each, size),
         ),
     )
@@ -199,11 +209,21 @@
     )
 
 
+def tries_when_apart(size: Size) -> Figure:
+    """Nodes that a courier in a region apart tries until one that it reaches, in an order by chance, on average."""
+    return Figure(
+        "nodes tried until one in the region answers, in an order by chance",
+        "(control machines + 1) / (nodes a region + 1)",
+        (size.control_machines + 1.0) / (size.nodes_a_region + 1.0),
+        Unit.COUNT,
+    )
+
+
 def regions_apart(size: Size) -> Fault:
     """One region without the others for the stated time; the list's source stands on the other side."""
     missed = size.changes_a_second * size.region_split_s
     moving = size.couriers_a_region * (1.0 - 1.0 / size.regions)
-    tries = (size.control_machines + 1.0) / (size.nodes_a_region + 1.0)
+    tries = tries_when_apart(size).value
     heard = missed * size.shape.senders_a_destination / size.regions
     return Fault(
         "A region apart for an hour",
@@ -217,16 +237,11 @@
                 moving,
                 Unit.COUNT,
             ),
+            tries_when_apart(size),
             Figure(
-                "nodes tried until one in the region answers, in an order by chance",
-                "(control machines + 1) / (nodes a region + 1)",
-                tries,
-                Unit.COUNT,
-            ),
-            Figure(
-                "the time of the tries that fail, without pauses",
-                f"(tries - 1) × {CONNECT_S:g} s",
-                (tries - 1.0) * CONNECT_S,
+                "until such a courier asks a node in the region, on average",
+                f"{SILENCE_S:g} s + (tries - 1) × ({CONNECT_S:g} s + half the jitter)",
+                SILENCE_S + (tries - 1.0) * (CONNECT_S + try_jitter_s(size) / 2.0),
                 Unit.SECONDS,
             ),
             Figure(
--- a/calicopin/capacity/model.py
+++ b/calicopin/capacity/model.py
@@ -8,9 +8,11 @@
 
 NODE = (
     node.list_memory,
+    node.changed_memory,
     node.lease_memory,
-    node.calls,
+    node.renewals,
     node.core,
+    node.changes_core,
     node.traffic,
     node.news,
     node.source,
@@ -81,10 +83,12 @@
                 courier.events_core(size),
                 courier.events_traffic(size),
                 courier.waiting_memory(size),
+                courier.waiting_decisions(size),
                 courier.queue_length(size),
                 courier.walked_down(size),
                 courier.walked_deliveries(size),
                 courier.waiting_disk(size),
+                courier.waiting_journal(size),
                 courier.waiting_start(size),
             ),
         ),
@@ -105,6 +109,7 @@
             "Courier, control, with subscriptions",
             (
                 courier.set_memory(size),
+                courier.process_memory(size),
                 courier.lease_bytes(size),
                 courier.lease_start(size),
                 courier.set_take(size),
--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -44,6 +44,7 @@
 NOT_READY_RETRY = 1000.0  # ms
 TURNED_AWAY_RETRY = 1000.0
 REPEAT = 1000.0  # ms between two lines on requests turned away
+ANSWER_STEP = 1000  # destinations of an answer that are looked up in one pass
 AT_ONCE = 32  # connections accepted in one pass
 BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
 BODY_BASE = 4096
@@ -143,6 +144,7 @@
         self.reading = 0  # bytes that the bodies now being read may come to
         self.answers = self.changes_told = self.destinations_changed = 0
         self.stopping = False
+        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, -FOREVER
         self.accepting = loop.keep(self._accept)
         loop.keep(self._expire)
@@ -150,6 +152,8 @@
     def change(self, destinations: set[int]) -> None:
         """These destinations are not as before: whoever holds them and waits is answered."""
         self.destinations_changed += len(destinations)
+        for touched in self._lookups:
+            touched |= destinations
         for name in self.table.change(destinations):
             self.changes_told += 1
             self._wake(name)
@@ -376,7 +380,7 @@
         self._release_ended()
         if isinstance(decision, Wait):
             return (yield from self._park(line, decision.lease, poll.wait))
-        return self._answer(decision)
+        return (yield from self._answer(decision))
 
     def _park(self, line: Line, lease: str, wait: float) -> Iterator[Until]:
         """Waits for a change of the lease; None where the client has left meanwhile."""
@@ -393,7 +397,8 @@
             return None
         if self.stopping:
             return self._not_ready()
-        return self._answer(self.table.idle(lease) if parked.superseded else self.table.tell(lease))
+        told = self.table.idle(lease) if parked.superseded else self.table.tell(lease)
+        return (yield from self._answer(told))
 
     def _wait_parked(self, line: Line, parked: Parked, until: float) -> Iterator[Until]:
         """Until it is woken or its time is up; False where the client has left before."""
@@ -427,14 +432,14 @@
             self.table.expire(self.loop.now())
             self._release_ended()
 
-    def _answer(self, decision: Tell | Refusal) -> Reply:
+    def _answer(self, decision: Tell | Refusal) -> Iterator[Until]:
+        """The reply; a long one is made in several passes. What changes meanwhile is told by the next one again."""
         if isinstance(decision, Refusal):
             return refused(decision)
-        servers, complete, unknown = [], [], []
-        for destination in decision.destinations:
-            entries = self.source.catalogue.entries(destination)
-            (complete if entries else unknown).append(destination)
-            servers += entries
+        entries = yield from self._look_up(decision.destinations)
+        complete = tuple(destination for destination, found in entries.items() if found)
+        unknown = tuple(destination for destination, found in entries.items() if not found)
+        servers = [entry for found in entries.values() for entry in found]
         bounds = self.table.bounds
         grant = Grant(
             fleet=self.table.fleet,
@@ -442,12 +447,28 @@
             lease=decision.lease,
             sequence=decision.sequence,
             lease_ms=bounds.lease_ms,
-            complete=tuple(complete),
-            unknown=tuple(unknown),
+            complete=complete,
+            unknown=unknown,
         )
         self.answers += 1
         return Reply(200, encode_answer(decision.full, decision.version, servers, grant))
 
+    def _look_up(self, destinations: tuple[int, ...]) -> Iterator[Until]:
+        """The entries of each destination, all as of one moment: an endpoint that moves must not stand in two."""
+        catalogue, touched, entries = self.source.catalogue, set(), {}
+        self._lookups.append(touched)
+        try:
+            for position, destination in enumerate(destinations, 1):
+                entries[destination] = catalogue.entries(destination)
+                if position % ANSWER_STEP == 0:
+                    yield Until(self.loop.now())
+        finally:
+            self._lookups = [other for other in self._lookups if other is not touched]
+        replaced = self.source.catalogue is not catalogue
+        for destination in entries if replaced else touched.intersection(entries):
+            entries[destination] = self.source.catalogue.entries(destination)
+        return entries
+
     def _not_ready(self) -> Reply:
         why = "the node ends" if self.stopping else "the node has not read its list yet"
         return refused(Refusal(Reason.NOT_READY, why, NOT_READY_RETRY), last=self.stopping)
@@ -484,4 +505,5 @@
             reason=refusal.reason.value,
             why=refusal.message,
         )
+        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, now
--- a/calicopin/scale/results.py
+++ b/calicopin/scale/results.py
@@ -14,6 +14,7 @@
 from calicopin.scale import fit, guard
 
 ROOT = Path(__file__).resolve().parents[2]
+MOST_COLUMNS = 10  # of a table with a row a line
 PROGRAM = ("calicopin", ":!calicopin/scale")  # what the runs measure, as git names it
 
 
@@ -64,6 +65,7 @@
     figures: list[Figure] = []
     rows: list[dict] = []
     void: str = ""
+    faults: list[str] = []
 
 
 def _git(*words: str) -> str:
@@ -93,11 +95,11 @@
     run.machine = msgspec.structs.replace(run.machine, load_after=os.getloadavg())
 
 
-def slope(figure: str, unit: str, over: str, samples: list[fit.Sample]) -> Slope:
-    """The figure with its spread, and with its line where there are sizes enough."""
+def slope(figure: str, unit: str, over: str, samples: list[fit.Sample], fitted: bool = True) -> Slope:
+    """The figure with its spread, and with its line where there are sizes enough and one is to be `fitted`."""
     sizes = len({sample.size for sample in samples})
-    fitted = fit.line(samples) if sizes >= fit.LEAST_SIZES else None
-    return Slope(figure, unit, over, samples, fit.spreads(samples), fitted)
+    line = fit.line(samples) if fitted and sizes >= fit.LEAST_SIZES else None
+    return Slope(figure, unit, over, samples, fit.spreads(samples), line)
 
 
 def keep(run: Run, path: str) -> None:
@@ -138,7 +140,9 @@
             bound = "" if one.bound is None else number(one.bound)
             table.add_row(one.figure, number(one.value), one.unit, bound, one.note)
         out.print(table)
-    if run.rows:
+    if run.rows and len(run.rows[0]) > MOST_COLUMNS:
+        out.print(_upright(run.rows))
+    elif run.rows:
         heads = list(run.rows[0])
         table = Table(*heads, box=None)
         for row in run.rows:
@@ -149,6 +153,18 @@
         out.print(f"VOID: {run.void}", highlight=False)
 
 
+def _cell(value) -> str:
+    return number(value) if value is None or isinstance(value, float) else str(value)
+
+
+def _upright(rows: list[dict]) -> Table:
+    """One column a row, where the rows are too wide."""
+    table = Table("", *[str(position) for position, _ in enumerate(rows, 1)], box=None)
+    for head in rows[0]:
+        table.add_row(head, *[_cell(row.get(head)) for row in rows])
+    return table
+
+
 def _show_slopes(out: Console, slopes: list[Slope]) -> None:
     table = Table("figure", "unit", "over", "size", "repeats", "median", "least", "most", box=None)
     for one in slopes:
@@ -161,4 +177,5 @@
         if one.line:
             numbers = (number(one.line.slope), number(one.line.intercept), number(one.line.residual))
             lines.add_row(one.figure, one.unit, one.over, *numbers, f"{one.line.residual_share:.3f}")
-    out.print(lines)
+    if any(one.line for one in slopes):
+        out.print(lines)
