A message that no longer waits for a first answer leaves nothing behind at the subscription

Cause: while no node answered, the events of clients whose time was up stayed with the subscriber until it did. Change: Subscribed.waited tells it so. The test of a time that is up asserts that nothing is kept.

--- a/calicopin/boot/subscribed.py
+++ b/calicopin/boot/subscribed.py
@@ -120,6 +120,7 @@
     def waited(self, event: FirstAnswer) -> None:
         """Nobody waits for the event any longer."""
         if (destination := self.waiting.pop(event, None)) is not None:
+            self.subscriber.unsettled(destination, event)
             self.facade.awaited -= 1
             self.waiting_for[destination] -= 1
             if not self.waiting_for[destination]:
--- a/tests/test_subscribed_courier.py
+++ b/tests/test_subscribed_courier.py
@@ -167,6 +167,7 @@
     assert house.awaited and not peer.hear()
     house.go_on(81.0)
     assert house.status_of(peer) == b"503" and not house.awaited and not house.runtime.journal.texts
+    assert not house.runtime.subscribed.subscriber._settled, "nothing is kept for it while no node answers"
 
 
 def test_a_client_that_leaves_while_it_waits_costs_nothing_more(tmp_path, node, endpoint):
