--- a/calicopin/command/discovery_node.py
+++ b/calicopin/command/discovery_node.py
@@ -61,6 +61,12 @@
 @click.option("--fleet", required=True, callback=word(MOST_WORD), help="Whose list it is.")
 @click.option("--listen", type=Address(), metavar="HOST:PORT", help="Where couriers call.")
 @click.option("--node", callback=word(MOST_NODE_WORD), help="Its name, one of its own for each node.")
+@click.option(
+    "--upstream",
+    type=Address(),
+    metavar="HOST:PORT",
+    help="Another node whose list is copied to FILE and followed; FILE serves until it is heard.",
+)
 @click.option("--lease", type=Duration(), default="30s", show_default=True, help="How long a lease lasts.")
 @click.option(
     "--leases",
@@ -101,7 +107,20 @@
 @click.option("--idle", type=Duration(), default="60s", show_default=True, help="A silent connection's time.")
 @click.option("--check", is_flag=True, help="Reads the source whole, tells what is in it and serves nothing.")
 def discovery_node(
-    source, fleet, listen, node, lease, leases, destinations, rate, burst, connections, parked, idle, check
+    source,
+    fleet,
+    listen,
+    node,
+    upstream,
+    lease,
+    leases,
+    destinations,
+    rate,
+    burst,
+    connections,
+    parked,
+    idle,
+    check,
 ):
     """Serves couriers the parts of the list to which they subscribe (docs/discovery-node.md); ends on SIGTERM.
 
@@ -126,6 +145,7 @@
         port=listen[1],
         fleet=fleet,
         node=node,
+        upstream=f"{upstream[0]}:{upstream[1]}" if upstream else "",
         leases=LeaseBounds(lease, leases, destinations, rate, burst),
         server=ServerBounds(connections, parked, idle),
     )
--- a/calicopin/discovery_node/node.py
+++ b/calicopin/discovery_node/node.py
@@ -13,6 +13,7 @@
 from calicopin.discovery_node.entry import Line
 from calicopin.discovery_node.server import NodeServer, ServerBounds
 from calicopin.discovery_node.source import Source, SourceError, open_source
+from calicopin.discovery_node.upstream import Upstream
 from calicopin.subscription.leases import LeaseBounds, LeaseTable
 from calicopin.system import HERE, System
 from calicopin.wire.loop import FOREVER, READ, Loop, Until
@@ -33,6 +34,7 @@
     port: int
     fleet: str
     node: str
+    upstream: str = ""  # the address of a node whose list is copied to `source`
     leases: LeaseBounds = field(default_factory=LeaseBounds)
     server: ServerBounds = field(default_factory=ServerBounds)
 
@@ -56,6 +58,8 @@
         self.table = LeaseTable(settings.fleet, settings.node, run, settings.leases)
         listener = system.listen(settings.host, settings.port)
         self.server = NodeServer(self.loop, listener, self.table, settings.server)
+        if settings.upstream:
+            self.server.upstream = Upstream(self.loop, settings.upstream, settings.source, settings.fleet)
         self.source = Source(
             self.loop, settings.source, settings.fleet, self.server.change, self.table.subscribed
         )
@@ -88,7 +92,8 @@
 def serve(settings: NodeSettings, signal_reader: SignalReader) -> None:
     """Runs a node until it is told to end; raises ValueError or OSError where it cannot start."""
     raise_descriptor_limit(settings.server.connections)
-    open_source(settings.source, settings.fleet).close()  # before the address is taken
+    if not settings.upstream or os.path.exists(settings.source):
+        open_source(settings.source, settings.fleet).close()  # before the address is taken
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
     node = Node(settings)
--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from calicopin.discovery_node.source import Source
+from calicopin.discovery_node.upstream import LOG_CHUNK, LOG_PATH, Upstream, encode_piece
 from calicopin.subscription.leases import LeaseTable, Tell, Wait
 from calicopin.subscription.messages import (
     STATUS,
@@ -36,6 +37,7 @@
 TARGETS = b"/api/targets"
 STATUS_PATH = b"/-/status"
 READY_PATH = b"/-/ready"
+LOG_TARGET = LOG_PATH.encode()
 PATIENCE = 2500.0  # ms for a whole request, and for its answer to be read
 LINGER = 300.0  # ms for a client to read its last answer
 EXPIRY = 500.0  # ms between two looks for leases that are over
@@ -118,13 +120,18 @@
         return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
 
 
+def is_number(word: str) -> bool:
+    """Whether a word of a query is a whole number from 0 up."""
+    return word.isascii() and word.isdigit() and len(word) <= INDEX_DIGITS
+
+
 def read_poll(target: bytes, most_wait: float) -> Poll:
     """The query of a request; raises MessageError."""
     told = {}
     for name, value in parse_qsl(target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True):
         if name not in ("index", "wait"):
             raise MessageError(f"query.{name[:40]}", "is an unknown field")
-        if not value.isascii() or not value.isdigit() or len(value) > INDEX_DIGITS:
+        if not is_number(value):
             raise MessageError(f"query.{name}", "is no whole number from 0 up")
         told[name] = int(value)
     return Poll(told.get("index"), min(float(told.get("wait", 0)), most_wait))
@@ -136,6 +143,7 @@
     def __init__(self, loop: Loop, listener: socket.socket, table: LeaseTable, bounds: ServerBounds):
         self.loop, self.listener, self.table, self.bounds = loop, listener, table, bounds
         self.source: Source | None = None
+        self.upstream: Upstream | None = None  # where the source is a copy of another node's
         self.most_body = BODY_BASE + BODY_PER_DESTINATION * table.bounds.destinations
         self.most_wait = table.bounds.lease_ms / 2.0
         self.connections: dict[Connection, None] = {}
@@ -202,10 +210,18 @@
                 "loads": source.loads,
                 "lines_passed_over": source.faults,
             },
+            **self._upstream_status(),
             "cpu_seconds": time.process_time(),
             "resident_bytes": resident_bytes(),
         }
 
+    def _upstream_status(self) -> dict:
+        upstream = self.upstream
+        if upstream is None:
+            return {}
+        heard_at = None if upstream.heard_at is None else upstream.heard_at / 1000.0
+        return {"upstream": {"address": upstream.address, "heard_at": heard_at, "copies": upstream.copies}}
+
     # Connections.
 
     def _accept(self) -> Iterator[Until]:
@@ -348,7 +364,7 @@
 
     def _route(self, line: Line, head: h11.Request, body: bytes) -> Iterator[Until]:
         path = head.target.partition(b"?")[0]
-        methods = {TARGETS: b"POST", STATUS_PATH: b"GET", READY_PATH: b"GET"}
+        methods = {TARGETS: b"POST", LOG_TARGET: b"GET", STATUS_PATH: b"GET", READY_PATH: b"GET"}
         if path not in methods:
             return unreadable(f"no path {path[:60].decode('latin-1')}", 404, last=False)
         if head.method != methods[path]:
@@ -359,8 +375,19 @@
             return Reply(200 if self.is_ready() else STATUS[Reason.NOT_READY], b"")
         if not self.is_ready():
             return self._not_ready()
+        if path == LOG_TARGET:
+            return self._log_piece(head.target)
         return (yield from self._subscribe(line, head.target, body))
 
+    def _log_piece(self, target: bytes) -> Reply:
+        """A piece of the source's file for a node whose upstream this one is."""
+        told = dict(parse_qsl(target.partition(b"?")[2].decode("latin-1")))
+        offset = told.get("offset", "")
+        if len(told) != 1 or not is_number(offset):
+            return unreadable("query.offset: is no whole number from 0 up", last=False)
+        identity = f"{self.table.prefix}{self.source.files}"
+        return Reply(200, encode_piece(identity, self.source.piece(int(offset), LOG_CHUNK)))
+
     # Subscriptions.
 
     def _subscribe(self, line: Line, target: bytes, body: bytes) -> Iterator[Until]:
--- a/calicopin/discovery_node/source.py
+++ b/calicopin/discovery_node/source.py
@@ -68,7 +68,7 @@
 
     def read_header(self, fleet: str) -> bool:
         """Whether the header is there; SourceError where it is none for this node."""
-        text, newline, _ = self._read(MOST_LINE, 0).partition(b"\n")
+        text, newline, _ = self.read(MOST_LINE, 0).partition(b"\n")
         if not newline and len(text) < MOST_LINE:
             return False
         try:
@@ -81,7 +81,7 @@
     def appended(self) -> "SourceFile":
         """The same open file from its end on, as far as that is whole lines: read beside this one."""
         other, before = copy.copy(self), max(0, self.size_at_open - MOST_LINE)
-        last = self._read(self.size_at_open - before, before)
+        last = self.read(self.size_at_open - before, before)
         other.splitter, other.offset = LineSplitter(), before + last.rfind(b"\n") + 1
         return other
 
@@ -92,13 +92,14 @@
     def lines(self, goal: int) -> Iterator[Line]:
         """The lines from where the last read ended up to that offset, or to the end where that comes first."""
         while self.offset < goal:
-            data = self._read(min(CHUNK, goal - self.offset), self.offset)
+            data = self.read(min(CHUNK, goal - self.offset), self.offset)
             if not data:
                 return
             self.offset += len(data)
             yield from self.splitter.feed(data)
 
-    def _read(self, size: int, offset: int) -> bytes:
+    def read(self, size: int, offset: int) -> bytes:
+        """Bytes of it, whatever was read before."""
         return os.pread(self.descriptor, size, offset)
 
     def close(self) -> None:
@@ -174,6 +175,7 @@
         self.file = open_source(path, fleet)
         self.read_at: float | None = None  # wall time of the last read that found something, ms
         self.looks = self.faults = self.loads = 0
+        self.files = 0  # how often another file took the place of the one that was followed
         self._doubted: tuple | None = None  # the stamp of a file that could not be taken
         self._lost = False  # the file that was followed is no longer what its offset says
         self._told = ""  # the trouble that was told last: it may come at every look
@@ -184,6 +186,10 @@
         """Bytes of the file that were read."""
         return self.file.offset
 
+    def piece(self, offset: int, size: int) -> bytes:
+        """Bytes of the file as far as this node has read it."""
+        return self.file.read(max(0, min(size, self.file.offset - offset)), offset)
+
     def follow(self) -> Iterator[Until]:
         """For ever: a look, a pause."""
         while True:
@@ -279,6 +285,7 @@
         old_file, self.file = self.file, file
         old, self.catalogue = self.catalogue, catalogue
         old_file.close()
+        self.files += file.identity != old_file.identity or file.size_at_open < old_file.offset
         self.loads += 1
         self._doubted, self._lost, self._told = None, False, ""
         logger.info(
--- /dev/null
+++ b/calicopin/discovery_node/upstream.py
@@ -0,0 +1,122 @@
+"""An upstream node as the source: its list log is copied to a file of this node's own, which the node then follows.
+
+The copy is asked for from where it ends, again and again. Where the upstream node began another file, or is another
+run, a new copy is made beside the old one and takes its place once it is whole: the last good copy serves on.
+"""
+
+import os
+from collections.abc import Iterator
+
+import h11
+from loguru import logger
+
+from calicopin.discovery_node.source import SourceError, open_source
+from calicopin.wire.agent import Agent
+from calicopin.wire.loop import Loop, Until
+
+LOG_PATH = "/api/log"
+LOG_CHUNK = 1 << 20  # bytes of the log in one answer
+MOST_IDENTITY = 512  # bytes in front of them
+PAUSE = 250.0  # ms between two requests where nothing was new
+RETRY = 1000.0  # ms after one that failed
+REFUSED_RETRY = 30_000.0  # ms after a copy that could not be used: it is made whole again
+PATIENCE = 5000.0  # ms for one answer
+SUFFIX = ".part"  # of a copy that is not whole yet
+
+
+def encode_piece(identity: str, data: bytes) -> bytes:
+    """A piece of the log: a line that names the file, and the bytes."""
+    return identity.encode() + b"\n" + data
+
+
+def write_whole(descriptor: int, data: bytes, offset: int) -> None:
+    """All of it, or OSError; once more does no harm."""
+    done = 0
+    while done < len(data):
+        done += os.pwrite(descriptor, data[done:], offset + done)
+
+
+class Upstream(Agent):
+    """Copies the log of the node at `address` to `path`. The list that is there serves from the first moment on."""
+
+    def __init__(self, loop: Loop, address: str, path: str, fleet: str):
+        self.path, self.fleet = path, fleet
+        self.heard_at: float | None = None  # wall time of the last answer, ms
+        self.copies = 0  # made whole
+        self._identity, self._offset, self._descriptor = "", 0, -1
+        self._whole = False  # whether the copy has taken its place
+        self._told = ""
+        if not os.path.exists(path):
+            os.close(os.open(path, os.O_WRONLY | os.O_CREAT | os.O_CLOEXEC, 0o644))
+        super().__init__(loop, address)
+
+    def talk(self) -> Iterator[Until]:
+        """For ever: one request after the other on one connection, a new one after a fault."""
+        self.hang_up()
+        while True:
+            pause = PAUSE
+            try:
+                piece = yield from self._ask()
+                if piece is None:
+                    self._tell_once(f"the upstream node {self.address} does not answer")
+                    pause = RETRY
+                elif self._take(piece):
+                    pause = 0.0
+            except (OSError, SourceError) as fault:
+                self._tell_once(f"no copy of the list of the upstream node {self.address}: {fault}")
+                self._identity, pause = "", REFUSED_RETRY
+            yield Until(self.loop.now() + pause)
+
+    def _ask(self) -> Iterator[Until]:
+        """The next piece; None where none came."""
+        until = self.loop.now() + PATIENCE
+        line = yield from self.connect(until)
+        if not line:
+            return None
+        target = f"{LOG_PATH}?offset={self._offset}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
+        status, body = (yield from line.ask(request, b"", LOG_CHUNK + MOST_IDENTITY, until)) or (0, b"")
+        if not (status and line.again()):
+            self.hang_up()
+        return body if status == 200 else None
+
+    def _take(self, piece: bytes) -> bool:
+        """Takes one piece in; whether there may be more at once."""
+        self.heard_at = self.loop.system.wall()
+        name, _, data = piece.partition(b"\n")
+        identity = name.decode("latin-1")
+        if identity != self._identity:
+            self._begin(identity)
+            return True
+        write_whole(self._descriptor, data, self._offset)
+        self._offset += len(data)
+        if len(data) >= LOG_CHUNK:
+            return True
+        self._told = ""
+        if not self._whole:
+            self._put_in_place()
+        return False
+
+    def _begin(self, identity: str) -> None:
+        """A new copy, from the log's first byte on."""
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+            self._descriptor = -1
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC
+        self._descriptor = os.open(self.path + SUFFIX, flags, 0o644)
+        self._identity, self._offset, self._whole = identity, 0, False
+
+    def _put_in_place(self) -> None:
+        """The copy is whole: it is the source from now on, if it is one of this fleet."""
+        file = open_source(self.path + SUFFIX, self.fleet)
+        file.close()
+        if file.offset == 0:
+            raise SourceError("it has no whole header yet")
+        os.replace(self.path + SUFFIX, self.path)
+        self._whole = True
+        self.copies += 1
+
+    def _tell_once(self, why: str) -> None:
+        if why != self._told:
+            logger.warning("{why}", event="upstream.unheard", why=why)
+            self._told = why
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -19,12 +19,14 @@
 from calicopin.discovery_node import catalogue as catalogue_module
 from calicopin.discovery_node import server as server_module
 from calicopin.discovery_node import source as source_module
+from calicopin.discovery_node import upstream as upstream_module
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import Line, decode_entry, read_line
 from calicopin.discovery_node.measure import measure
 from calicopin.discovery_node.node import check_source
 from calicopin.discovery_node.server import NodeServer, ServerBounds
 from calicopin.discovery_node.source import LOOK, MOST_LINE, MOST_TOLD, LineSplitter, Source, SourceError
+from calicopin.discovery_node.upstream import Upstream
 from calicopin.subscription.leases import LeaseBounds, LeaseTable
 from calicopin.subscription.messages import (
     Reason,
@@ -523,10 +525,10 @@
 class OwnNode:
     """A node in the test's own loop, whose clock the test moves."""
 
-    def __init__(self, path, leases=None, server=None):
-        self.path, self.loop = path, Loop(now=Clock())
-        self.table = LeaseTable("fleet", "n1", "run", leases or LeaseBounds())
-        listener = HERE.listen("127.0.0.1", 0)
+    def __init__(self, path, leases=None, server=None, loop=None, port=0, run="run"):
+        self.path, self.loop = path, loop or Loop(now=Clock())
+        self.table = LeaseTable("fleet", "n1", run, leases or LeaseBounds())
+        listener = HERE.listen("127.0.0.1", port)
         self.port = listener.getsockname()[1]
         self.server = NodeServer(self.loop, listener, self.table, server or ServerBounds())
         self.source = Source(self.loop, str(path), "fleet", self.server.change, self.table.subscribed)
@@ -989,6 +991,114 @@
     assert node.source.catalogue.work - rows <= 100 * 4
 
 
+# An upstream node as the source.
+
+
+class Copying(OwnNode):
+    """A node that copies another one's list, in the same loop."""
+
+    def __init__(self, path, address, loop):
+        path.touch()
+        super().__init__(path, loop=loop)
+        self.server.upstream = Upstream(loop, address, str(path), "fleet")
+
+    def copies(self, count, done=lambda: True):
+        """As long as it takes until so many whole copies are served from and `done` holds."""
+
+        def reached():
+            self.loop.now.now += 10.0
+            return self.server.upstream.copies == count and self.server.is_ready() and done()
+
+        spin(self.loop, reached)
+
+
+@pytest.fixture
+def upstream(path, tmp_path, monkeypatch):
+    """A node and one that copies from it, in small pieces."""
+    monkeypatch.setattr(upstream_module, "LOG_CHUNK", 300)
+    monkeypatch.setattr(server_module, "LOG_CHUNK", 300)
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(20))))
+    above = OwnNode(path).ready()
+    return above, Copying(tmp_path / "copy.log", f"127.0.0.1:{above.port}", above.loop)
+
+
+def test_a_list_is_copied_from_an_upstream_node_and_followed(upstream):
+    above, below = upstream
+    courier = Courier(below)
+    courier.send(courier.body((3,)))
+    assert courier.refusal().reason is Reason.NOT_READY
+    below.copies(1)
+    assert courier.subscribe(3, 7).full
+    courier.poll()
+    below.parks(1)
+    with open(above.path, "ab") as file:
+        file.write(entry("s-3", 3, "leaving")[:30])
+    above.append()
+    with open(above.path, "ab") as file:
+        file.write(entry("s-3", 3, "leaving")[30:] + b"\n")
+    below.copies(1, lambda: courier.whole() is not None)
+    assert courier.told().grant.complete == (3,)
+    assert below.path.read_bytes() == above.path.read_bytes()
+
+
+def test_another_file_upstream_is_copied_whole_and_only_differences_are_told(upstream):
+    above, below = upstream
+    below.copies(1)
+    courier = Courier(below)
+    courier.subscribe(3, 7)
+    courier.poll()
+    below.parks(1)
+    beside = above.path.with_suffix(".new")
+    beside.write_bytes(log(entry("s-3", 3), entry("s-7", 7, "leaving")))
+    os.replace(beside, above.path)
+    below.copies(2, lambda: courier.whole() is not None)
+    assert courier.told().grant.complete == (7,)
+
+
+def test_without_its_upstream_a_node_serves_on_and_follows_it_when_it_is_back(upstream, lines):
+    above, below = upstream
+    below.copies(1)
+    above.loop.close(above.server.listener)
+    for connection in list(above.server.connections):
+        above.server._hang_up(connection)
+    for _ in range(300):
+        below.after(10.0)
+    assert len([line for line in lines if "does not answer" in line]) == 1
+    courier = Courier(below)
+    assert courier.subscribe(3).full
+    back = OwnNode(above.path, loop=above.loop, port=above.port, run="next").ready()
+    below.copies(2)
+    back.append(entry("s-3", 3, "leaving"))
+    courier.poll()
+    below.copies(2, lambda: courier.whole() is not None)
+    assert courier.told().grant.complete == (3,)
+
+
+def test_a_copy_of_another_fleets_list_does_not_take_the_place(upstream, lines):
+    above, below = upstream
+    below.copies(1)
+    good = below.path.read_bytes()
+    other = Upstream(above.loop, f"127.0.0.1:{above.port}", str(below.path), "other")
+    below.server.upstream.retire()
+    for _ in range(300):
+        below.after(10.0)
+    assert other.copies == 0 and below.path.read_bytes() == good
+    assert len([line for line in lines if "this node serves 'other'" in line]) == 1
+
+
+@pytest.mark.parametrize("query", ["", "?offset=x", "?offset=-1", "?offset=1&more=2", "?more=1"])
+def test_a_piece_of_the_log_wants_an_offset(node, query):
+    courier = Courier(node)
+    courier.peer.say(f"GET /api/log{query} HTTP/1.1\r\nHost: n\r\n\r\n".encode())
+    assert courier.refusal().reason is Reason.UNREADABLE
+
+
+def test_behind_the_logs_end_there_is_nothing(node):
+    courier = Courier(node)
+    courier.peer.say(b"GET /api/log?offset=999999999 HTTP/1.1\r\nHost: n\r\n\r\n")
+    assert courier.answer().body == b"n1-run-0\n"
+
+
 def test_the_measured_costs_of_a_change_have_the_same_shape_at_each_size():
     costs = [measure(known, couriers=20, each=10, changes=100, seed=1) for known in (1_000, 10_000)]
     assert [cost.change_leases_looked_at for cost in costs] == [1.0, 1.0]
@@ -1086,6 +1196,28 @@
         process.stderr.close()
 
 
+def test_a_node_that_copies_from_another_serves_its_copy_after_a_start_without_it(path, tmp_path):
+    path.write_bytes(log(entry("a", 1)))
+    above, below, copy = free_address(), free_address(), tmp_path / "copy.log"
+    subscribe = encode_request(SubscribeRequest("fleet", "c-1", subscribe=(1,)))
+    processes = []
+    try:
+        processes.append(started(path, above))
+        processes.append(started(copy, below, "--upstream", above))
+        for process in processes:
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+        processes.append(started(copy, below, "--upstream", above))
+        status, told = exchanged(below, "POST", "/api/targets", subscribe)
+        assert status == 200 and decode_answer(told).grant.complete == (1,)
+        assert copy.read_bytes() == path.read_bytes()
+    finally:
+        for process in processes:
+            process.kill()
+            process.wait()
+            process.stderr.close()
+
+
 @pytest.mark.parametrize(
     "words, why",
     [
