--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -333,6 +333,19 @@
     assert following.heard.all() == {1}
 
 
+def test_a_file_cut_in_place_and_refused_is_not_followed_when_it_grows(path):
+    path.write_bytes(log(entry("a", 1)))
+    following = Following(path, subscribed=(1, 2))
+    path.write_bytes(b'{"form":2,"fleet":"fleet"}\n')
+    following.look()
+    following.append((entry("a", 1, "left") + b"\n" + entry("b", 2) + b"\n") * 3)
+    following.append(entry("c", 2) + b"\n")
+    assert following.heard.all() == set()
+    assert following.entries(1) == (entry("a", 1),) and following.entries(2) == ()
+    following.replace(log(entry("a", 1), entry("b", 2)))
+    assert following.heard.all() == {2}
+
+
 def test_a_file_that_is_gone_changes_nothing_and_is_taken_when_it_is_back(path, lines):
     path.write_bytes(log(entry("a", 1)))
     following = Following(path, subscribed=(1,))
@@ -867,6 +880,20 @@
     assert courier.answer().status == 200
 
 
+def test_a_request_behind_one_that_waits_costs_nothing_meanwhile(node, monkeypatch):
+    courier = Courier(node)
+    courier.subscribe(1)
+    courier.poll(wait=1000)
+    node.parks(1)
+    looks, left = [], server_module.Line.left
+    monkeypatch.setattr(server_module.Line, "left", lambda line: looks.append(line) or left(line))
+    courier.peer.say(b"GET /-/ready HTTP/1.1\r\nHost: n\r\n\r\n")
+    spin(node.loop, lambda: looks)
+    for _ in range(50):
+        node.loop.once(node.loop.now())
+    assert len(looks) == 1
+
+
 def test_clients_that_go_silent_are_closed(path):
     path.write_bytes(log(entry("a", 1)))
     node = OwnNode(path, server=ServerBounds(idle_ms=5000.0)).ready()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -203,6 +203,16 @@
     refused(table.tell(told.lease), Reason.LEASE_OVER)
 
 
+def test_a_lease_that_was_renewed_does_not_keep_one_that_was_not():
+    table = table_of(lease_ms=1000.0)
+    first = opened(table, courier="c-1", now=0.0)
+    second = opened(table, courier="c-2", now=500.0)
+    renewed(table, first, first.version, now=900.0)
+    table.expire(1500.0)
+    assert table.take_ended() == [second.lease]
+    assert isinstance(renewed(table, first, first.version, now=1500.0), Wait)
+
+
 def test_ends_cost_by_the_leases_that_end():
     table = table_of(lease_ms=1000.0)
     for number in range(500):
