--- a/calicopin/capacity/page.py
+++ b/calicopin/capacity/page.py
@@ -1,14 +1,17 @@
 """The generated part of docs/CAPACITY.md: its tables, and the sentences in which figures of the model stand."""
 
+from dataclasses import replace
 from pathlib import Path
 
-from calicopin.capacity import faults, model, ranking
+from calicopin.capacity import faults, model, options, ranking
 from calicopin.capacity.figures import Figure, Unit, plain, said
 from calicopin.capacity.ranking import Demand
 from calicopin.capacity.size import Size
 from calicopin.capacity.slopes import Slope, all_slopes
 
-PAGE = Path(__file__).resolve().parents[2] / "docs" / "CAPACITY.md"
+DOCS = Path(__file__).resolve().parents[2] / "docs"
+PAGE = DOCS / "CAPACITY.md"
+NOTE = DOCS / "subscriptions-design.md"
 BEGIN = "<!-- begin: python -m calicopin.capacity --write -->"
 END = "<!-- end -->"
 
@@ -71,14 +74,55 @@
     return "## Quotients\n\n" + table(FIGURE_HEADS, [figure_row(one) for one in model.quotients(size)])
 
 
-def ranking_part(size: Size) -> str:
-    """The ranking and the first that fails."""
+SENDERS_MOVE = (
+    "a start has its list within the time to force, at the budget of bytes",
+    "control memory of a courier",
+    "control core of a courier",
+)
+
+
+def argument(size: Size) -> str:
+    """Which budget fails first, in words."""
     first = ranking.first_to_fail(size)
-    text = table(DEMAND_HEADS, [demand_row(one) for one in ranking.demands(size)])
+    rows = {row.name: row for row in ranking.demands(size)}
+    core, waiting = rows["control core of a courier"], rows[ranking.WAITING_MEMORY]
+    return (
+        f"**The first budget of the users in which the design fails: {first.name}, {plain(first.factor)} times.** The control core is"
+        f" {plain(core.factor)} times over by the same cause, the whole list at each courier. Waiting messages in memory are"
+        f" {plain(waiting.factor)} times over if the control budget of {said(waiting.budget, waiting.unit)} is held against them, though"
+        " the users state it for control; no memory is stated for the data path."
+    )
+
+
+def ranking_part(size: Size) -> str:
+    """The ranking, the first that fails, and the mechanisms behind it."""
+    demands = table(DEMAND_HEADS, [demand_row(one) for one in ranking.demands(size)])
+    mechanisms = [
+        (str(number), one.name, one.instead_of, one.what, plain(one.factor), one.basis)
+        for number, one in enumerate(ranking.next_mechanisms(size), 1)
+    ]
     return (
-        '## Ranking\n\nDemand over budget, worst factor today first. "borrowed": none is stated for it, the nearest'
-        f" stated one stands in.\n\n{text}\n\nThe first budget of the users in which the design fails:"
-        f" **{first.name}**, {plain(first.factor)} times."
+        '## Ranking\n\nDemand over budget, worst factor today first. "borrowed": none is stated for it, the nearest stated one'
+        f' stands in; "program": a constant, or the one thread, of the program.\n\n{demands}\n\n{argument(size)}\n\n'
+        "### Next mechanisms, in order\n\n"
+        + table(("", "mechanism", "in place of", "what", "factor", "how known"), mechanisms)
+    )
+
+
+SENDERS = (1.0, 3.0, 10.0, 30.0)  # of one destination, for which the page tells the budgets
+
+
+def senders_part(size: Size) -> str:
+    """The users' budgets that a courier's set moves, with more senders for each destination."""
+    rows = []
+    for senders in SENDERS:
+        other = replace(size, shape=replace(size.shape, senders_a_destination=senders))
+        factors = {row.name: row.factor_subscribed for row in ranking.demands(other)}
+        told = [plain(factors[name]) for name in SENDERS_MOVE]
+        rows.append((plain(senders), plain(other.destinations_a_courier), *told))
+    return (
+        "### With more senders for each destination\n\nFactors with subscriptions: demand over budget, as in the ranking.\n\n"
+        + table(("senders", "destinations a courier", *SENDERS_MOVE), rows)
     )
 
 
@@ -99,6 +143,15 @@
     return "\n\n".join(parts)
 
 
+def options_part(size: Size) -> str:
+    """A table for each mechanism that was weighed; it stands in the design note."""
+    parts = []
+    for option in options.options(size):
+        rows = [figure_row(one) for one in option.figures]
+        parts.append(f"**{option.name}**\n\n" + table(FIGURE_HEADS, rows))
+    return "\n\n".join(parts) + "\n"
+
+
 SLOPE_HEADS = ("slope", "value", "basis", "sizes", "residual / mean", "source")
 
 
@@ -111,6 +164,7 @@
     """All that stands between the markers."""
     parts = (
         ranking_part(size),
+        senders_part(size),
         quotients_part(size),
         roles_part(size),
         faults_part(size),
@@ -119,10 +173,15 @@
     return "\n\n".join(parts) + "\n"
 
 
-def with_generated(text: str, size: Size) -> str:
-    """The page's text with its generated part made anew; raises NoMarkers."""
+def with_generated(text: str, made: str) -> str:
+    """A page's text with its generated part made anew; raises NoMarkers."""
     before, begin, rest = text.partition(BEGIN)
     _, end, after = rest.partition(END)
     if not begin or not end:
         raise NoMarkers(f"the page lacks {BEGIN!r} or {END!r}")
-    return f"{before}{BEGIN}\n\n{generated(size)}\n{END}{after}"
+    return f"{before}{BEGIN}\n\n{made}\n{END}{after}"
+
+
+def pages(size: Size) -> dict[Path, str]:
+    """The text that belongs between the markers of each page."""
+    return {PAGE: generated(size), NOTE: options_part(size)}
--- /dev/null
+++ b/calicopin/scale/__main__.py
@@ -0,0 +1,104 @@
+"""`python -m calicopin.scale`: scale tests by command, with results as JSON and as a table."""
+
+import time
+
+import click
+from loguru import logger
+
+from calicopin.scale import fault_command, fit, node_command, results, sender_count, slopes
+from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main():
+    """Scale tests: slopes of the program, and hollow couriers before real discovery nodes.
+
+    \b
+    python -m calicopin.scale slopes --json docs/scale/slopes.json
+
+    A run that would pass half of the machine's memory or a few hundred processes is refused before it begins. All
+    figures are of this machine. Exit codes: 0 done, 1 the run is void or found a fault, 2 refused, 3 the load itself was late.
+    """
+    logger.remove()
+
+
+@main.command("slopes")
+@click.argument("names", nargs=-1, type=click.Choice(list(slopes.MEASUREMENTS)))
+@click.option(
+    "--size", "sizes", type=click.IntRange(min=1), multiple=True, help="Other sizes, three or more."
+)
+@click.option("--repeats", type=click.IntRange(1, 100), default=3, show_default=True)
+@SEED
+@MEMORY
+@PROCESSES
+@OUTPUT
+def slopes_(names, sizes, repeats, seed, memory_mib, processes, path):
+    """What a listed destination, a change, a message and a journal record cost; all measurements, or NAMES.
+
+    The decisions alone, on one core, each size in a process of its own.
+    """
+    chosen = [slopes.MEASUREMENTS[name] for name in names or slopes.MEASUREMENTS]
+    allowed(slopes.estimate(chosen, sizes), memory_mib, processes)
+    arguments = {"names": [one.name for one in chosen], "sizes": list(sizes), "repeats": repeats}
+    run, began = results.begin("slopes", arguments, seed), time.monotonic()
+    with Progress() as progress:
+        run.slopes = slopes.run(chosen, sizes, repeats, seed, progress)
+    finish(run, began, path)
+
+
+@main.command("sender-count")
+@click.option(
+    "--told", type=click.IntRange(min=1), multiple=True, default=(20, 190, 1900, 19000), show_default=True
+)
+@click.option("--senders", type=click.IntRange(1, 1000), default=20, show_default=True)
+@click.option(
+    "--limit", type=click.FloatRange(min=0.1), default=50.0, show_default=True, help="Calls a second."
+)
+@click.option(
+    "--offered", type=click.FloatRange(min=0.1), default=40.0, show_default=True, help="Messages a second."
+)
+@click.option("--seconds", type=click.FloatRange(min=1.0), default=60.0, show_default=True)
+@click.option(
+    "--in-answers/--not-in-answers", default=True, show_default=True, help="Whether answers tell the limit."
+)
+@click.option(
+    "--repeats", type=click.IntRange(1, 1000), default=10, show_default=True, help="Seeds from --seed on."
+)
+@SEED
+@OUTPUT
+def sender_count_(told, senders, limit, offered, seconds, in_answers, repeats, seed, path):
+    """What a told sender count costs where few of so many senders send to one destination; virtual time."""
+    arguments = {
+        "told": list(told),
+        "senders": senders,
+        "limit": limit,
+        "offered": offered,
+        "seconds": seconds,
+        "in_answers": in_answers,
+        "repeats": repeats,
+    }
+    run, began = results.begin("sender-count", arguments, seed), time.monotonic()
+    samples = {figure: [] for figure in sender_count.FIGURES}
+    with Progress() as progress:
+        for number in told:
+            for one in range(seed, seed + repeats):
+                progress(f"told {number:,}, seed {one}")
+                size = sender_count.SenderCount(
+                    number, senders, limit, offered, seconds, in_answers=in_answers
+                )
+                served = sender_count.play(size, one)
+                for figure, key in sender_count.FIGURES.items():
+                    samples[figure].append(fit.Sample(number, float(getattr(served, key))))
+    unit = "share of the messages offered"
+    for figure, some in samples.items():
+        run.slopes.append(results.slope(figure, unit, "told sender", some, fitted=False))
+    finish(run, began, path)
+
+
+main.add_command(node_command.node)
+main.add_command(node_command.node_slopes_)
+main.add_command(fault_command.fault)
+
+
+if __name__ == "__main__":
+    main(prog_name="python -m calicopin.scale")
