Discovery node: a refusal hides no change from a long answer; replies and figures in modules of their own

Cause: counting a refusal forgot which destinations had changed while a long answer was made (a slip of an edit), so that an endpoint's move could stand in it twice. Change: that line is gone; replies.py and status.py take what is neither connections nor leases out of server.py.

--- a/calicopin/discovery_node/measure.py
+++ b/calicopin/discovery_node/measure.py
@@ -16,8 +16,8 @@
 
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import decode_entry
-from calicopin.discovery_node.server import resident_bytes
 from calicopin.discovery_node.source import open_source
+from calicopin.discovery_node.status import resident_bytes
 from calicopin.subscription.leases import LeaseBounds, LeaseTable, Tell
 from calicopin.subscription.messages import (
     Grant,
--- /dev/null
+++ b/calicopin/discovery_node/replies.py
@@ -0,0 +1,53 @@
+"""What a request's query says, and the replies that a discovery node gives: each refusal is one typed message."""
+
+from dataclasses import dataclass
+from urllib.parse import parse_qsl
+
+from calicopin.subscription.messages import MessageError, Reason, Refusal, encode_refusal
+
+INDEX_DIGITS = 18
+
+
+@dataclass(frozen=True, slots=True)
+class Poll:
+    """What the query of a request says."""
+
+    index: int | None
+    wait: float
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer's status and body; `last` ends the connection, `refusal` is why it is no other."""
+
+    status: int
+    body: bytes
+    refusal: Refusal | None = None
+    last: bool = False
+
+
+def refused(refusal: Refusal, status: int = 0, last: bool = False) -> Reply:
+    """A refusal as an answer; `status` where none of its reason's own fits better."""
+    return Reply(status or refusal.status, encode_refusal(refusal), refusal, last)
+
+
+def unreadable(why: str, status: int = 400, last: bool = True) -> Reply:
+    """The answer to what cannot be read."""
+    return refused(Refusal(Reason.UNREADABLE, why), status, last)
+
+
+def is_number(word: str) -> bool:
+    """Whether a word of a query is a whole number from 0 up."""
+    return word.isascii() and word.isdigit() and len(word) <= INDEX_DIGITS
+
+
+def read_poll(target: bytes, most_wait: float) -> Poll:
+    """The query of a request; raises MessageError."""
+    told = {}
+    for name, value in parse_qsl(target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True):
+        if name not in ("index", "wait"):
+            raise MessageError(f"query.{name[:40]}", "is an unknown field")
+        if not is_number(value):
+            raise MessageError(f"query.{name}", "is no whole number from 0 up")
+        told[name] = int(value)
+    return Poll(told.get("index"), min(float(told.get("wait", 0)), most_wait))
--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -6,18 +6,18 @@
 
 import json
 import math
-import os
 import socket
-import time
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 import h11
 from loguru import logger
 
+from calicopin.discovery_node.replies import Poll, Reply, is_number, read_poll, refused, unreadable
 from calicopin.discovery_node.source import Source
+from calicopin.discovery_node.status import status_of
 from calicopin.discovery_node.upstream import LOG_CHUNK, LOG_PATH, Upstream, encode_piece
 from calicopin.subscription.leases import LeaseTable, Tell, Wait
 from calicopin.subscription.messages import (
@@ -51,7 +51,6 @@
 BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
 BODY_BASE = 4096
 MOST_READING = 64 << 20  # bytes of bodies that are read at once, all connections together
-INDEX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,14 +62,6 @@
     idle_ms: float = 60_000.0  # a connection that says nothing so long between two requests is closed
 
 
-@dataclass(frozen=True, slots=True)
-class Poll:
-    """What the query of a request says."""
-
-    index: int | None
-    wait: float
-
-
 @dataclass(slots=True)
 class Parked:
     """A request that waits."""
@@ -85,16 +76,6 @@
         self.event.set()
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An answer's status and body; `last` ends the connection, `refusal` is why it is no other."""
-
-    status: int
-    body: bytes
-    refusal: Refusal | None = None
-    last: bool = False
-
-
 class Connection:
     """One connection of a courier's."""
 
@@ -104,39 +85,6 @@
         self.line, self.task, self.idle = line, None, False
 
 
-def refused(refusal: Refusal, status: int = 0, last: bool = False) -> Reply:
-    """A refusal as an answer; `status` where none of its reason's own fits better."""
-    return Reply(status or refusal.status, encode_refusal(refusal), refusal, last)
-
-
-def unreadable(why: str, status: int = 400, last: bool = True) -> Reply:
-    """The answer to what cannot be read."""
-    return refused(Refusal(Reason.UNREADABLE, why), status, last)
-
-
-def resident_bytes() -> int:
-    """Of this process."""
-    with open("/proc/self/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
-def is_number(word: str) -> bool:
-    """Whether a word of a query is a whole number from 0 up."""
-    return word.isascii() and word.isdigit() and len(word) <= INDEX_DIGITS
-
-
-def read_poll(target: bytes, most_wait: float) -> Poll:
-    """The query of a request; raises MessageError."""
-    told = {}
-    for name, value in parse_qsl(target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True):
-        if name not in ("index", "wait"):
-            raise MessageError(f"query.{name[:40]}", "is an unknown field")
-        if not is_number(value):
-            raise MessageError(f"query.{name}", "is no whole number from 0 up")
-        told[name] = int(value)
-    return Poll(told.get("index"), min(float(told.get("wait", 0)), most_wait))
-
-
 class NodeServer:
     """Accepts connections on `listener` and serves the leases of `table` from the source's catalogue."""
 
@@ -184,44 +132,6 @@
             yield Until(self.loop.now() + ENDING_STEP)
         self.loop.running = False
 
-    def status(self) -> dict:
-        """Figures for operators."""
-        source, catalogue = self.source, self.source.catalogue
-        figures = asdict(catalogue.figures()) if catalogue else {}
-        return {
-            "node": self.table.node,
-            "fleet": self.table.fleet,
-            "ready": self.is_ready(),
-            "version": self.table.version,
-            "leases": len(self.table),
-            "subscriptions": self.table.subscriptions,
-            "connections": len(self.connections),
-            "parked": len(self.parked),
-            **figures,
-            "answers": self.answers,
-            "destinations_changed": self.destinations_changed,
-            "changes_told": self.changes_told,
-            "leases_looked_at": self.table.work,
-            "refused": {reason.value: count for reason, count in sorted(self.refused.items())},
-            "source": {
-                "file": source.path,
-                "offset": source.offset,
-                "read_at": None if source.read_at is None else source.read_at / 1000.0,
-                "loads": source.loads,
-                "lines_passed_over": source.faults,
-            },
-            **self._upstream_status(),
-            "cpu_seconds": time.process_time(),
-            "resident_bytes": resident_bytes(),
-        }
-
-    def _upstream_status(self) -> dict:
-        upstream = self.upstream
-        if upstream is None:
-            return {}
-        heard_at = None if upstream.heard_at is None else upstream.heard_at / 1000.0
-        return {"upstream": {"address": upstream.address, "heard_at": heard_at, "copies": upstream.copies}}
-
     # Connections.
 
     def _accept(self) -> Iterator[Until]:
@@ -370,7 +280,7 @@
         if head.method != methods[path]:
             return unreadable(f"{path.decode()} takes {methods[path].decode()}", 405, last=False)
         if path == STATUS_PATH:
-            return Reply(200, json.dumps(self.status()).encode())
+            return Reply(200, json.dumps(status_of(self)).encode())
         if path == READY_PATH:
             return Reply(200 if self.is_ready() else STATUS[Reason.NOT_READY], b"")
         if not self.is_ready():
@@ -532,5 +442,4 @@
             reason=refusal.reason.value,
             why=refusal.message,
         )
-        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, now
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -657,13 +657,13 @@
     assert told.full and idents(told) == ["a", "b"]
 
 
-def in_the_middle(path, monkeypatch, change):
+def in_the_middle(path, monkeypatch, change, destinations=6):
     """A courier whose long answer was being made while `change` was done to the node."""
     monkeypatch.setattr(server_module, "ANSWER_STEP", 2)
-    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(6))))
+    path.write_bytes(log(*(entry(f"s-{number}", number) for number in range(destinations))))
     node = OwnNode(path).ready()
     courier = Courier(node)
-    courier.send(courier.body(range(6)))
+    courier.send(courier.body(range(destinations)))
     spin(node.loop, lambda: len(node.table) == 1)
     assert node.server.answers == 0  # it is being made
     change(node)
@@ -688,6 +688,20 @@
     assert [server["state"] for server in more.servers] == ["leaving", "leaving"]
 
 
+def test_a_refusal_in_the_middle_of_a_long_answer_hides_no_change(path, monkeypatch):
+    def refuse_and_change(node):
+        other = Courier(node, "other")
+        other.send(b"{")
+        assert other.refusal().reason is Reason.UNREADABLE
+        assert node.server.answers == 0  # still being made
+        changed(node, entry("s-0", 0, "leaving"))
+
+    # two destinations in each pass: enough passes for the other courier's exchange
+    courier = in_the_middle(path, monkeypatch, refuse_and_change, destinations=4000)
+    states = {server["id"]: server["state"] for server in courier.told().servers}
+    assert states["s-0"] == "leaving" and len(states) == 4000
+
+
 def test_an_endpoint_that_moves_in_the_middle_of_a_long_answer_stands_in_it_once(path, monkeypatch):
     courier = in_the_middle(path, monkeypatch, lambda node: changed(node, entry("s-0", 5)))
     told = courier.told()
