--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -6,19 +6,28 @@
 """
 
 import json
-import math
-import os
 import socket
-import time
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
 import h11
 from loguru import logger
 
+from calicopin.discovery_node.replies import (
+    Poll,
+    Reply,
+    is_number,
+    read_poll,
+    refused,
+    retry_seconds,
+    unreadable,
+    whole_refusal,
+)
 from calicopin.discovery_node.source import Source
+from calicopin.discovery_node.status import status_of
+from calicopin.discovery_node.upstream import LOG_CHUNK, LOG_PATH, Upstream, encode_piece
 from calicopin.subscription.leases import LeaseTable, Tell, Wait
 from calicopin.subscription.messages import (
     STATUS,
@@ -29,7 +38,6 @@
     SubscribeRequest,
     decode_request,
     encode_answer,
-    encode_refusal,
 )
 from calicopin.wire.http import TOO_LONG, Line
 from calicopin.wire.loop import AGAIN, FOREVER, READ, Event, Loop, Until
@@ -37,10 +45,11 @@
 TARGETS = b"/api/targets"
 STATUS_PATH = b"/-/status"
 READY_PATH = b"/-/ready"
+LOG_TARGET = LOG_PATH.encode()
 PATIENCE = 2500.0  # ms for a whole request, and for its answer to be read
 LINGER = 300.0  # ms for a client to read its last answer
 EXPIRY = 500.0  # ms between two looks for leases that are over
-ENDING = 700.0  # ms that answers have to go out after SIGTERM
+ENDING = 400.0  # ms that answers have to go out after SIGTERM: with the rest of the end less than a second
 ENDING_STEP = 10.0
 NOT_READY_RETRY = 1000.0  # ms
 TURNED_AWAY_RETRY = 1000.0
@@ -50,7 +59,6 @@
 BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
 BODY_BASE = 4096
 MOST_READING = 64 << 20  # bytes of bodies that are read at once, all connections together
-INDEX_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,18 +70,11 @@
     idle_ms: float = 60_000.0  # a connection that says nothing so long between two requests is closed
 
 
-@dataclass(frozen=True, slots=True)
-class Poll:
-    """What the query of a request says."""
-
-    index: int | None
-    wait: float
-
-
 @dataclass(slots=True)
 class Parked:
     """A request that waits."""
 
+    line: Line
     event: Event
     woken: bool = False
     superseded: bool = False
@@ -84,16 +85,6 @@
         self.event.set()
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An answer's status and body; `last` ends the connection, `refusal` is why it is no other."""
-
-    status: int
-    body: bytes
-    refusal: Refusal | None = None
-    last: bool = False
-
-
 class Connection:
     """One connection of a courier's."""
 
@@ -103,40 +94,13 @@
         self.line, self.task, self.idle = line, None, False
 
 
-def refused(refusal: Refusal, status: int = 0, last: bool = False) -> Reply:
-    """A refusal as an answer; `status` where none of its reason's own fits better."""
-    return Reply(status or refusal.status, encode_refusal(refusal), refusal, last)
-
-
-def unreadable(why: str, status: int = 400, last: bool = True) -> Reply:
-    """The answer to what cannot be read."""
-    return refused(Refusal(Reason.UNREADABLE, why), status, last)
-
-
-def resident_bytes() -> int:
-    """Of this process."""
-    with open("/proc/self/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
-
-
-def read_poll(target: bytes, most_wait: float) -> Poll:
-    """The query of a request; raises MessageError."""
-    told = {}
-    for name, value in parse_qsl(target.partition(b"?")[2].decode("latin-1"), keep_blank_values=True):
-        if name not in ("index", "wait"):
-            raise MessageError(f"query.{name[:40]}", "is an unknown field")
-        if not value.isascii() or not value.isdigit() or len(value) > INDEX_DIGITS:
-            raise MessageError(f"query.{name}", "is no whole number from 0 up")
-        told[name] = int(value)
-    return Poll(told.get("index"), min(float(told.get("wait", 0)), most_wait))
-
-
 class NodeServer:
     """Accepts connections on `listener` and serves the leases of `table` from the source's catalogue."""
 
     def __init__(self, loop: Loop, listener: socket.socket, table: LeaseTable, bounds: ServerBounds):
         self.loop, self.listener, self.table, self.bounds = loop, listener, table, bounds
         self.source: Source | None = None
+        self.upstream: Upstream | None = None  # where the source is a copy of another node's
         self.most_body = BODY_BASE + BODY_PER_DESTINATION * table.bounds.destinations
         self.most_wait = table.bounds.lease_ms / 2.0
         self.connections: dict[Connection, None] = {}
@@ -168,44 +132,22 @@
         self.stopping = True
         self.loop.cancel(self.accepting)
         self.loop.close(self.listener)
-        for parked in self.parked.values():
-            parked.wake()
-        for connection in [each for each in self.connections if each.idle]:
-            self._hang_up(connection)
+        self._end_waiting()
         until = self.loop.now() + ENDING
         while self.connections and self.loop.now() < until:
             yield Until(self.loop.now() + ENDING_STEP)
         self.loop.running = False
 
-    def status(self) -> dict:
-        """Figures for operators."""
-        source, catalogue = self.source, self.source.catalogue
-        figures = asdict(catalogue.figures()) if catalogue else {}
-        return {
-            "node": self.table.node,
-            "fleet": self.table.fleet,
-            "ready": self.is_ready(),
-            "version": self.table.version,
-            "leases": len(self.table),
-            "subscriptions": self.table.subscriptions,
-            "connections": len(self.connections),
-            "parked": len(self.parked),
-            **figures,
-            "answers": self.answers,
-            "destinations_changed": self.destinations_changed,
-            "changes_told": self.changes_told,
-            "leases_looked_at": self.table.work,
-            "refused": {reason.value: count for reason, count in sorted(self.refused.items())},
-            "source": {
-                "file": source.path,
-                "offset": source.offset,
-                "read_at": None if source.read_at is None else source.read_at / 1000.0,
-                "loads": source.loads,
-                "lines_passed_over": source.faults,
-            },
-            "cpu_seconds": time.process_time(),
-            "resident_bytes": resident_bytes(),
-        }
+    def _end_waiting(self) -> None:
+        """Thousands of requests may wait: all are answered by the same bytes, and connections between two closed."""
+        refusal = self._not_ready_refusal()
+        data, waiting = whole_refusal(refusal), {parked.line for parked in self.parked.values()}
+        self.refused[refusal.reason] += len(waiting)
+        for connection in list(self.connections):
+            if connection.line in waiting:
+                self._show_out(connection.line, data)
+            if connection.idle or connection.line in waiting:
+                self._hang_up(connection)
 
     # Connections.
 
@@ -247,15 +189,17 @@
         """Answers without having read: the connection gets no coroutine."""
         refusal = Refusal(Reason.TOO_MANY, "no room for another connection", TURNED_AWAY_RETRY)
         self._count(refusal)
-        body = encode_refusal(refusal)
-        head = f"HTTP/1.1 {refusal.status} X\r\nConnection: close\r\nRetry-After: 1\r\n"
+        self._show_out(line, whole_refusal(refusal))
+        line.close()
+
+    def _show_out(self, line: Line, data: bytes) -> None:
+        """The last that the other side hears."""
         try:
-            line.sock.send(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+            line.sock.send(data)
             line.sock.shutdown(socket.SHUT_WR)
             line.sock.recv(self.most_body)  # over unread bytes the connection would be reset
         except OSError:
             pass
-        line.close()
 
     def _hang_up(self, connection: Connection) -> None:
         """Closed here too: a coroutine that was ended before its first step runs no part of its own."""
@@ -350,19 +294,30 @@
 
     def _route(self, line: Line, head: h11.Request, body: bytes) -> Iterator[Until]:
         path = head.target.partition(b"?")[0]
-        methods = {TARGETS: b"POST", STATUS_PATH: b"GET", READY_PATH: b"GET"}
+        methods = {TARGETS: b"POST", LOG_TARGET: b"GET", STATUS_PATH: b"GET", READY_PATH: b"GET"}
         if path not in methods:
             return unreadable(f"no path {path[:60].decode('latin-1')}", 404, last=False)
         if head.method != methods[path]:
             return unreadable(f"{path.decode()} takes {methods[path].decode()}", 405, last=False)
         if path == STATUS_PATH:
-            return Reply(200, json.dumps(self.status()).encode())
+            return Reply(200, json.dumps(status_of(self)).encode())
         if path == READY_PATH:
             return Reply(200 if self.is_ready() else STATUS[Reason.NOT_READY], b"")
         if not self.is_ready():
             return self._not_ready()
+        if path == LOG_TARGET:
+            return self._log_piece(head.target)
         return (yield from self._subscribe(line, head.target, body))
 
+    def _log_piece(self, target: bytes) -> Reply:
+        """A piece of the source's file for a node whose upstream this one is."""
+        told = dict(parse_qsl(target.partition(b"?")[2].decode("latin-1")))
+        offset = told.get("offset", "")
+        if len(told) != 1 or not is_number(offset):
+            return unreadable("query.offset: is no whole number from 0 up", last=False)
+        identity = f"{self.table.prefix}{self.source.files}"
+        return Reply(200, encode_piece(identity, self.source.piece(int(offset), LOG_CHUNK)))
+
     # Subscriptions.
 
     def _subscribe(self, line: Line, target: bytes, body: bytes) -> Iterator[Until]:
@@ -389,7 +344,7 @@
         if wait > 0.0 and len(self.parked) >= self.bounds.parked:
             why = "no room for another request that waits"
             return refused(Refusal(Reason.TOO_MANY, why, TURNED_AWAY_RETRY))
-        parked = self.parked[lease] = Parked(Event(self.loop))
+        parked = self.parked[lease] = Parked(line, Event(self.loop))
         try:
             heard = yield from self._wait_parked(line, parked, self.loop.now() + wait)
         finally:
@@ -397,8 +352,6 @@
                 del self.parked[lease]
         if not heard:
             return None
-        if self.stopping:
-            return self._not_ready()
         told = self.table.idle(lease) if parked.superseded else self.table.tell(lease)
         return (yield from self._answer(told))
 
@@ -474,8 +427,11 @@
         return entries
 
     def _not_ready(self) -> Reply:
+        return refused(self._not_ready_refusal(), last=self.stopping)
+
+    def _not_ready_refusal(self) -> Refusal:
         why = "the node ends" if self.stopping else "the node has not read its list yet"
-        return refused(Refusal(Reason.NOT_READY, why, NOT_READY_RETRY), last=self.stopping)
+        return Refusal(Reason.NOT_READY, why, NOT_READY_RETRY)
 
     # Answers.
 
@@ -485,7 +441,7 @@
         if reply.refusal:
             self._count(reply.refusal)
             if reply.refusal.retry_ms:
-                headers.append(("Retry-After", str(math.ceil(reply.refusal.retry_ms / 1000.0))))
+                headers.append(("Retry-After", str(retry_seconds(reply.refusal))))
         if reply.last or self.stopping:
             headers.append(("Connection", "close"))
         try:
@@ -509,5 +465,4 @@
             reason=refusal.reason.value,
             why=refusal.message,
         )
-        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, now
