--- a/calicopin/drill/__main__.py
+++ b/calicopin/drill/__main__.py
@@ -4,10 +4,10 @@
 import traceback
 
 from calicopin.drill.codec import WireError, batches, plain
-from calicopin.drill.door import Door
+from calicopin.drill.instance import Instance
 
 
-def answer(clock, events, doors, pages):
+def answer(clock, events, instances, pages):
     """The reply to one batch, without its last line."""
     notes, reply, who = {}, [], None
     page, left = None, 0
@@ -27,14 +27,14 @@
         elif who is None:
             raise WireError(f"line {number}: {name} before any FOR")
         elif name == "DETACH":
-            doors.pop(who, None)
+            instances.pop(who, None)
             notes.pop(who, None)
         elif name == "HELLO":
-            doors[who], notes[who] = Door(values[0], values[1], number), []
-        elif who not in doors:
+            instances[who], notes[who] = Instance(values[0], values[1], number), []
+        elif who not in instances:
             raise WireError(f"line {number}: {name} for instance {who}, which has not begun")
         else:
-            event = doors[who].read(number, name, values, pages)
+            event = instances[who].read(number, name, values, pages)
             notes.setdefault(who, [])
             if event is not None:
                 notes[who].append(event)
@@ -42,7 +42,7 @@
         raise WireError(f"page {page} lacks {left} of its entries at the end of the batch")
     for who in list(notes):
         try:
-            lines = doors[who].act(clock * 1000.0, notes[who])
+            lines = instances[who].act(clock * 1000.0, notes[who])
         except Exception as fault:
             traceback.print_exc()
             place = traceback.extract_tb(fault.__traceback__)[-1]
@@ -56,10 +56,10 @@
 
 def main(source=sys.stdin, sink=sys.stdout):
     """Answers every batch until the input ends; 2 where a line cannot be read."""
-    doors, pages = {}, {}
+    instances, pages = {}, {}
     try:
         for clock, number, events in batches(source):
-            reply = answer(clock, events, doors, pages)
+            reply = answer(clock, events, instances, pages)
             sink.write("".join(line + "\n" for line in reply) + f"YIELD {number}\n")
             sink.flush()
     except WireError as fault:
--- a/calicopin/drill/door.py
+++ b/calicopin/drill/instance.py
@@ -1,4 +1,4 @@
-"""The door of one courier: the wire's names, seconds and ids outside; ours inside."""
+"""One courier on the bench's wire: the wire's names, seconds and ids outside; ours inside."""
 
 from calicopin.drill.codec import WireError, plain, seconds
 from calicopin.interface import Entry, How, Listed, ListFailed, Outcome, Taken, Withdrawn, Woken
@@ -7,7 +7,7 @@
 READY, FAILED, WHOLE = 3, 2, (3, 4)
 
 
-class Door:
+class Instance:
     """Turns one courier's events and actions from and into lines."""
 
     def __init__(self, seed, env, number):
