Tests of operators' files by concern: watched list, command line, logs, sidecar, migration; moves only

Cause: 942 lines on six concerns in tests/test_configuration.py. Change: a module for each; what they share stands in tests/configuration_helper.py.

--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,72 @@
+"""A courier beside one application."""
+
+import sys
+
+from configuration_helper import BASE, calicopin, put
+from helper import free_address
+
+APPLICATION = """
+import http.client, os, signal, sys, time
+line = http.client.HTTPConnection(*os.environ["CALICOPIN_LISTEN"].split(":"), timeout=5)
+def hand_in(ident):
+    for _ in range(100):
+        try:
+            told = {"X-Request-ID": ident, "X-Timeout": "3", "X-Envelope": "dest=1"}
+            line.request("POST", "/stock", b"", told)
+            return line.getresponse().read() is not None and line
+        except OSError:
+            line.close()
+            time.sleep(0.05)
+hand_in("a")
+line.request("GET", "/-/status")
+import json
+print(json.loads(line.getresponse().read())["taken"], flush=True)
+"""
+
+
+def beside(tmp_path, script):
+    listen = free_address()
+    (tmp_path / "c.toml").write_text(
+        put("127.0.0.1:5000", listen).replace("held = 50", "held = 50\nstatus = true")
+    )
+    (tmp_path / "app.py").write_text(APPLICATION + script)
+    return calicopin("run", str(tmp_path / "c.toml"), "--", sys.executable, str(tmp_path / "app.py"))
+
+
+def test_a_courier_is_up_before_its_application_and_stops_after_it(tmp_path):
+    told = beside(tmp_path, "sys.exit(7)")
+    assert (
+        told.returncode == 7
+        and told.stdout == "1\n"
+        and told.stderr.rstrip().endswith("texts left in the journal")
+    )
+
+
+def test_a_courier_that_falls_is_started_again_under_its_application(tmp_path):
+    told = beside(
+        tmp_path,
+        """
+import pathlib
+ours = {int(p.name) for p in pathlib.Path("/proc").iterdir() if p.name.isdigit()}
+for pid in ours:
+    try:
+        words = pathlib.Path(f"/proc/{pid}/cmdline").read_bytes().split(b"\\0")
+        parent = int(pathlib.Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()[1])
+    except OSError:
+        continue
+    if parent == os.getppid() and words[-2:] == [b"calicopin", b""]:
+        os.kill(pid, signal.SIGKILL)
+line.close()
+time.sleep(0.1)
+hand_in("b")
+line.request("GET", "/-/status")
+print(json.loads(line.getresponse().read())["taken"])
+""",
+    )
+    assert told.returncode == 0 and told.stdout == "1\n1\n" and "the courier ended with -9" in told.stderr
+
+
+def test_an_application_is_not_started_beside_a_courier_that_does_not_come_up(tmp_path):
+    (tmp_path / "c.toml").write_text(BASE.replace('sla = "4s"', 'sla = "40s"'))
+    told = calicopin("run", str(tmp_path / "c.toml"), "--", "/bin/echo", "started")
+    assert told.returncode == 2 and "started" not in told.stdout and "longer than the validity" in told.stderr
