--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -11,7 +11,7 @@
 import pytest
 from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
 from test_courier import House, endings, facade, picked, text
-from test_wire import Out, call, clients, request
+from wire_helper import Out, call, clients, request
 
 from calicopin.boot.leave import LAST_TEXT, LEAVE
 from calicopin.boot.stop import STEP
--- /dev/null
+++ b/tests/test_wire_clients.py
@@ -0,0 +1,308 @@
+"""Clients and their requests, on loopback, with a clock that the test moves."""
+
+import pytest
+from helper import client, spin
+from wire_helper import clients, request
+
+from calicopin.wire.clients import NEW, PATIENCE, PAUSE, REST
+
+
+def test_a_text_is_accepted_only_once_it_is_kept(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(request("/order/van%207", bytes(range(256)), Idempotency_Key="5c0f"))
+    spin(loop, lambda: house.acceptor.events)
+    for _ in range(20):
+        loop.once(loop.now())
+    assert not peer.hear()
+    house.acceptor.keep()
+    assert peer.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
+    text = house.acceptor.texts[0]
+    assert (text.ident, text.dest, text.product, text.reference, text.key, text.until, text.body) == (
+        "9b1f",
+        7,
+        1,
+        "5c0f",
+        "van 7",
+        1480.0,
+        bytes(range(256)),
+    )
+
+
+def test_a_refused_text_may_come_again(loop):
+    house, address = clients(loop)
+    house.acceptor.refusal = 503, 1500.0
+    peer = client(loop, address)
+    peer.say(request())
+    heard = peer.wait(b"\r\n\r\n")
+    assert heard.startswith(b"HTTP/1.1 503") and b"Retry-After: 1.500" in heard
+
+
+BAD = [
+    (404, dict(path="/parcel")),
+    (400, dict(X_Timeout="soon")),
+    (400, dict(X_Timeout="nan")),
+    (400, dict(X_Timeout="-5")),
+    (400, dict(X_Timeout="9" * 20)),
+    (400, dict(X_Timeout="1_0")),
+    (400, dict(X_Timeout="")),
+    (400, dict(X_Envelope="dest=-1")),
+    (400, dict(X_Envelope="dest=1e12")),
+    (400, dict(X_Envelope="dest=")),
+    (413, dict(Content_Length="3000000000")),
+    (400, dict(Content_Length="-1")),
+    (400, dict(Content_Length="9" * 30)),
+    (400, dict(Transfer_Encoding="chunked")),
+    (400, dict(X_Timeout=None)),
+    (400, dict(X_Request_ID=None)),
+    (400, dict(X_Request_ID="x" * 300)),
+    (400, dict(X_Envelope=None)),
+    (400, dict(X_Envelope="dest=here")),
+    (400, dict(X_Envelope="dest=" + "9" * 5000)),
+    (400, dict(X_Envelope="\xff\xfe;=")),
+    (400, dict(Content_Length=None, Transfer_Encoding="gzip")),
+    (413, dict(body=b"x" * 65537)),
+    (413, dict(body=b"x" * 900_000)),
+    (404, dict(path="/%ff%00")),
+]
+
+
+@pytest.mark.parametrize("status,what", BAD)
+def test_bad_input_gets_its_answer_and_harms_nobody(loop, status, what):
+    house, address = clients(loop)
+    peer, other = client(loop, address), client(loop, address)
+    peer.say(request(**what))
+    heard = peer.wait(b"\r\n\r\n")
+    assert int(heard.split()[1]) in (status, 501) and not house.acceptor.texts
+    other.say(request())
+    spin(loop, lambda: house.acceptor.events)
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"\x16\x03\x01\x02\x00\r\n\r\n",
+        b"POST /notice HTTP/1.1\r\n bad\r\n\r\n",
+        b"DELETE / HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"GET " + b"x" * 200000 + b" HTTP/1.1\r\n\r\n",
+    ],
+)
+def test_what_is_no_request_is_answered_and_closed(loop, garbage):
+    _, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(garbage)
+    assert peer.wait_end().startswith(b"HTTP/1.1 4")
+
+
+def test_an_answer_is_not_lost_to_what_lies_unread_behind_it(loop):
+    """Closed over unread bytes, the connection was reset before the client had its answer."""
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(b"garbage\r\n\r\n")
+    spin(loop, lambda: house.open)
+    for _ in range(20):
+        loop.once(loop.now())
+    peer.say(b"more of it")
+    for _ in range(20):
+        loop.once(loop.now())
+    assert house.open == 1
+    peer.sock.shutdown(1)
+    spin(loop, lambda: house.open == 0)
+    assert peer.wait_end().startswith(b"HTTP/1.1 400")
+
+
+@pytest.mark.parametrize("path,status", [("/-/ready", b"200"), ("/-/healthy", b"200"), ("/notice", b"404")])
+def test_what_is_asked_about_the_courier_itself(loop, path, status):
+    _, address = clients(loop)
+    peer = client(loop, address)
+    for method in ("GET", "HEAD", "GET"):
+        peer.say(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        assert peer.wait(b"\r\n\r\n").split()[1] == status
+
+
+def test_a_client_that_never_pauses_does_not_hold_up_the_rest(loop):
+    house, address = clients(loop)
+    busy, other = client(loop, address), client(loop, address)
+    spin(loop, lambda: len(house.idle) == 2)
+    busy.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n" * 50)
+    other.say(request())
+    for _ in range(3):
+        loop.once(loop.now())
+    assert house.acceptor.events and busy.hear().count(b"HTTP/1.1 200") < 50
+    spin(loop, lambda: busy.hear().count(b"HTTP/1.1 200") == 50)
+
+
+def test_a_fault_of_ours_is_answered_too(loop):
+    house, address = clients(loop)
+    house.acceptor.take = None
+    peer, other = client(loop, address), client(loop, address)
+    peer.say(request())
+    assert peer.wait_end().startswith(b"HTTP/1.1 500")
+    other.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert other.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 200")
+
+
+def test_a_body_may_come_in_pieces_after_a_go_on(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    whole = request(body=b"", Content_Length="4", Expect="100-continue")
+    for piece in (whole[:30], whole[30:]):
+        peer.say(piece)
+        loop.once(loop.now())
+    peer.wait(b"100")
+    peer.say(b"ab")
+    loop.once(loop.now())
+    peer.say(b"cd")
+    spin(loop, lambda: house.acceptor.texts)
+    assert house.acceptor.texts[0].body == b"abcd"
+
+
+def test_a_client_that_left_before_its_answer_withdraws(loop):
+    """It hands the text in again elsewhere: what is sent under the old id counts for nothing."""
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(request())
+    spin(loop, lambda: house.acceptor.events)
+    peer.sock.setsockopt(1, 13, b"\x01\x00\x00\x00\x00\x00\x00\x00")  # leaves with a reset
+    peer.sock.close()
+    house.acceptor.keep()
+    spin(loop, lambda: house.open == 0)
+    assert [text.ident for text in house.acceptor.withdrawn] == ["9b1f"]
+
+
+def test_a_connection_with_a_request_under_way_is_not_closed_for_want_of_descriptors_or_at_the_stop(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    spin(loop, lambda: house.idle)
+    peer.say(request())
+    house.loop.now.now += REST
+    house.budget.clients = 1
+    house.relieve()
+    house.close_between_requests()
+    spin(loop, lambda: house.acceptor.events)
+
+
+def test_a_client_that_left_before_its_text_was_read_is_not_taken_on(loop):
+    """After a standstill: it has handed the text in elsewhere, under another id."""
+    house, address = clients(loop)
+    peer = client(loop, address)
+    spin(loop, lambda: house.idle)
+    peer.say(request())
+    peer.sock.shutdown(1)
+    assert peer.wait_end().startswith(b"HTTP/1.1 503") and not house.acceptor.texts
+
+
+@pytest.mark.parametrize("part", [request()[:40], request()[:-3]])
+def test_a_client_that_goes_silent_in_its_request_does_not_keep_its_descriptor(loop, part):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(part)
+    spin(loop, lambda: house.open and not house.idle)
+    for _ in range(20):
+        loop.once(loop.now())
+    loop.now.now += PATIENCE + 1.0
+    assert peer.wait_end().startswith(b"HTTP/1.1 408")
+    loop.now.now += 1001.0
+    spin(loop, lambda: house.open == 0)
+
+
+def test_a_client_that_says_nothing_is_closed(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    spin(loop, lambda: house.idle)
+    loop.now.now += PATIENCE + 1.0
+    assert peer.wait_end() == b"" and PATIENCE <= 3000.0
+    spin(loop, lambda: house.open == 0)
+
+
+def asked_once(loop, house, address):
+    peer = client(loop, address)
+    peer.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    peer.wait(b"\r\n\r\n")
+    return peer
+
+
+def test_descriptors_run_short_at_those_that_stand_silent_longest(loop):
+    """A client between requests has two seconds, a new one half a second, one with a request begun all its
+    time.
+    """
+    house, address = clients(loop, most=4)
+    held = [asked_once(loop, house, address) for _ in range(2)]
+    loop.now.now += REST - NEW
+    silent, begun = client(loop, address), client(loop, address)
+    begun.say(request()[:40])
+    spin(loop, lambda: len(house.idle) == 3 and house.open == 4)
+    loop.now.now += NEW - 1.0
+    house.relieve()
+    assert house.open == 4
+    loop.now.now += 1.0
+    house.relieve()
+    assert not silent.wait_end() and house.open == 3 and not any(peer.hear() or peer.ended for peer in held)
+    house.budget.clients = 3
+    house.relieve()
+    assert not held[0].wait_end() and house.open == 2 and not held[1].ended
+    begun.say(request()[40:])
+    spin(loop, lambda: house.acceptor.events)
+
+
+def test_where_there_is_no_room_at_all_a_client_is_turned_away_at_once(loop):
+    """It once waited, not accepted, behind those who said nothing.
+
+    One that was served and stands idle gives way.
+    """
+    house, address = clients(loop, most=2)
+    idle = asked_once(loop, house, address)
+    silent = [client(loop, address) for _ in range(2)]
+    spin(loop, lambda: house.open == 3)
+    late, later = client(loop, address), client(loop, address)
+    late.say(request())
+    spin(loop, lambda: house.acceptor.events)
+    assert not idle.wait_end() and later.wait_end().startswith(b"HTTP/1.1 503") and house.open == 3
+    assert not any(peer.hear() or peer.ended for peer in silent)
+
+
+def test_a_client_gives_its_connection_back_with_its_answer_where_descriptors_are_short(loop):
+    """Clients that took a new connection for each text held theirs idle for 2 s, and others found none."""
+    house, address = clients(loop, most=2)
+    one, two = client(loop, address), client(loop, address)
+    spin(loop, lambda: house.open == 2)
+    one.say(request())
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
+    heard = one.wait_end()
+    assert heard.startswith(b"HTTP/1.1 202") and b"Connection: close" in heard and house.open == 1
+    two.say(request(X_Request_ID="b"))
+    spin(loop, lambda: house.acceptor.events)
+    house.acceptor.keep()
+    assert b"close" not in two.wait(b"\r\n\r\n")
+
+
+def test_one_that_repeats_what_was_turned_away_is_slowed_down(loop):
+    house, address = clients(loop)
+    peer = client(loop, address)
+    peer.say(request("/parcel") * 3)
+    peer.wait(b"404")
+    for _ in range(20):
+        loop.once(loop.now())
+    assert not peer.hear().count(b"404")
+    loop.now.now += PAUSE
+    peer.wait(b"404")
+
+
+def test_stopping_closes_only_between_requests(loop):
+    house, address = clients(loop)
+    idle, busy, half = (client(loop, address) for _ in range(3))
+    busy.say(request())
+    half.say(request()[:40])
+    spin(loop, lambda: house.acceptor.events and len(house.idle) == 1)
+    house.stop_listening()
+    house.close_between_requests()
+    idle.wait_end()
+    half.say(request()[40:])
+    spin(loop, lambda: len(house.acceptor.events) == 2)
+    house.acceptor.keep()
+    for peer in (busy, half):
+        heard = peer.wait_end()
+        assert heard.startswith(b"HTTP/1.1 202") and b"close" in heard
+    with pytest.raises(OSError):
+        client(loop, address)
--- /dev/null
+++ b/tests/wire_helper.py
@@ -0,0 +1,90 @@
+"""What tests of the wire share: calls to endpoints, clients' requests, and who accepts them."""
+
+from helper import free_address, spin
+
+from calicopin.facade import Call, Place
+from calicopin.held.connections import Budget, Lines
+from calicopin.held.texts import Text
+from calicopin.wire.clients import Clients
+from calicopin.wire.endpoints import Flight, submit
+
+
+def call(address, texts=1, timeout=500.0):
+    texts = [
+        Text(f"id{i}", 7, 0, "r\xe9f" if i else None, None, 9000.0, b"\x00\xff" * (i + 1))
+        for i in range(texts)
+    ]
+    return Call(Place("s-1", address, 7, "one", "a", True, 0.0), texts, timeout)
+
+
+class Out:
+    """One call under way."""
+
+    def __init__(self, loop, what, lines=None):
+        self.loop, self.lines, self.answer, self.wanted, self.told = (
+            loop,
+            lines or Lines(4, 1000.0),
+            None,
+            True,
+            [],
+        )
+        loop.spawn(self.run(what))
+
+    def run(self, what):
+        self.answer = yield from submit(
+            self.loop,
+            self.lines,
+            Flight(what, self.loop.now() + what.timeout),
+            200.0,
+            lambda call, now: self.wanted,
+            lambda: None,
+            self.told.append,
+        )
+
+    def end(self):
+        spin(self.loop, lambda: self.answer is not None)
+        return self.answer
+
+
+class Acceptor:
+    """Takes texts as told and keeps them when the test says so."""
+
+    def __init__(self):
+        self.texts, self.events, self.refusal, self.withdrawn = [], [], None, []
+
+    def take(self, text):
+        if self.refusal is None:
+            self.texts.append(text)
+        return self.refusal
+
+    def kept(self, event):
+        self.events.append(event)
+        return event
+
+    def withdraw(self, text):
+        self.withdrawn.append(text)
+
+    def keep(self):
+        for event in self.events:
+            event.set()
+        self.events = []
+
+
+def clients(loop, most=10):
+    address, budget = free_address(), Budget(256, 8)
+    budget.clients, budget.porch = most, 1
+    return Clients(loop, address, {"notice": 0, "order": 1}, budget, Acceptor()), address
+
+
+def request(path="/notice", body=b"hello", **other):
+    headers = {
+        "Host": "api.internal",
+        "X-Request-ID": "9b1f",
+        "X-Timeout": "0.480",
+        "X-Envelope": "dest=7",
+        "Content-Length": str(len(body)),
+    } | {name.replace("_", "-"): value for name, value in other.items()}
+    lines = [f"POST {path} HTTP/1.1"] + [
+        f"{name}: {value}" for name, value in headers.items() if value is not None
+    ]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
