--- /dev/null
+++ b/tests/courier_helper.py
@@ -0,0 +1,116 @@
+"""What tests of a courier share: endpoints and texts for the facade, and a whole courier on loopback."""
+
+import json
+
+from helper import Clock, Door, Rebooted, answer, client, free_address, spin, terms
+
+from calicopin.boot.signals import SignalReader
+from calicopin.boot.start import Post, build
+from calicopin.facade import Facade, Place
+from calicopin.held.texts import Text
+from calicopin.wire.loop import Loop
+
+
+def place(ident="s-1", address="127.0.0.1:9", dest=7, kind="one", zone="a", ready=True, left=False):
+    return Place(ident, address, dest, kind, zone, ready, 1.0, left)
+
+
+def facade(now=0.0, places=None, **other):
+    house = Facade(7, terms(**other), 8, now)
+    house.listed([place()] if places is None else list(places), True)
+    house.tick(now)
+    return house
+
+
+def text(ident, product=0, dest=7, until=20000.0, **other):
+    return Text(ident, dest, product, None, other.pop("key", None), until, b"", **other)
+
+
+def picked(house):
+    calls = []
+    while call := house.pick():
+        calls.append(call)
+        for one in call.texts:
+            one.went_out(0.0, call.place.zone)
+    return calls
+
+
+def endings(house):
+    ends = []
+    while end := house.ended():
+        ends.append((end.text.ident, end.verdict))
+    return ends
+
+
+class House:
+    """A courier on loopback with stand-ins of an endpoint and of the platform; `kill` leaves just its
+    folder.
+    """
+
+    def __init__(self, folder, clock=None, endpoint=None, disk=3_000_000, asked=True, **settings):
+        self.loop = Loop(now=clock or Clock(), system=Rebooted())
+        self.endpoint, self.platform = endpoint or Door(self.loop), Door(self.loop)
+        self.endpoint.loop = self.loop
+        self.listen = free_address()
+        self.known = {
+            "version": 4,
+            "full": True,
+            "servers": [
+                {
+                    "id": "s-1",
+                    "addr": self.endpoint.address,
+                    "zone": "a",
+                    "kind": "one",
+                    "cell": 7,
+                    "state": "active",
+                }
+            ],
+        }
+        self.posts = [
+            Post(
+                "n0",
+                self.listen,
+                self.platform.address,
+                str(folder),
+                5,
+                256,
+                disk,
+                self.known,
+                terms(**settings),
+            )
+        ]
+        self.runtime = build(self.posts[0], self.loop, SignalReader(), lambda: self.again())
+        if asked:
+            self.tell(self.known)
+
+    def tell(self, known):
+        """The platform's agent answers the first call for the list."""
+        self.watch = self.platform.meet()
+        assert b"GET /api/targets HTTP" in self.watch.wait(b"\r\n\r\n"), "the whole list, and at once"
+        self.watch.say(answer(200, json.dumps(known).encode()))
+        assert b"index=4&wait=2000" in self.watch.wait(b"\r\n\r\n")
+
+    def again(self):
+        return self.posts[-1]
+
+    def post(self, ident, product="notice", size=3, left=20.0, dest=7):
+        peer = client(self.loop, self.listen)
+        peer.say(
+            f"POST /{product} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: {left}\r\n"
+            f"X-Envelope: dest={dest}\r\nContent-Length: {size}\r\n\r\n".encode()
+            + b"\xfe" * size
+        )
+        return peer.wait(b"\r\n\r\n").split()[1]
+
+    def kill(self):
+        """Nothing of it runs from here on, so nothing more is written."""
+        self.loop.once = self.loop.turn = None
+
+    def notice(self):
+        """The next notice to the platform; the watch connects there as well."""
+        while True:
+            peer = self.platform.meet()
+            spin(self.loop, lambda peer=peer: b"\r\n\r\n" in peer.hear())
+            if peer.heard.startswith(b"POST"):
+                peer.say(answer(204))
+                return [json.loads(line) for line in peer.heard.split(b"\r\n\r\n")[1].splitlines()]
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -9,8 +9,8 @@
 import struct
 
 import pytest
+from courier_helper import House, endings, facade, picked, text
 from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
-from test_courier import House, endings, facade, picked, text
 from wire_helper import Out, call, clients, request
 
 from calicopin.boot.leave import LAST_TEXT, LEAVE
--- a/tests/test_list_cost.py
+++ b/tests/test_list_cost.py
@@ -10,8 +10,8 @@
 from functools import partial
 
 import pytest
+from courier_helper import facade, place, text
 from helper import PRODUCT, Stand, submits
-from test_courier import facade, place, text
 
 from calicopin.brain import Courier, Endpoint, Route
 from calicopin.facade import Answer, Far
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 
 import pytest
+from courier_helper import House
 from helper import Clock, answer, client, free_address, spin
-from test_courier import House
 
 from calicopin.boot import leave
 from calicopin.boot.start import build
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,8 +3,8 @@
 import json
 
 import pytest
+from courier_helper import place, text
 from helper import terms
-from test_courier import place, text
 
 from calicopin.boot.signals import SignalReader
 from calicopin.boot.start import main, posted
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -6,8 +6,8 @@
 import tomllib
 
 import pytest
+from courier_helper import place, text
 from helper import Clock, free_address
-from test_courier import place, text
 
 from calicopin.boot.signals import SignalReader
 from calicopin.boot.start import Post, build
