--- a/tests/helper.py
+++ b/tests/helper.py
@@ -28,7 +28,7 @@
 )
 
 
-class Stand:
+class DecisionsFixture:
     """One courier with its clock; destination 0 has endpoints 0 and 1 unless told otherwise."""
 
     def __init__(self, products=(PRODUCT,), entries=None, **terms):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 import pytest
-from helper import Stand, submits
+from helper import DecisionsFixture, submits
 
 from calicopin.interface import (
     Close,
@@ -22,11 +22,11 @@
 
 
 def test_nothing_waits_before_the_first_refusal():
-    assert len(submits(Stand().take(10))) == 10
+    assert len(submits(DecisionsFixture().take(10))) == 10
 
 
 def test_told_wait_binds_for_every_text():
-    stand = Stand()
+    stand = DecisionsFixture()
     first = submits(stand.take(1))[0]
     stand.outcome(first, How.FULL, wait=700.0)
     assert not submits(stand.take(3)) and not submits(stand.step(after=699.0))
@@ -35,26 +35,26 @@
 
 def test_once_only_text_that_may_have_run_is_undeliverable_at_once():
     once = Product(Repeat.ONCE_ONLY, 4000.0, 24000.0, 1.0, 0.3)
-    stand = Stand([once])
+    stand = DecisionsFixture([once])
     out = stand.outcome(submits(stand.take(1))[0], How.ERROR)
     assert [a.text for a in out if isinstance(a, Undeliverable)] == [0]
 
 
 def test_drained_endpoint_gets_nothing_new():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.step([Listed([Entry(0, 0, ready=False)])])
     assert {submit.endpoint for submit in submits(stand.take(12))} == {1}
 
 
 def test_text_without_endpoint_is_nacked_in_time():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.take(1, dest=5, validity=1000.0)
     assert [a.text for a in stand.step(after=999.0) if isinstance(a, Nack)] == [0]
 
 
 def test_an_early_wake_is_asked_for_again():
     """A wake-up a hair too early once left held texts without a timer, so they lapsed unanswered."""
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.take(1, dest=5, validity=100.0)
     stand.now, stand.wake = stand.wake[0] - 1e-4, (stand.wake[0] - 1e-4, stand.wake[1])
     stand.step(after=0.0)
@@ -63,7 +63,7 @@
 
 def test_a_lapse_a_rounding_error_away_is_not_forgotten():
     """Due times were popped with a tolerance that the lapse itself did not have: the text was lost."""
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.now = 219616324.799
     stand.take(1, dest=5, validity=520.0)
     stand.step(after=509.99999997)
@@ -72,7 +72,7 @@
 
 def test_partial_loss_is_no_outage():
     """Two failures, or one silent call among answered ones, once sent a destination down to its trickle."""
-    stand = Stand()
+    stand = DecisionsFixture()
     for how in (How.BROKEN, How.BROKEN, How.DELIVERED) * 10:
         stand.outcome(submits(stand.take(1))[0], how, ended=True)
     assert len(submits(stand.take(10))) == 10
@@ -80,7 +80,7 @@
 
 def test_an_endpoint_that_does_not_answer_is_picked_seldom_and_not_never():
     """Of two endpoints the one that hung once got every other text."""
-    stand, picked = Stand(), []
+    stand, picked = DecisionsFixture(), []
     for _ in range(400):
         submit = submits(stand.take(1))[0]
         picked.append(submit.endpoint)
@@ -92,7 +92,7 @@
     """Where half of the calls were lost, five in a row came by chance and closed the door for the rule's
     cold time.
     """
-    stand = Stand()
+    stand = DecisionsFixture()
     for how in (How.BROKEN, How.DELIVERED) * 20 + (How.BROKEN,) * 7:
         stand.outcome(submits(stand.take(1))[0], how, ended=True)
     assert len(submits(stand.take(10))) == 10
@@ -105,7 +105,7 @@
     """All that share a call are lost with its answer: calls of ten broke again and again where one text in
     four did.
     """
-    stand, sizes = Stand(slots=1, partners=[Partner(bundle=8)]), []
+    stand, sizes = DecisionsFixture(slots=1, partners=[Partner(bundle=8)]), []
     call = submits(stand.take(1))
     stand.take(60)
     for how in (
@@ -124,7 +124,7 @@
 
 
 def test_outage_leaves_a_trickle():
-    stand = Stand()
+    stand = DecisionsFixture()
     for submit in submits(stand.take(10)):
         stand.outcome(submit, How.UNREACHED)
     stand.done.clear()
@@ -135,7 +135,7 @@
 def test_a_text_given_up_after_a_time_out_still_lays_its_key_to_rest():
     """Found by the model of the rules: the give-up skipped the rest of the key."""
     once = Product(Repeat.ONCE_ONLY, 4000.0, 24000.0, 1.0, 0.3, in_order=True)
-    stand = Stand([once], settle=700.0)
+    stand = DecisionsFixture([once], settle=700.0)
     first = submits(stand.take(2, key="van 7"))
     assert len(first) == 1 and not submits(stand.outcome(first[0], How.TIMEOUT))
     assert not submits(stand.step(after=699.0)) and len(submits(stand.step(after=60.0))) == 1
@@ -143,14 +143,16 @@
 
 def test_a_text_withdrawn_in_the_batch_that_brought_it_gets_no_answer():
     """Found by the model of the rules: the withdrawal was looked up before the text was taken in."""
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.step([Taken(0, 5, 0, 1000.0), Withdrawn(0)])
     assert not any(isinstance(a, (Nack, Undeliverable)) for a in stand.step(after=2000.0))
 
 
 def test_nothing_is_sent_in_the_moment_a_reference_is_forgotten():
     """Found by the model of the rules: a repeat went out at the very end of the memory."""
-    stand = Stand([Product(Repeat.REFERENCED, 4000.0, 24000.0, 1.0, 0.3, memory=1000.0)], senders=1)
+    stand = DecisionsFixture(
+        [Product(Repeat.REFERENCED, 4000.0, 24000.0, 1.0, 0.3, memory=1000.0)], senders=1
+    )
     first = submits(stand.take(1))[0]
     stand.now = 100.0
     stand.outcome(submits(stand.outcome(first, How.ERROR))[0], How.FULL, wait=900.0)
@@ -159,7 +161,7 @@
 
 def test_a_standing_line_gives_up_what_can_no_longer_earn():
     """First in, first out, a full line once sent every text a moment before its validity ended."""
-    stand = Stand([Product(Repeat.RESENDABLE, 1500.0, 5000.0, 2.0, 0.0)], senders=1, slots=1)
+    stand = DecisionsFixture([Product(Repeat.RESENDABLE, 1500.0, 5000.0, 2.0, 0.0)], senders=1, slots=1)
     submit = submits(stand.take(5, validity=5000.0))[0]
     stand.step(after=4990.0 - 200.0)
     stand.take(1, validity=5000.0)
@@ -169,7 +171,7 @@
 
 def test_a_told_limit_paces_from_the_first_answer():
     """Refusals halt and empty the bucket: where the limit is told, none is needed to learn it."""
-    stand = Stand(senders=2)
+    stand = DecisionsFixture(senders=2)
     stand.outcome(submits(stand.take(1))[0], limit=4.0, left=0.9)
     assert len(submits(stand.take(10))) == 1
     stand.done.clear()
@@ -181,7 +183,7 @@
     """One of 200 couriers sees few answers: refusals above a limit, two seconds apart, once put
     destinations out.
     """
-    stand = Stand(senders=200)
+    stand = DecisionsFixture(senders=200)
     first = submits(stand.take(1))[0]
     for _ in range(2):
         stand.done.clear()
@@ -198,7 +200,7 @@
     """
     went, asked = 0, 0
     for number in range(40):
-        stand = Stand(senders=40, number=number)
+        stand = DecisionsFixture(senders=40, number=number)
         stand.step(after=200.0)
         out = submits(stand.take(2))
         stand.step(after=300.0)
@@ -215,7 +217,7 @@
     nothing for 26 s.
     """
     for agreed, span in ((0.02, 4000.0), (None, 20000.0)):
-        stand = Stand(senders=40, entries=[Entry(0, 0, agreed=agreed), Entry(1, 0, agreed=agreed)])
+        stand = DecisionsFixture(senders=40, entries=[Entry(0, 0, agreed=agreed), Entry(1, 0, agreed=agreed)])
         stand.step(after=20000.0)
         refused = submits(stand.take(2))
         stand.outcome(refused[0], How.FULL)
@@ -227,7 +229,7 @@
     answer, were refused together, and held back together at the next one. Summed over 40 couriers, after
     one call of ten each. One alone still believes it ten times.
     """
-    alone = Stand(partners=[Partner(bundle=10)], senders=1)
+    alone = DecisionsFixture(partners=[Partner(bundle=10)], senders=1)
     alone.step(
         [
             Outcome(s.text, s.endpoint, How.DELIVERED, 0.0, 200.0, True, 1.0, 80.0)
@@ -237,7 +239,7 @@
     assert alone.courier.dests[0].routes[None].left == pytest.approx(1.0 - 0.5 * 0.9**10)
     paces = 0.0
     for number in range(40):
-        stand = Stand(partners=[Partner(bundle=10)], senders=40, number=number)
+        stand = DecisionsFixture(partners=[Partner(bundle=10)], senders=40, number=number)
         out = submits(stand.take(10))
         assert len({submit.endpoint for submit in out}) == 1
         stand.step([Outcome(s.text, s.endpoint, How.DELIVERED, 0.0, 200.0, True, 1.0, 80.0) for s in out])
@@ -251,7 +253,7 @@
     """At the even share exactly, 223 couriers kept a throttled partner at its limit: it took nothing for
     25 s.
     """
-    stand = Stand(senders=4)
+    stand = DecisionsFixture(senders=4)
     for submit in submits(stand.take(9))[::-1]:
         stand.outcome(submit, How.FULL if submit.text else How.DELIVERED, limit=4.0, left=0.0)
     stand.done.clear()
@@ -263,7 +265,7 @@
     """Small couriers saw too few refusals to call a shut partner out, and together felled it on its
     return.
     """
-    route = Stand(senders=200).courier.dests[0].routes[None]
+    route = DecisionsFixture(senders=200).courier.dests[0].routes[None]
     route.rate, route.fails, route.fail_since = 0.001, 2, -8000.0
     assert route.speed() == pytest.approx(0.2 * 2.0**0.5 / (8000.0 + 3000.0)), (
         "and so at most once in their age"
@@ -280,7 +282,7 @@
     """Idle destinations are not looked at; the averages must be as if they had been."""
     flows = []
     for skip in (True, False):
-        stand = Stand()
+        stand = DecisionsFixture()
         stand.courier.dests[0].idle = stand.courier.dests[0].idle if skip else lambda: False
         for pause in (400.0, 30000.0, 0.0):
             stand.outcome(submits(stand.take(1))[0])
@@ -291,7 +293,7 @@
 
 def test_a_partner_whose_answers_all_come_late_is_learned_from():
     """Its calls were cut off at the SLA time for ever, and none of its texts was seen as delivered."""
-    stand, waited, read = Stand(), [], 0
+    stand, waited, read = DecisionsFixture(), [], 0
     while len(waited) < 40 and max(waited, default=0.0) < 9000.0:
         stand.take(1)
         stand.step(after=500.0)
@@ -305,7 +307,7 @@
 
 
 def test_while_a_destination_is_out_only_one_call_at_a_time_is_patient():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.take(60, validity=24000.0)
     first = submits(stand.done)
     for _ in first:
@@ -319,7 +321,7 @@
 
 
 def test_a_cold_destination_is_well_a_cold_time_after_its_first_answer():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.take(8)
     for submit in submits(stand.done):
         stand.outcome(submit, How.UNREACHED)
@@ -339,7 +341,7 @@
 
 
 def test_where_one_endpoint_refused_a_connection_its_kind_gets_idle_ones_back():
-    stand = Stand(
+    stand = DecisionsFixture(
         gives_back=True,
         entries=[Entry(0, 0), Entry(1, 1), Entry(2, 2, kind=1)],
         partners=[Partner(), Partner()],
@@ -360,7 +362,7 @@
     """Where answers are lost, each held its slot to the end of its validity: at tanger-platform 16 s, with
     three slots a courier.
     """
-    stand = Stand([Product(Repeat.ONCE_ONLY, 2000.0, 16000.0, 1.0, 0.4)])
+    stand = DecisionsFixture([Product(Repeat.ONCE_ONLY, 2000.0, 16000.0, 1.0, 0.4)])
     first = submits(stand.take(1))[0]
     assert first.timeout == 2000.0
     stand.outcome(first, elapsed=150.0)
@@ -378,7 +380,7 @@
     """At pasay-main eight submits of a text went within 200 ms to an endpoint whose connections were all
     taken.
     """
-    stand, went = Stand(entries=[Entry(0, 0)]), 0
+    stand, went = DecisionsFixture(entries=[Entry(0, 0)]), 0
     stand.take(1)
     for _ in range(100):
         out, stand.done = submits(stand.done), []
@@ -393,7 +395,7 @@
     """Texts behind a closed bucket lay there for 20 s, their whole validity, filled the store and were
     nacked then.
     """
-    stand = Stand(
+    stand = DecisionsFixture(
         [Product(Repeat.RESENDABLE, 800.0, 6000.0, 1.0, 0.0, late_halves=True)],
         senders=100,
         most_advice=2000.0,
@@ -410,7 +412,7 @@
     low, high = (
         Product(Repeat.RESENDABLE, 4000.0, 60000.0, revenue, 0.5, late_halves=True) for revenue in (1.0, 3.0)
     )
-    stand = Stand([low, high], senders=1, room=4, slots=1, entries=[Entry(0, 0), Entry(1, 1)])
+    stand = DecisionsFixture([low, high], senders=1, room=4, slots=1, entries=[Entry(0, 0), Entry(1, 1)])
     stand.take(1, product=1, validity=60000.0)
     stand.take(1, dest=1, product=1, validity=60000.0)
     stand.take(1, product=0, validity=60000.0)
@@ -422,7 +424,7 @@
     neighbour again.
     """
     picked = Counter()
-    stand = Stand(
+    stand = DecisionsFixture(
         [
             Product(Repeat.RESENDABLE, 1500.0, 8000.0, 1.0, 0.1),
             Product(Repeat.ONCE_ONLY, 2000.0, 16000.0, 1.0, 0.4),
@@ -441,7 +443,9 @@
     """What is left of it may open the bucket at any answer: giving up early there cost
     lahore-senders-later rough-1 a third of its score.
     """
-    stand = Stand([Product(Repeat.RESENDABLE, 800.0, 6000.0, 1.0, 0.0, late_halves=True)], senders=100)
+    stand = DecisionsFixture(
+        [Product(Repeat.RESENDABLE, 800.0, 6000.0, 1.0, 0.0, late_halves=True)], senders=100
+    )
     stand.outcome(submits(stand.take(1, validity=6000.0))[0], How.FULL, limit=4.0, left=0.0)
     stand.take(3, validity=6000.0)
     assert not any(isinstance(action, Nack) for action in stand.done)
@@ -452,7 +456,7 @@
     lahore-senders overload .82 to .75.
     """
     one = Product(Repeat.RESENDABLE, 4000.0, 60000.0, 1.0, 0.1)
-    stand = Stand([one], senders=1, room=6, slots=1, entries=[Entry(0, 0)])
+    stand = DecisionsFixture([one], senders=1, room=6, slots=1, entries=[Entry(0, 0)])
     stand.outcome(submits(stand.take(1, validity=60000.0))[0], How.FULL, limit=1.0, left=0.0)
     for _ in range(4):
         stand.take(1, validity=60000.0)
@@ -463,7 +467,7 @@
     """Each next call went over a connection that had been dropped unseen: 28 of 100 calls were reset on
     ahmedabad-relay, and may have run.
     """
-    stand = Stand(
+    stand = DecisionsFixture(
         entries=[Entry(0, 0), Entry(1, 1), Entry(2, 2, kind=1)],
         partners=[Partner(), Partner()],
         gives_back=True,
@@ -489,7 +493,7 @@
     ahmedabad-relay.
     """
     for answered in (True, False):
-        stand = Stand(entries=[Entry(0, 0), Entry(1, 1)], partners=[Partner()], gives_back=True)
+        stand = DecisionsFixture(entries=[Entry(0, 0), Entry(1, 1)], partners=[Partner()], gives_back=True)
         for dest in (0, 1):
             (submit,) = submits(stand.take(dest=dest))
             stand.outcome(submit)
--- a/tests/test_list_cost.py
+++ b/tests/test_list_cost.py
@@ -11,7 +11,7 @@
 
 import pytest
 from courier_helper import facade, place, text
-from helper import PRODUCT, Stand, submits
+from helper import PRODUCT, DecisionsFixture, submits
 
 from calicopin.brain import Courier, Endpoint, Route
 from calicopin.facade import Answer, Far
@@ -91,8 +91,10 @@
         self.chance, self.trace, self.out, self.texts = random.Random(seed), [], [], 0
         slots, apart = self.chance.choice([3, 20]), self.chance.random() < 0.5
         partners = [Partner(self.chance.choice([1, 4]), apart), Partner()]
-        settings = Stand([replace(PRODUCT, in_order=True)], slots=slots, partners=partners).courier.settings
-        self.courier, self.stand = make(settings), Stand()
+        settings = DecisionsFixture(
+            [replace(PRODUCT, in_order=True)], slots=slots, partners=partners
+        ).courier.settings
+        self.courier, self.stand = make(settings), DecisionsFixture()
         self.stand.courier, self.stand.now, self.stand.wake = self.courier, 0.0, None
         self.listed, self.sick = {}, {}
 
@@ -161,7 +163,7 @@
 
 def courier_with(count):
     entries = [Entry(ident, ident // 4) for ident in range(count)]
-    return Stand(entries=entries).courier
+    return DecisionsFixture(entries=entries).courier
 
 
 def test_one_changed_entry_costs_the_decisions_the_same_at_any_number_of_endpoints():
@@ -188,7 +190,7 @@
 
 
 def test_an_endpoint_is_remembered_for_as_long_as_before():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.step([Listed([])], after=1000.0)
     stand.step([Listed([Entry(0, 0, ready=False)])], after=500.0)  # last listed at 1000
     stand.step([Listed([])], after=Route.IDLE - 500.0)
@@ -234,7 +236,7 @@
 
 
 def test_a_released_destination_is_forgotten_after_the_span_and_not_before():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.outcome(submits(stand.take(1))[0])
     stand.step(after=30000.0)
     released(stand)
@@ -245,7 +247,7 @@
 
 
 def test_nothing_is_sent_to_a_released_destination_until_it_is_listed_again():
-    stand = Stand()
+    stand = DecisionsFixture()
     released(stand)
     assert not submits(stand.take(1))
     assert len(submits(stand.step([Listed([Entry(0, 0)])]))) == 1
@@ -255,7 +257,7 @@
 
 @pytest.mark.parametrize("apart", [False, True])
 def test_a_told_wait_outlasts_the_release_of_its_destination(apart):
-    stand = Stand(partners=[Partner(apart=apart)])
+    stand = DecisionsFixture(partners=[Partner(apart=apart)])
     submit = submits(stand.take(1))[0]
     stand.outcome(submit, How.FULL, wait=170000.0, ended=True)
     until = stand.now + 170000.0
@@ -271,14 +273,14 @@
 
 
 def test_an_outage_outlasts_the_release_and_what_waits_or_is_out_too():
-    stand = Stand()
+    stand = DecisionsFixture()
     stand.outcome(submits(stand.take(1))[0], How.FULL, wait=4000.0, ended=True)
     route = stand.courier.dests[0].routes[None]
     assert route.mode == "out"
     released(stand)
     stand.step(after=10 * Route.IDLE)
     assert stand.courier.dests[0].routes[None] is route
-    other = Stand()
+    other = DecisionsFixture()
     out = submits(other.take(1, validity=10 * Route.IDLE))[0]
     released(other)
     other.step(after=3 * Route.IDLE)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from helper import Stand
+from helper import DecisionsFixture
 
 from calicopin.interface import (
     Entry,
@@ -145,7 +145,7 @@
         settle=SETTLE,
         most_advice=2000.0,
     )
-    stand, kills = Stand(products, entries, **terms), [5100.0, 9000.0, 13000.0] if seed % 2 else []
+    stand, kills = DecisionsFixture(products, entries, **terms), [5100.0, 9000.0, 13000.0] if seed % 2 else []
     model.listed = {entry.endpoint: entry for entry in entries}
     ends, number, now = [], 0, 0.0
 
@@ -166,7 +166,7 @@
         now += 5.0
         if now in kills:
             ends.clear()
-            stand = Stand(products, entries, restarted=now, **terms)
+            stand = DecisionsFixture(products, entries, restarted=now, **terms)
             read(stand.hand(now, list(model.killed(now))), now)
         events = stand.woken(now)
         for end in [end for end in ends if end[0] <= now]:
