--- a/tests/courier_helper.py
+++ b/tests/courier_helper.py
@@ -42,7 +42,7 @@
     return ends
 
 
-class House:
+class CourierFixture:
     """A courier on loopback with stand-ins of an endpoint and of the platform; `kill` leaves just its
     folder.
     """
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 import pytest
-from courier_helper import House, place
+from courier_helper import CourierFixture, place
 from helper import Clock, Door, answer, client, spin, terms
 
 from calicopin import brain
@@ -19,7 +19,7 @@
 
 
 def test_a_text_goes_from_its_client_to_its_endpoint(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     assert house.post("a") == b"202"
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
@@ -29,14 +29,14 @@
 
 
 def test_a_text_is_on_disk_before_its_202_and_its_submit_before_the_first_byte(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.post("a")
     data = (tmp_path / "journal").read_bytes()
     assert b'"a"' in data and b"\xfe\xfe\xfe" in data and data.index(b"S[") > data.index(b"\xfe\xfe\xfe")
 
 
 def test_a_killed_courier_owes_each_text_its_one_end(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     for ident, product in (("done", "notice"), ("again", "notice"), ("once", "once")):
         assert house.post(ident, product) == b"202"
     peers = [house.endpoint.meet() for _ in range(3)]
@@ -46,7 +46,7 @@
             peer.say(answer(200))
     spin(house.loop, lambda: len(house.runtime.journal.texts) == 2)
     house.kill()
-    back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
+    back = CourierFixture(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
     assert {ident: kept.tries for ident, kept in back.runtime.journal.texts.items()} == {
         "again": 2,
         "once": 1,
@@ -59,18 +59,18 @@
 
 
 def test_a_notice_not_yet_heard_is_owed_after_a_restart(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.post("a", left=0.0)
     spin(house.loop, lambda: house.runtime.notices.owed)
     house.kill()
-    assert House(tmp_path, asked=False).notice() == [{"ref": "a", "result": "bounced"}]
+    assert CourierFixture(tmp_path, asked=False).notice() == [{"ref": "a", "result": "bounced"}]
 
 
 def test_the_id_of_another_text_neither_replaces_nor_withdraws_it_nor_sends_it_again(tmp_path):
     """A second client's leaving once withdrew the first one's text, and an id just ended was sent once
     more.
     """
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     assert house.post("a") == b"202"
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
@@ -85,7 +85,7 @@
 
 def test_a_destination_never_listed_is_not_taken_on(tmp_path):
     """It was held to its end, and took a place in every table for good."""
-    house = House(tmp_path, asked=False)
+    house = CourierFixture(tmp_path, asked=False)
     assert house.post("a", dest=9) == b"503"
     house.tell(house.known)
     assert (
@@ -99,7 +99,7 @@
     """In a roll of 186 couriers a new process asked up to ten seconds late, and called endpoints announced
     as leaving before it began.
     """
-    house = House(tmp_path, asked=False)
+    house = CourierFixture(tmp_path, asked=False)
     other = Door(house.loop)
     assert house.post("a") == b"202", "taken on at once all the same"
     house.tell(
@@ -119,7 +119,7 @@
 
 @pytest.mark.parametrize("trouble", ["silent", "turns away", "garbles"])
 def test_a_start_whose_agent_tells_no_list_goes_by_the_one_it_knows(tmp_path, trouble):
-    house = House(tmp_path, asked=False)
+    house = CourierFixture(tmp_path, asked=False)
     assert house.post("a") == b"202"
     watch = house.platform.meet()
     watch.wait(b"\r\n\r\n")
@@ -143,7 +143,7 @@
     monkeypatch.setattr(
         brain.Route, "opens", lambda route, opens=brain.Route.opens: asked.append(route) or opens(route)
     )
-    house = House(tmp_path, asked=False, groupSize=1024)
+    house = CourierFixture(tmp_path, asked=False, groupSize=1024)
     assert house.post("a") == b"202"
     entry, other = house.known["servers"][0], Door(house.loop)
     many = [entry | {"id": f"s-{number}"} for number in range(1024)]
@@ -165,7 +165,7 @@
 
 
 def test_an_empty_list_is_passed_over_and_a_list_known_that_cannot_be_read_stops_no_start(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.watch.say(answer(200, b'{"version": 9, "full": true, "servers": []}'))
     house.watch.wait(b"index=9")
     assert house.post("a") == b"202" and house.endpoint.meet().wait(b"\xfe\xfe\xfe")
@@ -179,7 +179,7 @@
 
 def test_an_endpoint_that_left_is_forgotten_with_its_connections(tmp_path):
     """Each once kept its place in the tables, and its connections, for good."""
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.post("a")
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
@@ -201,7 +201,7 @@
 
 
 def test_a_first_line_with_200_delivers_at_once_and_a_later_wait_still_binds(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.post("a")
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
@@ -220,19 +220,19 @@
 
 
 def test_without_room_for_the_body_a_text_is_refused(tmp_path):
-    house = House(tmp_path, disk=150_000)
+    house = CourierFixture(tmp_path, disk=150_000)
     assert [house.post("a", size=30000), house.post("b", size=30000)] == [b"202", b"503"]
 
 
 def test_a_fault_in_a_call_is_an_outcome(tmp_path, monkeypatch):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     monkeypatch.setattr("calicopin.wire.endpoints.encode", None)
     house.post("a", product="once")
     assert house.notice() == [{"ref": "a", "result": "dead"}]
 
 
 def test_a_fault_in_the_decisions_does_not_stop_the_program(tmp_path, monkeypatch):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     tick, house.runtime.facade.tick = house.runtime.facade.tick, None
     house.loop.once(house.loop.now())
     assert house.post("a") == b"503" and house.post("b") == b"503" and not house.runtime.ledger.taken
@@ -243,7 +243,7 @@
 
 def test_a_disk_that_fails_keeps_answers_and_calls_back(tmp_path, monkeypatch):
     """Nothing may go out that the journal does not hold."""
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     flush, house.runtime.journal.flush = house.runtime.journal.flush, lambda: os.write(-1, b"")
     peer = client(house.loop, house.listen)
     peer.say(
@@ -261,7 +261,7 @@
 
 
 def test_sigterm_before_the_first_list_and_again_ends_once_and_in_order_behind_a_torn_record(tmp_path):
-    house = House(tmp_path, asked=False)
+    house = CourierFixture(tmp_path, asked=False)
     assert house.post("a") == b"202"
     for _ in range(2):
         os.kill(os.getpid(), signal.SIGTERM)
@@ -275,14 +275,14 @@
     house.kill()
     with open(tmp_path / "journal", "ab") as file:
         file.write(b"\x40\x00\x00\x00torn")
-    back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
+    back = CourierFixture(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint)
     peers = [back.endpoint.meet() for _ in range(2)]
     heard = {peer.wait(b"\xfe\xfe\xfe").split(b"X-Request-ID: ")[-1][:1] for peer in peers}
     assert heard == {b"a", b"b"} and {text.tries for text in back.runtime.journal.texts.values()} == {1}
 
 
 def test_sigterm_finishes_what_it_can_and_leaves_the_rest_journalled(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.post("a")
     peer = house.endpoint.meet()
     peer.wait(b"\xfe\xfe\xfe")
@@ -315,7 +315,7 @@
 
 def test_sighup_begins_a_new_watch_and_tells_unheard_notices_at_the_new_address(tmp_path):
     """It once ended the program."""
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.post("a", left=0.0)
     old = house.platform.meet()
     old.wait(b"\r\n\r\n")
@@ -338,7 +338,7 @@
 
 
 def test_a_configuration_that_cannot_be_read_changes_nothing(tmp_path):
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     old = house.watch
     before = house.runtime.notices.task
     for broken in (
@@ -410,7 +410,7 @@
     """It once went out when the disk was back, after its text's time and beyond the memory of its
     reference.
     """
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     flush, house.runtime.journal.flush = house.runtime.journal.flush, lambda: os.write(-1, b"")
     house.runtime.take(Text("a", 7, 0, None, None, house.loop.now() + 5000.0, b""))
     house.runtime.take(Text("b", 7, 0, None, None, house.loop.now() + 90000.0, b""))
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -9,7 +9,7 @@
 import struct
 
 import pytest
-from courier_helper import House, endings, facade, picked, text
+from courier_helper import CourierFixture, endings, facade, picked, text
 from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
 from wire_helper import Out, call, clients, request
 
@@ -91,7 +91,7 @@
     """A courier with its clients at hand, told to end; its listener is still open."""
     made = []
     monkeypatch.setattr("calicopin.boot.start.Clients", lambda *told: made.append(Clients(*told)) or made[0])
-    house = House(tmp_path)
+    house = CourierFixture(tmp_path)
     house.clients, house.resting = (
         made[0],
         client(house.loop, house.listen),
@@ -388,7 +388,7 @@
     """
     made = []
     monkeypatch.setattr("calicopin.boot.start.Clients", lambda *told: made.append(Clients(*told)) or made[0])
-    house = House(tmp_path, asked=False)
+    house = CourierFixture(tmp_path, asked=False)
     watch = house.platform.meet()
     watch.wait(b"\r\n\r\n")
     idle = [client(house.loop, house.listen) for _ in range(250)]
@@ -426,12 +426,12 @@
     wall = Clock(1e12)
     monkeypatch.setattr(Rebooted, "wall", staticmethod(wall))
     grades = [grade | {"keyTtl": 1.0} for grade in terms()["grades"]]
-    house = House(tmp_path, grades=grades)
+    house = CourierFixture(tmp_path, grades=grades)
     assert house.post("a", product="order") == b"202"
     house.endpoint.meet().wait(b"\xfe\xfe\xfe")
     house.kill()
     wall.now += away
-    back = House(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint, grades=grades)
+    back = CourierFixture(tmp_path, clock=Clock(50_000.0), endpoint=house.endpoint, grades=grades)
     if again:
         assert b"X-Request-ID: a" in back.endpoint.meet().wait(b"\xfe\xfe\xfe")
     else:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,14 +5,14 @@
 from dataclasses import replace
 
 import pytest
-from courier_helper import House
+from courier_helper import CourierFixture
 from helper import Clock, answer, client, free_address, spin
 
 from calicopin.boot import leave
 from calicopin.boot.start import build
 
 
-class Service(House):
+class Service(CourierFixture):
     """A courier with an admin address; its clock stands unless the test moves it."""
 
     def __init__(self, folder, **other):
