--- a/calicopin/boot/log_import.py
+++ b/calicopin/boot/log_import.py
@@ -6,6 +6,7 @@
 
 
 def no_loop():
+    """What stands in for asyncio's loop; RuntimeError always."""
     raise RuntimeError("there is no event loop of asyncio's in a courier")
 
 
--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -23,6 +23,7 @@
         self.discovery, self.clients, self.runtime, self.renewed = discovery, clients, runtime, False
 
     def wait(self):
+        """A coroutine that waits for signals: a stop is passed on, SIGHUP reads the configuration again."""
         while True:
             yield Until(FOREVER, self.signal_reader.fd, READ)
             signs = self.signal_reader.heard()
--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -76,10 +76,12 @@
         return None
 
     def kept(self, event):
+        """The event is set once what was taken on is in the journal."""
         self.waiting.append(event)
         return event
 
     def withdraw(self, text):
+        """The client is gone before its answer: the text is ended without one."""
         self.facade.withdraw(text)
 
     def listed(self, places, whole):
@@ -151,6 +153,7 @@
         return len(self.flights)
 
     def begin(self, call):
+        """Sends a call; its time-out counts from now."""
         flight = Flight(call, self.loop.now() + call.timeout)
         self.fly(
             flight,
@@ -164,6 +167,7 @@
         self.fly(flight, lambda written, tell: go_on(self.loop, self.lines, flight, line, heard, tell))
 
     def fly(self, flight, talk):
+        """Runs a call's talk with its endpoint as a coroutine, to its outcome."""
         self.flights[flight] = True
         flight.task = self.loop.spawn(self.carry(flight, talk))
 
@@ -243,6 +247,7 @@
         self.over(text)
 
     def over(self, text):
+        """Nothing is owed for the text any more."""
         self.journal.over(text, self.loop.now())
 
     def keep_house(self):
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -305,6 +305,9 @@
 
 
 def main(signal_reader=None):
+    """Serves as a courier until a signal; returns the exit code, 2 where the configuration cannot be
+    served.
+    """
     signal_reader = signal_reader or SignalReader()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -69,6 +69,7 @@
         self.loop.running = False
 
     def end_drain(self):
+        """Ends a drain that is under way, if there is one."""
         if self.task:
             self.loop.cancel(self.task)
         self.drain = self.task = None
@@ -87,10 +88,12 @@
         return self.told()
 
     def check(self):
+        """ValueError where another process has taken all over."""
         if self.retired:
             raise ValueError("all was handed over to a newer process: call that one")
 
     def begin_drain(self, began):
+        """Walks through the steps of a drain; `began` in ms of the loop's clock."""
         self.drain, self.clients.leaving = Leave(DRAIN, began), True
         self.task = self.loop.keep(lambda: self.walk(self.drain))
 
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -20,6 +20,7 @@
 
 
 def coded(data):
+    """Bytes as they go into a frame: base64."""
     return base64.b64encode(bytes(data)).decode()
 
 
@@ -43,6 +44,7 @@
         self.task = loop.keep(self.host)
 
     def host(self):
+        """A coroutine that waits for new versions at the meeting place and begins the handover with each."""
         while True:
             try:
                 sock, _ = self.listener.accept()
@@ -99,6 +101,9 @@
                 break
 
     def give(self, sock):
+        """The handover itself: where it fails before `go` this process serves on as it was, behind it this
+        process retires.
+        """
         runtime, began = self.runtime, self.loop.now()
         self.loop.forget(sock)
         calling, runtime.calling = runtime.calling, False
@@ -138,6 +143,7 @@
         )
 
     def told(self, flights):
+        """What the new version is told of decisions, calls out, the list and connections."""
         stop, calls = self.stop, [flight.call for flight in flights]
         lines = self.runtime.lines
         return written(self.runtime.facade, calls) | dict(
--- a/calicopin/handover/meeting.py
+++ b/calicopin/handover/meeting.py
@@ -121,6 +121,7 @@
         return what, fds
 
     def close(self):
+        """Closes the connection, and descriptors that came and were not taken."""
         for fd in self.fds:
             os.close(fd)
         self.fds = []
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -40,6 +40,7 @@
 
 
 def picked(part, names):
+    """The named values of a part."""
     return {name: getattr(part, name) for name in names}
 
 
@@ -209,6 +210,7 @@
 
 
 def destination(facade, one):
+    """Puts what was told of a destination and its routes into the decisions."""
     dest = facade.module.dest(facade.dests(one["ident"]))
     put(dest, DESTINATION, one)
     for told in one.get("routes", ()):
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -66,6 +66,7 @@
         return lock
 
     def call(self, loop, runtime, clients, one, sock):
+        """Goes on with a call that was out: its connection and what was heard on it."""
         number, call = one["call"], self.flights.pop(one["call"])
         # an older version lets each text of a shared call end for itself: here the first of them ends it
         ends = [at for at, shared, _ in self.told.get("due", ()) if shared == number]
@@ -74,6 +75,7 @@
         runtime.go_on(flight, Line(loop, sock, h11.CLIENT), base64.b64decode(one["heard"]))
 
     def client(self, loop, runtime, clients, one, sock):
+        """Serves a client's connection on, with what was heard of its request."""
         line = Line(loop, sock, h11.SERVER)
         if one["heard"]:
             line.hear(base64.b64decode(one["heard"]))
@@ -82,6 +84,7 @@
         clients.receive(visit)
 
     def idle(self, loop, runtime, clients, one, sock):
+        """Keeps an idle connection to an endpoint, idle since when it was."""
         runtime.lines.idle.setdefault(tuple(one["shelf"]), []).append(
             (Line(loop, sock, h11.CLIENT), one["since"])
         )
--- a/calicopin/scheduler.py
+++ b/calicopin/scheduler.py
@@ -24,10 +24,12 @@
         self.wakes, self.number, self.draws = 0, number, count(seed & 0xFFFFFFFF)
 
     def post(self, part, name, *args):
+        """Puts a note into the part's inbox: its `on_NAME` is called with these arguments."""
         part.inbox.append((name, args))
         self.busy.append(part)
 
     def later(self, when, part, name, *args):
+        """Posts a note once `when` has come, in ms."""
         heapq.heappush(self.due, (when, next(self.order), part, name, args))
 
     def run(self):
@@ -41,7 +43,9 @@
             getattr(part, "on_" + name)(*args)
 
     def chance(self, ident):
+        """A draw, at least 0 and under 1, that follows from number, seed, `ident` and the draws before."""
         return zlib.crc32(f"{self.number}:{ident}:{next(self.draws)}".encode()) / 2**32
 
     def log(self, line):
+        """Adds a line for operators to what the decisions give out."""
         self.out.append(Log(line))
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -24,12 +24,14 @@
             self(ident)
 
     def __call__(self, ident):
+        """The number of an id; a new one where it has none yet."""
         if ident not in self.index:
             self.index[ident] = number = next(self.next)
             self.ident[number] = ident
         return self.index[ident]
 
     def forget(self, ident):
+        """Drops an id and its number; KeyError where it is not known."""
         del self.ident[self.index.pop(ident)]
 
 
@@ -90,6 +92,7 @@
 
 
 def ms(value):
+    """Seconds as milliseconds; 0 where nothing is told."""
     return (value or 0.0) * 1000.0
 
 
@@ -142,6 +145,7 @@
 
 
 def reports(env):
+    """The columns of the load that endpoints report, in their order; empty where they report none."""
     return (env.get("loadInfo") or {}).get("columns") or []
 
 
