--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -31,6 +31,7 @@
 
 
 def keys(_, __, values):
+    """The values of --set as (key, word) pairs; click's BadParameter where one has another form."""
     out = []
     for value in values:
         key, sign, word = value.partition("=")
@@ -331,6 +332,7 @@
         self.path = path
 
     def connect(self):
+        """Opens the connection to the socket's path; OSError where nobody listens there."""
         self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         self.sock.settimeout(self.timeout)
         self.sock.connect(self.path)
--- a/calicopin/command/demo.py
+++ b/calicopin/command/demo.py
@@ -41,6 +41,7 @@
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
+        """Answers a call after a short while; closes the connection instead while the partner is out."""
         self.rfile.read(int(self.headers["Content-Length"]))
         time.sleep(random.uniform(0.02, 0.12))
         if self.server.shut:
@@ -53,11 +54,13 @@
         self.end_headers()
 
     def setup(self):
+        """Ends a new connection at once while the partner is out."""
         super().setup()
         if self.server.shut:
             self.connection.shutdown(socket.SHUT_RDWR)
 
     def log_message(self, *_):
+        """Writes no line for a call."""
         pass
 
 
@@ -77,6 +80,7 @@
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
+        """Notes the ends that a request tells, one a line."""
         for line in self.rfile.read(int(self.headers["Content-Length"])).splitlines():
             told = json.loads(line)
             self.server.ended[told["ref"]] = told["result"]
@@ -85,6 +89,7 @@
         self.end_headers()
 
     def log_message(self, *_):
+        """Writes no line for a request."""
         pass
 
 
@@ -146,6 +151,7 @@
 
 
 def table(told, desks, left):
+    """The live figures of each destination; `left` is the seconds to go."""
     out = Table(
         title=f"courier on loopback, {left:.0f} s to go",
         caption="the gateway goes out and comes back; no text is lost",
@@ -248,6 +254,7 @@
 
 
 def sum_up(taken, refused, desks, notices, console):
+    """Prints what became of all texts; whether each has had its end."""
     delivered = set().union(*(desk.delivered for desk in desks))
     nacked = {ident for ident, how in notices.ended.items() if how == "bounced"}
     dead = set(notices.ended) - nacked
--- a/calicopin/command/sidecar.py
+++ b/calicopin/command/sidecar.py
@@ -43,12 +43,14 @@
         self.asked = None
 
     def start_courier(self):
+        """Starts the courier's process."""
         self.courier, self.since = (
             subprocess.Popen([sys.executable, "-m", "calicopin", "run", self.file]),
             time.monotonic(),
         )
 
     def await_ready(self):
+        """Whether the courier listens within `READY` seconds; it may fall or a signal come before."""
         until = time.monotonic() + READY
         while time.monotonic() < until and self.courier.poll() is None and self.asked is None:
             if listens(self.listen):
@@ -57,6 +59,7 @@
         return False
 
     def hear(self, sign, _):
+        """Notes a signal for the loop that waits."""
         self.asked = sign
 
     def look_after(self):
--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -32,9 +32,11 @@
         self.read, self.sheet, self.faults, self.doubts, self.ms = read, read.sheet, [], [], {}
 
     def fault(self, key, why, do=""):
+        """Adds what stops the configuration, at the place where the key stands; `do` says what to do."""
         self.faults.append(Fault(self.read.place(key), why, do))
 
     def doubt(self, key, why, do=""):
+        """Adds what an operator should know, at the place where the key stands; `do` says what to do."""
         self.doubts.append(Fault(self.read.place(key), why, do))
 
     def times(self):
@@ -68,6 +70,7 @@
         return self
 
     def names(self):
+        """Names that stand twice, kinds that are not told, and a number beyond the senders."""
         for table in ("product", "kind"):
             seen = set()
             for number, one in enumerate(getattr(self.sheet, table)):
@@ -96,6 +99,7 @@
             )
 
     def addresses(self):
+        """Addresses that cannot be read, or that stand where another is needed."""
         courier = self.sheet.courier
         if courier.listen.startswith("unix:"):
             path = courier.listen[5:]
@@ -133,12 +137,14 @@
                 )
 
     def address(self, key, word):
+        """A fault at the key where the word is no address."""
         try:
             units.address(word)
         except ValueError as fault:
             self.fault(key, str(fault))
 
     def products(self):
+        """Times, repeats and revenues of each product against one another and the courier's."""
         connect, courier = self.ms["courier.connect"], self.sheet.courier
         for number, product in enumerate(self.sheet.product):
             key = f"product[{number}]"
@@ -219,6 +225,7 @@
                 )
 
     def courier(self):
+        """Descriptors, disk, times, store and folder of the courier against what it is to hold and call."""
         courier = self.sheet.courier
         budget = Budget(courier.descriptors, courier.slots, bool(courier.admin))
         if budget.calls < courier.slots:
@@ -298,6 +305,7 @@
             self.fault(key, f"{path} cannot be written", "give the courier's user the right to")
 
     def returning(self):
+        """The rule on returning partners: its times, multiple and share against one another."""
         part = self.sheet.returning
         if self.ms["returning.span"] <= 0.0:
             self.fault("returning.span", "a span of no time cannot be counted over", "give a second or more")
@@ -316,6 +324,7 @@
             )
 
     def kinds(self):
+        """Revenues that have nothing left to fade."""
         if self.sheet.late == "linear":
             return
         for number, product in enumerate(self.sheet.product):
@@ -389,6 +398,7 @@
 
 
 def units_or(word):
+    """A time in ms; 0 where the word is none."""
     try:
         return units.milliseconds(word)
     except ValueError:
@@ -396,6 +406,7 @@
 
 
 def least_descriptors(slots):
+    """The fewest descriptors that leave room for so many calls at once."""
     count = 32
     while Budget(count, slots).calls < slots:
         count += 1
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -18,6 +18,7 @@
 
 
 def seconds(word):
+    """A time with its unit as seconds; ValueError where it is none."""
     return units.milliseconds(word) / 1000.0
 
 
@@ -128,6 +129,7 @@
 
 
 def time_word(value):
+    """Seconds as a time with its unit."""
     return units.spell(float(value or 0.0) * 1000.0)
 
 
--- a/calicopin/configuration/partners.py
+++ b/calicopin/configuration/partners.py
@@ -172,6 +172,7 @@
 
 
 def ident_of(partner, endpoint):
+    """The id of an endpoint; made of destination and address where none is told."""
     return endpoint.id or f"{partner.destination}-{endpoint.address}"
 
 
--- a/calicopin/configuration/units.py
+++ b/calicopin/configuration/units.py
@@ -36,6 +36,7 @@
 
 
 def spell_size(count):
+    """Bytes as a size with the largest unit that fits it to six digits, kB at least."""
     for unit in ("GB", "MB", "kB"):
         if count >= BYTES[unit] and count / BYTES[unit] == round(count / BYTES[unit], 6):
             return f"{count / BYTES[unit]:.10g}{unit}"
--- a/calicopin/configuration/write.py
+++ b/calicopin/configuration/write.py
@@ -91,9 +91,11 @@
         self.lines = []
 
     def say(self, line=""):
+        """Adds a line."""
         self.lines.append(line)
 
     def put(self, key, value, why=""):
+        """Adds a key with its value, and the reason behind it as a comment."""
         self.say(f"{key} = {json.dumps(value, ensure_ascii=False)}" + (f"  # {why}" if why else ""))
 
 
