--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -106,24 +106,24 @@
     change(Journal, "flush", careless)
 
 
-@fault("once-only-resent", "loss", EFFECT)
-def _(change):
+def submit_to_the_end(change, repeat):
+    """Texts of that kind are submitted until their validity ends, whatever may have run."""
     last = brain.Text.last_submit
     change(
         brain.Text,
         "last_submit",
-        lambda text: text.until if text.product.repeat == Repeat.ONCE_ONLY else last(text),
+        lambda text: text.until if text.product.repeat == repeat else last(text),
     )
 
 
+@fault("once-only-resent", "loss", EFFECT)
+def _(change):
+    submit_to_the_end(change, Repeat.ONCE_ONLY)
+
+
 @fault("memory-outlived", "forgetful", EFFECT)
 def _(change):
-    last = brain.Text.last_submit
-    change(
-        brain.Text,
-        "last_submit",
-        lambda text: text.until if text.product.repeat == Repeat.REFERENCED else last(text),
-    )
+    submit_to_the_end(change, Repeat.REFERENCED)
 
 
 @fault("zone-forgotten", "forgetful", EFFECT)
