--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -57,23 +57,29 @@
         return Outcome(submit.text, submit.endpoint, how, 0.0, elapsed, how == How.DELIVERED)
 
 
+def one_of_fleet(senders, number, seed, product, fail_back):
+    """The decisions of one courier of a fleet."""
+    return Courier(
+        CourierSettings(
+            seed=seed * 1000 + number,
+            number=number,
+            senders=senders,
+            tick=5.0,
+            slots=40,
+            room=400,
+            tries=12,
+            products=[product],
+            partners=[Partner()],
+            fail_back=fail_back,
+        )
+    )
+
+
 def play(senders, seed, silent, limit, multiple, span, cold_from=0.2):
     """(time, whether its sender had met the outage before) of each call, and the partner; seconds."""
     draw, order, idents = random.Random(seed), count(), count()
-    terms = dict(
-        senders=senders,
-        tick=5.0,
-        slots=40,
-        room=400,
-        tries=12,
-        products=[PRODUCT],
-        partners=[Partner()],
-        fail_back=FailBack(cold_from, COLD * 1000.0, multiple, span * 1000.0),
-    )
-    couriers = [
-        Courier(CourierSettings(seed=seed * 1000 + number, number=number, **terms))
-        for number in range(senders)
-    ]
+    fail_back = FailBack(cold_from, COLD * 1000.0, multiple, span * 1000.0)
+    couriers = [one_of_fleet(senders, number, seed, PRODUCT, fail_back) for number in range(senders)]
     partner, end, queue = Destination(limit, BEGAN + OUT, silent, cold_from), BEGAN + OUT + COLD, []
     skew = [draw.paretovariate(1.5) for _ in couriers]
 
@@ -142,20 +148,8 @@
     for seed in range(12):
         draw, out = random.Random(seed), 0  # calls in the span behind the return
         for number in range(senders):
-            courier = Courier(
-                CourierSettings(
-                    seed=seed * 1000 + number,
-                    number=number,
-                    senders=senders,
-                    tick=5.0,
-                    slots=40,
-                    room=400,
-                    tries=12,
-                    products=[once],
-                    partners=[Partner()],
-                    fail_back=FailBack(cold_from, 10000.0, multiple, span),
-                )
-            )
+            fail_back = FailBack(cold_from, 10000.0, multiple, span)
+            courier = one_of_fleet(senders, number, seed, once, fail_back)
             order, due = count(), [(0.0, 0, Listed([Entry(0, 0)], whole=True))]
             at, ends = draw.uniform(0.0, every), began - 2000.0
             times = [at + every * turn for turn in range(int(ends / every) + 1) if at + every * turn < ends]
