--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -31,6 +31,7 @@
         self.subscribes = bool(post.nodes)
 
     def wait(self):
+        """A coroutine that waits for signals: a stop is passed on, SIGHUP reads the configuration again."""
         while True:
             yield Until(FOREVER, self.signal_reader.fd, READ)
             signs = self.signal_reader.heard()
--- a/calicopin/discovery_node/replies.py
+++ b/calicopin/discovery_node/replies.py
@@ -1,4 +1,5 @@
-"""What a request's query says, and the replies that a discovery node gives: each refusal is one typed message."""
+"""What a request's query says, and the replies that a discovery node gives: each refusal is one typed
+message."""
 
 import math
 from dataclasses import dataclass
--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -139,7 +139,8 @@
         self.loop.running = False
 
     def _end_waiting(self) -> None:
-        """Thousands of requests may wait: all are answered by the same bytes, and connections between two closed."""
+        """Thousands of requests may wait: all are answered by the same bytes, and connections between two
+        closed."""
         refusal = self._not_ready_refusal()
         data, waiting = whole_refusal(refusal), {parked.line for parked in self.parked.values()}
         self.refused[refusal.reason] += len(waiting)
--- a/calicopin/discovery_node/upstream.py
+++ b/calicopin/discovery_node/upstream.py
@@ -1,6 +1,8 @@
-"""An upstream node as the source: its list log is copied to a file of this node's own, which the node then follows.
+"""An upstream node as the source: its list log is copied to a file of this node's own, which the node then
+follows.
 
-The copy is asked for from where it ends, again and again. Where the upstream node began another file, or is another
+The copy is asked for from where it ends, again and again. Where the upstream node began another file, or is
+another
 run, a new copy is made beside the old one and takes its place once it is whole: the last good copy serves on.
 """
 
@@ -37,7 +39,8 @@
 
 
 class Upstream(Agent):
-    """Copies the log of the node at `address` to `path`. The list that is there serves from the first moment on."""
+    """Copies the log of the node at `address` to `path`. The list that is there serves from the first moment
+    on."""
 
     def __init__(self, loop: Loop, address: str, path: str, fleet: str):
         self.path, self.fleet = path, fleet
