--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -44,9 +44,11 @@
 NOT_READY_RETRY = 1000.0  # ms
 TURNED_AWAY_RETRY = 1000.0
 REPEAT = 1000.0  # ms between two lines on requests turned away
+ANSWER_STEP = 1000  # destinations of an answer that are looked up in one pass
 AT_ONCE = 32  # connections accepted in one pass
 BODY_PER_DESTINATION = 11  # bytes of a request: nine digits, a comma, a space
 BODY_BASE = 4096
+MOST_READING = 64 << 20  # bytes of bodies that are read at once, all connections together
 INDEX_DIGITS = 18
 
 
@@ -139,8 +141,10 @@
         self.connections: dict[Connection, None] = {}
         self.parked: dict[str, Parked] = {}
         self.refused: Counter[Reason] = Counter()
+        self.reading = 0  # bytes that the bodies now being read may come to
         self.answers = self.changes_told = self.destinations_changed = 0
         self.stopping = False
+        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, -FOREVER
         self.accepting = loop.keep(self._accept)
         loop.keep(self._expire)
@@ -148,6 +152,8 @@
     def change(self, destinations: set[int]) -> None:
         """These destinations are not as before: whoever holds them and waits is answered."""
         self.destinations_changed += len(destinations)
+        for touched in self._lookups:
+            touched |= destinations
         for name in self.table.change(destinations):
             self.changes_told += 1
             self._wake(name)
@@ -311,19 +317,32 @@
         lengths = dict(head.headers)
         if b"content-length" in lengths and b"transfer-encoding" in lengths:
             return unreadable("both Content-Length and Transfer-Encoding")
-        if int(lengths.get(b"content-length", 0)) > self.most_body:
+        length = int(lengths.get(b"content-length", 0))
+        if length > self.most_body:
             return self._too_large()
-        body = yield from line.body(self.most_body, until)
+        expected = self.most_body if b"transfer-encoding" in lengths else length
+        if self.reading + expected > MOST_READING:
+            why = "too many long requests at once"
+            return refused(Refusal(Reason.TOO_MANY, why, TURNED_AWAY_RETRY), last=True)
+        self.reading += expected
+        try:
+            body = yield from line.body(self.most_body, until)
+        finally:
+            self.reading -= expected
         if body is TOO_LONG:
             return self._too_large()
         if body is None:
-            if line.ended:
-                return None
-            if self.loop.now() >= until:
-                return unreadable("a body that does not come", 408)
-            return unreadable("a body that cannot be read")
+            return self._unread_body(line, until)
         return (yield from self._route(line, head, body))
 
+    def _unread_body(self, line: Line, until: float) -> Reply | None:
+        """The answer where a body did not come whole."""
+        if line.ended:
+            return None
+        if self.loop.now() >= until:
+            return unreadable("a body that does not come", 408)
+        return unreadable("a body that cannot be read")
+
     def _too_large(self) -> Reply:
         return refused(Refusal(Reason.TOO_LARGE, f"a body over {self.most_body} bytes"), last=True)
 
@@ -361,7 +380,7 @@
         self._release_ended()
         if isinstance(decision, Wait):
             return (yield from self._park(line, decision.lease, poll.wait))
-        return self._answer(decision)
+        return (yield from self._answer(decision))
 
     def _park(self, line: Line, lease: str, wait: float) -> Iterator[Until]:
         """Waits for a change of the lease; None where the client has left meanwhile."""
@@ -378,7 +397,8 @@
             return None
         if self.stopping:
             return self._not_ready()
-        return self._answer(self.table.idle(lease) if parked.superseded else self.table.tell(lease))
+        told = self.table.idle(lease) if parked.superseded else self.table.tell(lease)
+        return (yield from self._answer(told))
 
     def _wait_parked(self, line: Line, parked: Parked, until: float) -> Iterator[Until]:
         """Until it is woken or its time is up; False where the client has left before."""
@@ -412,14 +432,14 @@
             self.table.expire(self.loop.now())
             self._release_ended()
 
-    def _answer(self, decision: Tell | Refusal) -> Reply:
+    def _answer(self, decision: Tell | Refusal) -> Iterator[Until]:
+        """The reply; a long one is made in several passes. What changes meanwhile is told by the next one again."""
         if isinstance(decision, Refusal):
             return refused(decision)
-        servers, complete, unknown = [], [], []
-        for destination in decision.destinations:
-            entries = self.source.catalogue.entries(destination)
-            (complete if entries else unknown).append(destination)
-            servers += entries
+        entries = yield from self._look_up(decision.destinations)
+        complete = tuple(destination for destination, found in entries.items() if found)
+        unknown = tuple(destination for destination, found in entries.items() if not found)
+        servers = [entry for found in entries.values() for entry in found]
         bounds = self.table.bounds
         grant = Grant(
             fleet=self.table.fleet,
@@ -427,12 +447,28 @@
             lease=decision.lease,
             sequence=decision.sequence,
             lease_ms=bounds.lease_ms,
-            complete=tuple(complete),
-            unknown=tuple(unknown),
+            complete=complete,
+            unknown=unknown,
         )
         self.answers += 1
         return Reply(200, encode_answer(decision.full, decision.version, servers, grant))
 
+    def _look_up(self, destinations: tuple[int, ...]) -> Iterator[Until]:
+        """The entries of each destination, all as of one moment: an endpoint that moves must not stand in two."""
+        catalogue, touched, entries = self.source.catalogue, set(), {}
+        self._lookups.append(touched)
+        try:
+            for position, destination in enumerate(destinations, 1):
+                entries[destination] = catalogue.entries(destination)
+                if position % ANSWER_STEP == 0:
+                    yield Until(self.loop.now())
+        finally:
+            self._lookups = [other for other in self._lookups if other is not touched]
+        replaced = self.source.catalogue is not catalogue
+        for destination in entries if replaced else touched.intersection(entries):
+            entries[destination] = self.source.catalogue.entries(destination)
+        return entries
+
     def _not_ready(self) -> Reply:
         why = "the node ends" if self.stopping else "the node has not read its list yet"
         return refused(Refusal(Reason.NOT_READY, why, NOT_READY_RETRY), last=self.stopping)
@@ -469,4 +505,5 @@
             reason=refusal.reason.value,
             why=refusal.message,
         )
+        self._lookups: list[set[int]] = []  # what changes while long answers are made, one set for each
         self._turned_away, self._told_at = 0, now
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -90,7 +90,7 @@
             missed=[endpoint.missed[product] for product in module.products],
             shy=endpoint.shy,
             kind=module.kinds.index(endpoint.kind),
-            seen=endpoint.seen,
+            seen=module.departures.last_listed(endpoint),
             apart=endpoint.route is not endpoint.dest.routes.get(None),
         )
         for number, endpoint in module.endpoints.items()
@@ -153,11 +153,10 @@
         destination(facade, one)
     for one in told["endpoints"]:
         endpoint(facade, one)
-    for kind, crowded in zip(
-        module.kinds, told.get("crowded", [])
-    ):  # an older version of the same form lacks it
+    # an older version of the same form lacks these two
+    for kind, crowded in zip(module.kinds, told.get("crowded", []), strict=False):
         kind.crowded = crowded
-    for kind, (reaped, trust) in zip(module.kinds, told.get("reaped", [])):
+    for kind, (reaped, trust) in zip(module.kinds, told.get("reaped", []), strict=False):
         kind.reaped, kind.trust = reaped, trust
     by_ident = {}
     for text in [*texts, *(Text(**ghost | {"body": b""}) for ghost in told["ghosts"])]:
@@ -180,6 +179,9 @@
         module.desk.rests[key] = (until, known.get(text.number) if text else object())
         scheduler.later(until, module.desk, "rested", key)
     calls = [under_way(facade, one, by_ident) for one in told["calls"]]
+    module.departures.append(
+        endpoint for endpoint in module.endpoints.values() if endpoint.ident not in endpoint.dest.endpoints
+    )
     facade.listed([], False)  # no news: the first turn empties the inboxes
     for dest in module.dests.values():
         if not dest.idle() and dest not in module.live:
@@ -225,7 +227,8 @@
             module.scheduler, number, facade.zones(one["zone"]), dest, route, kind
         )
     put(module.endpoints[number], ("misses", "seen", "shy"), one)
-    module.endpoints[number].missed.update(dict(zip(module.products, one.get("missed", []))))
+    missed = zip(module.products, one.get("missed", []), strict=False)
+    module.endpoints[number].missed.update(missed)
 
 
 def enter(facade, text, told, flying, ghost, now):
--- a/calicopin/scale/node_run.py
+++ b/calicopin/scale/node_run.py
@@ -308,7 +308,7 @@
         sent.append((each.bytes_sent - earlier[each.courier].bytes_sent) / seconds)
         received.append((each.bytes_received - earlier[each.courier].bytes_received) / seconds)
         calls += each.calls - earlier[each.courier].calls
-    both = [one + other for one, other in zip(sent, received)]
+    both = [one + other for one, other in zip(sent, received, strict=True)]
     return {
         "courier_sent_bytes_s": mean(sent),
         "courier_received_bytes_s": mean(received),
