--- a/calicopin/scale/node_slopes.py
+++ b/calicopin/scale/node_slopes.py
@@ -1,11 +1,13 @@
 """Slopes of the discovery node: memory and load over destinations, processor time over couriers, and the work of one change
 over destinations known. Repeated runs; each of them in processes of its own."""
 
+import multiprocessing
 import os
 import random
 import tempfile
 import time
 from collections.abc import Callable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import ExitStack
 
 from calicopin.discovery_node.catalogue import Catalogue
@@ -23,9 +25,9 @@
     node_costs,
 )
 from calicopin.scale.results import Slope, slope
-from calicopin.scale.slopes import in_own_process
 from calicopin.subscription.leases import LeaseBounds, LeaseTable
 from calicopin.subscription.messages import SubscribeRequest
+from calicopin.system import HERE
 
 FLEET = "scale"
 DESTINATIONS = (100_000, 400_000, 1_700_000)
@@ -145,6 +147,13 @@
     ]
 
 
+def in_own_process(measure: Callable[[int, int], dict[str, float]], size: int, seed: int) -> dict[str, float]:
+    """The measurement in a fresh process, its collector as a node's is."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(1, context, HERE.settle) as pool:
+        return pool.submit(measure, size, seed).result()
+
+
 def _repeat(
     name: str,
     measure: Callable[[int, int], dict[str, float]],
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -255,6 +255,23 @@
     assert max(one["rows"] for one in told) < 1.2 * min(one["rows"] for one in told)
 
 
+def test_slopes_of_a_node_are_measured_over_three_sizes(monkeypatch, tmp_path):
+    monkeypatch.setattr(node_slopes, "SECONDS", 0.6)
+    monkeypatch.setattr(node_slopes, "QUIET", 0.3)
+    monkeypatch.setattr(node_slopes, "LIST_FOR_COURIERS", 300)
+    path = str(tmp_path / "run.json")
+    sizes = [word for size in (5_000, 6_000, 7_000) for word in ("--size", str(size))]
+    assert (
+        run("node-slopes", "change", "destinations", "--repeats", "1", "--json", path, *sizes).exit_code == 0
+    )
+    shown = {one.figure: one for one in results.load(path).slopes}
+    assert [sample.value for sample in shown["leases looked at by one change"].samples] == [1.0] * 3
+    assert shown["memory of the node"].line is not None
+    sizes = ["--size", "1", "--size", "2", "--size", "4"]
+    assert run("node-slopes", "couriers", "--repeats", "1", "--json", path, *sizes).exit_code == 0
+    assert len(results.load(path).slopes) == 6
+
+
 # The commands.
 
 
