--- a/tests/test_scale_faults.py
+++ b/tests/test_scale_faults.py
@@ -1,12 +1,17 @@
 """Faults of nodes and couriers in small: real nodes and subscribers on loopback, with a verdict. No clock is asserted."""
 
+import os
+import signal
+import subprocess
 import sys
+import time
 from dataclasses import replace
 
 import pytest
 
 from calicopin.scale.faults import Fault, FaultPlan, FaultRun, estimate
 from calicopin.scale.hollow import HollowCourier, HollowFleet
+from calicopin.scale.nodes import ROOT
 
 SMALL = FaultPlan(
     Fault.NODE_KILLED,
@@ -107,3 +112,44 @@
 def test_the_estimate_grows_with_what_is_asked_for():
     assert estimate(replace(SMALL, couriers=2000)).memory > estimate(SMALL).memory
     assert estimate(replace(SMALL, nodes=9)).processes == 11
+
+
+def test_a_run_that_is_ended_leaves_no_process_and_no_file(tmp_path):
+    words = ["fault", "node-killed", "--nodes", "2", "--destinations", "100", "--couriers", "2"]
+    command = [sys.executable, "-m", "calicopin.scale", *words]
+    environment = {**os.environ, "TMPDIR": str(tmp_path)}
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True, env=environment, cwd=ROOT)
+    while "couriers start" not in process.stderr.readline():
+        assert process.poll() is None
+    started = children(process.pid)
+    nodes = [pid for pid in started if "discovery-node" in command_of(pid)]
+    assert len(nodes) == 2 and os.listdir(tmp_path)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(60) == 128 + signal.SIGTERM
+    process.stderr.close()
+    assert not any(command_of(pid) for pid in nodes)
+    while any(command_of(pid) for pid in started):  # the pool's own tracker ends once its parent has
+        time.sleep(0.05)
+    assert not os.listdir(tmp_path)
+
+
+def command_of(pid):
+    """A process's command line; empty of one that has ended."""
+    try:
+        with open(f"/proc/{pid}/cmdline", encoding="utf-8") as file:
+            return file.read()
+    except OSError:
+        return ""
+
+
+def children(pid):
+    """The processes that a process started."""
+    found = []
+    for entry in os.listdir("/proc"):
+        try:
+            with open(f"/proc/{entry}/stat", encoding="ascii") as file:
+                if int(file.read().rpartition(")")[2].split()[1]) == pid:
+                    found.append(entry)
+        except (OSError, ValueError):
+            continue
+    return found
