--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -259,7 +259,7 @@
 def waiting_decisions(size: Size) -> Figure:
     """Memory of waiting messages in the decisions alone."""
     return Figure(
-        "of it in the decisions",
+        "of that memory in the decisions",
         "waiting events a courier × waiting message in the decisions",
         size.waiting_a_courier * slopes.WAITING_DECISIONS.value,
         Unit.BYTES,
@@ -322,6 +322,40 @@
     )
 
 
+def decisions_core(size: Size) -> Figure:
+    """Share of a core for the decisions alone."""
+    return Figure(
+        "of it in the decisions",
+        "events a courier × event in the decisions",
+        size.events_a_courier * slopes.DECISION_TIME.value,
+        Unit.CORES,
+        (Use(slopes.DECISION_TIME, size.events_a_courier),),
+    )
+
+
+def journal_traffic(size: Size) -> Figure:
+    """Bytes a second to the disk."""
+    return Figure(
+        "bytes a second to the journal",
+        "events a courier × message in the journal",
+        size.events_a_courier * slopes.JOURNAL_TRAFFIC.value,
+        Unit.BYTES_A_SECOND,
+        (Use(slopes.JOURNAL_TRAFFIC),),
+    )
+
+
+def connections(size: Size) -> Figure:
+    """Connections out that one courier keeps, one for each destination that it uses."""
+    return Figure(
+        "connections out, one for each destination",
+        "destinations a courier",
+        size.destinations_a_courier,
+        Unit.COUNT,
+        (),
+        ("senders_a_destination",),
+    )
+
+
 def queue_length(size: Size) -> Figure:
     """Waiting events of one destination that is down, if the backlog stands at those alone."""
     return Figure(
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -79,6 +79,14 @@
                 (),
                 shape,
             ),
+            Figure(
+                "waiting events on one machine, at the largest backlog",
+                "waiting events a courier × couriers a machine",
+                size.waiting_a_courier * size.shape.couriers_a_machine,
+                Unit.COUNT,
+                (),
+                shape,
+            ),
             Figure(
                 "bytes a second of all starts, today",
                 "starts × whole list / a day",
@@ -194,6 +202,7 @@
                 size.couriers_a_zone * size.waiting_a_courier,
                 Unit.COUNT,
             ),
+            courier.waiting_start(size),
             Figure(
                 "back before its nodes: new leases a node", "couriers gone / nodes left", back, Unit.COUNT
             ),
--- a/calicopin/capacity/model.py
+++ b/calicopin/capacity/model.py
@@ -81,7 +81,10 @@
             "Courier, data path",
             (
                 courier.events_core(size),
+                courier.decisions_core(size),
                 courier.events_traffic(size),
+                courier.journal_traffic(size),
+                courier.connections(size),
                 courier.waiting_memory(size),
                 courier.waiting_decisions(size),
                 courier.queue_length(size),
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -143,6 +143,31 @@
     0.0,
     _messages_run("journal file of waiting messages, 256 B body"),
 )
+JOURNAL_TRAFFIC = Slope(
+    "a message in the journal from its taking on to its end",
+    647.8,
+    "B / message",
+    Basis.RUN,
+    "body of 256 B, delivered at its first call",
+    (1_320, 3_960, 13_200),
+    0.0003,
+    _messages_run("journal bytes of delivered messages, 256 B body"),
+)
+DECISION_TIME = Slope(
+    "an event in the decisions",
+    1.504e-4,
+    "s / event",
+    Basis.RUN,
+    "90 destinations, delivered at its first call",
+    (33, 132, 528),
+    0.0613,
+    Run(
+        MESSAGES_FILE,
+        "processor time of the decisions a second",
+        SCALE + "slopes messages kept-messages rate journal",
+        factor=1e-3,
+    ),
+)
 TRAFFIC = "python -m calicopin.capacity.traffic --json docs/scale/traffic.json"
 BACKLOG = "python -m calicopin.capacity.backlog --json docs/scale/backlog.json"
 WALKED_DOWN = Slope(
