Capacity: a courier's and a node's control measured at full size, the list after the change

The doubling test of a set's memory is replaced by one that its growth is its destinations' alone, since the subscription's own memory is now a part of it.

--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -124,13 +124,13 @@
 
 
 def set_memory(size: Size) -> Figure:
-    """Memory of the destinations that a courier uses."""
+    """Memory of the destinations that a courier uses, in the decisions and in the subscription."""
     return Figure(
         "memory of the subscribed set",
-        "destinations a courier × listed destination",
-        size.destinations_a_courier * slopes.LISTED_MEMORY.value,
+        "subscription + destinations a courier × listed destination",
+        slopes.COURIER_MEMORY.value + size.destinations_a_courier * slopes.SET_MEMORY.value,
         Unit.BYTES,
-        (Use(slopes.LISTED_MEMORY, size.destinations_a_courier),),
+        (Use(slopes.COURIER_MEMORY), Use(slopes.SET_MEMORY, size.destinations_a_courier)),
     )
 
 
@@ -138,7 +138,7 @@
     """Memory of a whole courier that holds few messages: the interpreter, the program and its set."""
     return Figure(
         "the whole process with it, few messages waiting",
-        "process with no events + destinations a courier × listed destination",
+        "process with no events + memory of the subscribed set",
         slopes.PROCESS_MEMORY.value + set_memory(size).value,
         Unit.BYTES,
         (Use(slopes.PROCESS_MEMORY), *set_memory(size).uses),
@@ -172,9 +172,9 @@
     return Figure(
         "processor time of the set at a start",
         "destinations a courier × whole list taken in",
-        size.destinations_a_courier * slopes.LISTED_TIME.value,
+        size.destinations_a_courier * slopes.SET_TIME.value,
         Unit.SECONDS,
-        (Use(slopes.LISTED_TIME, size.destinations_a_courier),),
+        (Use(slopes.SET_TIME, size.destinations_a_courier),),
     )
 
 
@@ -184,13 +184,13 @@
 
 
 def renewal_core(size: Size) -> Figure:
-    """Share of a core for renewals and changes of the set at a courier."""
+    """Share of a core for a courier's subscription."""
     return Figure(
-        "processor time of renewals",
-        "renewals a second × renewal at the courier",
-        (renewals_a_second() + heard_a_second(size)) * slopes.RENEWAL_COURIER_TIME.value,
+        "processor time of renewals and changes of the set",
+        "a courier's processor time for its subscription",
+        slopes.COURIER_CORE.value,
         Unit.CORES,
-        (Use(slopes.RENEWAL_COURIER_TIME),),
+        (Use(slopes.COURIER_CORE, size.couriers_a_node),),
     )
 
 
@@ -207,14 +207,35 @@
 
 
 def subscribed_in_force(size: Size) -> Figure:
-    """Time to force with subscriptions: the source's delay, a courier's pause, the node's and the courier's work."""
-    work = size.shape.senders_a_destination * slopes.RENEWAL_NODE_TIME.value
+    """Time to force with subscriptions, as a run at full size had it, with ten times the changes."""
     return Figure(
-        "a change in force at the last courier",
-        "source + pause + subscribers × renewal at the node + renewal at the courier",
-        SOURCE_S + PAUSE_S + work + slopes.RENEWAL_COURIER_TIME.value,
+        "a change in force at the last courier, the worst",
+        "worst of a run at ten times the changes",
+        slopes.IN_FORCE_WORST.value,
+        Unit.SECONDS,
+        (Use(slopes.IN_FORCE_WORST, size.couriers_a_node),),
+    )
+
+
+def set_change_time(size: Size) -> Figure:
+    """Processor time of one change of the set."""
+    return Figure(
+        "processor time of one change",
+        "one change, whatever is known",
+        slopes.SET_CHANGE_TIME.value,
         Unit.SECONDS,
-        (Use(slopes.RENEWAL_NODE_TIME), Use(slopes.RENEWAL_COURIER_TIME)),
+        (Use(slopes.SET_CHANGE_TIME, size.destinations_a_courier),),
+    )
+
+
+def measured_traffic(size: Size) -> Figure:
+    """Bytes a second of a courier as a run at full size had them."""
+    return Figure(
+        "the same, as 613 hollow couriers had it",
+        "bytes a second of a courier",
+        slopes.COURIER_BYTES.value,
+        Unit.BYTES_A_SECOND,
+        (Use(slopes.COURIER_BYTES, size.couriers_a_node),),
     )
 
 
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -305,6 +305,13 @@
                 "starts in an hour, each from its folder", "starts a day / 24", courier_starts, Unit.COUNT
             ),
             Figure("back at once: new leases a node", "couriers a node", size.couriers_a_node, Unit.COUNT),
+            Figure(
+                "back at once: until the last courier has its set, from its first request",
+                "613 new leases at one node",
+                slopes.ARRIVAL.value,
+                Unit.SECONDS,
+                (Use(slopes.ARRIVAL, size.couriers_a_node),),
+            ),
             *_leases("back at once", "new leases", size.couriers_a_node, size),
         ),
     )
--- a/calicopin/capacity/node.py
+++ b/calicopin/capacity/node.py
@@ -65,13 +65,13 @@
 
 
 def core(size: Size) -> Figure:
-    """Share of a core for renewals at a node."""
+    """Share of a core for the couriers of a node."""
     return Figure(
         "processor time of renewals",
-        "renewals a second × renewal at the node",
-        renewals(size).value * slopes.RENEWAL_NODE_TIME.value,
+        "couriers a node × a courier at the node",
+        size.couriers_a_node * slopes.NODE_CORE.value,
         Unit.CORES,
-        (Use(slopes.RENEWAL_NODE_TIME, size.couriers_a_node),),
+        (Use(slopes.NODE_CORE, size.couriers_a_node),),
     )
 
 
--- a/calicopin/capacity/options.py
+++ b/calicopin/capacity/options.py
@@ -92,10 +92,10 @@
             ),
             Figure(
                 "processor time of renewals at a courier",
-                "nodes × renewals a second × renewal at the courier",
-                calls * slopes.RENEWAL_COURIER_TIME.value,
+                "nodes × a courier's subscription at one node",
+                nodes * slopes.COURIER_CORE.value,
                 Unit.CORES,
-                (Use(slopes.RENEWAL_COURIER_TIME),),
+                (Use(slopes.COURIER_CORE),),
                 shape,
             ),
             Figure(
@@ -108,10 +108,10 @@
             ),
             Figure(
                 "processor time of renewals at a node",
-                "couriers × nodes / control machines × renewals a second × renewal at the node",
-                size.couriers * calls / machines * slopes.RENEWAL_NODE_TIME.value,
+                "couriers × nodes / control machines × a courier at the node",
+                size.couriers * nodes / machines * slopes.NODE_CORE.value,
                 Unit.CORES,
-                (Use(slopes.RENEWAL_NODE_TIME),),
+                (Use(slopes.NODE_CORE, size.couriers * nodes / machines),),
                 shape,
             ),
         ),
@@ -135,10 +135,10 @@
             ),
             Figure(
                 "processor time at a relay for its children",
-                "children × renewals a second × renewal at the node",
-                FAN_OUT * courier.renewals_a_second() * slopes.RENEWAL_NODE_TIME.value,
+                "children × a courier at the node",
+                FAN_OUT * slopes.NODE_CORE.value,
                 Unit.CORES,
-                (Use(slopes.RENEWAL_NODE_TIME),),
+                (Use(slopes.NODE_CORE, FAN_OUT),),
                 ("fan-out",),
             ),
             Figure(
--- a/calicopin/capacity/ranking.py
+++ b/calicopin/capacity/ranking.py
@@ -52,26 +52,26 @@
         return (self.subscribed or self.today).value / self.budget
 
 
-def _machines(size: Size, calls: float, formula: str) -> Figure:
+def _machines(size: Size, share: float, formula: str) -> Figure:
     return Figure(
         "machines of which one core is used",
         formula,
-        calls * slopes.RENEWAL_NODE_TIME.value / ONE_CORE,
+        size.couriers * share * slopes.NODE_CORE.value / ONE_CORE,
         Unit.COUNT,
-        (Use(slopes.RENEWAL_NODE_TIME),),
+        (Use(slopes.NODE_CORE, size.couriers_a_node),),
     )
 
 
 def machines_today(size: Size) -> Figure:
     """Control machines for today's exchange: each change is news for each courier."""
-    calls = size.couriers * (courier.calls_a_second() + size.changes_a_second)
-    return _machines(size, calls, "couriers × (calls + changes a second) × renewal at the node")
+    calls = courier.calls_a_second() + size.changes_a_second
+    share = calls / courier.renewals_a_second()
+    return _machines(size, share, "couriers × (calls + changes) / renewals × a courier at the node")
 
 
 def machines_subscribed(size: Size) -> Figure:
     """Control machines with subscriptions: a change is news for its subscribers."""
-    calls = size.couriers * (courier.renewals_a_second() + courier.heard_a_second(size))
-    return _machines(size, calls, "couriers × (renewals a second + changes of the set) × renewal at the node")
+    return _machines(size, 1.0, "couriers × a courier at the node")
 
 
 def demands(size: Size) -> tuple[Demand, ...]:
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -58,6 +58,7 @@
 
 SCALE = "python -m calicopin.scale "
 LIST_FILE = "docs/scale/slopes-list-before.json"
+LIST_AFTER_FILE = "docs/scale/slopes-list-after.json"
 MESSAGES_FILE = "docs/scale/slopes-messages.json"
 SENDERS_FILE = "docs/scale/sender-count.json"
 LIST_SIZES = (1_000, 10_000, 50_000)
@@ -254,11 +255,111 @@
     Basis.ENCODED,
     "a row of `Facade.state` as JSON",
 )
-RENEWAL_COURIER_TIME = Slope(
-    "a renewal at the courier", 1e-3, "s / call", Basis.ASSUMED, "one exchange through h11 and json, guessed"
+NODE_FILE = "docs/scale/bench-node-full.json"
+NODE_COURIERS = 613
+DAY_LOAD = "613 couriers, 0.127 changes/s: "
+TENFOLD_LOAD = "613 couriers, 1.27 changes/s: "
+
+
+def _node_run(figure: str, factor: float = 1.0) -> Run:
+    return Run(NODE_FILE, figure, SCALE + "bench node", Kind.VALUE, factor=factor)
+
+
+COURIER_CORE = Slope(
+    "a courier's processor time for its subscription at one node",
+    0.0002283,
+    "core",
+    Basis.RUN,
+    "hollow couriers, 1.7 million destinations, the changes of a day",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "a courier's processor time", 0.01),
+)
+COURIER_MEMORY = Slope(
+    "a courier's memory for its subscription",
+    131800.0,
+    "B / courier",
+    Basis.RUN,
+    "hollow couriers, without the decisions' own list; what the run compares is counted in",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "a courier's memory", 1e6),
+)
+COURIER_BYTES = Slope(
+    "a courier's bytes a second, both ways",
+    257.2,
+    "B / s",
+    Basis.RUN,
+    "hollow couriers, the changes of a day",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "a courier's bytes a second, both ways"),
+)
+NODE_CORE = Slope(
+    "a node's processor time for one courier",
+    0.0002392,
+    "core / courier",
+    Basis.RUN,
+    "the same run",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "the node's processor time", 0.01 / NODE_COURIERS),
+)
+ARRIVAL = Slope(
+    "613 new leases at one node, until the last courier has its set",
+    2.198,
+    "s / start",
+    Basis.RUN,
+    "hollow couriers that begin at once, 1.7 million destinations",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "all have their whole set after"),
 )
-RENEWAL_NODE_TIME = Slope(
-    "a renewal at the node", 1e-3, "s / call", Basis.ASSUMED, "one exchange through h11 and json, guessed"
+IN_FORCE_WORST = Slope(
+    "a change in force at the last courier, the worst, at ten times the changes",
+    0.2943,
+    "s / change",
+    Basis.RUN,
+    "hollow couriers; from the time at which the change was due",
+    (NODE_COURIERS,),
+    None,
+    _node_run(TENFOLD_LOAD + "in force, worst", 1e-3),
+)
+SET_MEMORY = Slope(
+    "memory of a listed destination, with subscriptions' program",
+    6_707.0,
+    "B / destination",
+    Basis.RUN,
+    "a change costs by what it names",
+    LIST_SIZES,
+    0.0055,
+    Run(LIST_AFTER_FILE, "memory of the list in the decisions", SCALE + "slopes list list-memory"),
+)
+SET_TIME = Slope(
+    "whole list taken in, with subscriptions' program",
+    3.023e-5,
+    "s / destination",
+    Basis.RUN,
+    "the same",
+    LIST_SIZES,
+    0.0423,
+    Run(LIST_AFTER_FILE, "time of the first whole list", SCALE + "slopes list list-memory", factor=1e-3),
+)
+SET_CHANGE_TIME = Slope(
+    "one change, whatever is known",
+    3.837e-5,
+    "s / change",
+    Basis.RUN,
+    "the line's value at no destinations; its slope is 0.12 ns a known destination",
+    LIST_SIZES,
+    0.1089,
+    Run(
+        LIST_AFTER_FILE,
+        "time of one changed entry (median in a process)",
+        SCALE + "slopes list list-memory",
+        Kind.INTERCEPT,
+        factor=1e-3,
+    ),
 )
 NODE_PAGE = "docs/discovery-node.md, `python -m calicopin.discovery_node.measure`"
 NODE_PROCESS = "docs/discovery-node.md, one run of a whole process"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records
+from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records, slopes
 from calicopin.capacity.figures import Figure, Unit, Use, plain, said
 from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
 from calicopin.capacity.slopes import DIGITS, Basis, Kind, Slope, all_slopes
@@ -172,8 +172,8 @@
         (courier.changes_core, {"changes_a_day": 22_000.0}),
         (courier.waiting_memory, {"waiting_events": 78e9}),
         (courier.walked_down, {"waiting_events": 78e9}),
-        (courier.set_memory, {"destinations": 3.4e6}),
-        (courier.set_memory, {"shape": Shape(senders_a_destination=2.0)}),
+        (courier.set_take, {"destinations": 3.4e6}),
+        (courier.set_take, {"shape": Shape(senders_a_destination=2.0)}),
         (node.list_memory, {"destinations": 3.4e6}),
         (node.renewals, {"couriers": 38_000.0}),
         (node.news, {"changes_a_day": 22_000.0}),
@@ -184,6 +184,16 @@
     assert after.value == pytest.approx(2.0 * before.value)
 
 
+@pytest.mark.parametrize(
+    "twice",
+    [{"destinations": 3.4e6}, {"shape": Shape(senders_a_destination=2.0)}],
+    ids=lambda twice: min(twice),
+)
+def test_memory_of_the_set_grows_by_its_destinations_alone(twice):
+    grown = courier.set_memory(replace(IN_TWO_YEARS, **twice)).value - courier.set_memory(IN_TWO_YEARS).value
+    assert grown == pytest.approx(IN_TWO_YEARS.destinations_a_courier * slopes.SET_MEMORY.value)
+
+
 @pytest.mark.parametrize(
     "field",
     [
