--- a/calicopin/capacity/figures.py
+++ b/calicopin/capacity/figures.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from calicopin.capacity.slopes import Basis, Slope
+from calicopin.capacity.slope import Basis, Slope
 
 
 class Unit(StrEnum):
--- a/calicopin/capacity/page.py
+++ b/calicopin/capacity/page.py
@@ -7,7 +7,8 @@
 from calicopin.capacity.figures import Figure, Unit, plain, said
 from calicopin.capacity.ranking import Demand
 from calicopin.capacity.size import Size
-from calicopin.capacity.slopes import Slope, all_slopes
+from calicopin.capacity.slope import Slope
+from calicopin.capacity.slopes import all_slopes
 
 DOCS = Path(__file__).resolve().parents[2] / "docs"
 PAGE = DOCS / "CAPACITY.md"
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -10,7 +10,8 @@
 from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records, slopes
 from calicopin.capacity.figures import Figure, Unit, Use, plain, said
 from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
-from calicopin.capacity.slopes import DIGITS, Basis, Kind, Slope, all_slopes
+from calicopin.capacity.slope import DIGITS, Basis, Kind, Slope
+from calicopin.capacity.slopes import all_slopes
 from calicopin.subscription import messages
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -89,6 +90,15 @@
         assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
 
 
+def test_each_slope_stands_behind_a_figure():
+    figures = [one for role in model.roles(IN_TWO_YEARS) for one in role.figures]
+    figures += [one for fault in faults.faults(IN_TWO_YEARS) for one in fault.figures]
+    for row in ranking.demands(IN_TWO_YEARS):
+        figures += [row.today] + ([row.subscribed] if row.subscribed else [])
+    used = {use.slope.name for one in figures for use in one.uses}
+    assert {slope.name for slope in all_slopes()} == used
+
+
 def test_no_two_slopes_share_a_name():
     names = [slope.name for slope in all_slopes()]
     assert len(set(names)) == len(names)
