--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -88,6 +88,12 @@
         assert slope.run.file.startswith("docs/scale/") and slope.sizes
         assert slope.run.command.startswith(told["command"])
         assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
+        if slope.run.kind in (Kind.SLOPE, Kind.INTERCEPT):
+            assert set(slope.sizes) == sizes_in(slope)
+            assert slope.residual == pytest.approx(residual_in(slope), abs=0.0001)
+        elif slope.run.kind == Kind.MEDIAN:
+            assert slope.sizes == (slope.run.at_size,)
+        assert not told.get("void")
 
 
 def test_each_slope_stands_behind_a_figure():
