--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -79,6 +79,14 @@
                 (),
                 shape,
             ),
+            Figure(
+                "waiting events on one machine, at the largest backlog",
+                "waiting events a courier × couriers a machine",
+                size.waiting_a_courier * size.shape.couriers_a_machine,
+                Unit.COUNT,
+                (),
+                shape,
+            ),
             Figure(
                 "bytes a second of all starts, today",
                 "starts × whole list / a day",
@@ -194,6 +202,7 @@
                 size.couriers_a_zone * size.waiting_a_courier,
                 Unit.COUNT,
             ),
+            courier.waiting_start(size),
             Figure(
                 "back before its nodes: new leases a node", "couriers gone / nodes left", back, Unit.COUNT
             ),
@@ -297,6 +306,13 @@
                 "starts in an hour, each from its folder", "starts a day / 24", courier_starts, Unit.COUNT
             ),
             Figure("back at once: new leases a node", "couriers a node", size.couriers_a_node, Unit.COUNT),
+            Figure(
+                "back at once: until the last courier has its set, from its first request",
+                "613 new leases at one node",
+                slopes.ARRIVAL.value,
+                Unit.SECONDS,
+                (Use(slopes.ARRIVAL, size.couriers_a_node),),
+            ),
             *_leases("back at once", "new leases", size.couriers_a_node, size),
         ),
     )
