--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from rich.console import Console
 
-from calicopin.scale import bench, fit, guard, node_bench, results, sender_count, slopes
+from calicopin.scale import bench, faults, fit, guard, node_bench, results, sender_count, slopes
 from calicopin.scale.cluster import NodeFailed
 from calicopin.scale.hollow_process import HollowFailed
 
@@ -53,12 +53,12 @@
 
 
 def finish(run: results.Run, began: float, path: str | None) -> None:
-    """The record as a table, and as JSON where a path is given; exit code 1 where the run is void."""
+    """The record as a table, and as JSON where a path is given; exit code 1 where the run is void or failed."""
     results.end(run, began)
     results.show(run)
     if path:
         results.keep(run, path)
-    if run.void:
+    if run.void or run.failed:
         sys.exit(1)
 
 
@@ -231,5 +231,41 @@
     run_bench(run, path, lambda progress: node_bench.run(run, size, phases, seed, progress))
 
 
+@main.command("fault")
+@click.argument("kind", type=click.Choice([fault.value for fault in faults.Fault]))
+@click.option("--nodes", type=click.IntRange(2, 100), default=4, show_default=True)
+@click.option("--destinations", type=click.IntRange(min=100), default=100_000, show_default=True)
+@click.option("--couriers", type=click.IntRange(min=10), default=800, show_default=True)
+@click.option("--changes", type=click.FloatRange(min=0.001), default=5.0, show_default=True, help="A second.")
+@click.option(
+    "--lasts", type=click.FloatRange(min=1.0), default=20.0, show_default=True, help="Seconds of the fault."
+)
+@click.option("--mean-set", type=click.IntRange(min=1), default=90, show_default=True)
+@click.option("--aimed", type=click.FloatRange(0.0, 1.0), default=0.9, show_default=True)
+@SEED
+@MEMORY
+@PROCESSES
+@OUTPUT
+def fault_(
+    kind, nodes, destinations, couriers, changes, lasts, mean_set, aimed, seed, memory_mib, processes, path
+):
+    """A fault of KIND among several real nodes before hollow couriers, with changes all the while."""
+    size = bench.BenchSize(destinations, couriers, nodes, mean_set, aimed=aimed)
+    played = faults.FaultRun(faults.Fault(kind), changes, lasts=lasts)
+    allowed(bench.estimate(size, changes * played.seconds), memory_mib, processes)
+    arguments = {
+        "kind": kind,
+        "nodes": nodes,
+        "destinations": destinations,
+        "couriers": couriers,
+        "changes": changes,
+        "lasts": lasts,
+        "mean_set": mean_set,
+        "aimed": aimed,
+    }
+    run = results.begin("fault", arguments, seed)
+    run_bench(run, path, lambda progress: faults.run(run, size, played, seed, progress))
+
+
 if __name__ == "__main__":
     main(prog_name="python -m calicopin.scale")
--- a/calicopin/scale/node_bench.py
+++ b/calicopin/scale/node_bench.py
@@ -109,6 +109,4 @@
         Figure("endpoints known other than the source has them", "", float(found.wrong), 0.0, note)
     )
     if found.wrong:
-        record.void = (
-            record.void or f"FAILED: {found.wrong} endpoints are known other than the source has them"
-        )
+        record.failed = f"{found.wrong} endpoints are known other than the source has them"
--- a/calicopin/scale/results.py
+++ b/calicopin/scale/results.py
@@ -64,6 +64,7 @@
     figures: list[Figure] = []
     rows: list[dict] = []
     void: str = ""
+    failed: str = ""
 
 
 def _git(*words: str) -> str:
@@ -147,6 +148,8 @@
         out.print(table)
     if run.void:
         out.print(f"VOID: {run.void}", highlight=False)
+    if run.failed:
+        out.print(f"FAILED: {run.failed}", highlight=False)
 
 
 def _show_slopes(out: Console, slopes: list[Slope]) -> None:
