--- a/calicopin/scale/bench.py
+++ b/calicopin/scale/bench.py
@@ -122,7 +122,8 @@
         seconds = (mark1.at - mark0.at) / 1000.0
         each = seconds * mark1.couriers
         cpu = tuple(
-            (late.cpu - early.cpu) / seconds if early and late else 0.0 for early, late in zip(nodes0, nodes1)
+            (late.cpu - early.cpu) / seconds if early and late else 0.0
+            for early, late in zip(nodes0, nodes1, strict=True)
         )
         return Window(
             seconds=seconds,
--- a/calicopin/scale/hollow.py
+++ b/calicopin/scale/hollow.py
@@ -215,7 +215,7 @@
         for number in numbers:
             old = self.couriers[number]
             old.retire()
-            self.gone = [before + more for before, more in zip(self.gone, _figures(old))]
+            self.gone = [before + more for before, more in zip(self.gone, _figures(old), strict=True)]
             self.couriers[number] = self._start(number)
 
     def have_all(self) -> bool:
@@ -227,7 +227,7 @@
         sums = list(self.gone)
         at_node: dict[str, int] = {}
         for courier in self.couriers:
-            sums = [before + more for before, more in zip(sums, _figures(courier))]
+            sums = [before + more for before, more in zip(sums, _figures(courier), strict=True)]
             node = courier.subscriber.nodes.current or ""
             at_node[node] = at_node.get(node, 0) + 1
         lateness, self.loop.lateness = self.loop.lateness, 0.0
