--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -215,7 +215,7 @@
     if len(changes) not in (1, len(couriers)):
         stop("--changes: give one rate, or one for each --couriers")
     rates = changes * len(couriers) if len(changes) == 1 else changes
-    phases = [node_bench.Phase(count, rate, seconds) for count, rate in zip(couriers, rates)]
+    phases = [node_bench.Phase(count, rate, seconds) for count, rate in zip(couriers, rates, strict=True)]
     size = bench.BenchSize(destinations, max(couriers), 1, mean_set, down, aimed)
     allowed(bench.estimate(size, sum(rates) * seconds), memory_mib, processes)
     arguments = {
--- a/calicopin/scale/fit.py
+++ b/calicopin/scale/fit.py
@@ -47,10 +47,7 @@
     sizes = [sample.size for sample in samples]
     values = [sample.value for sample in samples]
     slope, intercept = statistics.linear_regression(sizes, values)
-    squares = [
-        (value - intercept - slope * size) ** 2
-        for size, value in zip(sizes, values, strict=True, strict=True)
-    ]
+    squares = [(value - intercept - slope * size) ** 2 for size, value in zip(sizes, values, strict=True)]
     residual = sqrt(sum(squares) / len(squares))
     mean = abs(sum(values) / len(values))
     return Line(slope, intercept, residual, residual / mean if mean else 0.0)
