--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -4,10 +4,11 @@
 import time
 
 import click
+import msgspec
 from loguru import logger
 from rich.console import Console
 
-from calicopin.scale import bench, faults, fit, guard, node_bench, results, sender_count, slopes
+from calicopin.scale import bench, faults, fit, guard, node_bench, node_slopes, results, sender_count, slopes
 from calicopin.scale.cluster import NodeFailed
 from calicopin.scale.hollow_process import HollowFailed
 
@@ -82,6 +83,11 @@
 
     \b
     python -m calicopin.scale slopes --json docs/scale/slopes.json
+    python -m calicopin.scale sender-count
+    python -m calicopin.scale node --couriers 613 --changes 1.27 --seconds 100
+    python -m calicopin.scale node-slopes
+    python -m calicopin.scale fault node-killed
+    python -m calicopin.scale compare before.json after.json
 
     A run that would pass half of the machine's memory or a few hundred processes is refused before it begins. All
     figures are of this machine. Exit codes: 0 done, 1 the run is void or found a fault, 2 refused.
@@ -267,5 +273,42 @@
     run_bench(run, path, lambda progress: faults.run(run, size, played, seed, progress))
 
 
+@main.command("node-slopes")
+@click.option(
+    "--destinations",
+    type=click.IntRange(min=20_000),
+    multiple=True,
+    default=(100_000, 400_000, 1_700_000),
+    show_default=True,
+)
+@click.option(
+    "--couriers", type=click.IntRange(min=1), multiple=True, default=(200, 613, 1118), show_default=True
+)
+@click.option("--repeats", type=click.IntRange(1, 100), default=2, show_default=True)
+@SEED
+@MEMORY
+@PROCESSES
+@OUTPUT
+def node_slopes_(destinations, couriers, repeats, seed, memory_mib, processes, path):
+    """A real node's memory, load and cost of a change over destinations, and its processor time over couriers."""
+    sizes = node_slopes.NodeSizes(tuple(destinations), tuple(couriers))
+    changes = node_slopes.RATE * node_slopes.BUSY
+    allowed(bench.estimate(node_slopes.estimate_size(sizes), changes), memory_mib, processes)
+    arguments = {"destinations": list(destinations), "couriers": list(couriers), "repeats": repeats}
+    run = results.begin("node-slopes", arguments, seed)
+    run_bench(run, path, lambda progress: node_slopes.run(run, sizes, repeats, seed, progress))
+
+
+@main.command()
+@click.argument("before", type=click.Path(exists=True, dir_okay=False))
+@click.argument("after", type=click.Path(exists=True, dir_okay=False))
+def compare(before, after):
+    """The figures that two records, BEFORE and AFTER, have in common, in one table."""
+    try:
+        results.show_both(results.load(before), results.load(after))
+    except msgspec.DecodeError as fault:
+        stop(f"no record of a run: {fault}")
+
+
 if __name__ == "__main__":
     main(prog_name="python -m calicopin.scale")
--- a/calicopin/scale/results.py
+++ b/calicopin/scale/results.py
@@ -166,3 +166,21 @@
             lines.add_row(one.figure, one.unit, one.over, *numbers, f"{one.line.residual_share:.3f}")
     if any(one.line for one in slopes):
         out.print(lines)
+
+
+def show_both(before: Run, after: Run) -> None:
+    """What two runs measured alike, side by side: medians with their spread, and the slopes."""
+    out = console()
+    out.print(f"before: {before.program}  {before.started}", highlight=False)
+    out.print(f"after:  {after.program}  {after.started}", highlight=False)
+    table = Table("figure", "unit", "size", "before", "least..most", "after", "least..most", box=None)
+    later = {(one.figure, row.size): row for one in after.slopes for row in one.spreads}
+    for one in before.slopes:
+        for row in one.spreads:
+            if other := later.get((one.figure, row.size)):
+                table.add_row(one.figure, one.unit, f"{row.size:,g}", *_spread(row), *_spread(other))
+    out.print(table)
+
+
+def _spread(row: fit.Spread) -> tuple[str, str]:
+    return number(row.median), f"{number(row.least)}..{number(row.most)}"
