--- a/calicopin/scale/bench.py
+++ b/calicopin/scale/bench/bench.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from calicopin.scale import guard, hollow, in_force
-from calicopin.scale.changes import ChangeWriter
-from calicopin.scale.cluster import FLEET, NodeProcess, Usage
-from calicopin.scale.hollow_process import HollowProcess
+from calicopin.scale import guard
+from calicopin.scale.bench import hollow, in_force
+from calicopin.scale.bench.changes import ChangeWriter
+from calicopin.scale.bench.cluster import FLEET, NodeProcess, Usage
+from calicopin.scale.bench.hollow_process import HollowProcess
 from calicopin.scale.list_source import ChangeSource, ListSize, write
 
 # Bytes for the estimate before a run; a little over what was measured (docs/scale.md).
--- a/calicopin/scale/changes.py
+++ b/calicopin/scale/bench/changes.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from calicopin.scale.hollow import state_of
-from calicopin.scale.in_force import Announced
+from calicopin.scale.bench.hollow import state_of
+from calicopin.scale.bench.in_force import Announced
 from calicopin.scale.list_source import Change, ChangeSource
 
 LATE = 500.0  # milliseconds behind its schedule at which a change voids the run
--- a/calicopin/scale/faults.py
+++ b/calicopin/scale/bench/faults.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from calicopin.scale import bench, hollow, results
-from calicopin.scale.changes import LATE, Generator, now
-from calicopin.scale.cluster import NodeProcess
+from calicopin.scale import results
+from calicopin.scale.bench import bench, hollow
+from calicopin.scale.bench.changes import LATE, Generator, now
+from calicopin.scale.bench.cluster import NodeProcess
 from calicopin.scale.results import Figure
 
 LOOK = 0.1  # seconds between two looks at where couriers are
--- a/calicopin/scale/hollow.py
+++ b/calicopin/scale/bench/hollow.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from calicopin.facade import Place
-from calicopin.scale.in_force import Heard, State
+from calicopin.scale.bench.in_force import Heard, State
 from calicopin.scale.list_source import ListSize, initial
 from calicopin.scale.measures import resident
 from calicopin.system import HERE
--- a/calicopin/scale/hollow_process.py
+++ b/calicopin/scale/bench/hollow_process.py
@@ -2,7 +2,7 @@
 
 import multiprocessing
 
-from calicopin.scale import hollow
+from calicopin.scale.bench import hollow
 
 PATIENCE = 120.0  # seconds for an answer
 
--- a/calicopin/scale/node_slopes.py
+++ b/calicopin/scale/bench/slopes.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from calicopin.scale import bench, results
-from calicopin.scale.changes import Generator
+from calicopin.scale import results
+from calicopin.scale.bench import bench
+from calicopin.scale.bench.changes import Generator
 from calicopin.scale.fit import Sample
 
 COURIERS = 100  # that hear the changes whose cost is measured
--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -8,10 +8,11 @@
 import pytest
 from click.testing import CliRunner
 
-from calicopin.scale import bench, faults, hollow, in_force, results
+from calicopin.scale import results
+from calicopin.scale.bench import bench, faults, hollow, in_force
 from calicopin.scale.__main__ import main
-from calicopin.scale.changes import now
-from calicopin.scale.in_force import Announced, Heard
+from calicopin.scale.bench.changes import now
+from calicopin.scale.bench.in_force import Announced, Heard
 from calicopin.scale.list_source import ListSize
 
 SMALL = bench.BenchSize(destinations=300, couriers=12, nodes=1, mean_set=12, down_share=0.1, aimed=0.9)
