--- a/calicopin/scale/bench/changes.py
+++ b/calicopin/scale/bench/changes.py
@@ -26,6 +26,12 @@
     late: int
 
 
+def lateness(changes: list[Announced]) -> Lateness:
+    """Of these changes."""
+    behind = [one.written - one.due for one in changes]
+    return Lateness(max(behind, default=0.0), sum(late > LATE for late in behind))
+
+
 class ChangeWriter:
     """Appends to the source; one change is one write of one line."""
 
@@ -42,11 +48,6 @@
         self.announced.append(Announced(change.destination, change.ident, state, due, now()))
         return change
 
-    def lateness(self) -> Lateness:
-        """Of all changes so far."""
-        behind = [one.written - one.due for one in self.announced]
-        return Lateness(max(behind, default=0.0), sum(late > LATE for late in behind))
-
     def close(self) -> None:
         """Nothing more is appended."""
         os.close(self.file)
--- a/calicopin/scale/bench/faults.py
+++ b/calicopin/scale/bench/faults.py
@@ -13,7 +13,7 @@
 
 from calicopin.scale import results
 from calicopin.scale.bench import bench, hollow
-from calicopin.scale.bench.changes import LATE, Generator, now
+from calicopin.scale.bench.changes import LATE, Generator, lateness, now
 from calicopin.scale.bench.cluster import NodeProcess
 from calicopin.scale.results import Figure
 
@@ -173,7 +173,7 @@
 def run(
     record: results.Run, size: bench.BenchSize, played: FaultRun, seed: int, progress: Callable[[str], None]
 ) -> None:
-    """Fills the record; what breaks a rule stands in its `failed`."""
+    """Fills the record; what breaks a rule stands in its `faults`."""
     with bench.Bench(size, seed, progress) as stand:
         stand.begin(size.couriers)
         generator = Generator(stand.writer, played.changes, played.seconds, lambda _: None)
@@ -206,7 +206,7 @@
         if course.unreachable_from - bench.IN_FORCE <= change.due < course.reached_at
     }
     summary = stand.in_force_of(changes, stand.size.couriers, reach)
-    found, mark, late = stand.differences(), stand.hollow.ask(hollow.Take()), stand.writer.lateness()
+    found, mark, late = stand.differences(), stand.hollow.ask(hollow.Take()), lateness(changes)
     since = " of a node's reach" if reach else ""
     record.figures += [
         Figure("changes", "", float(len(changes))),
@@ -228,7 +228,7 @@
     if generator.fault or late.late:
         record.void = generator.fault or f"{late.late} changes were over {LATE:.0f} ms late"
     if found.wrong or summary.lost or (summary.worst or 0.0) > bench.IN_FORCE:
-        record.failed = (
+        record.faults.append(
             f"{found.wrong} endpoints known other than the source has them, {summary.lost} changes never in force,"
             f" the worst after {summary.worst} ms"
         )
--- a/calicopin/scale/bench/node.py
+++ b/calicopin/scale/bench/node.py
@@ -6,7 +6,7 @@
 
 from calicopin.scale import results
 from calicopin.scale.bench import bench
-from calicopin.scale.bench.changes import LATE, Generator
+from calicopin.scale.bench.changes import LATE, Generator, lateness
 from calicopin.scale.results import Figure
 
 MIB = 1 << 20
@@ -62,7 +62,7 @@
     window = stand.window(before, after)
     announced = stand.writer.announced[first:]
     summary = stand.in_force_of(announced, phase.couriers)
-    late = stand.writer.lateness()
+    late = lateness(announced)
     if generator.fault:
         record.void = f"{name}: {generator.fault}"
     elif late.late:
@@ -110,4 +110,4 @@
         Figure("endpoints known other than the source has them", "", float(found.wrong), 0.0, note)
     )
     if found.wrong:
-        record.failed = f"{found.wrong} endpoints are known other than the source has them"
+        record.faults.append(f"{found.wrong} endpoints are known other than the source has them")
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,13 +3,14 @@
 import json
 from dataclasses import replace
 from pathlib import Path
+from statistics import median
 
 import pytest
 
-from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking
+from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records
 from calicopin.capacity.figures import Figure, Unit, Use, plain, said
 from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
-from calicopin.capacity.slopes import DIGITS, Basis, Slope, all_slopes
+from calicopin.capacity.slopes import DIGITS, Basis, Kind, Slope, all_slopes
 from calicopin.subscription import messages
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -53,9 +54,28 @@
 def stands_in(slope: Slope) -> float:
     """The value of a slope's figure in the result file that it names."""
     told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
-    if not slope.run.of_line:
+    if slope.run.kind == Kind.VALUE:
         return next(one["value"] for one in told["figures"] if one["figure"] == slope.run.figure)
-    return next(one["line"]["slope"] for one in told["slopes"] if one["figure"] == slope.run.figure)
+    figure = next(one for one in told["slopes"] if one["figure"] == slope.run.figure)
+    if slope.run.kind == Kind.SLOPE:
+        return figure["line"]["slope"]
+    if slope.run.kind == Kind.INTERCEPT:
+        return figure["line"]["intercept"]
+    values = [one["value"] for one in figure["samples"] if one["size"] == slope.run.at_size]
+    return median(values)
+
+
+def residual_in(slope: Slope) -> float:
+    """The residual of the line in the result file, as a share of the mean."""
+    told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+    return next(one["line"]["residual_share"] for one in told["slopes"] if one["figure"] == slope.run.figure)
+
+
+def sizes_in(slope: Slope) -> set[float]:
+    """The sizes at which the result file has the slope's figure."""
+    told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+    figure = next(one for one in told["slopes"] if one["figure"] == slope.run.figure)
+    return {one["size"] for one in figure["samples"]}
 
 
 @pytest.mark.parametrize("slope", all_slopes(), ids=lambda slope: slope.name)
@@ -63,7 +83,9 @@
     assert slope.why or slope.run
     assert (slope.basis == Basis.RUN) == (slope.run is not None)
     if slope.run:
-        assert slope.run.file.startswith("docs/scale/") and slope.run.command and slope.sizes
+        told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+        assert slope.run.file.startswith("docs/scale/") and slope.sizes
+        assert slope.run.command.startswith(told["command"])
         assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
 
 
@@ -157,7 +179,7 @@
         (courier.set_memory, {"destinations": 3.4e6}),
         (courier.set_memory, {"shape": Shape(senders_a_destination=2.0)}),
         (node.list_memory, {"destinations": 3.4e6}),
-        (node.calls, {"couriers": 38_000.0}),
+        (node.renewals, {"couriers": 38_000.0}),
         (node.news, {"changes_a_day": 22_000.0}),
     ],
 )
@@ -206,6 +228,11 @@
     assert ranking.first_to_fail(IN_TWO_YEARS).name == "control memory of a courier"
 
 
+def test_the_next_mechanisms_stand_in_the_order_of_their_factors_but_for_the_last_two():
+    factors = [one.factor for one in ranking.next_mechanisms(IN_TWO_YEARS)][:4]
+    assert factors == sorted(factors, reverse=True) and min(factors) > 1.0
+
+
 def test_what_is_over_its_budget_says_what_fails():
     for row in ranking.demands(IN_TWO_YEARS):
         assert row.factor <= 1.0 or row.fails != ranking.Fails.NOTHING
@@ -224,9 +251,8 @@
     assert backlog.down(50) > 0.0 and backlog.delivering(backlog.CALLS + 50) > 0.0
 
 
-def test_a_backlog_s_record_has_a_line_with_its_residual():
-    measure = backlog.Measure("x", "ms", lambda size: 2.0 * size)
-    told = backlog.fitted(measure, [(10, 21.0), (20, 41.0), (30, 61.0)])
+def test_a_record_has_a_line_with_its_residual():
+    told = records.fitted(records.Measure("x", "ms", "thing"), [(10, 21.0), (20, 41.0), (30, 61.0)])
     assert told["line"] == pytest.approx(
         {"slope": 2.0, "intercept": 1.0, "residual": 0.0, "residual_share": 0.0}
     )
--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -9,8 +9,8 @@
 from click.testing import CliRunner
 
 from calicopin.scale import results
-from calicopin.scale.bench import bench, faults, hollow, in_force
 from calicopin.scale.__main__ import main
+from calicopin.scale.bench import bench, faults, hollow, in_force
 from calicopin.scale.bench.changes import now
 from calicopin.scale.bench.in_force import Announced, Heard
 from calicopin.scale.list_source import ListSize
@@ -151,9 +151,9 @@
 
 
 def test_more_couriers_than_the_machine_holds_are_refused():
-    done = CliRunner().invoke(main, ["node", "--couriers", "1000000"])
+    done = CliRunner().invoke(main, ["bench", "node", "--couriers", "1000000"])
     assert done.exit_code == 2 and done.stderr.startswith("refused: the run would take some")
-    done = CliRunner().invoke(main, ["fault", "node-killed", "--nodes", "20", "--processes", "10"])
+    done = CliRunner().invoke(main, ["bench", "fault", "node-killed", "--nodes", "20", "--processes", "10"])
     assert done.exit_code == 2 and "processes" in done.stderr
 
 
