--- a/calicopin/scale/bench/cluster.py
+++ b/calicopin/scale/bench/cluster.py
@@ -69,12 +69,16 @@
                 raise NodeFailed(
                     f"node {self.name} ended with {self.process.returncode}: {self._last_line()}"
                 )
-            if self._ask("/-/ready") is not None:
+            if self.is_ready():
                 self.load_seconds = time.monotonic() - self.began
                 return
             time.sleep(POLL)
         raise NodeFailed(f"node {self.name} was not ready within {seconds:.0f} s")
 
+    def is_ready(self) -> bool:
+        """Whether it serves subscriptions."""
+        return self._ask("/-/ready") is not None
+
     def _last_line(self) -> str:
         with open(self.log, encoding="utf-8", errors="replace") as file:
             return (file.read().strip().splitlines() or ["no word"])[-1]
--- a/calicopin/scale/bench/faults.py
+++ b/calicopin/scale/bench/faults.py
@@ -130,9 +130,11 @@
     time.sleep(run.lasts)
     for node in stand.nodes:
         node.start()
+    while not any(node.is_ready() for node in stand.nodes):
+        time.sleep(LOOK)
+    reached = now()
     for node in stand.nodes:
         node.wait_ready()
-    reached = now()
 
     def done(mark: hollow.Mark) -> bool:
         return sum(count for node, count in mark.at_node.items() if node) == couriers
