--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -11,9 +11,9 @@
 from calicopin.scale import results
 from calicopin.scale.__main__ import main
 from calicopin.scale.bench import bench, faults, hollow, in_force
-from calicopin.scale.bench.changes import now
+from calicopin.scale.bench.changes import ChangeWriter, Generator, Lateness, lateness, now
 from calicopin.scale.bench.in_force import Announced, Heard
-from calicopin.scale.list_source import ListSize
+from calicopin.scale.list_source import ChangeSource, ListSize
 
 SMALL = bench.BenchSize(destinations=300, couriers=12, nodes=1, mean_set=12, down_share=0.1, aimed=0.9)
 MINUTE = 60.0
@@ -73,6 +73,24 @@
     assert (told.lost, told.p50, told.worst, told.last_p99) == (1, None, None, None)
 
 
+def test_the_generator_tells_how_late_it_was():
+    on_time, late = announced(1, 100.0), announced(2, 900.0, due=200.0)
+    assert lateness([on_time]) == Lateness(0.0, 0)
+    assert lateness([on_time, late]) == Lateness(700.0, 1)
+    assert lateness([]) == Lateness(0.0, 0)
+
+
+def test_a_generator_without_destinations_left_says_so_and_ends(tmp_path):
+    path = tmp_path / "list.log"
+    path.write_text("")
+    writer = ChangeWriter(str(path), ChangeSource(ListSize(4), 1, 1))
+    generator = Generator(writer, rate=1000.0, seconds=1.0, tell=silent)
+    generator.run()
+    writer.close()
+    assert "fewer changes" in generator.fault
+    assert path.read_text().count("\n") == len(writer.announced) == 3
+
+
 # Hollow couriers.
 
 
