--- a/calicopin/command/demo.py
+++ b/calicopin/command/demo.py
@@ -1,4 +1,6 @@
-"""`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner goes out and comes back."""
+"""`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner
+goes out and comes back.
+"""
 
 import http.client
 import http.server
@@ -34,6 +36,8 @@
 
 
 class Calls(http.server.BaseHTTPRequestHandler):
+    """Answers each call after a short while; while the partner is out, connections end without an answer."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
@@ -68,6 +72,8 @@
 
 
 class Heard(http.server.BaseHTTPRequestHandler):
+    """Notes the end of each text that a notice tells."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
@@ -247,7 +253,8 @@
     dead = set(notices.ended) - nacked
     lost = taken - delivered - nacked - dead
     console.print(
-        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, {len(nacked - delivered)} nacked, "
+        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, "
+        f"{len(nacked - delivered)} nacked, "
         f"{len(dead - delivered)} undeliverable, {len(lost)} without an end",
         soft_wrap=True,
     )
--- a/calicopin/configuration/sheet.py
+++ b/calicopin/configuration/sheet.py
@@ -1,4 +1,6 @@
-"""The types of a configuration. Times and sizes are words with units (`units.py`); every default is stated here once.
+"""The types of a configuration.
+
+Times and sizes are words with units (`units.py`); every default is stated here once.
 
 The docstrings and `Meta` descriptions make `docs/configuration.md` and the JSON Schema.
 """
@@ -36,9 +38,23 @@
     notices: Annotated[
         str,
         about(
-            "where texts that end undelivered are told (POST /v1/outcomes) where there is no agent; empty: in the log alone"
+            "where texts that end undelivered are told (POST /v1/outcomes) where there is no agent; "
+            "empty: in the log alone"
         ),
     ] = ""
+    nodes: Annotated[
+        list[str],
+        about(
+            "discovery nodes, each an IPv4 address and port: only the destinations in use are subscribed to"
+            " there (docs/subscriptions.md); empty for the whole list"
+        ),
+    ] = field(default_factory=list)
+    fleet: Annotated[
+        str, about("the fleet that these nodes serve, by the name that they have for it", max_length=256)
+    ] = ""
+    list_age: Annotated[
+        str, about("how old the list in its folder may be for a start that reaches no node; with nodes only")
+    ] = "24h"
     number: Annotated[
         int, about("its place among the couriers that send to the same partners, from 0", ge=0)
     ] = 0
@@ -56,7 +72,8 @@
     give_back: Annotated[
         bool,
         about(
-            "whether idle connections are closed after their call where a partner of that kind refused one: for many couriers at partners that take few"
+            "whether idle connections are closed after their call where a partner of that kind refused one: "
+            "for many couriers at partners that take few"
         ),
     ] = False
     advice: Annotated[str, about("the longest wait that clients are advised; 0s for none")] = "2s"
@@ -65,7 +82,8 @@
     store: Annotated[
         Literal["file", "segments"],
         about(
-            "how its folder is kept: one journal that is rewritten, or segments that are cleaned in small steps"
+            "how its folder is kept: one journal that is rewritten, "
+            "or segments that are cleaned in small steps"
         ),
     ] = "file"
     durability: Annotated[
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -1,7 +1,8 @@
-"""Scenario files: the parties, their traffic and their troubles, read from TOML and checked before anything begins.
+"""Scenario files: the parties, their traffic and their troubles, read from TOML and checked before
+anything begins.
 
-A file that cannot be read is one line that names the file and the place, as `Unreadable`. Times in it are seconds or
-milliseconds, as each key says (`_s`, `_ms`); shares and odds lie between 0 and 1.
+A file that cannot be read is one line that names the file and the place, as `ScenarioError`. Times in it are
+seconds or milliseconds, as each key says (`_s`, `_ms`); shares and odds lie between 0 and 1.
 """
 
 import os
@@ -66,17 +67,19 @@
 TROUBLES = PARTNER_TROUBLES + COURIER_TROUBLES + WORLD_TROUBLES
 
 
-class Unreadable(Exception):
+class ScenarioError(Exception):
     """A scenario that cannot be used, with one line that names file and place."""
 
 
 class Strict(Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    pass
+    """A table of a scenario's file; a field that it does not know is a fault."""
 
 
 class Couriers(Strict):
-    """`front` deals clients out to any courier; without it each client sits beside one. `lists`: whether an agent beside each
-    courier is sent the list of partners, or discovery is asked for it."""
+    """`front` deals clients out to any courier; without it each client sits beside one.
+
+    `lists`: whether an agent beside each courier is sent the list of partners, or discovery is asked for it.
+    """
 
     count: Count = 2
     slots: Count = 24
@@ -109,6 +112,8 @@
 
 
 class Product(Strict):
+    """A kind of text: whether it may be repeated, its times, what it earns and its share of the traffic."""
+
     name: Word
     repeat: Literal["resendable", "referenced", "once-only"]
     sla_s: Positive = 2.0
@@ -123,7 +128,10 @@
 
 
 class Partner(Strict):
-    """`destinations` of one make, each with so many endpoints. `limit` is calls a second of all couriers (0: none)."""
+    """`destinations` of one make, each with so many endpoints.
+
+    `limit` is calls a second of all couriers (0: none).
+    """
 
     name: Word
     destinations: Count = 1
@@ -167,6 +175,8 @@
 
 
 class Net(Strict):
+    """The network: latency among couriers and to partners, bandwidth, odds that data comes in pieces."""
+
     latency_ms: Two = (0.5, 3.0)
     partner_ms: Two = (5.0, 25.0)
     bandwidth_mb_s: Span = 0.0
@@ -174,8 +184,10 @@
 
 
 class Platform(Strict):
-    """`late_ms`: how long a change takes to reach a courier; `stale`: odds that a start finds an old list; `told`: whether a
-    change counts as told once it is written to the courier, or once its agent has it, watch or none, also before a start."""
+    """`late_ms`: how long a change takes to reach a courier; `stale`: odds that a start finds an old list;
+    `told`: whether a change counts as told once it is written to the courier, or once its agent has it,
+    watch or none, also before a start.
+    """
 
     late_ms: Two = (300.0, 1500.0)
     stale: Odds = 0.0
@@ -183,8 +195,9 @@
 
 
 class Trouble(Strict):
-    """One fault: when it begins, how long it lasts, whom it meets (`partner:NAME`, `destination:N`, `courier:N` or
-    any) and how hard."""
+    """One fault: when it begins, how long it lasts, whom it meets (`partner:NAME`, `destination:N`,
+    `courier:N` or any) and how hard.
+    """
 
     kind: Literal[TROUBLES]
     at_s: Span
@@ -203,6 +216,8 @@
 
 
 class Scenario(Strict, kw_only=True):
+    """A scenario as its file tells it; the seed draws the rest."""
+
     version: Literal[1]
     name: Word
     about: str
@@ -230,7 +245,7 @@
     """What the types cannot say; the first fault is raised."""
 
     def fault(place, why):
-        raise Unreadable(f"{where}: {place}: {why}")
+        raise ScenarioError(f"{where}: {place}: {why}")
 
     for many, what in ((scenario.product, "product"), (scenario.partner, "partner")):
         names = [one.name for one in many]
@@ -287,20 +302,20 @@
 
 
 def parse(data, where):
-    """A scenario from the bytes of its file; Unreadable with one line otherwise."""
+    """A scenario from the bytes of its file; ScenarioError with one line otherwise."""
     if len(data) > MOST:
-        raise Unreadable(f"{where}: over {MOST} bytes: this is no scenario")
+        raise ScenarioError(f"{where}: over {MOST} bytes: this is no scenario")
     try:
         text = data.decode("utf-8-sig")
     except UnicodeDecodeError as fault:
-        raise Unreadable(f"{where}: byte {fault.start}: not UTF-8") from None
+        raise ScenarioError(f"{where}: byte {fault.start}: not UTF-8") from None
     try:
         return check(msgspec.toml.decode(text, type=Scenario), where)
     except msgspec.ValidationError as fault:
         why, _, place = str(fault).partition(" - at ")
-        raise Unreadable(f"{where}: {place.strip('`') or 'the file'}: {why}") from None
+        raise ScenarioError(f"{where}: {place.strip('`') or 'the file'}: {why}") from None
     except msgspec.DecodeError as fault:
-        raise Unreadable(f"{where}: {fault}") from None
+        raise ScenarioError(f"{where}: {fault}") from None
 
 
 def names():
@@ -314,9 +329,9 @@
     try:
         return parse(path.read_bytes(), path.name)
     except FileNotFoundError:
-        raise Unreadable(f"{word}: no such scenario; there are {', '.join(names())}") from None
+        raise ScenarioError(f"{word}: no such scenario; there are {', '.join(names())}") from None
     except OSError as fault:
-        raise Unreadable(f"{word}: {fault.strerror}") from None
+        raise ScenarioError(f"{word}: {fault.strerror}") from None
 
 
 def dump(scenario):
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -1,14 +1,15 @@
 """The process that serves: hears the one that is to follow it, gives it all, and stands by until SIGTERM.
 
-Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the other one decides,
-and this one does nothing but end what cannot change hands. If the other one dies before SIGTERM comes, this one begins anew
-from the folder, as after a crash."""
+Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the
+other one decides, and this one does nothing but end what cannot change hands. If the other one dies before
+SIGTERM comes, this one begins anew from the folder, as after a crash.
+"""
 
 import base64
 
 from loguru import logger
 
-from calicopin.handover.meeting import Broken, Talk, ours
+from calicopin.handover.meeting import HandoverError, Talk, ours
 from calicopin.handover.state import FORM, written
 from calicopin.wire.loop import AGAIN, FOREVER, READ, Until
 
@@ -23,7 +24,10 @@
 
 
 class Giver:
-    """Gives away the courier whose parts it is handed. `lock` is the folder's; `again` begins this process anew."""
+    """Gives away the courier whose parts it is handed.
+
+    `lock` is the folder's; `again` begins this process anew.
+    """
 
     def __init__(self, place, lock, again, loop, runtime, clients, discovery, renewal, stop):
         self.lock, self.again = lock, again
@@ -83,7 +87,9 @@
         return not why
 
     def settle(self):
-        """Calls that have not begun come back, what is decided is in the journal, and answers are on their way."""
+        """Calls that have not begun come back, what is decided is in the journal, and answers are on their
+        way.
+        """
         for _ in range(8):
             self.loop.step()
             for flight in [flight for flight in self.runtime.flights if not flight.far]:
@@ -100,13 +106,13 @@
             talk = Talk(sock, PATIENCE)
             self.settle()
             if runtime.stuck:
-                raise Broken("the journal cannot be written")
+                raise HandoverError("the journal cannot be written")
             flights = [flight for flight in runtime.flights if flight.call.open]
             talk.say(self.told(flights))
             if talk.hear()[0].get("ready") is not True:
-                raise Broken("it is not ready")
+                raise HandoverError("it is not ready")
             if self.stop.stopping or runtime.journal.buffer:
-                raise Broken("this process has gone on")
+                raise HandoverError("this process has gone on")
             talk.say({"go": True, "fds": 1}, [self.lock])
         except Exception as fault:  # whatever it is, this process serves on
             logger.warning(
@@ -137,7 +143,7 @@
         return written(self.runtime.facade, calls) | dict(
             until=[flight.until for flight in flights],
             began=[flight.began for flight in flights],
-            version=getattr(self.discovery, "version", None),
+            version=None if self.runtime.subscribed else getattr(self.discovery, "version", None),
             current=self.runtime.current,
             renewed=self.renewal.renewed,
             trust=lines.trust,
@@ -201,6 +207,8 @@
             [],
         )
         runtime.refusing = self.stop.retired = True
+        if runtime.subscribed is not None:
+            runtime.subscribed.retire()
         self.stop.end_drain()
         self.clients.closing = self.clients.leaving = True
         sock.setblocking(False)
