--- a/calicopin/scale/bench/__init__.py
+++ b/calicopin/scale/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Real discovery nodes before hollow couriers on one machine: full-size runs, slopes of the node, and faults."""
+"""Real discovery nodes before hollow couriers on one machine: full-size runs, slopes and faults."""
--- a/calicopin/scale/bench/bench.py
+++ b/calicopin/scale/bench/bench.py
@@ -1,4 +1,4 @@
-"""A bench of real nodes, one process of hollow couriers, and a source that changes: set up, measured, taken down."""
+"""A bench of real nodes, one process of hollow couriers, and a source that changes."""
 
 import os
 import tempfile
--- a/calicopin/scale/bench/cluster.py
+++ b/calicopin/scale/bench/cluster.py
@@ -17,7 +17,7 @@
 POLL = 0.1  # seconds between two looks at a node that starts
 
 
-class NodeFailed(Exception):
+class NodeFailedError(Exception):
     """A node that did not come up; the message is one plain line."""
 
 
@@ -63,17 +63,17 @@
         self.began = time.monotonic()
 
     def wait_ready(self, seconds: float = 600.0) -> None:
-        """Until it serves; NodeFailed where it ends or takes too long."""
+        """Until it serves; NodeFailedError where it ends or takes too long."""
         while time.monotonic() < self.began + seconds:
             if self.process.poll() is not None:
-                raise NodeFailed(
+                raise NodeFailedError(
                     f"node {self.name} ended with {self.process.returncode}: {self._last_line()}"
                 )
             if self.is_ready():
                 self.load_seconds = time.monotonic() - self.began
                 return
             time.sleep(POLL)
-        raise NodeFailed(f"node {self.name} was not ready within {seconds:.0f} s")
+        raise NodeFailedError(f"node {self.name} was not ready within {seconds:.0f} s")
 
     def is_ready(self) -> bool:
         """Whether it serves subscriptions."""
--- a/calicopin/scale/bench/command.py
+++ b/calicopin/scale/bench/command.py
@@ -8,8 +8,8 @@
 
 from calicopin.scale import results
 from calicopin.scale.bench import bench, faults, node, slopes
-from calicopin.scale.bench.cluster import NodeFailed
-from calicopin.scale.bench.hollow_process import HollowFailed
+from calicopin.scale.bench.cluster import NodeFailedError
+from calicopin.scale.bench.hollow_process import HollowFailedError
 from calicopin.scale.options import (
     MEMORY,
     OUTPUT,
@@ -37,7 +37,7 @@
     try:
         with Progress() as progress:
             fill(progress)
-    except (NodeFailed, HollowFailed) as fault:
+    except (NodeFailedError, HollowFailedError) as fault:
         stop(str(fault))
     results.end(run, began)
     results.show(run)
@@ -160,7 +160,7 @@
 @PROCESSES
 @OUTPUT
 def node_slopes_(destinations, couriers, repeats, seed, memory_mib, processes, path):
-    """A real node's memory, load and cost of a change over destinations, and its processor time over couriers."""
+    """A real node's memory, load and cost of a change over destinations; its processor time over couriers."""
     sizes = slopes.NodeSizes(tuple(destinations), tuple(couriers))
     changes = slopes.RATE * slopes.BUSY
     allowed(bench.estimate(slopes.estimate_size(sizes), changes), memory_mib, processes)
--- a/calicopin/scale/bench/faults.py
+++ b/calicopin/scale/bench/faults.py
@@ -1,8 +1,8 @@
 """Faults of several real nodes before hollow couriers, with changes all the while.
 
-Each fault begins `lead` seconds after the changes and ends, where it ends, `lasts` seconds later. At the end every
-courier has to know just what the source has of its set, and every change was in force within the users' time of a
-node's reach.
+Each fault begins `lead` seconds after the changes and ends, where it ends, `lasts` seconds later. At the end
+every courier has to know just what the source has of its set, and every change was in force within the users'
+time of a node's reach.
 """
 
 import signal
@@ -33,8 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FaultRun:
-    """A fault, its times in seconds and the changes a second meanwhile; after the last one couriers have `quiet` to
-    know all."""
+    """A fault, its times in seconds and the changes a second meanwhile.
+
+    After the last change couriers have `quiet` to know all.
+    """
 
     fault: Fault
     changes: float = 5.0
@@ -51,7 +53,7 @@
 
 @dataclass(slots=True)
 class Course:
-    """What a fault did: figures of its own, and from when on a node could be reached again after it had none."""
+    """What a fault did: its own figures, and from when on a node could be reached again where none could."""
 
     figures: list[Figure]
     unreachable_from: float = 0.0
@@ -59,7 +61,7 @@
 
 
 def _wait(stand: bench.Bench, done: Callable[[hollow.Mark], bool]) -> tuple[hollow.Mark, float]:
-    """The first mark that is as waited for, and the seconds until then; the last one where none was in time."""
+    """The first mark that is as waited for, or the last one in time, and the seconds until then."""
     began = time.monotonic()
     while True:
         mark = stand.hollow.ask(hollow.Take())
@@ -232,6 +234,6 @@
         record.void = generator.fault or f"{late.late} changes were over {LATE:.0f} ms late"
     if found.wrong or summary.lost or (summary.worst or 0.0) > bench.IN_FORCE:
         record.faults.append(
-            f"{found.wrong} endpoints known other than the source has them, {summary.lost} changes never in force,"
-            f" the worst after {summary.worst} ms"
+            f"{found.wrong} endpoints known other than the source has them,"
+            f" {summary.lost} changes never in force, the worst after {summary.worst} ms"
         )
--- a/calicopin/scale/bench/hollow_process.py
+++ b/calicopin/scale/bench/hollow_process.py
@@ -7,7 +7,7 @@
 PATIENCE = 120.0  # seconds for an answer
 
 
-class HollowFailed(Exception):
+class HollowFailedError(Exception):
     """The process did not answer; the message is one plain line."""
 
 
@@ -29,11 +29,11 @@
 
     def _answer(self, patience: float):
         if not self.connection.poll(patience):
-            raise HollowFailed(f"the hollow couriers did not answer within {patience:.0f} s")
+            raise HollowFailedError(f"the hollow couriers did not answer within {patience:.0f} s")
         try:
             return self.connection.recv()
         except EOFError:
-            raise HollowFailed("the process of the hollow couriers has ended") from None
+            raise HollowFailedError("the process of the hollow couriers has ended") from None
 
     def stop(self) -> None:
         """Ends it, for certain."""
--- a/calicopin/scale/bench/in_force.py
+++ b/calicopin/scale/bench/in_force.py
@@ -1,6 +1,6 @@
-"""From a change to in force at each courier subscribed to it: what was announced against what was heard. No I/O.
+"""From a change to in force at each of its couriers: what was announced against what was heard. No I/O.
 
-Each endpoint changes once at most in a run, so that a courier's first matching word after the change is the one.
+Each endpoint changes once at most in a run, so that a courier's first matching word after it is the one.
 """
 
 from collections import defaultdict
@@ -48,8 +48,11 @@
     subscribers: Mapping[int, Iterable[int]],
     reach: Mapping[int, float] | None = None,
 ) -> list[InForce]:
-    """Each change at each of its subscribers. Time counts from when the change was due; for a change of an index in
-    `reach`, from then on if that is later: no node could be reached before."""
+    """Each change at each of its subscribers.
+
+    Time counts from when the change was due; for a change of an index in `reach`, from then on if that is later:
+    no node could be reached before.
+    """
     by_place: dict[tuple[int, str], list[Heard]] = defaultdict(list)
     for one in heard:
         by_place[one.courier, one.ident].append(one)
@@ -65,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """Times in milliseconds. `last` is of each change at the last of its couriers; `lost` never came in force."""
+    """Times in milliseconds; `last` is of each change at its last courier, `lost` never came in force."""
 
     changes: int
     heard: int
--- a/calicopin/scale/bench/node.py
+++ b/calicopin/scale/bench/node.py
@@ -1,4 +1,4 @@
-"""One discovery node at full size before hollow couriers: load, memory, processor time, and changes in force."""
+"""One discovery node at full size before hollow couriers: what it takes, and changes in force."""
 
 import time
 from collections.abc import Callable
--- a/calicopin/scale/bench/slopes.py
+++ b/calicopin/scale/bench/slopes.py
@@ -1,4 +1,4 @@
-"""Slopes of a discovery node: memory and load over destinations, a change's cost, processor time over couriers."""
+"""Slopes of a discovery node over destinations and over couriers."""
 
 import time
 from collections.abc import Callable
