--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -3,10 +3,12 @@
 import time
 
 import click
+import msgspec
 from loguru import logger
 
 from calicopin.scale import fault_command, fit, node_command, results, sender_count, slopes
-from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish
+from calicopin.scale.bench.command import bench_group
+from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish, stop
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -100,6 +102,18 @@
 main.add_command(node_command.node)
 main.add_command(node_command.node_slopes_)
 main.add_command(fault_command.fault)
+main.add_command(bench_group)
+
+
+@main.command()
+@click.argument("before", type=click.Path(exists=True, dir_okay=False))
+@click.argument("after", type=click.Path(exists=True, dir_okay=False))
+def compare(before, after):
+    """The figures that two records, BEFORE and AFTER, have in common, in one table."""
+    try:
+        results.show_both(results.load(before), results.load(after))
+    except msgspec.DecodeError as fault:
+        stop(f"no record of a run: {fault}")
 
 
 if __name__ == "__main__":
