Discovery node: files and chance by way of System, so that another surrounding can run it

The node reached the operating system directly (os.open, os.stat, os.pread, os.urandom), so the emulator could not run it. System has five calls more; node.run() is the part of a node's life that stands on a System. Nothing else changed.

--- a/calicopin/discovery_node/node.py
+++ b/calicopin/discovery_node/node.py
@@ -1,6 +1,5 @@
 """A discovery node from its settings: its parts put together, run until SIGTERM, or its source checked alone."""
 
-import os
 import resource
 import sys
 from collections.abc import Iterator
@@ -52,7 +51,7 @@
 
     def __init__(self, settings: NodeSettings, system: System = HERE):
         self.loop = Loop(system=system)
-        run = os.urandom(4).hex()  # no lease of an earlier run is one of this run
+        run = system.token(4)  # no lease of an earlier run is one of this run
         self.table = LeaseTable(settings.fleet, settings.node, run, settings.leases)
         listener = system.listen(settings.host, settings.port)
         self.server = NodeServer(self.loop, listener, self.table, settings.server)
@@ -91,9 +90,14 @@
     open_source(settings.source, settings.fleet).close()  # before the address is taken
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
-    node = Node(settings)
+    run(settings, signal_reader)
+
+
+def run(settings: NodeSettings, signal_reader: SignalReader, system: System = HERE) -> None:
+    """A node on that system, from its first look at the source until it is told to end."""
+    node = Node(settings, system)
     node.heed(signal_reader)
-    HERE.settle()
+    system.settle()
     logger.info(
         "{node} listens on {host}:{port}",
         event="listening",
--- a/calicopin/discovery_node/source.py
+++ b/calicopin/discovery_node/source.py
@@ -13,6 +13,7 @@
 
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import EntryError, Line, check_header, read_line
+from calicopin.system import HERE, System
 from calicopin.wire.loop import Loop, Until
 
 LOOK = 250.0  # ms between two looks at the file
@@ -60,10 +61,10 @@
 class SourceFile:
     """One file under the source's path, held open: its name may go to another one."""
 
-    def __init__(self, path: str):
-        self.path, self.offset, self.splitter = path, 0, LineSplitter()
-        self.descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
-        what = os.fstat(self.descriptor)
+    def __init__(self, path: str, system: System = HERE):
+        self.path, self.offset, self.splitter, self.system = path, 0, LineSplitter(), system
+        self.descriptor = system.open_to_read(path)
+        what = system.open_status(self.descriptor)
         self.identity, self.size_at_open = (what.st_dev, what.st_ino), what.st_size
 
     def read_header(self, fleet: str) -> bool:
@@ -87,7 +88,7 @@
 
     def size(self) -> int:
         """Bytes of the open file, whatever its name."""
-        return os.fstat(self.descriptor).st_size
+        return self.system.open_status(self.descriptor).st_size
 
     def lines(self, goal: int) -> Iterator[Line]:
         """The lines from where the last read ended up to that offset, or to the end where that comes first."""
@@ -99,11 +100,11 @@
             yield from self.splitter.feed(data)
 
     def _read(self, size: int, offset: int) -> bytes:
-        return os.pread(self.descriptor, size, offset)
+        return self.system.read_at(self.descriptor, size, offset)
 
     def close(self) -> None:
         """The file is not needed any more."""
-        os.close(self.descriptor)
+        self.system.close(self.descriptor)
 
 
 class FaultReport:
@@ -142,10 +143,10 @@
             )
 
 
-def open_source(path: str, fleet: str) -> SourceFile:
+def open_source(path: str, fleet: str, system: System = HERE) -> SourceFile:
     """The file, its header checked as far as it is there; raises SourceError."""
     try:
-        file = SourceFile(path)
+        file = SourceFile(path, system)
     except OSError as fault:
         raise SourceError(f"{path}: {fault.strerror}") from None
     try:
@@ -171,7 +172,7 @@
         self.loop, self.path, self.fleet = loop, path, fleet
         self.changed, self.subscribed = changed, subscribed
         self.catalogue: Catalogue | None = None  # none until the first load is over
-        self.file = open_source(path, fleet)
+        self.file = open_source(path, fleet, loop.system)
         self.read_at: float | None = None  # wall time of the last read that found something, ms
         self.looks = self.faults = self.loads = 0
         self._doubted: tuple | None = None  # the stamp of a file that could not be taken
@@ -194,7 +195,7 @@
     def look(self) -> Iterator[Until]:
         """Reads what is new under the path."""
         try:
-            what = os.stat(self.path)
+            what = self.loop.system.status(self.path)
         except OSError as fault:
             self._tell_once(f"{self.path}: {fault.strerror}; the last good list serves on")
             return
@@ -237,7 +238,7 @@
     def _take_whole(self, stamp: tuple) -> Iterator[Until]:
         """Reads a file whole, and serves from it where that can be done; else the last good list serves on."""
         try:
-            file = open_source(self.path, self.fleet)
+            file = open_source(self.path, self.fleet, self.loop.system)
         except SourceError as fault:
             self._doubt(stamp, f"{fault}; the last good list serves on" if self.catalogue else str(fault))
             return
--- a/calicopin/system.py
+++ b/calicopin/system.py
@@ -125,6 +125,21 @@
         with open(path, "rb") as file:
             return file.read()
 
+    @staticmethod
+    def open_to_read(path):
+        """A file held open for reading: its name may go to another one."""
+        return os.open(path, os.O_RDONLY | os.O_CLOEXEC)
+
+    @staticmethod
+    def read_at(file, size, offset):
+        """Up to so many bytes of an open file from there on."""
+        return os.pread(file, size, offset)
+
+    @staticmethod
+    def token(size):
+        """So many random bytes as hexadecimal digits, not the same for two processes."""
+        return os.urandom(size).hex()
+
     @staticmethod
     def create(path):
         """A new empty file for appending, in place of any other under its name."""
@@ -142,6 +157,8 @@
         """The files in a folder."""
         return os.listdir(folder)
 
+    status = staticmethod(os.stat)  # (path), as an os.stat_result
+    open_status = staticmethod(os.fstat)  # (file), the same
     remove = staticmethod(os.unlink)  # (path)
     sync = staticmethod(os.fdatasync)  # (file)
     write = staticmethod(os.write)  # (file, data) -> bytes written, fewer than given perhaps
