Emulator: discovery nodes as processes, troubles of subscriptions, and a referee for them

Subscriptions to parts of the list were tested by part only. The real node now runs in virtual time beside whole couriers: sources on emulated disks, nodes killed, stopped, standing, vanished and cut off, destinations that come and go, herds of restarts. list_referee.py judges from the trace what such couriers owe beside the six rules.

--- a/calicopin/emulator/day.py
+++ b/calicopin/emulator/day.py
@@ -9,9 +9,15 @@
 from loguru import logger
 
 from calicopin.emulator.net import Network
+from calicopin.emulator.nodes import Nodes
 from calicopin.emulator.partners import Destination, Endpoint
 from calicopin.emulator.process import Process, current
-from calicopin.emulator.scenario import COURIER_TROUBLES, PARTNER_TROUBLES, Trouble
+from calicopin.emulator.scenario import (
+    COURIER_TROUBLES,
+    PARTNER_TROUBLES,
+    SUBSCRIPTION_TROUBLES,
+    Trouble,
+)
 from calicopin.emulator.standins import Clients, Operator, Partners, Platform, Registry
 from calicopin.emulator.world import World
 
@@ -193,6 +199,7 @@
         for number, partner, _ in scenario.destinations():
             self._destination(number, partner)
         self.hosts, self.couriers, self.platforms, self.registry = {}, [], {}, Registry()
+        self.nodes = Nodes(self)
         for number in range(scenario.couriers.count):
             self._courier(number, begin)
         self.clients = Clients(world, self.net, scenario.traffic, self.products, self.couriers)
@@ -290,7 +297,7 @@
             "settings": settings(self.scenario, process.number_),
             "store": couriers.store,
         }
-        return json.dumps(told | other).encode()
+        return json.dumps(told | self.nodes.told() | other).encode()
 
     def start(self, process):
         if process.over:
@@ -316,7 +323,7 @@
     def whom(self, trouble):
         """The destinations or couriers that a trouble meets."""
         kind, _, name = trouble.whom.partition(":")
-        if trouble.kind in PARTNER_TROUBLES:
+        if trouble.kind in PARTNER_TROUBLES or trouble.kind in ("publish", "withdraw"):
             if kind == "partner":
                 return [one for one in self.destinations.values() if one.spec.name == name]
             return [
@@ -331,6 +338,9 @@
     def strike(self, trouble):
         if trouble.kind in ("burst", "clump"):  # in the traffic
             return
+        if trouble.kind in SUBSCRIPTION_TROUBLES:
+            self.nodes.strike(trouble)
+            return
         what, lasts = trouble.kind.replace("-", "_"), trouble.for_s * 1000.0
         if trouble.kind in PARTNER_TROUBLES:
             for one in self.whom(trouble):
@@ -401,6 +411,7 @@
     def tell(self, one, endpoint, state):
         for platform in self.platforms.values():
             platform.change(self._entry(endpoint, one, state))
+        self.nodes.source.change(self._entry(endpoint, one, state))
 
     def _kill(self, one, trouble, lasts):
         """At a call of its own choosing within the next few."""
@@ -581,6 +592,7 @@
         gc.disable()
         sink = logger.add(self.log, format=lambda record: "{message}", level="INFO", catch=False)
         try:
+            self.nodes.begin()
             for courier in self.couriers:
                 self.world.at(self.rng.uniform(0.0, 200.0), self.start, courier)
                 if self.scenario.couriers.scrape_s:
@@ -594,6 +606,7 @@
         finally:
             for courier in self.couriers:
                 courier.kill()
+            self.nodes.end()
             logger.remove(sink)
             if collecting:
                 gc.enable()
@@ -603,7 +616,7 @@
         """A courier's line; one with a fault behind it is noted for the referee."""
         record, process = message.record, current.process
         if (
-            process is None or process not in self.couriers
+            process is None or process not in self.couriers + self.nodes.processes
         ):  # none of this run's: another program in this process
             return
         name = process.name
--- /dev/null
+++ b/calicopin/emulator/nodes.py
@@ -0,0 +1,378 @@
+"""Discovery nodes of a run: the real node as a process on emulated files and sockets, the source of the list, their faults.
+
+Every node reads a source file of its own, to which the changes of the one list are appended; each change reaches
+each node after a time of its own. Notes for the referee: `source` (a change is in a node's file), `answered` (a
+courier has read an answer), `cut-off` (a courier and a node cannot speak).
+"""
+
+import json
+import random
+import signal
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from functools import partial
+
+import httptools
+
+from calicopin.boot import subscribed as subscribed_module
+from calicopin.discovery_node.node import NodeSettings, run
+from calicopin.emulator.net import End
+from calicopin.emulator.process import Calls, Ears, Handle, Process
+from calicopin.emulator.scenario import Trouble
+from calicopin.emulator.standins import Parsed
+from calicopin.subscription.leases import LeaseBounds
+from calicopin.wire.subscriber import Subscriber
+
+FLEET = "emulated"
+PORT = 7400
+SOURCE = "list.log"
+START_WITHIN = 50.0  # ms: all nodes begin in that time
+LEFT_AFTER = 6000.0  # ms from an announced leave to the leave
+DESCRIPTORS = 1000
+LINE_FIELDS = ("form", "fleet", "id", "addr", "cell", "kind", "zone", "state", "weight")
+
+
+@dataclass(frozen=True, slots=True)
+class FileStatus:
+    """What the node reads of an `os.stat_result`."""
+
+    st_dev: int
+    st_ino: int
+    st_size: int
+    st_mtime_ns: int
+
+
+class SourceHandle(Handle):
+    """A source file held open, whatever its name stands for later."""
+
+    def __init__(self, data: bytearray, number: int):
+        self.data, self.number = data, number
+
+    def status(self) -> FileStatus:
+        """As of now."""
+        return FileStatus(1, self.number, len(self.data), 0)
+
+
+class NodeCalls(Calls):
+    """The system calls of a node: those of a courier, files held open for reading, connections that are watched."""
+
+    def listen(self, _, port):
+        """A listening socket whose answers are noted once they were read."""
+        self.enter("listen")
+        return WatchedEars(self, port)
+
+    def open_to_read(self, path):
+        """Its descriptor."""
+        self.enter("open")
+        self.process.disk.read(path)  # FileNotFoundError where there is none
+        handle = SourceHandle(self.process.disk.files[path], self.process.file_number)
+        handle.calls, handle.fd = self, self.take_fd(handle)
+        return handle.fd
+
+    def status(self, path):
+        """Of the file under that name."""
+        self.enter("stat")
+        self.process.disk.read(path)
+        return SourceHandle(self.process.disk.files[path], self.process.file_number).status()
+
+    def open_status(self, file):
+        """Of an open file."""
+        self.enter("fstat")
+        return self.handles[file].status()
+
+    def read_at(self, file, size, offset):
+        """Bytes of an open file."""
+        self.enter("pread")
+        return bytes(self.handles[file].data[offset : offset + size])
+
+    def token(self, size):
+        """Drawn by the seed."""
+        return self.process.rng.randbytes(size).hex()
+
+
+class WatchedEars(Ears):
+    """A node's listening socket."""
+
+    def met(self, end):
+        """Takes a connection, and watches what is answered on it."""
+        taken = super().met(end)
+        if taken:
+            AnswerWatch(self.calls.process, end)
+        return taken
+
+
+class AnswerWatch:
+    """Reads what passes on one connection: what the courier gives up as it asks for that, and an answer once the courier
+    has read the whole of it."""
+
+    def __init__(self, node: "NodeProcess", end: End):
+        self.node, self.send, self.host = node, end.send, end.peer.machine.address
+        self.parsed = Parsed(httptools.HttpResponseParser, self._whole)
+        self.answers: list[dict] = []
+        end.send = self._sent
+        self.asked = Parsed(httptools.HttpRequestParser, self._whole_request)
+        self.ask, end.peer.send = end.peer.send, self._asked
+
+    def _asked(self, data, heard=None):
+        self.asked.feed(data)
+        self.ask(data, heard)
+
+    def _whole_request(self, message, body, begun):
+        if given_up := json.loads(body)["subscription"]["unsubscribe"]:
+            self.node.gave_up(self.host, given_up)
+
+    def _sent(self, data, heard=None):
+        self.parsed.feed(data)
+        answers, self.answers = self.answers, []
+        if answers:
+            heard = partial(self._heard, answers)
+        self.send(data, heard)
+
+    def _whole(self, message, body, begun):
+        if message.parser.get_status_code() == 200:
+            self.answers.append(json.loads(body))
+
+    def _heard(self, answers: list[dict]):
+        for answer in answers:
+            self.node.heard(self.node.name, self.host, answer)
+
+
+class NodeProcess(Process):
+    """A node's machine and the process on it. `file_number` is the inode of its source."""
+
+    make_calls = NodeCalls
+    file_number = 1
+
+    def write_source(self, data: bytes):
+        """Another file is renamed into the source's place."""
+        self.file_number += 1
+        self.disk.files[SOURCE] = bytearray(data)
+
+    def append_source(self, line: bytes):
+        """One line more."""
+        self.disk.files[SOURCE].extend(line)
+
+
+class ListSource:
+    """The list as the platform has it, written to each node's source. `entries` by endpoint."""
+
+    def __init__(self, world, processes: list[NodeProcess], entries: dict[str, dict], late, rng: random.Random):
+        self.world, self.processes, self.entries = world, processes, entries
+        self.late, self.rng, self.serial = late, rng, 0
+        self.arrival = [0.0] * len(processes)  # of the last change at each node: they come in their order
+        for process in processes:
+            process.write_source(self.whole())
+
+    def whole(self) -> bytes:
+        """A source file that holds the list as it is."""
+        header = {"form": 1, "fleet": FLEET}
+        return b"".join(encode(line) for line in (header, *self.entries.values()))
+
+    def change(self, entry: dict):
+        """One endpoint is not as before."""
+        self.serial += 1
+        if entry["state"] == "left":
+            self.entries.pop(entry["id"], None)
+        else:
+            self.entries[entry["id"]] = dict(entry)
+        low, high = self.late
+        for number, process in enumerate(self.processes):
+            at = max(self.arrival[number], self.world.now + low + (high - low) * self.rng.random())
+            self.arrival[number] = at
+            self.world.at(at, self._append, process, self.serial, dict(entry))
+
+    def replace(self):
+        """A short file takes the place of each node's, once all changes until now are in it."""
+        whole = self.whole()
+        for number, process in enumerate(self.processes):
+            self.world.at(max(self.arrival[number], self.world.now), process.write_source, whole)
+
+    def _append(self, process: NodeProcess, serial: int, entry: dict):
+        process.append_source(encode(entry))
+        self.world.note(
+            "source", serial, process.name, entry["id"], entry["cell"], entry["state"], len(self.processes)
+        )
+
+
+def encode(line: dict) -> bytes:
+    """One line of a source: what a source may say of it, in order."""
+    told = {name: line[name] for name in LINE_FIELDS if name in line}
+    return json.dumps(told, separators=(",", ":")).encode() + b"\n"
+
+
+class Nodes:
+    """The nodes of a day, and every trouble of subscriptions."""
+
+    def __init__(self, day):
+        self.day, self.world, self.net, self.settings = day, day.world, day.net, day.scenario.nodes
+        self.rng = self.world.chance("nodes")
+        self.processes = [self._process(number) for number in range(self.settings.count)]
+        self.by_name = {process.name: process for process in self.processes}
+        self.serving: dict[str, str] = {}  # the node that answered each courier last
+        self.known: dict[str, dict[int, set[str]]] = defaultdict(dict)  # what each courier was told
+        late = tuple(day.scenario.platform.late_ms)
+        absent = [int(trouble.whom[12:]) for trouble in day.troubles if trouble.kind == "publish"]
+        entries = {ident: entry for ident, entry in day.list.items() if entry["cell"] not in absent}
+        self.first = dict(entries)
+        self.source = ListSource(self.world, self.processes, entries, late, self.rng)
+
+    def _process(self, number: int) -> NodeProcess:
+        name, host = f"node{number}", f"10.5.0.{number + 1}"
+        process = NodeProcess(
+            self.world, self.net, name, host, self._begin, {}, DESCRIPTORS, self.world.chance(name)
+        )
+        process.pass_ms = self.day.scenario.couriers.pass_ms
+        process.heard, process.gave_up = self._heard, self._gave_up
+        return process
+
+    def _begin(self, environ, signal_reader, system):
+        """The real program, as the command line starts it."""
+        process = system.process
+        leases = LeaseBounds(lease_ms=self.settings.lease_s * 1000.0)
+        settings = NodeSettings(SOURCE, process.host, PORT, FLEET, process.name, leases)
+        run(settings, signal_reader, system)
+
+    def begin(self):
+        """All nodes start."""
+        for process in self.processes:
+            self.world.at(self.rng.uniform(0.0, START_WITHIN), process.start)
+
+    def end(self):
+        """The run is over."""
+        for process in self.processes:
+            process.kill()
+
+    def told(self) -> dict:
+        """What a courier's configuration says of them."""
+        if not self.processes:
+            return {}
+        addresses = [f"{process.host}:{PORT}" for process in self.processes]
+        return {"nodes": addresses, "fleet": FLEET, "list_age": self.settings.list_age_s}
+
+    def _gave_up(self, host: str, destinations: list[int]):
+        self.world.note("gives-up", self.day.hosts[host], tuple(destinations))
+
+    def _heard(self, node: str, host: str, answer: dict):
+        """A courier has read an answer."""
+        courier = self.day.hosts[host]
+        self.serving[courier] = node
+        subscription, known = answer["subscription"], self.known[courier]
+        listed: dict[int, set[str]] = {destination: set() for destination in subscription["complete"]}
+        for entry in answer["servers"]:
+            if entry["state"] == "active":
+                listed.setdefault(entry["cell"], set()).add(entry["id"])
+        for destination in subscription["unknown"]:
+            listed[destination] = set()
+        on = [ident for idents in listed.values() for ident in sorted(idents)]
+        off = [entry["id"] for entry in answer["servers"] if entry["state"] != "active"]
+        for destination, idents in listed.items():
+            off.extend(sorted(known.get(destination, set()) - idents - set(off)))
+        known.update(listed)
+        self.world.note("told", courier, False, tuple(on), tuple(off))
+        self.world.note(
+            "answered", courier, node, tuple(subscription["complete"]), tuple(subscription["unknown"])
+        )
+
+    # Troubles.
+
+    def strike(self, trouble: Trouble):
+        """One trouble of subscriptions begins."""
+        lasts = trouble.for_s * 1000.0
+        self.world.note("trouble", trouble.kind, trouble.whom, lasts)
+        getattr(self, "_" + trouble.kind.replace("-", "_"))(trouble, lasts)
+
+    def _node(self, trouble: Trouble) -> NodeProcess:
+        kind, _, name = trouble.whom.partition(":")
+        return self.processes[int(name)] if kind == "node" else self.rng.choice(self.processes)
+
+    def _node_kill(self, trouble, lasts):
+        node = self._node(trouble)
+        node.kill()
+        self.world.after(max(lasts, 1.0), node.start)
+
+    def _node_term(self, trouble, lasts):
+        """SIGTERM; it is started again after that time, and killed where it has not ended by then."""
+        node = self._node(trouble)
+        node.signal(signal.SIGTERM)
+        self.world.note("leaves-service", node.name)
+        self.world.after(max(lasts, 1000.0), self._again, node)
+
+    def _again(self, node):
+        node.kill()
+        node.start()
+
+    def _node_stand(self, trouble, lasts):
+        self._node(trouble).stand(lasts)
+
+    def _node_vanish(self, trouble, lasts):
+        """Its machine says nothing more: connections stay half-open at the couriers."""
+        node = self._node(trouble)
+        machine = self.net.machine(node.host)
+        self.net.vanish(machine)
+        node.kill()
+        self.world.after(max(lasts, 1.0), self._machine_back, node, machine)
+
+    def _machine_back(self, node, machine):
+        machine.up = True
+        node.start()
+
+    def _node_cut(self, trouble, lasts):
+        """No courier can speak with that node."""
+        node = self._node(trouble)
+        for courier in self.day.couriers:
+            self._cut(courier, node, lasts)
+
+    def _node_partition(self, trouble, lasts):
+        """A courier cannot speak with the node that serves it; size 2: with no node."""
+        for courier in self.day.whom(trouble):
+            serving = self.by_name.get(self.serving.get(courier.name, ""), self.processes[0])
+            for node in self.processes if trouble.size >= 2.0 else [serving]:
+                self._cut(courier, node, lasts)
+
+    def _cut(self, courier, node, lasts):
+        here, there = self.net.machine(courier.host), self.net.machine(node.host)
+        self.net.cut(here, there)
+        self.world.note("cut-off", courier.name, node.name, lasts)
+        self.world.after(lasts, self.net.cut, here, there, False)
+
+    def _source_replaced(self, trouble, lasts):
+        self.source.replace()
+
+    def _courier_herd(self, trouble, lasts):
+        """That share of the couriers is killed at once, and started again with their folders as they are."""
+        many = max(1, round(trouble.size * len(self.day.couriers)))
+        for courier in self.rng.sample(self.day.couriers, many):
+            courier.kill()
+            self.world.after(max(lasts, self.day.scenario.couriers.restart_ms), self.day.start, courier)
+
+    def _publish(self, trouble, lasts):
+        """A destination comes into the list."""
+        for one in self.day.whom(trouble):
+            for endpoint in one.endpoints:
+                self.day.tell(one, endpoint, "active")
+
+    def _withdraw(self, trouble, lasts):
+        """All endpoints of a destination are announced as leaving, and have left later; it is listed again after that
+        time, where one is told."""
+        for one in self.day.whom(trouble):
+            for endpoint in one.endpoints:
+                self.day.tell(one, endpoint, "leaving")
+                self.world.after(LEFT_AFTER, self.day.tell, one, endpoint, "left")
+                if lasts:
+                    self.world.after(LEFT_AFTER + lasts, self.day.tell, one, endpoint, "active")
+
+
+@contextmanager
+def given_up_after(seconds: float) -> Iterator[None]:
+    """Couriers give a destination up that long after its last message, in place of the program's own minutes."""
+    if not seconds:
+        yield
+        return
+    before = subscribed_module.Subscriber
+    subscribed_module.Subscriber = partial(Subscriber, idle=seconds * 1000.0)
+    try:
+        yield
+    finally:
+        subscribed_module.Subscriber = before
--- a/calicopin/emulator/process.py
+++ b/calicopin/emulator/process.py
@@ -365,6 +365,8 @@
 class Process:
     """A courier's machine and the process that runs on it; `begin(environ, signal_reader, system)` is the real program."""
 
+    make_calls = Calls
+
     def __init__(self, world, net, name, host, begin, environ, descriptors, rng, pass_ms=0.0, short_odds=0.0):
         self.world, self.net, self.name, self.host, self.begin, self.environ = (
             world,
@@ -395,7 +397,7 @@
         if not self.over:
             return
         self.over, self.stands_until, self.number = False, 0.0, self.number + 1
-        self.calls = Calls(self, self.descriptors)
+        self.calls = self.make_calls(self, self.descriptors)
         if self.planned:
             self.calls.kill_at = self.planned.popleft()
         self.world.note("start", self.name)
--- a/calicopin/emulator/referee.py
+++ b/calicopin/emulator/referee.py
@@ -19,7 +19,8 @@
 )
 SOUND = "soundness"  # not one of the six: a fault, a crash or a loop that never waits
 SERVICE = "service"  # nor this: an operator's call that is late or wrong, figures that are untrue, a drained courier that holds clients
-RULES = (ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT, SOUND, SERVICE)
+KNOWN = "known list"  # of couriers that subscribe to parts of the list: judged in list_referee.py
+RULES = (ANSWER, EFFECT, DRAIN, PUSH, ORDER, WAIT, SOUND, SERVICE, KNOWN)
 OVERDUE = 350.0  # after its time is up
 READY = 1500.0  # after a courier is ready again no notice is overdue
 GRACE = 60.0  # for a pass of the courier's loop after it could read something
--- a/calicopin/emulator/runs.py
+++ b/calicopin/emulator/runs.py
@@ -10,6 +10,8 @@
 from calicopin.boot.start import serve
 from calicopin.emulator import faults
 from calicopin.emulator.day import Day
+from calicopin.emulator.list_referee import judge
+from calicopin.emulator.nodes import given_up_after
 from calicopin.emulator.referee import Referee
 from calicopin.emulator.scenario import load
 
@@ -57,7 +59,7 @@
 def play(scenario, seed, fault=None, troubles=None, texts=None, kills=()):
     """One run: (the day, its referee, the CPU it took)."""
     began = time.process_time()
-    with faults.put_in(fault):
+    with faults.put_in(fault), given_up_after(scenario.nodes.given_up_s):
         day = Day(scenario, seed, serve, troubles, texts, kills)
         try:
             guarded(day.play)
@@ -65,7 +67,7 @@
             day.world.note(
                 "end", "a courier", "busy", f"{CPU_MOST} s of CPU at one moment, without a system call"
             )
-    return day, Referee(day), time.process_time() - began
+    return day, judge(day, Referee(day)), time.process_time() - began
 
 
 def once(job):
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -62,8 +62,17 @@
     "clock",
     "roll",
 )
-SHARES = ("errors", "lose", "spoil", "limit", "disk-errors", "disk-short")  # whose size is one
-TROUBLES = PARTNER_TROUBLES + COURIER_TROUBLES + WORLD_TROUBLES
+DESTINATION_TROUBLES = ("publish", "withdraw")  # of the list that discovery nodes read
+NODE_TROUBLES = ("node-kill", "node-term", "node-stand", "node-vanish", "node-cut")
+SUBSCRIPTION_TROUBLES = (
+    *DESTINATION_TROUBLES,
+    *NODE_TROUBLES,
+    "node-partition",
+    "source-replaced",
+    "courier-herd",
+)  # only where there are discovery nodes
+SHARES = ("errors", "lose", "spoil", "limit", "disk-errors", "disk-short", "courier-herd")  # whose size is one
+TROUBLES = PARTNER_TROUBLES + COURIER_TROUBLES + WORLD_TROUBLES + SUBSCRIPTION_TROUBLES
 
 
 class Unreadable(Exception):
@@ -182,6 +191,16 @@
     told: Literal["written", "had"] = "written"
 
 
+class Nodes(Strict):
+    """Discovery nodes; with some, couriers subscribe to the destinations that they use. `given_up_s`: how long after its
+    last message a destination is given up (0: as the program has it)."""
+
+    count: Annotated[int, Meta(ge=0, le=16)] = 0
+    lease_s: Annotated[float, Meta(ge=5.0, le=3600.0)] = 30.0
+    list_age_s: Positive = 86400.0
+    given_up_s: Span = 0.0
+
+
 class Trouble(Strict):
     """One fault: when it begins, how long it lasts, whom it meets (`partner:NAME`, `destination:N`, `courier:N` or
     any) and how hard."""
@@ -198,8 +217,8 @@
 
     troubles: Annotated[int, Meta(ge=1, le=100)] = 4
     kinds: tuple[Literal[TROUBLES], ...] = tuple(
-        kind for kind in TROUBLES if kind != "quiesce"
-    )  # it needs an admin address
+        kind for kind in TROUBLES if kind != "quiesce" and kind not in SUBSCRIPTION_TROUBLES
+    )  # these need an admin address, or discovery nodes
 
 
 class Scenario(Strict, kw_only=True):
@@ -214,6 +233,7 @@
     traffic: Traffic = Traffic()
     net: Net = Net()
     platform: Platform = Platform()
+    nodes: Nodes = Nodes()
     trouble: tuple[Trouble, ...] = ()
     mixed: Mixed | None = None
 
@@ -226,6 +246,15 @@
                 number += 1
 
 
+def party(kind):
+    """Whom a kind of trouble meets; None where it is nobody of one kind."""
+    if kind in COURIER_TROUBLES or kind == "node-partition":
+        return "courier"
+    if kind in PARTNER_TROUBLES or kind in DESTINATION_TROUBLES:
+        return "destination"
+    return "node" if kind in NODE_TROUBLES else None
+
+
 def check(scenario, where):
     """What the types cannot say; the first fault is raised."""
 
@@ -261,25 +290,25 @@
         if trouble.kind == "quiesce" and not scenario.couriers.scrape_s:
             fault(f"{place}: kind", "couriers have an admin address only where couriers.scrape_s is told")
         kind, _, name = trouble.whom.partition(":")
-        wants = (
-            "courier"
-            if trouble.kind in COURIER_TROUBLES
-            else "destination"
-            if trouble.kind in PARTNER_TROUBLES
-            else None
-        )
+        if trouble.kind in SUBSCRIPTION_TROUBLES and not scenario.nodes.count:
+            fault(f"{place}: kind", "there are discovery nodes only where nodes.count is told")
+        wants = party(trouble.kind)
+        if trouble.kind == "publish" and kind != "destination":
+            fault(f"{place}: whom", "a destination that comes is named by its number, destination:N")
         if kind == "any" and not name:
             continue
         if kind == "partner" and name in [partner.name for partner in scenario.partner]:
             given = "destination"
-        elif kind in ("destination", "courier") and name.isdecimal():
+        elif kind in ("destination", "courier", "node") and name.isdecimal():
             given = kind
-            if int(name) >= (count if kind == "destination" else scenario.couriers.count):
+            if int(name) >= dict(
+                destination=count, courier=scenario.couriers.count, node=scenario.nodes.count
+            )[kind]:
                 fault(f"{place}: whom", f"there is no {kind} {name}")
         else:
             fault(
                 f"{place}: whom",
-                f"{trouble.whom!r} names no party: any, partner:NAME, destination:N or courier:N",
+                f"{trouble.whom!r} names no party: any, partner:NAME, destination:N, courier:N or node:N",
             )
         if wants and given != wants:
             fault(f"{place}: whom", f"{trouble.kind!r} meets a {wants}, not {trouble.whom!r}")
--- a/calicopin/emulator/story.py
+++ b/calicopin/emulator/story.py
@@ -28,9 +28,14 @@
     "lost-machine": "{0}'s machine is lost with its folder",
     "operator": "{0} is called: {1}, asked at {2:.1f}, answers {3}",
     "emptied": "{0} is to be empty: clients hold {1} connections",
+    "source": "{1} has in its source: {2} of destination {3} is {4}",
+    "answered": "{1} tells {0}: all of destinations {2}, unknown {3}",
+    "gives-up": "{0} gives destinations {1} up",
+    "cut-off": "{0} and {1} cannot speak for {2:.0f} ms",
+    "leaves-service": "{0} gets SIGTERM",
     "agents-gone": "the platform's agents are gone for {0:.0f} ms",
 }
-QUIET = ("refused", "asked", "told", "had", "heard", "ran")  # left out of the story of a whole run
+QUIET = ("refused", "asked", "told", "had", "heard", "ran", "answered")  # left out of the story of a whole run
 
 
 def words(entry):
