--- a/calicopin/emulator/day.py
+++ b/calicopin/emulator/day.py
@@ -144,6 +144,8 @@
             at = rng.uniform(0.05, 0.8) * scenario.length_s
             size = {
                 "errors": 0.4,
+                "answers-lost": 0.3,
+                "courier-herd": 0.5,
                 "lose": 0.3,
                 "spoil": 0.3,
                 "slow": rng.choice([5.0, 20.0]),
--- a/calicopin/emulator/nodes.py
+++ b/calicopin/emulator/nodes.py
@@ -108,7 +108,7 @@
     has read the whole of it."""
 
     def __init__(self, node: "NodeProcess", end: End):
-        self.node, self.send, self.host = node, end.send, end.peer.machine.address
+        self.node, self.end, self.send, self.host = node, end, end.send, end.peer.machine.address
         self.parsed = Parsed(httptools.HttpResponseParser, self._whole)
         self.answers: list[dict] = []
         end.send = self._sent
@@ -126,6 +126,9 @@
     def _sent(self, data, heard=None):
         self.parsed.feed(data)
         answers, self.answers = self.answers, []
+        if answers and self.node.loses():
+            self.end.abort()
+            return
         if answers:
             heard = partial(self._heard, answers)
         self.send(data, heard)
@@ -144,6 +147,11 @@
 
     make_calls = NodeCalls
     file_number = 1
+    lose_odds = 0.0
+
+    def loses(self) -> bool:
+        """Whether the answer that is due now is lost with its connection."""
+        return self.lose_odds > 0.0 and self.rng.random() < self.lose_odds
 
     def write_source(self, data: bytes):
         """Another file is renamed into the source's place."""
@@ -158,7 +166,9 @@
 class ListSource:
     """The list as the platform has it, written to each node's source. `entries` by endpoint."""
 
-    def __init__(self, world, processes: list[NodeProcess], entries: dict[str, dict], late, rng: random.Random):
+    def __init__(
+        self, world, processes: list[NodeProcess], entries: dict[str, dict], late, rng: random.Random
+    ):
         self.world, self.processes, self.entries = world, processes, entries
         self.late, self.rng, self.serial = late, rng, 0
         self.arrival = [0.0] * len(processes)  # of the last change at each node: they come in their order
@@ -337,6 +347,12 @@
         self.world.note("cut-off", courier.name, node.name, lasts)
         self.world.after(lasts, self.net.cut, here, there, False)
 
+    def _answers_lost(self, trouble, lasts):
+        """Each answer of any node is lost with these odds, and its connection with it."""
+        for node in self.processes:
+            node.lose_odds = trouble.size
+            self.world.after(lasts, setattr, node, "lose_odds", 0.0)
+
     def _source_replaced(self, trouble, lasts):
         self.source.replace()
 
@@ -354,14 +370,16 @@
                 self.day.tell(one, endpoint, "active")
 
     def _withdraw(self, trouble, lasts):
-        """All endpoints of a destination are announced as leaving, and have left later; it is listed again after that
-        time, where one is told."""
+        """All endpoints of a destination are announced as leaving, and have left later; size 0: they have left at once. It
+        is listed again after that time, where one is told."""
+        gap = LEFT_AFTER if trouble.size else 0.0
         for one in self.day.whom(trouble):
             for endpoint in one.endpoints:
-                self.day.tell(one, endpoint, "leaving")
-                self.world.after(LEFT_AFTER, self.day.tell, one, endpoint, "left")
+                if gap:
+                    self.day.tell(one, endpoint, "leaving")
+                self.world.after(gap, self.day.tell, one, endpoint, "left")
                 if lasts:
-                    self.world.after(LEFT_AFTER + lasts, self.day.tell, one, endpoint, "active")
+                    self.world.after(gap + lasts, self.day.tell, one, endpoint, "active")
 
 
 @contextmanager
--- a/calicopin/emulator/runs.py
+++ b/calicopin/emulator/runs.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from calicopin.boot.start import serve
-from calicopin.emulator import faults
+from calicopin.emulator import faults, list_faults  # noqa: F401  the latter adds its faults to the others
 from calicopin.emulator.day import Day
 from calicopin.emulator.list_referee import judge
 from calicopin.emulator.nodes import given_up_after
--- a/calicopin/emulator/story.py
+++ b/calicopin/emulator/story.py
@@ -35,7 +35,15 @@
     "leaves-service": "{0} gets SIGTERM",
     "agents-gone": "the platform's agents are gone for {0:.0f} ms",
 }
-QUIET = ("refused", "asked", "told", "had", "heard", "ran", "answered")  # left out of the story of a whole run
+QUIET = (
+    "refused",
+    "asked",
+    "told",
+    "had",
+    "heard",
+    "ran",
+    "answered",
+)  # left out of the story of a whole run
 
 
 def words(entry):
--- /dev/null
+++ b/tests/test_emulator_subscriptions.py
@@ -0,0 +1,191 @@
+"""Couriers that subscribe to parts of the list at real discovery nodes, in virtual time: the six rules and what such
+couriers owe beside them; same seed, same run."""
+
+import os
+import subprocess
+import sys
+from functools import cache
+from itertools import pairwise
+
+import pytest
+from loguru import logger
+
+from calicopin.emulator import runs
+from calicopin.emulator.faults import SHOWN_BY
+from calicopin.emulator.list_referee import INFINITE, Party, Reach, Span, Told
+from calicopin.emulator.nodes import SOURCE, encode
+from calicopin.emulator.scenario import Unreadable, load, names, parse
+
+SCENARIOS = [name for name in names() if name.startswith("subscriptions")]
+FAULTS = [name for name, (scenario, _, _) in SHOWN_BY.items() if scenario in SCENARIOS]
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    """Couriers' lines go to the run that made them, not to the test's output as well."""
+    logger.remove()
+    yield
+    logger.add(sys.stderr)
+
+
+@cache
+def played(name, seed):
+    """The day and its referee; played once for all tests."""
+    return runs.play(load(name), seed)[:2]
+
+
+def play(name, seed):
+    """The same, with all rules kept."""
+    day, referee = played(name, seed)
+    assert not referee.breaks, list(map(str, referee.breaks[:5]))
+    return day, referee
+
+
+def noted(day, *kinds):
+    """The entries of these kinds in the trace."""
+    return [entry for entry in day.world.trace if entry[1] in kinds]
+
+
+def test_fresh_and_given_up_and_unknown_destinations_on_a_calm_day():
+    day, referee = play("subscriptions", 1)
+    answered, statuses = noted(day, "answered"), [status for _, status in referee.answers.values()]
+    assert noted(day, "gives-up"), "destinations are given up"
+    assert any(unknown for *_, unknown in answered) and 404 in statuses, "and asked for that do not exist"
+    told = {}
+    for _, _, courier, _, complete, _ in answered:
+        for destination in complete:
+            told[courier, destination] = told.get((courier, destination), 0) + 1
+    given_up = {
+        (courier, destination) for *_, courier, some in noted(day, "gives-up") for destination in some
+    }
+    assert any(told.get(one, 0) > 1 for one in given_up), "and subscribed to anew"
+    assert sum(status == 202 for status in statuses) > 400
+
+
+def test_couriers_serve_on_by_what_they_know_while_no_node_is_there():
+    day, referee = play("subscriptions-nodes-killed", 1)
+    down = max(at for at, _, name, *_ in noted(day, "end") if name.startswith("node") and at < 20000.0)
+    back = min(at for at, _, name in noted(day, "start") if name.startswith("node") and at > down)
+    meanwhile = [call for call in referee.calls.values() if down < call.begun < back]
+    restarted = [at for at, _, name in noted(day, "start") if name.startswith("courier") and down < at < back]
+    assert not [entry for entry in noted(day, "answered") if down + 100.0 < entry[0] < back]
+    assert restarted and any(call.begun > restarted[-1] for call in meanwhile), "by the list in the folder"
+    assert len(meanwhile) > 30
+
+
+def test_a_courier_cut_off_from_its_node_goes_to_another_within_the_time_for_leaves():
+    day, referee = play("subscriptions-partition", 1)
+    (at, _, courier, node, _), *_ = noted(day, "cut-off")
+    served = [entry for entry in noted(day, "answered") if entry[2] == courier and entry[0] > at + 100.0]
+    assert served[0][3] != node and served[0][0] < at + 6000.0
+    assert len({entry[3] for entry in noted(day, "answered")}) == 3
+
+
+def test_a_herd_of_restarts_calls_nobody_before_its_first_answers():
+    day, referee = play("subscriptions-herd", 1)
+    starts = [at for at, _, name in noted(day, "start") if name.startswith("courier")]
+    together = max(sum(other == at for other in starts) for at in starts)
+    assert together >= 4, "half of the couriers at one moment"
+
+
+def test_a_list_that_is_too_old_is_not_called_by():
+    day, referee = play("subscriptions-old-list", 1)
+    back = min(at for at, _, name in noted(day, "start") if name.startswith("node") and at > 10000.0)
+    late = [(at, name) for at, _, name in noted(day, "start") if 12500.0 < at < back]
+    assert late
+    for at, name in late:
+        assert not [c for c in referee.calls.values() if c.courier == name and at < c.begun < back]
+        assert [c for c in referee.calls.values() if c.courier == name and c.begun > back]
+
+
+@pytest.mark.parametrize("name", SCENARIOS)
+def test_another_seed_keeps_all_rules(name):
+    play(name, 2)
+
+
+@pytest.mark.parametrize("seed", range(4, 9))
+def test_a_day_that_the_seed_draws_keeps_all_rules(seed):
+    play("subscriptions-mixed", seed)
+
+
+def test_the_faults_of_subscriptions_stand_with_the_others():
+    """Each is seen by its scenario in tests/test_emulator.py, which plays all faults."""
+    assert {SHOWN_BY[name][0] for name in FAULTS} == set(SCENARIOS) - {
+        "subscriptions-mixed",
+        "subscriptions-nodes-killed",
+    }
+    assert len(FAULTS) == 9
+
+
+def test_one_seed_is_one_run_in_any_process():
+    seeds = [4, 5]
+    script = (
+        "import sys; from loguru import logger; logger.remove(); from calicopin.emulator import runs;"
+        "from calicopin.emulator.scenario import load;"
+        "print(*[runs.play(load('subscriptions-mixed'), int(seed))[0].world.digest() for seed in sys.argv[1:]])"
+    )
+    here = [play("subscriptions-mixed", seed)[0].world.digest() for seed in seeds]
+    there = subprocess.run(
+        [sys.executable, "-c", script, *map(str, reversed(seeds))],
+        capture_output=True,
+        text=True,
+        env=os.environ | {"PYTHONHASHSEED": "77"},
+        check=True,
+    ).stdout.split()
+    assert here == there[::-1] and len(set(here)) == len(seeds)
+
+
+LEAST = b'version = 1\nname = "a"\nabout = ""\nproduct = [{name = "x", repeat = "resendable"}]\npartner = [{name = "p"}]\n'
+NODES = LEAST + b"[nodes]\ncount = 2\n"
+
+
+@pytest.mark.parametrize(
+    "data,told",
+    [
+        (LEAST + b"[[trouble]]\nkind = 'node-kill'\nat_s = 9.0\n", "only where nodes.count"),
+        (LEAST + b"[nodes]\ncount = 99\n", "$.nodes.count"),
+        (NODES + b"[[trouble]]\nkind = 'node-kill'\nat_s = 9.0\nwhom = 'node:2'\n", "there is no node 2"),
+        (NODES + b"[[trouble]]\nkind = 'node-kill'\nat_s = 9.0\nwhom = 'courier:0'\n", "meets a node"),
+        (NODES + b"[[trouble]]\nkind = 'withdraw'\nat_s = 9.0\nwhom = 'node:0'\n", "meets a destination"),
+        (NODES + b"[[trouble]]\nkind = 'publish'\nat_s = 9.0\n", "named by its number"),
+        (NODES + b"[[trouble]]\nkind = 'courier-herd'\nat_s = 9.0\nsize = 2.0\n", "is a share"),
+    ],
+)
+def test_a_scenario_that_cannot_be_used_is_told_by_file_and_place(data, told):
+    with pytest.raises(Unreadable) as fault:
+        parse(data, "f.toml")
+    assert told in str(fault.value) and "\n" not in str(fault.value)
+
+
+def test_a_leave_is_owed_after_six_seconds_of_one_node():
+    assert Reach([[]]).told_by(100.0) == 6100.0
+    assert Reach([[Span(0.0, 500.0)]]).told_by(100.0) == 6500.0
+    assert Reach([[Span(3000.0, 4000.0)]]).told_by(100.0) == 10000.0
+    assert Reach([[Span(3000.0, 4000.0)], [Span(0.0, 2000.0)]]).told_by(100.0) == 8000.0
+    assert Reach([[Span(50.0, INFINITE)]]).told_by(100.0) == INFINITE
+
+
+def test_a_party_is_silent_before_its_start_between_its_processes_and_while_it_stands():
+    party = Party([10.0, 50.0], [40.0, 90.0], [Span(20.0, 25.0)])
+    assert party.silent() == [Span(0.0, 10.0), Span(40.0, 50.0), Span(90.0, INFINITE), Span(20.0, 25.0)]
+    assert party.life(45.0) == 10.0 and party.life(50.0) == 50.0
+
+
+def test_what_was_given_up_counts_as_not_told():
+    told = Told()
+    assert not told.since_given_up(7, 10.0)
+    told.destinations[7] += [5.0, 30.0]
+    told.given_up[7].append(20.0)
+    assert told.since_given_up(7, 10.0)
+    assert not told.since_given_up(7, 25.0)
+    assert told.since_given_up(7, 31.0)
+
+
+def test_sources_hold_the_changes_in_their_order_and_a_replaced_one_is_short():
+    day, _ = play("subscriptions", 1)
+    for node in day.nodes.processes:
+        serials = [entry[2] for entry in noted(day, "source") if entry[3] == node.name]
+        assert all(one < other for one, other in pairwise(serials))
+        lines = bytes(node.disk.files[SOURCE]).splitlines()
+        assert lines[0] + b"\n" == encode({"form": 1, "fleet": "emulated"})
+        assert len(lines) < 1 + len(day.nodes.first) + len(serials), "written anew since"
