--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -129,6 +129,7 @@
         self.changes: dict[int, Change] = {}
         self.listings: dict[str, list[Listing]] = defaultdict(list)
         self.changed_at = 0.0
+        self.compared = 0  # destinations held by couriers' files at the end
         self.losing: list[Span] = []  # when answers were lost with their connections
         for ident, entry in day.nodes.first.items():
             self.listings[ident].append(Listing(entry["cell"], 0.0))
@@ -306,6 +307,7 @@
         listed = defaultdict(set)
         for entry in self.day.nodes.source.entries.values():
             listed[entry["cell"]].add((entry["id"], entry["addr"], entry["zone"], entry["state"] == "active"))
+        self.compared += len(held)
         for destination, places in held.items():
             own = {(place.ident, place.address, place.zone, place.ready) for place in places}
             if own != listed[destination]:
--- a/tests/test_emulator_subscriptions.py
+++ b/tests/test_emulator_subscriptions.py
@@ -12,8 +12,9 @@
 
 from calicopin.emulator import runs
 from calicopin.emulator.faults import SHOWN_BY
-from calicopin.emulator.list_referee import INFINITE, Party, Reach, Span, Told
+from calicopin.emulator.list_referee import INFINITE, ListReferee, Party, Reach, Span, Told
 from calicopin.emulator.nodes import SOURCE, encode
+from calicopin.emulator.referee import Referee
 from calicopin.emulator.scenario import Unreadable, load, names, parse
 
 SCENARIOS = [name for name in names() if name.startswith("subscriptions")]
@@ -99,8 +100,11 @@
 
 
 @pytest.mark.parametrize("name", SCENARIOS)
-def test_another_seed_keeps_all_rules(name):
-    play(name, 2)
+def test_another_seed_keeps_all_rules_and_each_list_is_compared_at_the_end(name):
+    day, _ = play(name, 2)
+    judged = ListReferee(day, Referee(day))
+    assert not judged.referee.breaks
+    assert judged.compared > 3 * len(day.couriers)
 
 
 @pytest.mark.parametrize("seed", range(4, 9))
