Emulator: each leave of a held destination is judged, whether a call would follow or not

A leave that nobody was told of was seen only where a call went out after it. Now every announced leave of a destination that a courier holds has to be in an answer within 6 s of reach.

--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -69,6 +69,15 @@
             down.append(Span(end, self.starts[later] if later < len(self.starts) else INFINITE))
         return down + self.stands
 
+    def ran_through(self, begin: float, end: float) -> bool:
+        """Whether one process ran all that time."""
+        started = bisect_right(self.starts, begin)
+        return started > 0 and self.life(end) == self.starts[started - 1] and not self.ended(begin, end)
+
+    def ended(self, begin: float, end: float) -> bool:
+        """Whether a process ended in that time."""
+        return any(begin <= at <= end for at in self.ends)
+
     def life(self, at: float) -> float:
         """When the process that ran at that time began."""
         return self.starts[bisect_right(self.starts, at) - 1]
@@ -105,6 +114,7 @@
         self.answers: list[float] = []
         self.endpoints: dict[str, float] = {}  # when it was told of first
         self.destinations: dict[int, list[float]] = defaultdict(list)  # answers that held it, in order
+        self.named: dict[int, list[float]] = defaultdict(list)  # the same, and those that told it as unknown
         self.given_up: dict[int, list[float]] = defaultdict(list)
 
     def since_given_up(self, destination: int, at: float) -> bool:
@@ -117,6 +127,16 @@
             return False
         return not last_up or told[last_told - 1] > given_up[last_up - 1]
 
+    def held(self, destination: int, life: float, begin: float, end: float) -> bool:
+        """Whether it was subscribed to all that time, and told of to the process that began at `life`."""
+        given_up = any(begin < at <= end for at in self.given_up.get(destination, ()))
+        told = self.since_given_up(destination, begin) and self.was_named(destination, life, begin)
+        return told and not given_up
+
+    def was_named(self, destination: int, begin: float, end: float) -> bool:
+        """Whether an answer of that time told of it."""
+        return any(begin <= at <= end for at in self.named.get(destination, ()))
+
 
 class ListReferee:
     """Adds its breaks to those of the referee of the six rules."""
@@ -129,6 +149,7 @@
         self.changes: dict[int, Change] = {}
         self.listings: dict[str, list[Listing]] = defaultdict(list)
         self.changed_at = 0.0
+        self.leaves = 0  # announced to couriers that held the destination, and judged
         self.compared = 0  # destinations held by couriers' files at the end
         self.losing: list[Span] = []  # when answers were lost with their connections
         for ident, entry in day.nodes.first.items():
@@ -182,6 +203,8 @@
         told.answers.append(at)
         for destination in complete:
             told.destinations[destination].append(at)
+        for destination in complete + unknown:
+            told.named[destination].append(at)
 
     def _gives_up(self, at, courier, destinations):
         for destination in destinations:
@@ -210,6 +233,7 @@
         for ident, (at, status) in self.referee.answers.items():
             self._judge_answer(ident, at, status)
         for courier in self.day.couriers:
+            self._judge_leaves(courier.name)
             if not self.parties[courier.name].ends or self.parties[courier.name].ends[-1] >= self._end_at():
                 self._quiet_end(courier)
 
@@ -243,6 +267,27 @@
                         f"leave, which was to be told by {due:.1f}",
                     )
 
+    def _judge_leaves(self, courier: str):
+        """Each leave of a destination that the courier holds is told in time, whether a call would follow or not."""
+        told, party = self.told[courier], self.parties[courier]
+        for endpoint, listings in self.listings.items():
+            for listing in listings:
+                if listing.leave == INFINITE:
+                    continue
+                due = party_later(party, self.reach[courier].told_by(listing.leave)) + GRACE
+                begin = listing.first_leave
+                if due > min(listing.end, self._end_at()) or not party.ran_through(begin, due):
+                    continue
+                if told.held(listing.destination, party.life(begin), begin, due):
+                    self.leaves += 1
+                    if not told.was_named(listing.destination, begin, due):
+                        self.referee.add(
+                            KNOWN,
+                            due,
+                            courier,
+                            f"the leave of {endpoint}, which every node had at {listing.leave:.1f}, was not told",
+                        )
+
     def _before_first_answer(self, call, began: float, heard: float):
         """A call by what the folder held."""
         lost = any(span.begin < call.begun and span.end > began for span in self.losing)
--- a/tests/test_emulator_subscriptions.py
+++ b/tests/test_emulator_subscriptions.py
@@ -105,6 +105,7 @@
     judged = ListReferee(day, Referee(day))
     assert not judged.referee.breaks
     assert judged.compared > 3 * len(day.couriers)
+    assert judged.leaves > 0
 
 
 @pytest.mark.parametrize("seed", range(4, 9))
