Emulator: changes that cross on their way to the nodes are judged as each node has them

New: no call to an endpoint whose leave was announced before the courier's start, while one node could be reached all the time.

--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -44,12 +44,10 @@
 
 @dataclass(slots=True)
 class Change:
-    """A change of the source on its way to the nodes."""
+    """A change of the source on its way to the nodes, and what it is a change of."""
 
-    endpoint: str
-    destination: int
-    state: str
-    nodes: int = 0
+    listing: Listing | None
+    nodes: int = 0  # that have it
 
 
 @dataclass(slots=True)
@@ -102,6 +100,10 @@
             at = max(at, span.end)
         return at + TOLD_WITHIN
 
+    def any(self, begin: float, end: float) -> bool:
+        """Whether one and the same node could be reached all that time."""
+        return any(not any(span.begin < end and span.end > begin for span in spans) for spans in self.silent)
+
     def whole(self, begin: float, end: float) -> bool:
         """Whether every node could be reached all that time."""
         return not any(span.begin < end and span.end > begin for spans in self.silent for span in spans)
@@ -211,19 +213,27 @@
             self.told[courier].given_up[destination].append(at)
 
     def _source(self, at, serial, node, endpoint, destination, state, nodes):
-        change = self.changes.setdefault(serial, Change(endpoint, destination, state))
+        """A change is in a node's source; the first sights of changes are in their order, as each node has them."""
+        change = self.changes.get(serial) or self._first_sight(at, serial, endpoint, destination, state)
         change.nodes += 1
         self.changed_at = at
+        if change.nodes == nodes and change.listing is not None:
+            if state == "active":
+                change.listing.begin = at
+            else:
+                change.listing.leave = min(at, change.listing.leave)
+
+    def _first_sight(self, at, serial, endpoint, destination, state) -> Change:
+        """A change is in the first source: from now on couriers may hear of it."""
         listings = self.listings[endpoint]
         if state == "active":
-            if change.nodes == 1 and listings:  # from the first node on couriers may hear of it
+            if listings:
                 listings[-1].end = at
-            if change.nodes == nodes:
-                listings.append(Listing(destination, at))
+            listings.append(Listing(destination, INFINITE))
         elif listings:
             listings[-1].first_leave = min(at, listings[-1].first_leave)
-            if change.nodes == nodes:
-                listings[-1].leave = min(at, listings[-1].leave)
+        change = self.changes[serial] = Change(listings[-1] if listings else None)
+        return change
 
     # Judging.
 
@@ -298,6 +308,16 @@
                 call.courier,
                 "a call before its first answer, though every node could be reached and none was lost",
             )
+        for listing in self.listings[call.endpoint]:
+            announced = listing.leave < began and call.begun < listing.end
+            if announced and not lost and self.reach[call.courier].any(began, call.begun):
+                self.referee.add(
+                    DRAIN,
+                    call.begun,
+                    call.courier,
+                    f"a call to {call.endpoint}, whose leave was announced before its start, and not asked about: a "
+                    "node could be reached",
+                )
         if began - heard > self.settings.list_age_s * 1000.0:
             self.referee.add(
                 KNOWN,
