--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -154,7 +154,9 @@
         self.destinations_changed += len(destinations)
         for touched in self._lookups:
             touched |= destinations
-        for name in self.table.change(destinations):
+        for name in sorted(
+            self.table.change(destinations)
+        ):  # not in the order of a set: the same in any process
             self.changes_told += 1
             self._wake(name)
 
