--- a/calicopin/emulator/nodes.py
+++ b/calicopin/emulator/nodes.py
@@ -246,7 +246,7 @@
         """The real program, as the command line starts it."""
         process = system.process
         leases = LeaseBounds(lease_ms=self.settings.lease_s * 1000.0)
-        settings = NodeSettings(SOURCE, process.host, PORT, FLEET, process.name, leases)
+        settings = NodeSettings(SOURCE, process.host, PORT, FLEET, process.name, leases=leases)
         run(settings, signal_reader, system)
 
     def begin(self):
