--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -112,8 +112,7 @@
 
 def changes_in_force(size: Size) -> Figure:
     """Time to force where each change is news for each courier: what came while one was taken in waits for
-    it.
-    """
+    it."""
     return Figure(
         "a change in force at the last courier",
         "source + pause + 2 × one change",
@@ -210,9 +209,8 @@
 
 
 def subscribed_in_force(size: Size) -> Figure:
-    """Time to force with subscriptions: the source's delay, a courier's pause, the node's and the
-    courier's work.
-    """
+    """Time to force with subscriptions: the source's delay, a courier's pause, the node's and the courier's
+    work."""
     work = size.shape.senders_a_destination * slopes.RENEWAL_NODE_TIME.value
     return Figure(
         "a change in force at the last courier",
@@ -239,8 +237,7 @@
 
 def walked_down(size: Size) -> Figure:
     """Share of a core that waiting messages take while they wait, however they lie over destinations that
-    are down.
-    """
+    are down."""
     return Figure(
         "processor time of messages that wait at destinations that are down",
         "waiting events a courier × waiting message a second",
@@ -252,8 +249,7 @@
 
 def walked_deliveries(size: Size) -> Figure:
     """Share of a core of deliveries at the pace of the intake, the backlog spread over all that a courier
-    uses.
-    """
+    uses."""
     each = size.waiting_a_courier / size.destinations_a_courier
     return Figure(
         "processor time of deliveries from a backlog, at the pace of the intake",
--- a/calicopin/command/discovery_node.py
+++ b/calicopin/command/discovery_node.py
@@ -111,10 +111,7 @@
     try:
         from calicopin.discovery_node.node import NodeSettings, serve
     except ImportError as fault:
-        stop(
-            f"a discovery node wants a library that is not here ({fault.name}): pip install "
-            "'calicopin[command]'"
-        )
+        stop(f"a discovery node wants a library that is not here ({fault.name}): pip install calicopin")
     if check:
         report(source, fleet)
     if listen is None or node is None:
--- a/calicopin/configuration/compare.py
+++ b/calicopin/configuration/compare.py
@@ -7,6 +7,7 @@
 AT_ONCE = (
     "courier.agent",
     "courier.notices",
+    "courier.nodes",
     "courier.descriptors",
     "courier.disk",
     "partner",
--- a/calicopin/departures.py
+++ b/calicopin/departures.py
@@ -1,5 +1,5 @@
-"""Which endpoints have left the list, and when: a change of the list costs by what it names, not by what
-is known.
+"""Which endpoints have left the list, and when: a change of the list costs by what it names, not by what is
+known.
 
 It decides nothing and has no I/O. Times are float milliseconds.
 """
@@ -12,7 +12,8 @@
     still were.
 
     `seen` of an endpoint that is listed is not kept up with each piece of news: `listed_at`, the time of the
-    last one, stands for all of them.
+    last one,
+    stands for all of them.
     """
 
     def __init__(self):
--- a/calicopin/discovery_node/catalogue.py
+++ b/calicopin/discovery_node/catalogue.py
@@ -1,8 +1,10 @@
 """The whole list in memory, compactly: each entry as the JSON bytes that answers send. No I/O and no clock.
 
 A load appends entries to one block of bytes; two open-addressing tables of row numbers find them by endpoint
-and by destination. What changes after the load lies over it in plain maps, and the load's part stays as it
-is. A change costs by its own destination, whatever else is known.
+and by
+destination. What changes after the load lies over it in plain maps, and the load's part stays as it is. A
+change costs
+by its own destination, whatever else is known.
 """
 
 from array import array
@@ -100,8 +102,7 @@
 
     def load(self, lines: Iterable[Line]) -> Iterator[None]:
         """Takes the lines of a first read, pausing now and then; a later line of an endpoint replaces the
-        earlier.
-        """
+        earlier."""
         for line in lines:
             for table in (self._by_ident, self._by_destination):
                 if not table.free:
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -137,6 +137,7 @@
         last = {"restarted": now} if restarted else {}
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
+        self.awaited = 0  # messages that wait for the first answer on their destination
         self.texts, self.places, self.events = {}, {}, []
         self.places_of = {}  # the numbers of the endpoints that are listed, by destination
         self.unlisted = {}  # the numbers of endpoints that may be known to nobody any more
@@ -154,10 +155,12 @@
 
     def full(self):
         """Whether as many texts are held as the settings allow."""
-        return len(self.texts) >= self.room
+        return len(self.texts) + self.awaited >= self.room
 
     def advice(self, text):
         """The milliseconds after which a text that is turned away may come again (0: none told)."""
+        if text.dest not in self.dests.index:  # nothing is known of it, and nothing is to be kept for it
+            return self.module.desk.advice
         return self.module.advice(self.dests(text.dest))
 
     def hand_in(self, text, restored=False):
@@ -194,10 +197,9 @@
         return dest in self.dests.index
 
     def listed(self, places, whole):
-        """News of the list; what has left is forgotten once the decisions have no more use for it.
-
-        Returns the number of each endpoint that is named, with its place as it was before, or None.
-        """
+        """News of the list; what has left is forgotten once the decisions have no more use for it. Returns
+        the
+        number of each endpoint that is named, with its place as it was before, or None."""
         entries, before, former = [], self.places, {}
         if whole:
             self.places, self.places_of = {}, {}
@@ -238,9 +240,8 @@
         return place
 
     def _forget(self, before):
-        """Endpoints that are not listed, were not in the list before this one, and that the decisions do
-        not know.
-        """
+        """Endpoints that are not listed, were not in the list before this one, and that the decisions do not
+        know."""
         for number in list(self.unlisted):
             if number not in self.places and number in before:
                 continue  # the next news tells
@@ -250,14 +251,27 @@
                 self.endpoints.forget(self.endpoints.ident[number])
 
     def release(self, dest):
-        """The destination is used no more: what is known of it goes once the decisions have no more use
-        for it.
-        """
-        for number in list(self.places_of.get(dest, ())):
-            self._unplace(number)
-            self.unlisted[number] = None
+        """The destination is used no more: what is known of it goes once the decisions have no more use for
+        it.
+        Returns its endpoints as they were listed."""
+        numbers = list(self.places_of.get(dest, ()))
+        self.unlisted |= dict.fromkeys(numbers)
         if dest in self.dests.index:
             self.events.append(Released(self.dests(dest)))
+        return [self._unplace(number) for number in numbers]
+
+    def in_use(self, dest):
+        """Whether a message for the destination is held: in its queue, out, or handed in since the last
+        tick."""
+        number = self.dests.index.get(dest)
+        known = self.module.dests.get(number)
+        return (known is not None and bool(known.queue or known.held)) or any(
+            isinstance(event, Taken) and event.dest == number for event in self.events
+        )
+
+    def destinations(self):
+        """All destinations of which something is known."""
+        return list(self.dests.index)
 
     def report(self, call, answer, elapsed):
         """How a call ended. What had its outcome before is passed over."""
--- a/calicopin/scale/faults.py
+++ b/calicopin/scale/faults.py
@@ -1,8 +1,10 @@
 """Faults of discovery nodes and couriers under a list that goes on changing, and the verdict on each.
 
 Real nodes as processes, hollow couriers in one process, changes on a schedule of their own. A change has to
-be in force at each courier within a bound of the time at which a node is within that courier's reach, and at
-the end each courier has to know exactly what the source has.
+be in
+force at each courier within a bound of the time at which a node is within that courier's reach, and at the
+end each
+courier has to know exactly what the source has.
 """
 
 import os
@@ -43,10 +45,8 @@
 
 @dataclass(frozen=True, slots=True)
 class FaultPlan:
-    """One run.
-
-    `lead` seconds of changes come before the fault, `during` while it lasts, `after` behind it.
-    """
+    """One run. `lead` seconds of changes come before the fault, `during` while it lasts, `after` behind
+    it."""
 
     fault: Fault
     nodes: int = 4
@@ -86,10 +86,8 @@
 
 
 class FaultRun:
-    """One run, step by step.
-
-    `fleet_class` and `programs` are others in tests that show a fault to be found.
-    """
+    """One run, step by step. `fleet_class` and `programs` are others in tests that show a fault to be
+    found."""
 
     def __init__(
         self,
@@ -247,8 +245,7 @@
 
     def _wait_moved(self, numbers: frozenset[int], address: str) -> float:
         """When the last of these couriers was answered by another node; to within the time between two
-        looks.
-        """
+        looks."""
         if not numbers:
             return now()
         return self._wait_for(
--- a/calicopin/scale/options.py
+++ b/calicopin/scale/options.py
@@ -1,6 +1,5 @@
 """What the commands of `python -m calicopin.scale` share: options, a progress line, bounds, and how a run
-ends.
-"""
+ends."""
 
 import signal
 import sys
@@ -21,7 +20,7 @@
     """Refuses a run that would pass its bounds."""
     try:
         guard.check(estimate, guard.bounds(memory_mib, processes))
-    except guard.Refused as fault:
+    except guard.RunRefusedError as fault:
         stop(str(fault))
 
 
@@ -40,7 +39,7 @@
         self.status.stop()
 
     def __call__(self, line: str) -> None:
-        """Shows a line in place of the one before; on a pipe, as a line of its own."""
+        """Says what is done now."""
         if self.console.is_terminal:
             self.status.update(line)
         else:
@@ -66,8 +65,7 @@
     run: results.Run, began: float, path: str | None, most_late: float = 0.0, late_bound: float = float("inf")
 ) -> None:
     """The record, a verdict line, and the exit code: 3 where the generator was late, 1 where a fault was
-    found.
-    """
+    found."""
     late = most_late > late_bound
     if late:
         run.void = (
--- a/calicopin/scale/slopes.py
+++ b/calicopin/scale/slopes.py
@@ -1,6 +1,5 @@
 """The slopes of the program as it stands: each size in a process of its own, several repeats, a fitted
-line.
-"""
+line."""
 
 import multiprocessing
 from collections.abc import Callable
@@ -151,8 +150,7 @@
     progress: Callable[[str], None],
 ) -> list[results.Slope]:
     """Every measurement at every size, sizes in turn so that a change of the machine's load meets all
-    alike.
-    """
+    alike."""
     slopes = []
     for one in chosen:
         told: dict[str, list[Sample]] = {shown.key: [] for shown in one.shown}
--- a/tests/test_list_cost.py
+++ b/tests/test_list_cost.py
@@ -50,8 +50,7 @@
 
 class WalkingCourier(Courier):
     """The rule on what is known of endpoints, as plain as it can be: all of them are looked at, at each
-    change.
-    """
+    change."""
 
     def on_listed(self, event):
         self.misses, seen, changed = 0, {entry.endpoint for entry in event.entries}, {}
@@ -84,8 +83,7 @@
 
 class Play:
     """A long generated day of one courier: texts, outcomes of every kind, changes of the list and whole
-    lists.
-    """
+    lists."""
 
     def __init__(self, seed, make):
         self.chance, self.trace, self.out, self.texts = random.Random(seed), [], [], 0
@@ -300,7 +298,11 @@
         left=len(module.departures.left),
         live=len(module.live),
         due=len(module.scheduler.due),
-        names=[len(table) for of in (house.dests, house.endpoints) for table in (of.index, of.ident)],
+        names=[
+            len(table)
+            for indices in (house.dests, house.endpoints)
+            for table in (indices.index, indices.ident)
+        ],
         places=len(house.places),
         places_of=len(house.places_of),
         unlisted=len(house.unlisted),
