--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -54,6 +54,9 @@
     )
     meeting: str = ""  # a folder that this process and the one that follows it both see
     durable: bool = False  # a 202 outlasts the machine's loss of power too
+    nodes: tuple = ()  # discovery nodes: where there are some, destinations are subscribed to
+    fleet: str = ""  # as the nodes name what they serve
+    max_age: float = 0.0  # milliseconds: of the list in the folder, at a start
 
 
 def address(word):
@@ -66,8 +69,9 @@
 
 
 def posted(environ, renewed=False, system=HERE):
-    """What the platform tells: addresses and folder by its variables first, all else by its file; once the file
-    was replaced, its discovery stands before the variable."""
+    """What the platform tells: addresses and folder by its variables first, all else by its file; once the
+    file was replaced, its discovery stands before the variable.
+    """
     path, sheet = environ["LB_CONFIG"], None
     second, passed, meeting = (
         environ.get(name, "") for name in ("LB_ADMIN_ADDR", "LB_PASSED_SOCKET", "TMPDIR")
@@ -81,6 +85,11 @@
         told = json.loads(system.read(path))
         if "settings" in told:
             check(told["settings"])
+    subscription = {}
+    if not {"nodes", "fleet", "list_age"}.isdisjoint(told):
+        from calicopin.boot.nodes import subscription_told
+
+        subscription = subscription_told(told, path)
     discovery = environ.get("LB_DISCOVERY"), told.get("discovery")
     first, other = reversed(discovery) if renewed else discovery
     second = second or told.get("admin_addr")
@@ -92,7 +101,7 @@
     return Post(
         name=told.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or told["listen"],
-        discovery=address(first or other) if first or other or not sheet else "",
+        discovery=address(first or other) if first or other or not (sheet or subscription) else "",
         admin=address(second) if second else "",
         passed=passed,
         meeting=meeting,
@@ -109,11 +118,14 @@
         log=told.get("log", "lines"),
         store=told.get("store", "file"),
         durable=told.get("durability") == "machine",
+        **subscription,
     )
 
 
 def listed(known):
-    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has the whole of it."""
+    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has
+    the whole of it.
+    """
     try:
         version, _, places = read(known)
     except ValueError as fault:
@@ -125,21 +137,29 @@
 
 
 def build(post, loop, signal_reader, again, lock=None, taker=None):
-    """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
-    more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
+    """The parts of one courier; what was journalled is handed in before any client is heard.
+
+    `again` reads once more what the platform tells. `lock` is the folder's, `taker` holds what another
+    process gives instead of it.
+    """
     terms = post.terms
     ceilings = terms["ceilings"]
     connect = (ceilings.get("connectTimeout") or 1.0) * 1000.0
     idle = (ceilings.get("idleClose") or 10.0) * 1000.0
     lasting = max(grade["giveUp"] for grade in terms["grades"]) * 1000.0
     budget = Budget(post.descriptors, terms["familyInfo"]["workers"], bool(post.admin))
+    disk = post.disk
+    if post.nodes:
+        from calicopin.held.known_list import journal_bytes
+
+        disk = journal_bytes(disk)
     offset, boot, out = loop.system.wall() - loop.now(), loop.system.boot(), taker.flying if taker else None
     if post.store == "segments":
         from calicopin.store.segments import Segments
 
-        journal = Segments(post.folder, post.disk, offset, loop.system, lasting, boot, post.durable, out)
+        journal = Segments(post.folder, disk, offset, loop.system, lasting, boot, post.durable, out)
     else:
-        journal = Journal(post.folder, post.disk, offset, loop.system, lasting, boot, out)
+        journal = Journal(post.folder, disk, offset, loop.system, lasting, boot, out)
     facade = Facade(post.seed, terms, budget.calls, loop.now(), journal.again and not taker)
     lines = Lines(budget.endpoints, max(idle / 2.0, idle - connect))  # an opening's time clear of the limit
     runtime = Runtime(
@@ -147,15 +167,22 @@
     )
     teller = post.discovery or post.notices
     runtime.notices = Notices(loop, teller, runtime.told) if teller else NoticeLines(loop, runtime.told)
+    wait = longest_wait((terms["rules"].get("askWithin") or 10.0) * 1000.0)
     if taker:
         version, places = taker.told["version"], ()
         runtime.inherit(taker)
-    else:
-        version, places = listed(post.known)
+    if post.nodes:
+        from calicopin.boot.subscribed import subscribe
+
+        runtime.subscribed = subscribe(post, loop, runtime, wait, facade.places.values() if taker else None)
+    if not taker:
+        version, places = (None, runtime.subscribed.places()) if post.nodes else listed(post.known)
         facade.listed(places, True)
         runtime.restore()
-    wait = longest_wait((terms["rules"].get("askWithin") or 10.0) * 1000.0)
-    if post.discovery:
+    if post.nodes:
+        discovery = runtime.subscribed.begin()
+        runtime.agent = None if taker else discovery  # what another process knew was heard until now
+    elif post.discovery:
         told = pushed(terms)
         anew = told and not taker  # its list is old, and the agent has the whole of it
         discovery = Discovery(
@@ -266,8 +293,9 @@
 
 
 def follow(post, environ, signal_reader, system):
-    """(lock, what another process gives, the post): waits until the folder is free or the one that holds it gives it. A post
-    of None where a signal comes first."""
+    """(lock, what another process gives, the post): waits until the folder is free or the one that holds
+    it gives it. A post of None where a signal comes first.
+    """
     from calicopin.handover.meeting import Place
     from calicopin.handover.taker import Told, begin
 
@@ -298,6 +326,9 @@
 
 
 def main(signal_reader=None):
+    """Serves as a courier until a signal; returns the exit code, 2 where the configuration cannot be
+    served.
+    """
     signal_reader = signal_reader or SignalReader()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
@@ -305,7 +336,8 @@
         serve(os.environ, signal_reader)
     except BlockingIOError:
         print(
-            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own",
+            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; "
+            "give each its own",
             file=sys.stderr,
         )
         return 2
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -126,6 +126,8 @@
 
 
 class Facade:
+    """The decisions in blocking style: texts and news go in, calls and ends come out. Times are ms."""
+
     def __init__(self, seed, settings, slots, now, restarted=False):
         self.partners = terms.partners(settings)
         self.agreed, self.columns = terms.agreed(settings), terms.reports(settings)
@@ -135,6 +137,7 @@
         last = {"restarted": now} if restarted else {}
         self.module = terms.courier(seed, settings, slots=slots, asks=False, **last)
         self.room = settings["ceilings"]["mostHeld"]
+        self.awaited = 0  # messages that wait for the first answer on their destination
         self.texts, self.places, self.events = {}, {}, []
         self.places_of = {}  # the numbers of the endpoints that are listed, by destination
         self.unlisted = {}  # the numbers of endpoints that may be known to nobody any more
@@ -152,10 +155,12 @@
 
     def full(self):
         """Whether as many texts are held as the settings allow."""
-        return len(self.texts) >= self.room
+        return len(self.texts) + self.awaited >= self.room
 
     def advice(self, text):
         """The milliseconds after which a text that is turned away may come again (0: none told)."""
+        if text.dest not in self.dests.index:  # nothing is known of it, and nothing is to be kept for it
+            return self.module.desk.advice
         return self.module.advice(self.dests(text.dest))
 
     def hand_in(self, text, restored=False):
@@ -192,7 +197,8 @@
         return dest in self.dests.index
 
     def listed(self, places, whole):
-        """News of the list; what has left is forgotten once the decisions have no more use for it. Returns the
+        """News of the list; what has left is forgotten once the decisions have no more use for it. Returns
+        the
         number of each endpoint that is named, with its place as it was before, or None."""
         entries, before, former = [], self.places, {}
         if whole:
@@ -234,7 +240,8 @@
         return place
 
     def _forget(self, before):
-        """Endpoints that are not listed, were not in the list before this one, and that the decisions do not know."""
+        """Endpoints that are not listed, were not in the list before this one, and that the decisions do not
+        know."""
         for number in list(self.unlisted):
             if number not in self.places and number in before:
                 continue  # the next news tells
@@ -244,12 +251,27 @@
                 self.endpoints.forget(self.endpoints.ident[number])
 
     def release(self, dest):
-        """The destination is used no more: what is known of it goes once the decisions have no more use for it."""
-        for number in list(self.places_of.get(dest, ())):
-            self._unplace(number)
-            self.unlisted[number] = None
+        """The destination is used no more: what is known of it goes once the decisions have no more use for
+        it.
+        Returns its endpoints as they were listed."""
+        numbers = list(self.places_of.get(dest, ()))
+        self.unlisted |= dict.fromkeys(numbers)
         if dest in self.dests.index:
             self.events.append(Released(self.dests(dest)))
+        return [self._unplace(number) for number in numbers]
+
+    def in_use(self, dest):
+        """Whether a message for the destination is held: in its queue, out, or handed in since the last
+        tick."""
+        number = self.dests.index.get(dest)
+        known = self.module.dests.get(number)
+        return (known is not None and bool(known.queue or known.held)) or any(
+            isinstance(event, Taken) and event.dest == number for event in self.events
+        )
+
+    def destinations(self):
+        """All destinations of which something is known."""
+        return list(self.dests.index)
 
     def report(self, call, answer, elapsed):
         """How a call ended. What had its outcome before is passed over."""
@@ -278,13 +300,17 @@
             self.ends.append(End(text, None, delivered=outcome == How.DELIVERED))
 
     def avoided(self):
-        """How many of the listed endpoints are in an outage as far as is known: next to nothing is sent there."""
+        """How many of the listed endpoints are in an outage as far as is known: next to nothing is sent
+        there.
+        """
         known = self.module.endpoints
         return sum(number in known and known[number].route.mode == "out" for number in self.places)
 
     def state(self):
-        """What is known of each destination that was ever listed: as on-call staff would ask for it. Rates are calls a
-        second, times milliseconds."""
+        """What is known of each destination that was ever listed: as on-call staff would ask for it.
+
+        Rates are calls a second, times milliseconds.
+        """
         out = []
         for ident, number in self.dests.index.items():
             dest = self.module.dests.get(number)
@@ -341,10 +367,13 @@
                 self.lines.append(action.line)
 
     def _submit(self, now, action, shared):
-        """Submits of one tick to one endpoint travel as one call, as far as the settings allow. The first of their time-outs
-        ends the whole call. Guards the one final answer: a text whose time was up while its call went on for the others might
-        yet have run, and an endpoint that sees its time up may let go of all of them. A text that went again meanwhile would
-        be a second copy, and one behind a text of its key out of turn. It may hurt where much shares calls near its end."""
+        """Submits of one tick to one endpoint travel as one call, as far as the settings allow.
+
+        The first of their time-outs ends the whole call. Guards the one final answer: a text whose time was
+        up while its call went on for the others might yet have run, and an endpoint that sees its time up may
+        let go of all of them. A text that went again meanwhile would be a second copy, and one behind a text
+        of its key out of turn. It may hurt where much shares calls near its end.
+        """
         text, place = self.texts.get(action.text), self.places[action.endpoint]
         if text is None:  # withdrawn meanwhile
             self.events.append(Outcome(action.text, action.endpoint, How.NOT_SENT, ended=True))
--- a/calicopin/store/measure.py
+++ b/calicopin/store/measure.py
@@ -1,6 +1,8 @@
-"""The store beside the old journal, a plain append of the same bytes, and SQLite: one run, one machine, one load.
+"""The store beside the old journal, a plain append of the same bytes, and SQLite: one run, one machine,
+one load.
 
-Each side takes on and ends texts at so many that live at once; the time of each turn (what one flush takes) is kept.
+Each side takes on and ends texts at so many that live at once; the time of each turn (what one flush takes)
+is kept.
 """
 
 import gc
@@ -18,6 +20,7 @@
 
 
 def made(number):
+    """A text of the load, resendable under a reference and valid for an hour."""
     return Text(f"{number:016x}", 7, 0, f"r{number:015x}", None, HERE.now() + 3.6e6, BODY)
 
 
@@ -30,6 +33,7 @@
         self.texts, self.size = self.inner.texts, 0
 
     def flush(self):
+        """Appends what has gathered since the last call."""
         self.size += len(self.inner.buffer)
         write_all(HERE, self.file, self.inner.buffer)
         self.inner.buffer.clear()
@@ -45,24 +49,29 @@
         self.base = sqlite3.connect(os.path.join(folder, "base"), isolation_level=None)
         self.base.executescript(
             "pragma journal_mode=wal; pragma synchronous=off;"
-            "create table if not exists text(id text primary key, until real, tries int, body blob) without rowid; begin"
+            "create table if not exists text(id text primary key, until real, tries int, body blob) "
+            "without rowid; begin"
         )
         self.texts = {}
 
     def taken(self, text):
+        """A text was accepted: a row of its own."""
         self.texts[text.ident] = text
         self.base.execute(
             "insert or replace into text values(?,?,?,?)", (text.ident, text.until, text.tries, text.body)
         )
 
     def sent(self, text, at, zone):
+        """A submit goes out: one try more in its row."""
         self.base.execute("update text set tries=tries+1 where id=?", (text.ident,))
 
     def over(self, text, now):
+        """The text has ended: its row is deleted."""
         del self.texts[text.ident]
         self.base.execute("delete from text where id=?", (text.ident,))
 
     def flush(self):
+        """Commits what has gathered since the last call."""
         self.base.execute("commit")
         self.base.execute("begin")
 
@@ -76,11 +85,14 @@
 
 
 def disk(folder):
+    """The bytes of all files in a folder."""
     return sum(entry.stat().st_size for entry in os.scandir(folder))
 
 
 def one(name, live, turns, a_turn=10):
-    """Figures of one side: texts a second, turns in ms, bytes written for each byte of the texts' own records."""
+    """Figures of one side: texts a second, turns in ms, bytes written for each byte of the texts' own
+    records.
+    """
     most = max(3_000_000, live * 2500)
     with tempfile.TemporaryDirectory() as folder:
         side, number, times, peak = SIDES[name](folder, most), 0, [], 0
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -21,6 +21,7 @@
 PAUSE = (
     100.0  # after a request that could not be taken: guards the others against one that comes at full speed
 )
+ANSWER = 20.0  # before a text's time is up, for its client to hear that it was not taken on
 AT_ONCE = 32  # connections accepted in one pass, for the same reason
 MOST_WORD = 256  # of an id, a reference or a key
 MOST_TIME = 86400.0  # seconds; beyond a day no validity period is meant
@@ -29,7 +30,7 @@
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
-class Refused(Exception):
+class Refused(Exception):  # noqa: N818 (docs/glossary.md)
     """A request that cannot be taken, with its status and a plain sentence."""
 
     def __init__(self, status, why):
@@ -38,6 +39,7 @@
 
 
 def envelope(word):
+    """The words of an `X-Envelope` header by their names; separated by semicolons, commas or ampersands."""
     return dict(parse_qsl(word.replace(";", "&").replace(",", "&").replace(" ", "")))
 
 
@@ -61,8 +63,10 @@
 
 
 def misframed(head):
-    """Why the end of a request with this head cannot be relied on, with a status; or None. Two lengths may hide a
-    second request in the body of the first."""
+    """Why the end of a request with this head cannot be relied on, with a status; or None.
+
+    Two lengths may hide a second request in the body of the first.
+    """
     told = {name: value for name, value in head.headers if name in (b"content-length", b"transfer-encoding")}
     if len(told) == 2:
         return 400, "both Content-Length and Transfer-Encoding"
@@ -85,8 +89,10 @@
 class Clients:
     """Accepts connections as far as descriptors allow and serves what comes on them.
 
-    `acceptor` takes the texts: `acceptor.take(text)` is None where it is taken on, else the status that refuses it and
-    the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept` is set."""
+    `acceptor` takes the texts: `acceptor.take(text)` is None where it is taken on, else the status that
+    refuses it and the wait that is advised; a text taken on is kept once the event handed to `acceptor.kept`
+    is set.
+    """
 
     def __init__(self, loop, address, products, budget, acceptor, listener=None):
         self.loop, self.products, self.budget, self.acceptor = loop, products, budget, acceptor
@@ -101,6 +107,9 @@
         self.accepting = loop.keep(self.accept)
 
     def accept(self):
+        """A coroutine that accepts connections until listening ends; again after `AGAIN` ms where the
+        system refuses.
+        """
         while True:
             try:
                 more = self.accept_some()
@@ -143,11 +152,15 @@
         line.close()
 
     def receive(self, visit):
+        """Serves a connection by a coroutine of its own."""
         self.open += 1
         self.visits[visit] = self.loop.spawn(self.serve(visit))
 
     def give(self, visit):
-        """The connection, if all that came on it can be read again from its bytes: it is no longer ours. Else None."""
+        """The connection, if all that came on it can be read again from its bytes: it is no longer ours.
+
+        Else None.
+        """
         line = visit.line
         if visit.whole or line.ended or line in self.lingering or visit not in self.visits:
             return None
@@ -158,8 +171,10 @@
         return line
 
     def relieve(self):
-        """Closes what may be closed until descriptors are no longer short: connections that were shown out, then
-        new ones that said nothing, then those between requests, longest first; never one with a request begun."""
+        """Closes what may be closed until descriptors are no longer short: connections that were shown
+        out, then new ones that said nothing, then those between requests, longest first; never one with a
+        request begun.
+        """
         now, short = self.loop.now(), self.budget.clients
         self.relieved = now
         for task in list(self.lingering.values()):
@@ -176,11 +191,13 @@
                     self.loop.cancel(visit.task)
 
     def keep_house(self):
+        """A coroutine that closes what may be closed where descriptors are short, every `SWEEP` ms."""
         while True:
             yield Until(self.loop.now() + SWEEP)
             self.relieve()
 
     def serve(self, visit):
+        """One connection from its first request to its close."""
         line = visit.line
         try:
             more = True
@@ -243,6 +260,7 @@
             visit.pause = PAUSE
             self.complain(fault.status, fault)
             return (yield from self.reply(line, fault.status, str(fault).encode()))
+        yield from self.wait_for_destination(line, text)
         if line.left():  # it waited too long and hands the text in elsewhere; else a refusal does no harm
             return (yield from self.reply(line, 503))
         refusal = self.acceptor.take(text)
@@ -259,6 +277,22 @@
             self.acceptor.withdraw(text)
         return bool(more)
 
+    def wait_for_destination(self, line, text):
+        """Where the text's destination is not known yet, until its first answer is there, the text's time is
+        up, or its
+        client has left. Nothing is kept of the text meanwhile."""
+        event = self.acceptor.first_answer(text)
+        if event is None:
+            return
+        until, fd = text.until - ANSWER, line.sock.fileno()
+        try:
+            while not event.came and self.loop.now() < until and not line.left():
+                if not line.quiet():  # its next request: that waits its turn, and hides whether it leaves
+                    fd = -1
+                yield Until(until, fd, READ if fd >= 0 else 0, event)
+        finally:
+            self.acceptor.waited(event)
+
     def next_head(self, visit):
         """Waits between requests; only here may the courier close the connection."""
         line = visit.line
@@ -276,12 +310,18 @@
         return (yield from line.event(visit.until))
 
     def fault(self, line, status, why):
+        """Answers a request that cannot be taken with a status and the reason; the connection is closed
+        after it.
+        """
         self.complain(status, why)
         yield from self.reply(line, status, why.encode("latin-1", "replace"), [("Connection", "close")])
 
     def show_out(self, line):
-        """The last answer on a connection is out: the client is given time to read it and to close. Where descriptors are
-        short only one that has sent more, since over unread bytes the connection would be reset and take the answer with it."""
+        """The last answer on a connection is out: the client is given time to read it and to close.
+
+        Where descriptors are short only one that has sent more, since over unread bytes the connection would
+        be reset and take the answer with it.
+        """
         if line.ended or line.h11.our_state is h11.IDLE:
             return
         if self.open < self.budget.clients or not line.quiet():
@@ -328,7 +368,9 @@
         self.loop.close(self.listener)
 
     def end(self):
-        """No turn follows that would keep a message: what was asked and has no answer is refused, which does no harm."""
+        """No turn follows that would keep a message: what was asked and has no answer is refused, which
+        does no harm.
+        """
         for visit in self.visits:
             line = visit.line
             if line.ended or line.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -8,14 +8,17 @@
 from calicopin.wire.agent import Agent
 from calicopin.wire.loop import AGAIN, Event, Until
 
-PATIENCE = 200.0  # for an answer, which is owed at once: a notice that waits longer on a silent connection comes too late
-MOST_PATIENCE = 2000.0  # doubled up to this each time: guards an agent that is slow against the same notices over and over
+# for an answer, which is owed at once: a notice that waits longer on a silent connection comes too late
+PATIENCE = 200.0
+# doubled up to this each time: guards an agent that is slow against the same notices over and over
+MOST_PATIENCE = 2000.0
 REPEAT = 1000.0  # between two lines on notices that were not heard
 MOST = 500  # lines in one request
 MOST_ANSWER = 65536
 
 
 def encode(text):
+    """The notice of a text that was given up, as one line of JSON."""
     notice = {"ref": text.ident, "result": text.verdict}
     if text.wait > 0.0:
         notice["wait_ms"] = round(text.wait)
@@ -32,6 +35,7 @@
         loop.keep(self.talk)
 
     def owe(self, text):
+        """A text has ended; its line is written in the next pass."""
         self.owed.append(text)
         self.event.set()
 
@@ -42,6 +46,7 @@
         """Nothing is owed any more."""
 
     def talk(self):
+        """A coroutine that writes a line for each text that has ended; it must not end."""
         while True:
             while self.owed:
                 text = self.owed.pop(0)
@@ -57,8 +62,10 @@
 
 
 class Notices(Agent):
-    """What has gathered while one request was out goes with the next. All that was not heard at an address is told
-    at the next one, at once."""
+    """What has gathered while one request was out goes with the next.
+
+    All that was not heard at an address is told at the next one, at once.
+    """
 
     def __init__(self, loop, address, heard):
         self.heard, self.owed, self.event, self.patience, self.told = (
@@ -71,6 +78,7 @@
         super().__init__(loop, address)
 
     def owe(self, text):
+        """A text was given up; its notice goes out with the next request."""
         self.owed.append(text)
         self.event.set()
 
@@ -113,6 +121,7 @@
                 yield Until(self.loop.now() + (0.0 if silent else AGAIN))
 
     def post(self, line, body, until):
+        """Sends the notices; returns the status, or 0 where no whole answer came until `until` (ms)."""
         head = h11.Request(
             method="POST",
             target="/v1/outcomes",
--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -1,11 +1,13 @@
-"""Our own variants of a deployment, `deploy/sites/`: what a courier there would be told is read as any other customer's settings."""
+"""Our own variants of a deployment, `deploy/sites/`: what a courier there would be told is read as any
+other customer's settings.
+"""
 
 import pathlib
 import tomllib
 
 import pytest
+from courier_helper import place, text
 from helper import Clock, free_address
-from test_courier import place, text
 
 from calicopin.boot.signals import SignalReader
 from calicopin.boot.start import Post, build
