Capacity: a node's and a courier's control by fitted lines, four faults as they were played

docs/scale/bench-slopes.json has three sizes for what one run at one size gave: 176 B a destination, 10.6 us a destination at a start, 0.235 ms a second a courier at a node, 0.241 ms a second and 138 kB at a courier (one repeat; residuals 0.2 to 5 % of the mean).

--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -44,6 +44,13 @@
     )
 
 
+def _played(slope: slopes.Slope) -> Figure:
+    """What a fault took where it was played, at a smaller size."""
+    return Figure(
+        f"played with 800 couriers: {slope.name}", "the run's own", slope.value, Unit.SECONDS, (Use(slope),)
+    )
+
+
 def ordinary_day(size: Size) -> Fault:
     """Failures and restarts spread over all machines alike."""
     courier_share = 1.0 - size.control_machines / size.machines
@@ -103,6 +110,7 @@
                 courier.lease_bytes(size).uses,
                 shape,
             ),
+            _played(slopes.PLAYED_RESTART),
         ),
     )
 
@@ -134,6 +142,8 @@
                 Unit.SECONDS,
             ),
             *_leases("new leases", "new couriers", each, size),
+            _played(slopes.PLAYED_KILLED),
+            _played(slopes.PLAYED_HALF_OPEN),
         ),
     )
 
@@ -314,6 +324,7 @@
                 (Use(slopes.ARRIVAL, size.couriers_a_node),),
             ),
             *_leases("back at once", "new leases", size.couriers_a_node, size),
+            _played(slopes.PLAYED_ALL_GONE),
         ),
     )
 
--- a/calicopin/capacity/node.py
+++ b/calicopin/capacity/node.py
@@ -18,17 +18,12 @@
 
 def lease_memory(size: Size) -> Figure:
     """Memory of all leases at a node."""
-    subscriptions = size.couriers_a_node * size.destinations_a_courier
-    leases = size.couriers_a_node * slopes.NODE_LEASE_MEMORY.value
     return Figure(
         "memory of leases",
-        "couriers a node × (lease + destinations a courier × subscription)",
-        leases + subscriptions * slopes.NODE_SUBSCRIPTION_MEMORY.value,
+        "couriers a node × lease with 90 destinations",
+        size.couriers_a_node * slopes.NODE_LEASE_MEMORY.value,
         Unit.BYTES,
-        (
-            Use(slopes.NODE_LEASE_MEMORY, size.couriers_a_node),
-            Use(slopes.NODE_SUBSCRIPTION_MEMORY, subscriptions),
-        ),
+        (Use(slopes.NODE_LEASE_MEMORY, size.couriers_a_node),),
     )
 
 
@@ -44,7 +39,7 @@
 
 
 def changes_core(size: Size) -> Figure:
-    """Share of a core for all changes of the list at a node, without the calls that tell them."""
+    """Share of a core for all changes of the list, if each were told to one of the node's own couriers."""
     return Figure(
         "processor time of changes",
         "changes a second × change at the node",
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -202,6 +202,9 @@
     Basis.ENCODED,
     "a row of `Facade.state` as JSON",
 )
+NODE_SLOPES_FILE = "docs/scale/bench-slopes.json"
+NODE_SIZES = (100_000, 400_000, 1_700_000)
+COURIER_SIZES = (200, 613, 1_118)
 NODE_FILE = "docs/scale/bench-node-full.json"
 NODE_COURIERS = 613
 DAY_LOAD = "613 couriers, 0.127 changes/s: "
@@ -214,23 +217,28 @@
 
 COURIER_CORE = Slope(
     "a courier's processor time for its subscription at one node",
-    0.0002283,
+    2.412e-4,
     "core",
     Basis.RUN,
-    "hollow couriers, 1.7 million destinations, the changes of a day",
-    (NODE_COURIERS,),
-    None,
-    _node_run(DAY_LOAD + "a courier's processor time", 0.01),
+    "hollow couriers, no changes",
+    COURIER_SIZES,
+    0.0195,
+    Run(
+        NODE_SLOPES_FILE,
+        "processor time of the hollow couriers a second, no changes",
+        SCALE + "bench slopes",
+        factor=0.001,
+    ),
 )
 COURIER_MEMORY = Slope(
     "a courier's memory for its subscription",
-    131800.0,
+    138_200.0,
     "B / courier",
     Basis.RUN,
     "hollow couriers, without the decisions' own list; what the run compares is counted in",
-    (NODE_COURIERS,),
-    None,
-    _node_run(DAY_LOAD + "a courier's memory", 1e6),
+    COURIER_SIZES,
+    0.0174,
+    Run(NODE_SLOPES_FILE, "memory of the hollow couriers", SCALE + "bench slopes", factor=1.0),
 )
 COURIER_BYTES = Slope(
     "a courier's bytes a second, both ways",
@@ -244,13 +252,18 @@
 )
 NODE_CORE = Slope(
     "a node's processor time for one courier",
-    0.0002392,
+    2.351e-4,
     "core / courier",
     Basis.RUN,
-    "the same run",
-    (NODE_COURIERS,),
-    None,
-    _node_run(DAY_LOAD + "the node's processor time", 0.01 / NODE_COURIERS),
+    "no changes",
+    COURIER_SIZES,
+    0.0281,
+    Run(
+        NODE_SLOPES_FILE,
+        "processor time of the node a second, no changes",
+        SCALE + "bench slopes",
+        factor=0.001,
+    ),
 )
 ARRIVAL = Slope(
     "613 new leases at one node, until the last courier has its set",
@@ -310,7 +323,6 @@
 )
 NODE_PAGE = "docs/discovery-node.md, `python -m calicopin.discovery_node.measure`"
 NODE_PROCESS = "docs/discovery-node.md, one run of a whole process"
-NODE_SIZES = (100_000, 400_000, 1_700_000)
 NEW_LEASE_NODE_TIME = Slope(
     "a subscribed destination of a new lease at the node",
     0.7 / 613 / 90,
@@ -321,11 +333,13 @@
 )
 NODE_LISTED_MEMORY = Slope(
     "memory of a destination at the node",
-    266e6 / 1.7e6,
+    176.3,
     "B / destination",
-    Basis.PAGE,
-    NODE_PAGE + "; 266 MB at the largest",
+    Basis.RUN,
+    "a whole process; 31.7 MB more at any size",
     NODE_SIZES,
+    0.0022,
+    Run(NODE_SLOPES_FILE, "the node's memory with the list", SCALE + "bench slopes", factor=1.0),
 )
 NODE_CHANGED_MEMORY = Slope(
     "memory of a destination that changed since a node's start",
@@ -335,37 +349,41 @@
     NODE_PAGE,
     (11_000,),
 )
-NODE_SUBSCRIPTION_MEMORY = Slope(
-    "memory of one subscribed destination at the node",
-    94.0,
-    "B / subscription",
-    Basis.PAGE,
-    NODE_PAGE,
-    (55_170,),
-)
 NODE_LEASE_MEMORY = Slope(
-    "memory of a lease's connection at the node",
-    8e6 / 613 - 90 * 94.0,
+    "memory of a lease with its connection and 90 destinations at the node",
+    19_470.0,
     "B / courier",
-    Basis.PAGE,
-    NODE_PROCESS + "; 8 MB more for 613 couriers, less their subscriptions",
-    (613,),
+    Basis.RUN,
+    "",
+    COURIER_SIZES,
+    0.0016,
+    Run(NODE_SLOPES_FILE, "the node's memory with its leases", SCALE + "bench slopes", factor=1.0),
 )
 NODE_LOAD_TIME = Slope(
     "a destination read by a node's start",
-    16.4 / 1.7e6,
+    1.058e-5,
     "s / destination",
-    Basis.PAGE,
-    NODE_PAGE + "; 14.6 to 16.4 s at the largest",
+    Basis.RUN,
+    "a whole process",
     NODE_SIZES,
+    0.0084,
+    Run(NODE_SLOPES_FILE, "processor time of the node's load", SCALE + "bench slopes", factor=1.0),
 )
 NODE_CHANGE_TIME = Slope(
-    "a change at the node, one subscriber",
-    91e-6,
+    "a change at the node, told to one courier",
+    3.057e-4,
     "s / change",
-    Basis.PAGE,
-    NODE_PAGE + "; 68 to 91 µs at the largest, 84 to 87 µs at the others; no call on sockets",
+    Basis.RUN,
+    "calls on sockets counted in; the line at no destinations, falling by 0.02 ns a destination known",
     NODE_SIZES,
+    0.0507,
+    Run(
+        NODE_SLOPES_FILE,
+        "processor time of the node for a change that one courier hears",
+        SCALE + "bench slopes",
+        Kind.INTERCEPT,
+        factor=0.001,
+    ),
 )
 
 
@@ -410,6 +428,35 @@
 )
 
 
+def _played(name: str, value: float, kind: str, figure: str, command: str = "fault ") -> Slope:
+    """A fault played with 800 hollow couriers before four nodes that know 100,000 destinations."""
+    run = Run(f"docs/scale/fault-{kind}.json", figure, SCALE + command + kind, Kind.VALUE)
+    return Slope(name, value, "s / fault", Basis.RUN, PLAYED, (PLAYED_COURIERS,), None, run)
+
+
+PLAYED = "800 hollow couriers, four nodes, 100,000 destinations, five changes a second"
+PLAYED_COURIERS = 800
+PLAYED_KILLED = _played(
+    "a node killed: all its couriers at another", 2.715, "node-killed", "all couriers at another node after"
+)
+PLAYED_HALF_OPEN = _played(
+    "a node half-open: all its couriers at another", 4.163, "half-open", "all couriers at another node after"
+)
+PLAYED_ALL_GONE = _played(
+    "all nodes gone and back: all couriers at a node",
+    3.240,
+    "all-gone-and-back",
+    "all couriers at a node after these were ready",
+    "bench fault ",
+)
+PLAYED_RESTART = _played(
+    "a tenth of the couriers restarted: all have their set",
+    1.180,
+    "restart-tenth",
+    "all have their whole set after",
+)
+
+
 def all_slopes() -> tuple[Slope, ...]:
     """Every slope of the model, in the order in which they stand here."""
     return tuple(value for value in globals().values() if isinstance(value, Slope))
