--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -192,6 +192,9 @@
         if kind in ("answers-lost", "resets"):
             self.losing.append(Span(at, at + ms + LAST_LOSS))
 
+    def _machine_gone(self, at, name, ms):
+        self.parties[name].stands.append(Span(at, at + ms))
+
     def _cut_off(self, at, courier, node, ms):
         self.cuts[courier, node].append(Span(at, at + ms))
 
--- a/calicopin/emulator/nodes.py
+++ b/calicopin/emulator/nodes.py
@@ -321,6 +321,7 @@
         node = self._node(trouble)
         machine = self.net.machine(node.host)
         self.net.vanish(machine)
+        self.world.note("machine-gone", node.name, lasts)
         node.kill()
         self.world.after(max(lasts, 1.0), self._machine_back, node, machine)
 
--- a/calicopin/emulator/story.py
+++ b/calicopin/emulator/story.py
@@ -32,6 +32,7 @@
     "answered": "{1} tells {0}: all of destinations {2}, unknown {3}",
     "gives-up": "{0} gives destinations {1} up",
     "cut-off": "{0} and {1} cannot speak for {2:.0f} ms",
+    "machine-gone": "{0}'s machine says nothing for {1:.0f} ms",
     "leaves-service": "{0} gets SIGTERM",
     "agents-gone": "the platform's agents are gone for {0:.0f} ms",
 }
