A restarted courier asks the next node before it goes by the list in its folder

Cause: Subscriber._call set `tried` at the end of its first request, whatever that was, and the turn (boot/runtime.py) began to decide.

--- a/calicopin/emulator/list_faults.py
+++ b/calicopin/emulator/list_faults.py
@@ -30,6 +30,18 @@
     change(Subscriber, "tried", tried)
 
 
+@fault("one-lost-node-ends-the-wait", "subscriptions-node-down", DRAIN)
+def _(change):
+    """A courier that has started goes by its folder's list once its first request has failed."""
+    fail = Subscriber._fail
+
+    def hasty(subscriber, end):
+        subscriber._answered = True
+        fail(subscriber, end)
+
+    change(Subscriber, "_fail", hasty)
+
+
 @fault("given-up-and-still-called", "subscriptions", KNOWN)
 def _(change):
     """What was given up is not forgotten, and a message for it is taken on at once."""
--- a/calicopin/subscription/nodes.py
+++ b/calicopin/subscription/nodes.py
@@ -78,6 +78,11 @@
         """All nodes, the most preferred first."""
         return list(self._ranked)
 
+    @property
+    def exhausted(self) -> bool:
+        """Whether all nodes were asked in vain since one answered last."""
+        return self._empty_rounds > 0
+
     def turn(self, now: float) -> Turn:
         """The next request's node and earliest time."""
         if self.current is None:
--- a/calicopin/wire/subscriber.py
+++ b/calicopin/wire/subscriber.py
@@ -35,6 +35,7 @@
 PROMPT = (
     1500.0  # the same for a request that is answered at once: a node may have a lost one's couriers before it
 )
+TRY_FOR = 1900.0  # from the start, after which a list from the folder is gone by without any answer
 EACH = 0.05  # added to both for each destination of the set: a whole answer of 100,000 takes its seconds
 AGAIN = 100.0  # between the beginnings of two requests: guards both sides against answers at once for ever
 GATHER = 60.0  # between two requests with fresh subscriptions, 16 a second: what comes in between shares one
@@ -75,8 +76,8 @@
 
     `nodes` are addresses, `restored` the destinations of a snapshot with their endpoints: they are subscribed
     to from the start and count as known. `in_use` tells whether something is held for a destination,
-    `released` hears of each one given up: its endpoints are no longer told of. `tried` once the first request
-    has ended, heard or not.
+    `released` hears of each one given up: its endpoints are no longer told of. `tried` once a node has
+    answered or none was to be heard.
     """
 
     def __init__(
@@ -94,7 +95,8 @@
         idle: float = IDLE,
         most: int = MOST,
     ):
-        self.heard, self.released, self.tried = heard, released, False
+        self.heard, self.released = heard, released
+        self._answered, self._tried_at = False, loop.now() + TRY_FOR
         self.wait = min(wait_ms, WAIT)
         self.nodes = NodeChoice(courier, nodes, seed, loop.now())
         self.interest = Interest(seed, in_use, idle, most)
@@ -163,6 +165,11 @@
         if self.nodes.current is None or self.address not in nodes:
             super().move("")
 
+    @property
+    def tried(self) -> bool:
+        """Whether to go by what is known: a node has answered, all were asked in vain, or the time for that is over."""
+        return self._answered or self.nodes.exhausted or self.loop.now() >= self._tried_at
+
     # The exchange.
 
     def talk(self):
@@ -193,10 +200,7 @@
         if ask.request.subscribe:
             self._gather_until = now + GATHER
         self._release(ask.released)
-        try:
-            end = yield from self._exchange(ask, wait)
-        finally:
-            self.tried = True
+        end = yield from self._exchange(ask, wait)
         if isinstance(end, Reply):
             return self._take(end)
         self._fail(end)
@@ -296,6 +300,7 @@
             logger.info("discovery node {node} answers", event="subscription.again", node=self.address)
         try:
             self.heard(news.places, news.whole)
+            self._answered = True
         except Exception:  # a fault of our own: the set is told as a whole once more
             self.session.abandon()
             raise
