--- a/calicopin/wire/subscriber.py
+++ b/calicopin/wire/subscriber.py
@@ -167,7 +167,8 @@
 
     @property
     def tried(self) -> bool:
-        """Whether to go by what is known: a node has answered, all were asked in vain, or the time for that is over."""
+        """Whether to go by what is known: a node has answered, all were asked in vain, or the time for that
+        is over."""
         return self._answered or self.nodes.exhausted or self.loop.now() >= self._tried_at
 
     # The exchange.
--- a/tests/wire_helper.py
+++ b/tests/wire_helper.py
@@ -60,9 +60,6 @@
             self.texts.append(text)
         return self.refusal
 
-    def first_answer(self, _):
-        return None
-
     def kept(self, event):
         self.events.append(event)
         return event
