Scale tests: one real courier with the whole list, and with what it uses of it, in one run

Change: 'courier' measures resident memory, control bytes and processor time under changes, and the time until one is in force, with the whole list from a stand-in agent and with a subscription at a real node.

--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -6,7 +6,15 @@
 import msgspec
 from loguru import logger
 
-from calicopin.scale import fault_command, fit, node_command, results, sender_count, slopes
+from calicopin.scale import (
+    fault_command,
+    fit,
+    node_command,
+    one_courier_command,
+    results,
+    sender_count,
+    slopes,
+)
 from calicopin.scale.bench.command import bench_group
 from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish, stop
 
@@ -102,6 +110,7 @@
 main.add_command(node_command.node)
 main.add_command(node_command.node_slopes_)
 main.add_command(fault_command.fault)
+main.add_command(one_courier_command.courier)
 main.add_command(bench_group)
 
 
--- /dev/null
+++ b/calicopin/scale/list_agent.py
@@ -0,0 +1,76 @@
+"""A stand-in for the platform's agent: tells the whole list and its changes to couriers that hold all of it.
+
+The exchange is `GET /api/targets?index=VERSION&wait=MILLISECONDS`, answered with `full`, `version` and
+`servers`.
+"""
+
+import http.server
+import json
+import threading
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Bytes of requests and answers, with their heads."""
+
+    received: int = 0
+    sent: int = 0
+
+
+class ListAgent(http.server.ThreadingHTTPServer):
+    """Listens on a loopback port of its own; `entries` are the list's own form, by endpoint."""
+
+    daemon_threads = True
+
+    def __init__(self, entries: dict[str, dict]):
+        super().__init__(("127.0.0.1", 0), _Exchange)
+        self.entries, self.changes, self.news = entries, [], threading.Condition()
+        self.traffic = Traffic()
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """As couriers ask it."""
+        return f"127.0.0.1:{self.server_address[1]}"
+
+    def change(self, entry: dict) -> None:
+        """One entry is new, or not as before."""
+        with self.news:
+            self.entries[entry["id"]] = entry
+            self.changes.append(entry)
+            self.news.notify_all()
+
+    def answer(self, index: int | None, wait: float) -> dict:
+        """What a courier is told that has version `index`, after at most `wait` seconds without news."""
+        with self.news:
+            if index is not None:
+                self.news.wait_for(lambda: len(self.changes) > index, wait)
+            servers = list(self.entries.values()) if index is None else self.changes[index:]
+            return {"full": index is None, "version": len(self.changes), "servers": servers}
+
+    def close(self) -> None:
+        """Ends it."""
+        self.shutdown()
+        self.server_close()
+
+    def handle_error(self, *_):
+        """A connection that broke: the courier has ended."""
+
+
+class _Exchange(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        query = parse_qs(urlsplit(self.path).query)
+        index = int(query["index"][0]) if "index" in query else None
+        told = self.server.answer(index, float(query.get("wait", ["0"])[0]) / 1000.0)
+        body = json.dumps(told, separators=(",", ":")).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.server.traffic.received += len(self.raw_requestline) + len(bytes(self.headers))
+        self.server.traffic.sent += len(head) + len(body)
+        self.wfile.write(head.encode() + body)
+
+    def log_message(self, *_):
+        pass
--- /dev/null
+++ b/calicopin/scale/one_courier.py
@@ -0,0 +1,306 @@
+"""One real courier process: it holds the whole list, or subscribes to the destinations that it uses.
+
+Both are measured in one run: resident memory, bytes and processor time for control under changes of the
+list, and
+the time from a change to its being in force. All addresses are on loopback. Figures are of this machine.
+"""
+
+import http.client
+import json
+import random
+import statistics
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from calicopin.command.demo import Desk
+from calicopin.scale import list_source
+from calicopin.scale.list_agent import ListAgent
+from calicopin.scale.nodes import ROOT, NodeProcess, free_port, process_cpu, process_resident
+
+FLEET = "one-courier"
+KIND = "any"
+BODY = b"x" * 300
+READY = 60.0  # seconds that a courier has to serve, and its messages to be delivered
+NODE_READY = 300.0  # seconds
+STEP = 0.005  # seconds between two looks whether a change is in force
+PATIENCE = 12.0  # seconds after which a change counts as never in force
+SETTLE = 1.0  # seconds without load behind the messages and between two phases
+
+COURIER = """version = 1
+
+[courier]
+name = "courier"
+listen = "127.0.0.1:{listen}"
+admin = "127.0.0.1:{admin}"
+state = "{folder}/state"
+status = true
+slots = 30
+held = 500
+disk = "50MB"
+{source}
+
+[[product]]
+name = "order-confirm"
+repeat = "referenced"
+sla = "5s"
+validity = "20s"
+memory = "5s"
+
+[[kind]]
+name = "any"
+answers = "100ms"
+"""
+
+
+class MeasureError(RuntimeError):
+    """A courier that did not come up, refused a message or did not hear of a change."""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is measured: a courier that uses `used` of `destinations`, under so many changes a second."""
+
+    destinations: int
+    used: int
+    changes: float
+    seconds: float
+    in_force: int  # changes whose time is taken, one after the other
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Side:
+    """The figures of one courier. Bytes are of HTTP with its heads, both ways; a share is of one core."""
+
+    list_held: str
+    destinations: int
+    used: int
+    endpoints_known: int
+    resident_mb: float
+    control_bytes_a_second: float
+    core_share: float
+    in_force_ms_median: float
+    in_force_ms_worst: float
+
+
+class Courier:
+    """One courier process, its client and its operator."""
+
+    def __init__(self, folder: Path, source: str):
+        self.listen, self.admin = free_port(), free_port()
+        path = folder / "courier.toml"
+        path.write_text(
+            COURIER.format(listen=self.listen, admin=self.admin, folder=folder, source=source), "utf-8"
+        )
+        self.log = folder / "courier.log"
+        with open(self.log, "wb") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "calicopin", "run", str(path)], cwd=ROOT, stderr=log
+            )
+
+    def ask(self, port: int, method: str, path: str, body: bytes = b"", headers: dict | None = None):
+        """(status, body) of one request; raises OSError."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=READY)
+        try:
+            connection.request(method, path, body, headers or {})
+            answer = connection.getresponse()
+            return answer.status, answer.read()
+        finally:
+            connection.close()
+
+    def wait_ready(self) -> None:
+        """Until it serves."""
+        self.wait(lambda: self.ask(self.listen, "GET", "/-/ready")[0] == 200, "ready")
+
+    def wait(self, done: Callable[[], bool], what: str) -> None:
+        """Until that is so; raises MeasureError where it takes too long."""
+        until = time.monotonic() + READY
+        while time.monotonic() < until:
+            try:
+                if done():
+                    return
+            except OSError:
+                pass
+            time.sleep(0.05)
+        raise MeasureError(f"not {what} within {READY:g} s: {self.log.read_text(errors='replace')[-400:]}")
+
+    def hand_in(self, destination: int) -> None:
+        """One message; raises MeasureError where it is refused."""
+        headers = {
+            "X-Request-ID": f"m-{destination}",
+            "Idempotency-Key": f"m-{destination}",
+            "X-Timeout": "20",
+            "X-Envelope": f"dest={destination}",
+        }
+        status, _ = self.ask(self.listen, "POST", "/order-confirm", BODY, headers)
+        if status != 202:
+            raise MeasureError(f"the message for destination {destination} was answered {status}")
+
+    def known(self) -> int:
+        """The endpoints that it knows."""
+        return json.loads(self.ask(self.admin, "GET", "/admin/stats")[1])["discovered"]
+
+    def subscription(self) -> dict:
+        """What it says of its subscription."""
+        return json.loads(self.ask(self.listen, "GET", "/-/status")[1])["subscription"]
+
+    def end(self) -> None:
+        """SIGTERM, and SIGKILL where that is not enough."""
+        self.process.terminate()
+        try:
+            self.process.wait(10)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+
+
+def entry(destination: int, port: int, number: int = 0, weight: float = 50.0) -> dict:
+    """One endpoint of a destination; all of them stand on the same loopback port."""
+    return {
+        "id": f"e{destination}.{number}",
+        "addr": f"127.0.0.1:{port}",
+        "cell": destination,
+        "kind": KIND,
+        "zone": "",
+        "state": "active",
+        "weight": weight,
+    }
+
+
+class WholeList:
+    """A courier asks a stand-in agent for the whole list."""
+
+    name = "whole list"
+
+    def __init__(self, plan: Plan, folder: Path, port: int):
+        entries = (entry(destination, port) for destination in range(plan.destinations))
+        self.agent = ListAgent({each["id"]: each for each in entries})
+        self.source = f'agent = "{self.agent.address}"'
+
+    def change(self, changed: dict) -> None:
+        """One entry changes."""
+        self.agent.change(changed)
+
+    def control_bytes(self, _: Courier) -> int:
+        """So far, both ways."""
+        return self.agent.traffic.received + self.agent.traffic.sent
+
+    def close(self) -> None:
+        """Ends the agent."""
+        self.agent.close()
+
+
+class Subscription:
+    """A courier subscribes to what it uses at a real discovery node."""
+
+    name = "subscribed"
+
+    def __init__(self, plan: Plan, folder: Path, port: int):
+        self.path = folder / "list.log"
+        with open(self.path, "w", encoding="utf-8") as file:
+            file.write(list_source.head(FLEET) + "\n")
+            for destination in range(plan.destinations):
+                file.write(list_source.encode(entry(destination, port)) + "\n")
+        self.node = NodeProcess("node", str(self.path), FLEET, 1, str(folder))
+        self.node.start()
+        try:
+            self.node.wait_ready(NODE_READY)
+        except BaseException:
+            self.node.end()
+            raise
+        self.source = f'nodes = ["{self.node.address}"]\nfleet = "{FLEET}"'
+
+    def change(self, changed: dict) -> None:
+        """One entry changes."""
+        with open(self.path, "a", encoding="utf-8") as file:
+            file.write(list_source.encode(changed) + "\n")
+
+    def control_bytes(self, courier: Courier) -> int:
+        """So far, both ways."""
+        told = courier.subscription()
+        return told["bytes_sent"] + told["bytes_received"]
+
+    def close(self) -> None:
+        """Ends the node."""
+        self.node.end()
+
+
+def measure(plan: Plan, kind: type[WholeList] | type[Subscription], folder: Path) -> Side:
+    """One courier from its start to its end; raises MeasureError."""
+    desk = Desk("destination")
+    threading.Thread(target=desk.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+    folder.mkdir()
+    try:
+        made = kind(plan, folder, desk.server_address[1])
+        try:
+            courier = Courier(folder, made.source)
+            try:
+                return _measured(plan, made, courier, desk)
+            finally:
+                courier.end()
+        finally:
+            made.close()
+    finally:
+        desk.shutdown()
+        desk.server_close()
+
+
+def _measured(plan: Plan, made: WholeList | Subscription, courier: Courier, desk: Desk) -> Side:
+    draw, port = random.Random(plan.seed), desk.server_address[1]
+    used = draw.sample(range(plan.destinations), plan.used)
+    courier.wait_ready()
+    if isinstance(made, WholeList):
+        courier.wait(lambda: courier.known() == plan.destinations, "told of the whole list")
+    for destination in used:
+        courier.hand_in(destination)
+    courier.wait(lambda: len(desk.delivered) == plan.used, "delivered")
+    time.sleep(SETTLE)
+    resident = process_resident(courier.process.pid)
+    bytes_a_second, core = _load(plan, made, courier, draw, port)
+    times = [_in_force(made, courier, entry(each, port, 1)) for each in used[: plan.in_force]]
+    return Side(
+        made.name,
+        plan.destinations,
+        plan.used,
+        courier.known() - len(times),
+        resident / 1e6,
+        bytes_a_second,
+        core,
+        statistics.median(times),
+        max(times),
+    )
+
+
+def _load(plan: Plan, made, courier: Courier, draw: random.Random, port: int) -> tuple[float, float]:
+    """Control bytes a second and the share of a core, under changes of any destinations."""
+    pid, sent = courier.process.pid, made.control_bytes(courier)
+    cpu, began = process_cpu(pid), time.monotonic()
+    for number in range(int(plan.changes * plan.seconds)):
+        time.sleep(max(0.0, began + number / plan.changes - time.monotonic()))
+        made.change(entry(draw.randrange(plan.destinations), port, weight=40.0 + number % 7))
+    time.sleep(max(0.0, began + plan.seconds - time.monotonic()))
+    passed = time.monotonic() - began
+    core = (process_cpu(pid) - cpu) / passed
+    return (made.control_bytes(courier) - sent) / passed, core
+
+
+def _in_force(made, courier: Courier, changed: dict) -> float:
+    """Milliseconds from a new endpoint of a used destination to the courier's knowing it."""
+    before = courier.known()
+    began = time.monotonic()
+    made.change(changed)
+    while courier.known() == before:
+        if time.monotonic() > began + PATIENCE:
+            raise MeasureError(f"{changed['id']} was not in force after {PATIENCE:g} s")
+        time.sleep(STEP)
+    return (time.monotonic() - began) * 1000.0
+
+
+def rows(sides: list[Side]) -> list[dict]:
+    """As a record keeps them."""
+    return [asdict(side) for side in sides]
--- /dev/null
+++ b/calicopin/scale/one_courier_command.py
@@ -0,0 +1,78 @@
+"""`python -m calicopin.scale courier`: one real courier with the whole list, and with what it uses of it."""
+
+import tempfile
+import time
+from pathlib import Path
+
+import click
+
+from calicopin.scale import guard, one_courier, results
+from calicopin.scale.one_courier import MeasureError, Plan, Subscription, WholeList
+from calicopin.scale.options import (
+    MEMORY,
+    OUTPUT,
+    PROCESSES,
+    SEED,
+    Progress,
+    allowed,
+    end_on_sigterm,
+    finish,
+    stop,
+)
+
+MOST_WHOLE = 55_000  # destinations whose list stays under the 8 MiB that a courier reads
+LISTED_BYTES = 10_000  # memory a destination, of the courier and of the stand-in agent
+NODE_BYTES = 400  # memory a destination of a node
+PROCESSES_AT_ONCE = 3
+
+
+@click.command("courier")
+@click.option("--destinations", type=click.IntRange(100, MOST_WHOLE), default=50_000, show_default=True)
+@click.option(
+    "--all-destinations",
+    type=click.IntRange(min=0),
+    default=1_700_000,
+    show_default=True,
+    help="Of one more courier that subscribes; 0 for none.",
+)
+@click.option("--used", type=click.IntRange(min=1), default=90, show_default=True)
+@click.option("--changes", type=click.FloatRange(min=0.01), default=1.27, show_default=True, help="A second.")
+@click.option("--seconds", type=click.FloatRange(min=1.0), default=30.0, show_default=True)
+@click.option("--in-force", type=click.IntRange(min=1), default=20, show_default=True, help="Changes timed.")
+@SEED
+@MEMORY
+@PROCESSES
+@OUTPUT
+def courier(
+    destinations, all_destinations, used, changes, seconds, in_force, seed, memory_mib, processes, path
+):
+    """One real courier: the whole list, a subscription to what it uses of it, and of a larger list."""
+    if used > destinations or in_force > used:
+        stop("--used is at most --destinations, --in-force at most --used")
+    needed = max(destinations * LISTED_BYTES, all_destinations * NODE_BYTES)
+    allowed(guard.Estimate(needed, PROCESSES_AT_ONCE), memory_mib, processes)
+    end_on_sigterm()
+    arguments = {
+        "destinations": destinations,
+        "all_destinations": all_destinations,
+        "used": used,
+        "changes": changes,
+        "seconds": seconds,
+        "in_force": in_force,
+    }
+    run, began = results.begin("courier", arguments, seed), time.monotonic()
+    plays = [(WholeList, destinations), (Subscription, destinations)]
+    if all_destinations:
+        plays.append((Subscription, all_destinations))
+    sides = []
+    with Progress() as progress, tempfile.TemporaryDirectory(prefix="calicopin-scale-") as folder:
+        for number, (kind, size) in enumerate(plays):
+            progress(f"{kind.name} of {size} destinations")
+            plan = Plan(size, used, changes, seconds, in_force, seed)
+            try:
+                sides.append(one_courier.measure(plan, kind, Path(folder) / str(number)))
+            except MeasureError as fault:
+                run.void = str(fault)
+                break
+    run.rows = one_courier.rows(sides)
+    finish(run, began, path)
