--- a/calicopin/scale/faults.py
+++ b/calicopin/scale/faults.py
@@ -98,6 +98,7 @@
         self.heard: list[hollow.Heard] = []
         self.reach: Callable[[Change, int], float] = change_due
         self.outcome = FaultOutcome()
+        self.hollow_late = 0.0  # ms by which the loop of all couriers was behind its timers, at most
 
     def run(self) -> FaultOutcome:
         """The whole run; its processes and files are gone behind it."""
@@ -158,12 +159,12 @@
         """SIGKILL of one node: its couriers spread over the rest."""
         lost = self.nodes[0]
         mine = self._couriers_of(lost.address)
-        others = Counter(each.node for each in self.couriers.figures().couriers if each.courier not in mine)
+        others = Counter(each.node for each in self._courier_figures().couriers if each.courier not in mine)
         began = now()
         lost.kill()
         last = self._wait_moved(mine, lost.address)
         self._wait(self.plan.during)
-        spread = Counter(each.node for each in self.couriers.figures().couriers if each.courier in mine)
+        spread = Counter(each.node for each in self._courier_figures().couriers if each.courier in mine)
         self._figure("couriers of the killed node", "couriers", len(mine))
         self._figure(
             "until the last of them asked another node and was answered", "s", (last - began) / 1000.0
@@ -224,18 +225,23 @@
 
     # Waiting.
 
+    def _courier_figures(self) -> hollow.ProcessFigures:
+        figures = self.couriers.figures()
+        self.hollow_late = max(self.hollow_late, figures.lateness_ms)
+        return figures
+
     def _wait(self, seconds: float) -> None:
         time.sleep(seconds)
         self.heard += self.couriers.heard()
 
     def _couriers_of(self, address: str) -> frozenset[int]:
-        return frozenset(each.courier for each in self.couriers.figures().couriers if each.node == address)
+        return frozenset(each.courier for each in self._courier_figures().couriers if each.node == address)
 
     def _wait_answered(self, numbers: Sequence[int]) -> float:
         """When the last of these couriers had its first answer."""
         wanted, until = set(numbers), time.monotonic() + START_PATIENCE
         while time.monotonic() < until:
-            told = [each for each in self.couriers.figures().couriers if each.courier in wanted]
+            told = [each for each in self._courier_figures().couriers if each.courier in wanted]
             if all(each.answered_at is not None for each in told):
                 return max(each.answered_at for each in told)
             time.sleep(LOOK)
@@ -266,7 +272,7 @@
     def _wait_for(self, done: Callable[[hollow.CourierFigures], bool], why: str) -> float:
         until = time.monotonic() + START_PATIENCE
         while time.monotonic() < until:
-            figures = self.couriers.figures()
+            figures = self._courier_figures()
             if all(done(each) for each in figures.couriers):
                 return figures.at
             time.sleep(LOOK)
@@ -301,6 +307,7 @@
             self._figure(f"in force after a node's reach, {name}", "s", value, self.plan.bound / 1000.0)
         self._figure("never in force", "pairs", len(never), 0.0)
         known = out.differences
+        self._figure("the couriers' own loop, at most late", "ms", self.hollow_late)
         self._figure("couriers compared with the source", "couriers", known.couriers)
         self._figure("endpoints missing at the end", "endpoints", known.missing, 0.0)
         self._figure("endpoints known that have left", "endpoints", known.left_but_known, 0.0)
