--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -15,9 +15,12 @@
 
 
 class Runtime:
+    """One courier: what it holds, what decides and what speaks, with the state that a turn moves on."""
+
     def __init__(self, loop, facade, journal, lines, connect_timeout, ledger):
         self.loop, self.facade, self.journal, self.lines = loop, facade, journal, lines
         self.connect_timeout, self.notices, self.current = connect_timeout, None, False
+        self.subscribed = None  # with discovery nodes: a `boot.subscribed.Subscribed`
         self.agent = None  # where it is told: nothing is decided before its first call for the list has ended
         self.waiting, self.calls, self.given_up, self.calling, self.refusing = [], [], [], True, False
         self.flights, self.ledger = {}, ledger
@@ -57,14 +60,15 @@
     # What clients ask of the acceptor.
 
     def take(self, text):
-        """None where the text is taken on, else the status that refuses it and the milliseconds after which to
-        come again (0: none told)."""
+        """None where the text is taken on, else the status that refuses it and the milliseconds after
+        which to come again (0: none told).
+        """
         if self.journal.knows(text.ident):
             return 409, 0.0
-        if not self.facade.serves(text.dest):
-            self.ledger.refused(text, again=not self.current)
-            return (404 if self.current else 503), 0.0
-        if self.refusing or self.stuck or self.facade.full() or not self.journal.room(len(text.body)):
+        if (refusal := self.no_destination(text)) is not None:
+            self.ledger.refused(text, again=refusal[0] == 503)
+            return refusal
+        if self.closed_to(text):
             self.ledger.refused(text, again=True)
             return 503, self.facade.advice(text)
         self.journal.taken(text)
@@ -72,17 +76,50 @@
         self.ledger.taken += 1
         return None
 
+    def no_destination(self, text):
+        """The status and the wait that refuse a text whose destination is not known; None where it is."""
+        if self.subscribed is not None:
+            status = self.subscribed.refusal(text.dest)
+            return status and (status, self.facade.advice(text) if status == 503 else 0.0)
+        return None if self.facade.serves(text.dest) else ((404 if self.current else 503), 0.0)
+
+    def closed_to(self, text):
+        """Whether nothing more is taken on, or there is no room for this text."""
+        return self.refusing or self.stuck or self.facade.full() or not self.journal.room(len(text.body))
+
+    def first_answer(self, text):
+        """What a text has to wait for before it can be taken on or refused: the first answer on its
+        destination. None
+        where that is known, and where the text is refused in any case."""
+        if self.subscribed is None or self.closed_to(text) or self.journal.knows(text.ident):
+            return None
+        return self.subscribed.first_answer(text.dest)
+
+    def waited(self, event):
+        """A text that waited for the event is decided on now, or its client has left."""
+        self.subscribed.waited(event)
+
+    def stop_waiting(self):
+        """Nothing more is taken on: texts that wait for a first answer are refused."""
+        if self.subscribed is not None:
+            self.subscribed.stop_waiting()
+
     def kept(self, event):
+        """The event is set once what was taken on is in the journal."""
         self.waiting.append(event)
         return event
 
     def withdraw(self, text):
+        """The client is gone before its answer: the text is ended without one."""
         self.facade.withdraw(text)
 
     def listed(self, places, whole):
-        """News of discovery's. Guards all texts against an agent that has no list yet and says so with an empty one."""
+        """News of discovery's.
+
+        Guards all texts against an agent that has no list yet and says so with an empty one.
+        """
         self.current = True
-        if whole and not places and self.facade.places:
+        if whole and not places and self.facade.places and self.subscribed is None:
             logger.warning(
                 "an empty list is passed over, {endpoints} endpoints serve on",
                 event="discovery.empty",
@@ -97,12 +134,19 @@
                 gone = [place for place in former.values() if place is not None]
                 self.lines.change(gone, [now_listed[number] for number in former if number in now_listed])
 
+    def released(self, destination):
+        """The subscription to a destination was given up."""
+        gone = self.facade.release(destination)
+        if self.lines.listed is not None:
+            self.lines.change(gone, [])
+
     # The turn.
 
     def turn(self):
         """Decides on all that a pass brought; a fault in that is logged and the courier serves on."""
         try:
-            # guards drains against a start: what came since the last process is told already, and its list is old
+            # guards drains against a start: what came since the last process is told already, and its list is
+            # old
             due = self.facade.tick(self.loop.now()) if self.agent is None or self.agent.tried else FOREVER
             self.note_down()
         except Exception:
@@ -118,8 +162,8 @@
         if self.stuck:
             logger.info("turns go on, {turns} ended by a fault", event="turn.again", turns=self.stuck)
             self.stuck, late = 0, self.calls
-            # guards memories of references, waits and validity periods against calls that the journal held up: each is
-            # decided anew. It costs a submit of the text's allowance.
+            # guards memories of references, waits and validity periods against calls that the journal held
+            # up: each is decided anew. It costs a submit of the text's allowance.
             self.calls, due = [], self.loop.now()
             for call in late:
                 self.facade.report(call, Answer(Far.CALLED_OFF), 0.0)
@@ -144,6 +188,7 @@
         return len(self.flights)
 
     def begin(self, call):
+        """Sends a call; its time-out counts from now."""
         flight = Flight(call, self.loop.now() + call.timeout)
         self.fly(
             flight,
@@ -157,6 +202,7 @@
         self.fly(flight, lambda written, tell: go_on(self.loop, self.lines, flight, line, heard, tell))
 
     def fly(self, flight, talk):
+        """Runs a call's talk with its endpoint as a coroutine, to its outcome."""
         self.flights[flight] = True
         flight.task = self.loop.spawn(self.carry(flight, talk))
 
@@ -228,6 +274,7 @@
                 idle_connections=self.lines.count,
                 destinations=self.facade.state(),
             )
+            | (dict(subscription=self.subscribed.status()) if self.subscribed else {})
         ).encode()
 
     def told(self, text):
@@ -236,6 +283,7 @@
         self.over(text)
 
     def over(self, text):
+        """Nothing is owed for the text any more."""
         self.journal.over(text, self.loop.now())
 
     def keep_house(self):
@@ -246,7 +294,8 @@
             self.lines.sweep(self.loop.now())
             if self.loop.now() >= report:
                 line = (
-                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, {given_up} given up, "
+                    "loop at most {late_ms:.1f} ms late; {taken} taken, {turned_away} turned away, "
+                    "{given_up} given up, "
                     "{held} held, {out} out"
                 )
                 ledger = self.ledger
--- a/calicopin/command/demo.py
+++ b/calicopin/command/demo.py
@@ -1,4 +1,6 @@
-"""`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner goes out and comes back."""
+"""`calicopin demo`: a courier, stand-in partners and a client on loopback, with live figures; one partner
+goes out and comes back.
+"""
 
 import http.client
 import http.server
@@ -34,9 +36,12 @@
 
 
 class Calls(http.server.BaseHTTPRequestHandler):
+    """Answers each call after a short while; while the partner is out, connections end without an answer."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
+        """Answers a call after a short while; closes the connection instead while the partner is out."""
         self.rfile.read(int(self.headers["Content-Length"]))
         time.sleep(random.uniform(0.02, 0.12))
         if self.server.shut:
@@ -49,11 +54,13 @@
         self.end_headers()
 
     def setup(self):
+        """Ends a new connection at once while the partner is out."""
         super().setup()
         if self.server.shut:
             self.connection.shutdown(socket.SHUT_RDWR)
 
     def log_message(self, *_):
+        """Writes no line for a call."""
         pass
 
 
@@ -68,9 +75,12 @@
 
 
 class Heard(http.server.BaseHTTPRequestHandler):
+    """Notes the end of each text that a notice tells."""
+
     protocol_version = "HTTP/1.1"
 
     def do_POST(self):
+        """Notes the ends that a request tells, one a line."""
         for line in self.rfile.read(int(self.headers["Content-Length"])).splitlines():
             told = json.loads(line)
             self.server.ended[told["ref"]] = told["result"]
@@ -79,6 +89,7 @@
         self.end_headers()
 
     def log_message(self, *_):
+        """Writes no line for a request."""
         pass
 
 
@@ -140,6 +151,7 @@
 
 
 def table(told, desks, left):
+    """The live figures of each destination; `left` is the seconds to go."""
     out = Table(
         title=f"courier on loopback, {left:.0f} s to go",
         caption="the gateway goes out and comes back; no text is lost",
@@ -242,12 +254,14 @@
 
 
 def sum_up(taken, refused, desks, notices, console):
+    """Prints what became of all texts; whether each has had its end."""
     delivered = set().union(*(desk.delivered for desk in desks))
     nacked = {ident for ident, how in notices.ended.items() if how == "bounced"}
     dead = set(notices.ended) - nacked
     lost = taken - delivered - nacked - dead
     console.print(
-        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, {len(nacked - delivered)} nacked, "
+        f"{len(taken)} texts taken on, {refused} turned away; {len(taken & delivered)} delivered, "
+        f"{len(nacked - delivered)} nacked, "
         f"{len(dead - delivered)} undeliverable, {len(lost)} without an end",
         soft_wrap=True,
     )
--- a/calicopin/configuration/convert.py
+++ b/calicopin/configuration/convert.py
@@ -1,4 +1,7 @@
-"""To and from the platform's JSON. What the platform says beyond our keys is kept as it is, so that nothing is lost."""
+"""To and from the platform's JSON.
+
+What the platform says beyond our keys is kept as it is, so that nothing is lost.
+"""
 
 import copy
 import os
@@ -15,6 +18,7 @@
 
 
 def seconds(word):
+    """A time with its unit as seconds; ValueError where it is none."""
     return units.milliseconds(word) / 1000.0
 
 
@@ -99,6 +103,8 @@
         told["watched"] = os.path.join(folder, sheet.partners_file)
     if courier.admin:
         told["admin_addr"] = courier.admin
+    if courier.nodes:
+        told |= dict(nodes=list(courier.nodes), fleet=courier.fleet, list_age=seconds(courier.list_age))
     told |= dict(
         status=courier.status,
         notices=courier.notices,
@@ -125,6 +131,7 @@
 
 
 def time_word(value):
+    """Seconds as a time with its unit."""
     return units.spell(float(value or 0.0) * 1000.0)
 
 
@@ -149,6 +156,9 @@
                 state=told.get("state") or "state",
                 agent=told.get("discovery") or "",
                 admin=told.get("admin_addr") or "",
+                nodes=list(told.get("nodes") or []),
+                fleet=told.get("fleet") or "",
+                list_age=time_word(told["list_age"]) if told.get("list_age") else "24h",
                 status=bool(told.get("status")),
                 log=told.get("log") or "lines",
                 store=told.get("store") or "file",
--- a/calicopin/discovery_node/measure.py
+++ b/calicopin/discovery_node/measure.py
@@ -1,6 +1,7 @@
 """What a node's parts cost, in one process and without sockets: `python -m calicopin.discovery_node.measure`.
 
-A made list is loaded, couriers subscribe to disjoint sets of it, destinations change one after the other. Processor
+A made list is loaded, couriers subscribe to disjoint sets of it, destinations change one after the other.
+Processor
 time is this process's own; memory is what its resident size grew by.
 """
 
@@ -16,8 +17,8 @@
 
 from calicopin.discovery_node.catalogue import Catalogue
 from calicopin.discovery_node.entry import decode_entry
-from calicopin.discovery_node.server import resident_bytes
 from calicopin.discovery_node.source import open_source
+from calicopin.discovery_node.status import resident_bytes
 from calicopin.subscription.leases import LeaseBounds, LeaseTable, Tell
 from calicopin.subscription.messages import (
     Grant,
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -24,12 +24,14 @@
             self(ident)
 
     def __call__(self, ident):
+        """The number of an id; a new one where it has none yet."""
         if ident not in self.index:
             self.index[ident] = number = next(self.next)
             self.ident[number] = ident
         return self.index[ident]
 
     def forget(self, ident):
+        """Drops an id and its number; KeyError where it is not known."""
         del self.ident[self.index.pop(ident)]
 
 
@@ -48,8 +50,9 @@
 
 
 def check(env):
-    """Raises ValueError with the place of the first setting that cannot be read by its meaning: another customer's settings are
-    refused by name at the start, and not met by chance in the middle of a day."""
+    """Raises ValueError with the place of the first setting that cannot be read by its meaning: another
+    customer's settings are refused by name at the start, and not met by chance in the middle of a day.
+    """
 
     def table(value, place):
         if not isinstance(value, dict):
@@ -89,6 +92,7 @@
 
 
 def ms(value):
+    """Seconds as milliseconds; 0 where nothing is told."""
     return (value or 0.0) * 1000.0
 
 
@@ -127,16 +131,21 @@
 
 
 def pushed(env):
-    """Whether an agent beside the courier is sent the list, and answers at once and at no cost with what it has."""
+    """Whether an agent beside the courier is sent the list, and answers at once and at no cost with what
+    it has.
+    """
     return env.get("discovery") != "ask"
 
 
 def gives_back(ceilings):
-    """Whether idle connections are given back: unless it says otherwise, wherever partners keep them at all."""
+    """Whether idle connections are given back: unless it says otherwise, wherever partners keep them at
+    all.
+    """
     return bool(ceilings.get("giveBack", ceilings.get("idleClose")))
 
 
 def reports(env):
+    """The columns of the load that endpoints report, in their order; empty where they report none."""
     return (env.get("loadInfo") or {}).get("columns") or []
 
 
--- a/calicopin/wire/listfile.py
+++ b/calicopin/wire/listfile.py
@@ -8,8 +8,9 @@
 
 
 class ListFile:
-    """`load` returns the places of a sound list or raises ValueError with one line for each thing that is wrong; `heard`
-    takes a whole list. A file that is damaged, cut or gone changes nothing."""
+    """`load` returns the places of a sound list or raises ValueError with one line for each thing that is
+    wrong; `heard` takes a whole list. A file that is damaged, cut or gone changes nothing.
+    """
 
     def __init__(self, loop, path, load, heard):
         self.loop, self.path, self.load, self.heard = loop, path, load, heard
@@ -21,6 +22,7 @@
         self.loop.cancel(self.task)
 
     def watch(self):
+        """A coroutine that looks at the file every `LOOK` ms and reads it once it has changed."""
         while True:
             yield Until(self.loop.now() + LOOK)
             stamp = self.loop.system.stamp(self.path)
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -34,6 +34,7 @@
         self.loop, self.task, self.is_set = loop, None, False
 
     def set(self):
+        """Resumes the coroutine that waits; where none does, the next to wait goes on at once."""
         if self.task is None:
             self.is_set = True
         else:
@@ -168,8 +169,9 @@
             task = self.fds.get(fd)
             if task is not None:
                 self.resume(task, True)
-        # Guards answers that lie there unread against a time-out when the process stood still since it asked for them:
-        # only what was due by then is over; the rest is due in the next pass, behind what that one brings.
+        # Guards answers that lie there unread against a time-out when the process stood still since it asked
+        # for them: only what was due by then is over; the rest is due in the next pass, behind what that one
+        # brings.
         now = self.now()
         told = min(now, max(asked, at) if wait and not events else asked)
         while self.due and self.due[0][0] <= told:
@@ -192,6 +194,9 @@
                 self._step(task, value)
 
     def run(self):
+        """Passes until `running` is false; each waits for events until the turn of the last has something
+        due.
+        """
         until = FOREVER
         while self.running:
             until = self.once(until)
