--- a/calicopin/scale/faults.py
+++ b/calicopin/scale/faults.py
@@ -182,7 +182,8 @@
     def _all_gone_and_back(self) -> None:
         """SIGKILL of all nodes; after a while all are back on the same addresses.
 
-        A node's reach begins with the start of their processes: the time that they take to read the list counts.
+        A node's reach begins with the start of their processes: the time that they take to read the list
+        counts.
         """
         began = now()
         for node in self.nodes:
