--- a/calicopin/scale/bench/hollow.py
+++ b/calicopin/scale/bench/hollow.py
@@ -1,8 +1,8 @@
 """Hollow couriers: the real control side of many couriers on one loop, without a data path.
 
 Each has the program's own `Subscriber` with its session, choice of node and retries. What it would tell the
-decisions is kept as what it knows, and each difference is recorded with its time. A process of its own serves them; the
-controller sends typed orders through a pipe.
+decisions is kept as what it knows, and each difference is recorded with its time. A process of its own serves
+them; the controller sends typed orders through a pipe.
 """
 
 import os
--- a/calicopin/scale/bench/in_force.py
+++ b/calicopin/scale/bench/in_force.py
@@ -50,8 +50,8 @@
 ) -> list[InForce]:
     """Each change at each of its subscribers.
 
-    Time counts from when the change was due; for a change of an index in `reach`, from then on if that is later:
-    no node could be reached before.
+    Time counts from when the change was due; for a change of an index in `reach`, from then on if that is
+    later: no node could be reached before.
     """
     by_place: dict[tuple[int, str], list[Heard]] = defaultdict(list)
     for one in heard:
--- a/tests/test_scale_bench.py
+++ b/tests/test_scale_bench.py
@@ -1,6 +1,6 @@
 """Hollow couriers before real discovery nodes on loopback, in small: what they know after changes and faults.
 
-The verdict is completeness alone; no time is asserted. A wait ends with what is waited for, or after a minute.
+The verdict is completeness alone; no time is asserted. Waits end with what is waited for, or after a minute.
 """
 
 import time
