--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -44,6 +44,13 @@
     )
 
 
+def _played(slope: slopes.Slope) -> Figure:
+    """What a fault took where it was played, at a smaller size."""
+    return Figure(
+        f"played with 800 couriers: {slope.name}", "the run's own", slope.value, Unit.SECONDS, (Use(slope),)
+    )
+
+
 def ordinary_day(size: Size) -> Fault:
     """Failures and restarts spread over all machines alike."""
     courier_share = 1.0 - size.control_machines / size.machines
@@ -79,6 +86,14 @@
                 (),
                 shape,
             ),
+            Figure(
+                "waiting events on one machine, at the largest backlog",
+                "waiting events a courier × couriers a machine",
+                size.waiting_a_courier * size.shape.couriers_a_machine,
+                Unit.COUNT,
+                (),
+                shape,
+            ),
             Figure(
                 "bytes a second of all starts, today",
                 "starts × whole list / a day",
@@ -95,6 +110,7 @@
                 courier.lease_bytes(size).uses,
                 shape,
             ),
+            _played(slopes.PLAYED_RESTART),
         ),
     )
 
@@ -126,6 +142,8 @@
                 Unit.SECONDS,
             ),
             *_leases("new leases", "new couriers", each, size),
+            _played(slopes.PLAYED_KILLED),
+            _played(slopes.PLAYED_HALF_OPEN),
         ),
     )
 
@@ -194,6 +212,7 @@
                 size.couriers_a_zone * size.waiting_a_courier,
                 Unit.COUNT,
             ),
+            courier.waiting_start(size),
             Figure(
                 "back before its nodes: new leases a node", "couriers gone / nodes left", back, Unit.COUNT
             ),
@@ -297,7 +316,15 @@
                 "starts in an hour, each from its folder", "starts a day / 24", courier_starts, Unit.COUNT
             ),
             Figure("back at once: new leases a node", "couriers a node", size.couriers_a_node, Unit.COUNT),
+            Figure(
+                "back at once: until the last courier has its set, from its first request",
+                "613 new leases at one node",
+                slopes.ARRIVAL.value,
+                Unit.SECONDS,
+                (Use(slopes.ARRIVAL, size.couriers_a_node),),
+            ),
             *_leases("back at once", "new leases", size.couriers_a_node, size),
+            _played(slopes.PLAYED_ALL_GONE),
         ),
     )
 
--- a/calicopin/capacity/model.py
+++ b/calicopin/capacity/model.py
@@ -20,7 +20,7 @@
     node.news_today,
     node.lists_today,
 )
-DESTINATION = (outside.events, outside.told_share, outside.served_ratio)
+DESTINATION = (outside.events, outside.told_share, outside.served_ratio, outside.given_up)
 OPERATORS = (
     outside.status_today,
     outside.status_subscribed,
@@ -81,7 +81,10 @@
             "Courier, data path",
             (
                 courier.events_core(size),
+                courier.decisions_core(size),
                 courier.events_traffic(size),
+                courier.journal_traffic(size),
+                courier.connections(size),
                 courier.waiting_memory(size),
                 courier.waiting_decisions(size),
                 courier.queue_length(size),
@@ -114,7 +117,9 @@
                 courier.lease_start(size),
                 courier.set_take(size),
                 courier.renewal_core(size),
+                courier.set_change_time(size),
                 courier.renewal_traffic(size),
+                courier.measured_traffic(size),
                 courier.subscribed_in_force(size),
             ),
         ),
--- a/tests/wire_helper.py
+++ b/tests/wire_helper.py
@@ -52,14 +52,14 @@
     def __init__(self):
         self.texts, self.events, self.refusal, self.withdrawn = [], [], None, []
 
+    def first_answer(self, _):
+        return None
+
     def take(self, text):
         if self.refusal is None:
             self.texts.append(text)
         return self.refusal
 
-    def first_answer(self, _):
-        return None
-
     def kept(self, event):
         self.events.append(event)
         return event
