--- a/calicopin/admin/server.py
+++ b/calicopin/admin/server.py
@@ -1,4 +1,7 @@
-"""One call to one connection: health, figures, quiesce, resume. Answered ahead of clients, and never with an effect on a text."""
+"""One call to one connection: health, figures, quiesce, resume.
+
+Answered ahead of clients, and never with an effect on a text.
+"""
 
 import json
 
@@ -18,8 +21,12 @@
 
 
 class AdminServer:
-    """Listens on `address`. `calls` holds, by path, the method and a function that returns the body. At most `most` callers are
-    heard at once; one more closes the one that has been silent longest, so that callers who say nothing keep nobody out."""
+    """Listens on `address`.
+
+    `calls` holds, by path, the method and a function that returns the body. At most `most` callers are heard
+    at once; one more closes the one that has been silent longest, so that callers who say nothing keep nobody
+    out.
+    """
 
     def __init__(self, loop, address, calls, most):
         self.loop, self.calls, self.most, self.callers = loop, calls, most, {}
@@ -28,6 +35,7 @@
         self.accepting = loop.keep(self.accept, ahead=True)
 
     def accept(self):
+        """A coroutine that serves each new connection with one of its own; it must not end."""
         while True:
             for _ in range(AT_ONCE):
                 try:
@@ -49,6 +57,9 @@
                 yield Until(self.loop.now())
 
     def serve(self, line):
+        """One connection: reads its call, answers it and closes. A caller has `PATIENCE` for each of the
+        two.
+        """
         try:
             until = self.loop.now() + PATIENCE
             status, body = yield from self.hear(line, until)
@@ -87,6 +98,7 @@
             return self.refuse(409, str(fault))
 
     def refuse(self, status, why):
+        """(status, body) of a call that is turned away; logged once in `REST` ms at most."""
         if self.loop.now() >= self.told + REST:
             logger.warning(
                 "a call at the admin address was turned away with {status}: {why}",
@@ -98,6 +110,7 @@
         return status, {"error": why}
 
     def reply(self, line, status, body, until):
+        """Writes an answer as JSON, until `until` (ms of the loop's clock) at the latest."""
         data = json.dumps(body).encode() + b"\n"
         allow = [("Allow", "GET, POST")] if status == 405 else []
         try:
--- a/calicopin/boot/renewal.py
+++ b/calicopin/boot/renewal.py
@@ -31,6 +31,7 @@
         self.subscribes = bool(post.nodes)
 
     def wait(self):
+        """A coroutine that waits for signals: a stop is passed on, SIGHUP reads the configuration again."""
         while True:
             yield Until(FOREVER, self.signal_reader.fd, READ)
             signs = self.signal_reader.heard()
@@ -51,7 +52,8 @@
             self.runtime.listed(places, True)
 
     def limit_disk(self, disk):
-        """So many bytes may the folder hold; the list in it has its part where destinations are subscribed to."""
+        """So many bytes may the folder hold; the list in it has its part where destinations are subscribed
+        to."""
         if self.subscribes:
             from calicopin.held.known_list import journal_bytes
 
--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -69,8 +69,9 @@
 
 
 def posted(environ, renewed=False, system=HERE):
-    """What the platform tells: addresses and folder by its variables first, all else by its file; once the file
-    was replaced, its discovery stands before the variable."""
+    """What the platform tells: addresses and folder by its variables first, all else by its file; once the
+    file was replaced, its discovery stands before the variable.
+    """
     path, sheet = environ["LB_CONFIG"], None
     second, passed, meeting = (
         environ.get(name, "") for name in ("LB_ADMIN_ADDR", "LB_PASSED_SOCKET", "TMPDIR")
@@ -122,7 +123,9 @@
 
 
 def listed(known):
-    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has the whole of it."""
+    """(version, places) of the list known at a start; one that cannot be read holds nothing: discovery has
+    the whole of it.
+    """
     try:
         version, _, places = read(known)
     except ValueError as fault:
@@ -134,8 +137,11 @@
 
 
 def build(post, loop, signal_reader, again, lock=None, taker=None):
-    """The parts of one courier; what was journalled is handed in before any client is heard. `again` reads once
-    more what the platform tells. `lock` is the folder's, `taker` holds what another process gives instead of it."""
+    """The parts of one courier; what was journalled is handed in before any client is heard.
+
+    `again` reads once more what the platform tells. `lock` is the folder's, `taker` holds what another
+    process gives instead of it.
+    """
     terms = post.terms
     ceilings = terms["ceilings"]
     connect = (ceilings.get("connectTimeout") or 1.0) * 1000.0
@@ -287,8 +293,9 @@
 
 
 def follow(post, environ, signal_reader, system):
-    """(lock, what another process gives, the post): waits until the folder is free or the one that holds it gives it. A post
-    of None where a signal comes first."""
+    """(lock, what another process gives, the post): waits until the folder is free or the one that holds
+    it gives it. A post of None where a signal comes first.
+    """
     from calicopin.handover.meeting import Place
     from calicopin.handover.taker import Told, begin
 
@@ -319,6 +326,9 @@
 
 
 def main(signal_reader=None):
+    """Serves as a courier until a signal; returns the exit code, 2 where the configuration cannot be
+    served.
+    """
     signal_reader = signal_reader or SignalReader()
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level.name} {message}", level="INFO", backtrace=False)
@@ -326,7 +336,8 @@
         serve(os.environ, signal_reader)
     except BlockingIOError:
         print(
-            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; give each its own",
+            f"{os.environ['LB_CONFIG']}: courier.state: the folder is held by another courier; "
+            "give each its own",
             file=sys.stderr,
         )
         return 2
--- a/calicopin/boot/stop.py
+++ b/calicopin/boot/stop.py
@@ -1,4 +1,6 @@
-"""Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of `boot/leave.py`."""
+"""Leaving on sockets: SIGTERM and the operators' call to quiesce walk through the steps of
+`boot/leave.py`.
+"""
 
 from loguru import logger
 
@@ -9,7 +11,10 @@
 
 
 class Stop:
-    """`asked` rings for the stop. A courier that was quiesced stays so until it is told to resume, or ends."""
+    """`asked` rings for the stop.
+
+    A courier that was quiesced stays so until it is told to resume, or ends.
+    """
 
     def __init__(self, loop, runtime, clients):
         self.loop, self.runtime, self.clients = loop, runtime, clients
@@ -56,8 +61,9 @@
         self.stopping = True
         self.end_drain()
         yield from self.walk(Leave(RETIRED if self.retired else STOP, self.loop.now()))
-        # guards the last turn's texts where the process stood still through the steps: one turn keeps what was taken on and its
-        # answers go out, and what is read from here on is refused, since nothing would keep it
+        # guards the last turn's texts where the process stood still through the steps: one turn keeps what
+        # was taken on and its answers go out, and what is read from here on is refused, since nothing would
+        # keep it
         runtime.calling, runtime.refusing = False, True
         runtime.stop_waiting()
         self.clients.close_between_requests()
@@ -66,6 +72,7 @@
         self.loop.running = False
 
     def end_drain(self):
+        """Ends a drain that is under way, if there is one."""
         if self.task:
             self.loop.cancel(self.task)
         self.drain = self.task = None
@@ -84,10 +91,12 @@
         return self.told()
 
     def check(self):
+        """ValueError where another process has taken all over."""
         if self.retired:
             raise ValueError("all was handed over to a newer process: call that one")
 
     def begin_drain(self, began):
+        """Walks through the steps of a drain; `began` in ms of the loop's clock."""
         self.drain, self.clients.leaving = Leave(DRAIN, began), True
         self.task = self.loop.keep(lambda: self.walk(self.drain))
 
--- a/calicopin/discovery_node/source.py
+++ b/calicopin/discovery_node/source.py
@@ -1,7 +1,9 @@
 """The source of the list: an append-only file that the node reads whole once and then follows.
 
-The first line is a header, each later one an entry; a later line of the same endpoint replaces the earlier, and
-`state` left removes it. A line that cannot be read is passed over and told by its number. A file that was replaced is
+The first line is a header, each later one an entry; a later line of the same endpoint replaces the earlier,
+and
+`state` left removes it. A line that cannot be read is passed over and told by its number. A file that was
+replaced is
 read into a new catalogue in slices while the last one serves on.
 """
 
@@ -69,7 +71,7 @@
 
     def read_header(self, fleet: str) -> bool:
         """Whether the header is there; SourceError where it is none for this node."""
-        text, newline, _ = self._read(MOST_LINE, 0).partition(b"\n")
+        text, newline, _ = self.read(MOST_LINE, 0).partition(b"\n")
         if not newline and len(text) < MOST_LINE:
             return False
         try:
@@ -82,7 +84,7 @@
     def appended(self) -> "SourceFile":
         """The same open file from its end on, as far as that is whole lines: read beside this one."""
         other, before = copy.copy(self), max(0, self.size_at_open - MOST_LINE)
-        last = self._read(self.size_at_open - before, before)
+        last = self.read(self.size_at_open - before, before)
         other.splitter, other.offset = LineSplitter(), before + last.rfind(b"\n") + 1
         return other
 
@@ -91,15 +93,17 @@
         return self.system.open_status(self.descriptor).st_size
 
     def lines(self, goal: int) -> Iterator[Line]:
-        """The lines from where the last read ended up to that offset, or to the end where that comes first."""
+        """The lines from where the last read ended up to that offset, or to the end where that comes
+        first."""
         while self.offset < goal:
-            data = self._read(min(CHUNK, goal - self.offset), self.offset)
+            data = self.read(min(CHUNK, goal - self.offset), self.offset)
             if not data:
                 return
             self.offset += len(data)
             yield from self.splitter.feed(data)
 
-    def _read(self, size: int, offset: int) -> bytes:
+    def read(self, size: int, offset: int) -> bytes:
+        """Bytes of it, whatever was read before."""
         return self.system.read_at(self.descriptor, size, offset)
 
     def close(self) -> None:
@@ -175,6 +179,7 @@
         self.file = open_source(path, fleet, loop.system)
         self.read_at: float | None = None  # wall time of the last read that found something, ms
         self.looks = self.faults = self.loads = 0
+        self.files = 0  # how often another file took the place of the one that was followed
         self._doubted: tuple | None = None  # the stamp of a file that could not be taken
         self._lost = False  # the file that was followed is no longer what its offset says
         self._told = ""  # the trouble that was told last: it may come at every look
@@ -185,6 +190,10 @@
         """Bytes of the file that were read."""
         return self.file.offset
 
+    def piece(self, offset: int, size: int) -> bytes:
+        """Bytes of the file as far as this node has read it."""
+        return self.file.read(max(0, min(size, self.file.offset - offset)), offset)
+
     def follow(self) -> Iterator[Until]:
         """For ever: a look, a pause."""
         while True:
@@ -236,7 +245,8 @@
         self._end_read(report)
 
     def _take_whole(self, stamp: tuple) -> Iterator[Until]:
-        """Reads a file whole, and serves from it where that can be done; else the last good list serves on."""
+        """Reads a file whole, and serves from it where that can be done; else the last good list serves
+        on."""
         try:
             file = open_source(self.path, self.fleet, self.loop.system)
         except SourceError as fault:
@@ -265,7 +275,8 @@
         yield from self._take_over(file, catalogue)
 
     def _take_beside(self, file: SourceFile) -> None:
-        """What is appended while the file is read whole is told by the last good list already: a load may last longer
+        """What is appended while the file is read whole is told by the last good list already: a load may
+        last longer
         than a change may take. Its faults are told when the load comes to them."""
         if self.catalogue is None:
             return
@@ -280,6 +291,7 @@
         old_file, self.file = self.file, file
         old, self.catalogue = self.catalogue, catalogue
         old_file.close()
+        self.files += file.identity != old_file.identity or file.size_at_open < old_file.offset
         self.loads += 1
         self._doubted, self._lost, self._told = None, False, ""
         logger.info(
@@ -299,7 +311,8 @@
             yield
 
     def _in_slices(self, steps: Iterator[None], look: Callable[[], None] | None = None) -> Iterator[Until]:
-        """Long work a slice in each pass of the loop, so that requests are served meanwhile; a look now and then."""
+        """Long work a slice in each pass of the loop, so that requests are served meanwhile; a look now and
+        then."""
         began = looked = self.loop.now()
         for _ in steps:
             if self.loop.now() - began < SLICE:
--- a/calicopin/drill/__main__.py
+++ b/calicopin/drill/__main__.py
@@ -3,17 +3,17 @@
 import sys
 import traceback
 
-from calicopin.drill.codec import WireFault, batches, plain
-from calicopin.drill.door import Door
+from calicopin.drill.codec import WireError, batches, plain
+from calicopin.drill.instance import Instance
 
 
-def answer(clock, events, doors, pages):
+def answer(clock, events, instances, pages):
     """The reply to one batch, without its last line."""
     notes, reply, who = {}, [], None
     page, left = None, 0
     for number, name, values in events:
         if left and name != "ENDPOINT":
-            raise WireFault(f"line {number}: page {page} lacks {left} of its entries")
+            raise WireError(f"line {number}: page {page} lacks {left} of its entries")
         if name == "FOR":
             who = values[0]
         elif name == "PAGE":
@@ -21,28 +21,28 @@
             pages[page] = []
         elif name == "ENDPOINT":
             if not left:
-                raise WireFault(f"line {number}: ENDPOINT outside a page")
+                raise WireError(f"line {number}: ENDPOINT outside a page")
             pages[page].append(values)
             left -= 1
         elif who is None:
-            raise WireFault(f"line {number}: {name} before any FOR")
+            raise WireError(f"line {number}: {name} before any FOR")
         elif name == "DETACH":
-            doors.pop(who, None)
+            instances.pop(who, None)
             notes.pop(who, None)
         elif name == "HELLO":
-            doors[who], notes[who] = Door(values[0], values[1], number), []
-        elif who not in doors:
-            raise WireFault(f"line {number}: {name} for instance {who}, which has not begun")
+            instances[who], notes[who] = Instance(values[0], values[1], number), []
+        elif who not in instances:
+            raise WireError(f"line {number}: {name} for instance {who}, which has not begun")
         else:
-            event = doors[who].read(number, name, values, pages)
+            event = instances[who].read(number, name, values, pages)
             notes.setdefault(who, [])
             if event is not None:
                 notes[who].append(event)
     if left:
-        raise WireFault(f"page {page} lacks {left} of its entries at the end of the batch")
+        raise WireError(f"page {page} lacks {left} of its entries at the end of the batch")
     for who in list(notes):
         try:
-            lines = doors[who].act(clock * 1000.0, notes[who])
+            lines = instances[who].act(clock * 1000.0, notes[who])
         except Exception as fault:
             traceback.print_exc()
             place = traceback.extract_tb(fault.__traceback__)[-1]
@@ -56,13 +56,13 @@
 
 def main(source=sys.stdin, sink=sys.stdout):
     """Answers every batch until the input ends; 2 where a line cannot be read."""
-    doors, pages = {}, {}
+    instances, pages = {}, {}
     try:
         for clock, number, events in batches(source):
-            reply = answer(clock, events, doors, pages)
+            reply = answer(clock, events, instances, pages)
             sink.write("".join(line + "\n" for line in reply) + f"YIELD {number}\n")
             sink.flush()
-    except WireFault as fault:
+    except WireError as fault:
         print(f"calicopin.drill: {fault}", file=sys.stderr)
         return 2
     return 0
--- a/calicopin/emulator/__main__.py
+++ b/calicopin/emulator/__main__.py
@@ -1,4 +1,6 @@
-"""`python -m calicopin.emulator`: runs of scenarios, judged; one that broke played again, in words, or made smaller."""
+"""`python -m calicopin.emulator`: runs of scenarios, judged; one that broke played again, in words, or
+made smaller.
+"""
 
 import json
 import os
@@ -14,7 +16,7 @@
 
 from calicopin.emulator import fleet, runs
 from calicopin.emulator.faults import FAULTS
-from calicopin.emulator.scenario import Unreadable, dump, load, names
+from calicopin.emulator.scenario import ScenarioError, dump, load, names
 from calicopin.emulator.story import story
 
 SHOWN = ("revenue", "of_best", "in_sla", "p50_ms", "p99_ms", "refused", "waste", "fairness")
@@ -41,7 +43,7 @@
 def read(word):
     try:
         return load(word)
-    except Unreadable as fault:
+    except ScenarioError as fault:
         click.echo(str(fault), err=True)
         sys.exit(2)
 
@@ -236,7 +238,8 @@
     )
     for trouble in troubles:
         click.echo(
-            f"  {trouble.kind} at {trouble.at_s:g} s for {trouble.for_s:g} s, {trouble.whom}, size {trouble.size:g}"
+            f"  {trouble.kind} at {trouble.at_s:g} s for {trouble.for_s:g} s, {trouble.whom}, "
+            f"size {trouble.size:g}"
         )
     click.echo(f"BROKEN {found}")
     sys.exit(1)
--- a/calicopin/emulator/list_faults.py
+++ b/calicopin/emulator/list_faults.py
@@ -1,4 +1,5 @@
-"""Small faults of couriers that subscribe and of discovery nodes, put in one at a time: the referees see each."""
+"""Small faults of couriers that subscribe and of discovery nodes, put in one at a time: the referees see
+each."""
 
 from calicopin.boot import subscribed as subscribed_module
 from calicopin.boot.runtime import Runtime
--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -1,9 +1,10 @@
 """Judges what couriers that subscribe to parts of the list owe, beside the six rules, from the trace alone.
 
 - An announced leave is told within 6 s of when a node could be reached: from then on it counts as told.
-- No destination is called, and no message for one taken on, before a node has told of it; given up and subscribed to
-  anew it counts as not told; a restarted courier calls nobody before its first answer while every node can be reached
-  and no answer is lost.
+- No destination is called, and no message for one taken on, before a node has told of it; given up and
+  subscribed to anew it counts as not told; a restarted courier calls nobody before its first answer while
+  every node can be
+  reached and no answer is lost.
 - A list from the folder may be as old as the configuration says.
 - At the quiet end each courier's own file holds exactly what the source has of its destinations.
 """
@@ -32,8 +33,8 @@
 
 @dataclass(slots=True)
 class Listing:
-    """One time in the list of one endpoint: when all nodes had it, the first one had its leave, all had that, and the
-    first one had it listed again."""
+    """One time in the list of one endpoint: when all nodes had it, the first one had its leave, all had that,
+    and the first one had it listed again."""
 
     destination: int
     begin: float
@@ -88,7 +89,8 @@
         self.silent = [sorted(spans, key=lambda span: span.begin) for spans in silent]
 
     def told_by(self, at: float) -> float:
-        """By when what every node had at that time is told: after 6 s in which one node could be reached all the time."""
+        """By when what every node had at that time is told: after 6 s in which one node could be reached all
+        the time."""
         return min((self._told_by(spans, at) for spans in self.silent), default=INFINITE)
 
     def _told_by(self, spans: list[Span], at: float) -> float:
@@ -216,7 +218,8 @@
             self.told[courier].given_up[destination].append(at)
 
     def _source(self, at, serial, node, endpoint, destination, state, nodes):
-        """A change is in a node's source; the first sights of changes are in their order, as each node has them."""
+        """A change is in a node's source; the first sights of changes are in their order, as each node has
+        them."""
         change = self.changes.get(serial) or self._first_sight(at, serial, endpoint, destination, state)
         change.nodes += 1
         self.changed_at = at
@@ -276,12 +279,13 @@
                         DRAIN,
                         at,
                         call.courier,
-                        f"a call to {call.endpoint} begun {at - listing.leave:.0f} ms after every node had its "
+                        f"a call to {call.endpoint} begun {at - listing.leave:.0f} ms after each node had its "
                         f"leave, which was to be told by {due:.1f}",
                     )
 
     def _judge_leaves(self, courier: str):
-        """Each leave of a destination that the courier holds is told in time, whether a call would follow or not."""
+        """Each leave of a destination that the courier holds is told in time, whether a call would follow or
+        not."""
         told, party = self.told[courier], self.parties[courier]
         for endpoint, listings in self.listings.items():
             for listing in listings:
@@ -298,7 +302,7 @@
                             KNOWN,
                             due,
                             courier,
-                            f"the leave of {endpoint}, which every node had at {listing.leave:.1f}, was not told",
+                            f"the leave of {endpoint}, at every node by {listing.leave:.1f}, was not told",
                         )
 
     def _before_first_answer(self, call, began: float, heard: float):
@@ -318,8 +322,8 @@
                     DRAIN,
                     call.begun,
                     call.courier,
-                    f"a call to {call.endpoint}, whose leave was announced before its start, and not asked about: a "
-                    "node could be reached",
+                    f"a call to {call.endpoint}, whose leave was announced before its start, and not asked about: "
+                    "a node could be reached",
                 )
         if began - heard > self.settings.list_age_s * 1000.0:
             self.referee.add(
@@ -383,7 +387,7 @@
                     KNOWN,
                     end,
                     name,
-                    f"destination {destination}: it holds {sorted(own)}, the list has {sorted(listed[destination])}",
+                    f"destination {destination}: it holds {sorted(own)}, not {sorted(listed[destination])}",
                 )
         for destination in self._used(name, life):
             if listed[destination] and destination not in held:
--- a/calicopin/emulator/nodes.py
+++ b/calicopin/emulator/nodes.py
@@ -1,8 +1,10 @@
-"""Discovery nodes of a run: the real node as a process on emulated files and sockets, the source of the list, their faults.
+"""Discovery nodes of a run: the real node as a process on emulated files and sockets, the source of the list,
+their faults.
 
-Every node reads a source file of its own, to which the changes of the one list are appended; each change reaches
-each node after a time of its own. Notes for the referee: `source` (a change is in a node's file), `answered` (a
-courier has read an answer), `cut-off` (a courier and a node cannot speak).
+Every node reads a source file of its own, to which the changes of the one list are appended; each change
+reaches each node after a time of its own. Notes for the referee: `source` (a change is in a node's file),
+`answered`
+(a courier has read an answer), `cut-off` (a courier and a node cannot speak).
 """
 
 import json
@@ -56,7 +58,8 @@
 
 
 class NodeCalls(Calls):
-    """The system calls of a node: those of a courier, files held open for reading, connections that are watched."""
+    """The system calls of a node: those of a courier, files held open for reading, connections that are
+    watched."""
 
     def listen(self, _, port):
         """A listening socket whose answers are noted once they were read."""
@@ -104,8 +107,8 @@
 
 
 class AnswerWatch:
-    """Reads what passes on one connection: what the courier gives up as it asks for that, and an answer once the courier
-    has read the whole of it."""
+    """Reads what passes on one connection: what the courier gives up as it asks for that, and an answer once
+    the courier has read the whole of it."""
 
     def __init__(self, node: "NodeProcess", end: End):
         self.node, self.end, self.send, self.host = node, end, end.send, end.peer.machine.address
@@ -371,8 +374,8 @@
                 self.day.tell(one, endpoint, "active")
 
     def _withdraw(self, trouble, lasts):
-        """All endpoints of a destination are announced as leaving, and have left later; size 0: they have left at once. It
-        is listed again after that time, where one is told."""
+        """All endpoints of a destination are announced as leaving, and have left later; size 0: they have
+        left at once. It is listed again after that time, where one is told."""
         gap = LEFT_AFTER if trouble.size else 0.0
         for one in self.day.whom(trouble):
             for endpoint in one.endpoints:
@@ -385,7 +388,8 @@
 
 @contextmanager
 def given_up_after(seconds: float) -> Iterator[None]:
-    """Couriers give a destination up that long after its last message, in place of the program's own minutes."""
+    """Couriers give a destination up that long after its last message, in place of the program's own
+    minutes."""
     if not seconds:
         yield
         return
--- a/calicopin/handover/giver.py
+++ b/calicopin/handover/giver.py
@@ -1,14 +1,15 @@
 """The process that serves: hears the one that is to follow it, gives it all, and stands by until SIGTERM.
 
-Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the other one decides,
-and this one does nothing but end what cannot change hands. If the other one dies before SIGTERM comes, this one begins anew
-from the folder, as after a crash."""
+Until `go` is out nothing here has changed and whatever fails leaves this process serving. From `go` on the
+other one decides, and this one does nothing but end what cannot change hands. If the other one dies before
+SIGTERM comes, this one begins anew from the folder, as after a crash.
+"""
 
 import base64
 
 from loguru import logger
 
-from calicopin.handover.meeting import Broken, Talk, ours
+from calicopin.handover.meeting import HandoverError, Talk, ours
 from calicopin.handover.state import FORM, written
 from calicopin.wire.loop import AGAIN, FOREVER, READ, Until
 
@@ -19,11 +20,15 @@
 
 
 def coded(data):
+    """Bytes as they go into a frame: base64."""
     return base64.b64encode(bytes(data)).decode()
 
 
 class Giver:
-    """Gives away the courier whose parts it is handed. `lock` is the folder's; `again` begins this process anew."""
+    """Gives away the courier whose parts it is handed.
+
+    `lock` is the folder's; `again` begins this process anew.
+    """
 
     def __init__(self, place, lock, again, loop, runtime, clients, discovery, renewal, stop):
         self.lock, self.again = lock, again
@@ -39,6 +44,7 @@
         self.task = loop.keep(self.host)
 
     def host(self):
+        """A coroutine that waits for new versions at the meeting place and begins the handover with each."""
         while True:
             try:
                 sock, _ = self.listener.accept()
@@ -83,7 +89,9 @@
         return not why
 
     def settle(self):
-        """Calls that have not begun come back, what is decided is in the journal, and answers are on their way."""
+        """Calls that have not begun come back, what is decided is in the journal, and answers are on their
+        way.
+        """
         for _ in range(8):
             self.loop.step()
             for flight in [flight for flight in self.runtime.flights if not flight.far]:
@@ -93,6 +101,9 @@
                 break
 
     def give(self, sock):
+        """The handover itself: where it fails before `go` this process serves on as it was, behind it this
+        process retires.
+        """
         runtime, began = self.runtime, self.loop.now()
         self.loop.forget(sock)
         calling, runtime.calling = runtime.calling, False
@@ -100,13 +111,13 @@
             talk = Talk(sock, PATIENCE)
             self.settle()
             if runtime.stuck:
-                raise Broken("the journal cannot be written")
+                raise HandoverError("the journal cannot be written")
             flights = [flight for flight in runtime.flights if flight.call.open]
             talk.say(self.told(flights))
             if talk.hear()[0].get("ready") is not True:
-                raise Broken("it is not ready")
+                raise HandoverError("it is not ready")
             if self.stop.stopping or runtime.journal.buffer:
-                raise Broken("this process has gone on")
+                raise HandoverError("this process has gone on")
             talk.say({"go": True, "fds": 1}, [self.lock])
         except Exception as fault:  # whatever it is, this process serves on
             logger.warning(
@@ -132,6 +143,7 @@
         )
 
     def told(self, flights):
+        """What the new version is told of decisions, calls out, the list and connections."""
         stop, calls = self.stop, [flight.call for flight in flights]
         lines = self.runtime.lines
         return written(self.runtime.facade, calls) | dict(
--- a/calicopin/wire/agent.py
+++ b/calicopin/wire/agent.py
@@ -1,4 +1,6 @@
-"""What the watch and the notices share: one lasting connection to the platform's agent, whose address may change."""
+"""What the watch and the notices share: one lasting connection to the platform's agent, whose address may
+change.
+"""
 
 from calicopin.wire.http import dial
 
@@ -11,6 +13,7 @@
         self.task = loop.keep(self.talk)
 
     def move(self, address):
+        """Goes on at another address, from a new connection."""
         self.retire()
         self.address, self.task = address, self.loop.keep(self.talk)
 
@@ -20,6 +23,7 @@
         self.hang_up()
 
     def hang_up(self):
+        """Closes the connection, if there is one."""
         line, self.line = self.line, None
         if line:
             line.close()
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -28,7 +28,7 @@
 )
 
 
-class Stand:
+class DecisionsFixture:
     """One courier with its clock; destination 0 has endpoints 0 and 1 unless told otherwise."""
 
     def __init__(self, products=(PRODUCT,), entries=None, **terms):
@@ -87,10 +87,13 @@
     return [action for action in actions if isinstance(action, Submit)]
 
 
-# For the courier on sockets: a clock that the test moves, a loop that is spun, and small stand-ins on loopback.
+# For the courier on sockets: a clock that the test moves, a loop that is spun, and small stand-ins on
+# loopback.
 
 
 class Clock:
+    """A clock that stands until the test moves it; ms."""
+
     def __init__(self, now=1000.0):
         self.now = now
 
@@ -99,7 +102,9 @@
 
 
 class Rebooted(System):
-    """The clock that the test hands in begins anew, so that only the wall clock tells how long ago something was."""
+    """The clock that the test hands in begins anew, so that only the wall clock tells how long ago
+    something was.
+    """
 
     @staticmethod
     def boot():
--- a/tests/test_emulator_subscriptions.py
+++ b/tests/test_emulator_subscriptions.py
@@ -1,5 +1,5 @@
-"""Couriers that subscribe to parts of the list at real discovery nodes, in virtual time: the six rules and what such
-couriers owe beside them; same seed, same run."""
+"""Couriers that subscribe to parts of the list at real discovery nodes, in virtual time: the six rules and
+what such couriers owe beside them; same seed, same run."""
 
 import os
 import subprocess
@@ -133,7 +133,8 @@
     script = (
         "import sys; from loguru import logger; logger.remove(); from calicopin.emulator import runs;"
         "from calicopin.emulator.scenario import load;"
-        "print(*[runs.play(load('subscriptions-mixed'), int(seed))[0].world.digest() for seed in sys.argv[1:]])"
+        "days = [runs.play(load('subscriptions-mixed'), int(seed))[0] for seed in sys.argv[1:]];"
+        "print(*[day.world.digest() for day in days])"
     )
     here = [play("subscriptions-mixed", seed)[0].world.digest() for seed in seeds]
     there = subprocess.run(
@@ -146,7 +147,10 @@
     assert here == there[::-1] and len(set(here)) == len(seeds)
 
 
-LEAST = b'version = 1\nname = "a"\nabout = ""\nproduct = [{name = "x", repeat = "resendable"}]\npartner = [{name = "p"}]\n'
+LEAST = (
+    b'version = 1\nname = "a"\nabout = ""\n'
+    b'product = [{name = "x", repeat = "resendable"}]\npartner = [{name = "p"}]\n'
+)
 NODES = LEAST + b"[nodes]\ncount = 2\n"
 
 
--- a/tests/test_subscribed_courier.py
+++ b/tests/test_subscribed_courier.py
@@ -1,4 +1,5 @@
-"""A courier that subscribes to the destinations it uses: whole couriers on loopback against a node that the test plays."""
+"""A courier that subscribes to the destinations it uses: whole couriers on loopback against a node that the
+test plays."""
 
 import json
 import os
@@ -25,7 +26,7 @@
 DISK = 3_000_000
 
 
-class House:
+class SubscribedCourierFixture:
     """A courier with nodes, on a loop and a clock that the test moves; `kill` leaves just its folder."""
 
     def __init__(self, folder, node, clock=None, system=None, nodes=None, disk=DISK, max_age=DAY, **settings):
@@ -111,7 +112,7 @@
 
 def started(folder, node, endpoint, **other):
     """A courier that has a lease and knows destination 7, its next request parked."""
-    house = House(folder, node, **other)
+    house = SubscribedCourierFixture(folder, node, **other)
     endpoint.loop = house.loop
     house.node.tell(house.begin(), 1, full=True)
     house.go_on()
@@ -128,7 +129,7 @@
 
 
 def test_a_message_waits_for_the_first_answer_and_is_delivered(tmp_path, node, endpoint):
-    house = House(tmp_path, node)
+    house = SubscribedCourierFixture(tmp_path, node)
     endpoint.loop = house.loop
     house.node.tell(house.begin(), 1, full=True)
     house.go_on()
@@ -160,7 +161,7 @@
 
 
 def test_a_destination_that_no_node_tells_of_is_refused_when_the_time_is_up(tmp_path, node):
-    house = House(tmp_path, node)
+    house = SubscribedCourierFixture(tmp_path, node)
     peer = house.ask("a", left=5.0)
     spin(house.loop, lambda: house.awaited)
     house.go_on(4900.0)
@@ -171,7 +172,7 @@
 
 
 def test_a_client_that_leaves_while_it_waits_costs_nothing_more(tmp_path, node, endpoint):
-    house = House(tmp_path, node)
+    house = SubscribedCourierFixture(tmp_path, node)
     gone, stays = house.ask("a"), house.ask("b")
     spin(house.loop, lambda: house.awaited == 2)
     gone.sock.close()
@@ -188,7 +189,7 @@
 
 
 def test_no_more_wait_than_may_be_held_and_the_rest_are_told_when_to_come_again(tmp_path, node):
-    house = House(tmp_path, node)
+    house = SubscribedCourierFixture(tmp_path, node)
     waiting = [house.ask(f"a-{number}", dest=number) for number in range(40)]
     spin(house.loop, lambda: house.awaited == 40)
     peer = house.ask("b", dest=99)
@@ -202,7 +203,7 @@
 
 
 def test_a_stop_refuses_what_waits(tmp_path, node):
-    house = House(tmp_path, node)
+    house = SubscribedCourierFixture(tmp_path, node)
     peer = house.ask("a")
     spin(house.loop, lambda: house.awaited)
     house.runtime.refusing = True
@@ -241,7 +242,7 @@
     assert b"\xfe\xfe\xfe" in endpoint.meet().wait(b"\xfe\xfe\xfe")
     house.kill()
     other = Door(Loop())
-    again = House(tmp_path, node, clock=house.loop.now)
+    again = SubscribedCourierFixture(tmp_path, node, clock=house.loop.now)
     other.loop = again.loop
     assert set(again.runtime.facade.places_of) == {7} and again.post("c") == b"202", "taken on at once"
     for door in (endpoint, other):
@@ -267,7 +268,7 @@
     endpoint.meet().wait(b"\xfe\xfe\xfe")
     house.kill()
     os.unlink(tmp_path / "known-list") if (tmp_path / "known-list").exists() else None
-    again = House(tmp_path, node, clock=house.loop.now)
+    again = SubscribedCourierFixture(tmp_path, node, clock=house.loop.now)
     endpoint.loop = again.loop
     again.node.tell(again.begin(7), 1, [served(endpoint)], full=True)
     call = endpoint.meet()
@@ -283,7 +284,7 @@
     assert decode((tmp_path / "known-list").read_bytes()).places.keys() == {7}
     house.kill()
     node.sock.close()
-    again = House(tmp_path, None, clock=house.loop.now, nodes=[node.address])
+    again = SubscribedCourierFixture(tmp_path, None, clock=house.loop.now, nodes=[node.address])
     endpoint.loop = again.loop
     assert again.post("b") == b"202"
     peer = again.ask("c", dest=8, left=5.0)
@@ -301,7 +302,7 @@
     house.go_on(LOOK)
     house.pass_some()
     house.kill()
-    again = House(tmp_path, node, clock=house.loop.now)
+    again = SubscribedCourierFixture(tmp_path, node, clock=house.loop.now)
     endpoint.loop = again.loop
     assert again.post("b") == b"202"
     again.begin(7)
@@ -399,7 +400,7 @@
 
 
 def places(count, each=1):
-    from test_courier import place
+    from courier_helper import place
 
     return {dest: [place(f"s-{dest}-{one}", dest=dest) for one in range(each)] for dest in range(count)}
 
@@ -517,7 +518,7 @@
         endpoint.sock.accept()
 
 
-class RealTime(House):
+class RealTime(SubscribedCourierFixture):
     """The same on the system's clock."""
 
     def __init__(self, folder, listen):
@@ -539,7 +540,8 @@
         return peer.heard.split()[1]
 
     def deliver(self, doors, count):
-        """So many messages come to these, and are answered. They may be sent once only: what is slow here is no time-out."""
+        """So many messages come to these, and are answered. They may be sent once only: what is slow here is
+        no time-out."""
         peers, got = [], 0
         end = time.monotonic() + 30.0
         while self.runtime.journal.texts or got < count:
