--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -279,8 +279,8 @@
                         DRAIN,
                         at,
                         call.courier,
-                        f"a call to {call.endpoint} begun {at - listing.leave:.0f} ms after each node had its "
-                        f"leave, which was to be told by {due:.1f}",
+                        f"a call to {call.endpoint} begun {at - listing.leave:.0f} ms after each node had "
+                        f"its leave, which was to be told by {due:.1f}",
                     )
 
     def _judge_leaves(self, courier: str):
@@ -322,7 +322,7 @@
                     DRAIN,
                     call.begun,
                     call.courier,
-                    f"a call to {call.endpoint}, whose leave was announced before its start, and not asked about: "
+                    f"a call to {call.endpoint}, announced as leaving before its start, no node asked: "
                     "a node could be reached",
                 )
         if began - heard > self.settings.list_age_s * 1000.0:
--- a/calicopin/emulator/nodes.py
+++ b/calicopin/emulator/nodes.py
@@ -123,8 +123,7 @@
         self.ask(data, heard)
 
     def _whole_request(self, message, body, begun):
-        if given_up := json.loads(body)["subscription"]["unsubscribe"]:
-            self.node.gave_up(self.host, given_up)
+        self.node.asked(self.host, json.loads(body)["subscription"])
 
     def _sent(self, data, heard=None):
         self.parsed.feed(data)
@@ -237,14 +236,14 @@
             self.world, self.net, name, host, self._begin, {}, DESCRIPTORS, self.world.chance(name)
         )
         process.pass_ms = self.day.scenario.couriers.pass_ms
-        process.heard, process.gave_up = self._heard, self._gave_up
+        process.heard, process.asked = self._heard, self._asked
         return process
 
     def _begin(self, environ, signal_reader, system):
         """The real program, as the command line starts it."""
         process = system.process
         leases = LeaseBounds(lease_ms=self.settings.lease_s * 1000.0)
-        settings = NodeSettings(SOURCE, process.host, PORT, FLEET, process.name, leases)
+        settings = NodeSettings(SOURCE, process.host, PORT, FLEET, process.name, leases=leases)
         run(settings, signal_reader, system)
 
     def begin(self):
@@ -264,8 +263,17 @@
         addresses = [f"{process.host}:{PORT}" for process in self.processes]
         return {"nodes": addresses, "fleet": FLEET, "list_age": self.settings.list_age_s}
 
-    def _gave_up(self, host: str, destinations: list[int]):
-        self.world.note("gives-up", self.day.hosts[host], tuple(destinations))
+    def _asked(self, host: str, subscription: dict):
+        """A courier asks. A request for a new lease names the whole set: what is not in it was given up
+        before."""
+        courier = self.day.hosts[host]
+        given_up = subscription["unsubscribe"]
+        if subscription["lease"] is None:
+            given_up = sorted(self.known[courier].keys() - set(subscription["subscribe"]))
+        for destination in given_up:
+            self.known[courier].pop(destination, None)
+        if given_up:
+            self.world.note("gives-up", courier, tuple(given_up))
 
     def _heard(self, node: str, host: str, answer: dict):
         """A courier has read an answer."""
--- a/tests/test_emulator_subscriptions.py
+++ b/tests/test_emulator_subscriptions.py
@@ -15,7 +15,7 @@
 from calicopin.emulator.list_referee import INFINITE, ListReferee, Party, Reach, Span, Told
 from calicopin.emulator.nodes import SOURCE, encode
 from calicopin.emulator.referee import Referee
-from calicopin.emulator.scenario import Unreadable, load, names, parse
+from calicopin.emulator.scenario import ScenarioError, load, names, parse
 
 SCENARIOS = [name for name in names() if name.startswith("subscriptions")]
 FAULTS = [name for name, (scenario, _, _) in SHOWN_BY.items() if scenario in SCENARIOS]
@@ -167,7 +167,7 @@
     ],
 )
 def test_a_scenario_that_cannot_be_used_is_told_by_file_and_place(data, told):
-    with pytest.raises(Unreadable) as fault:
+    with pytest.raises(ScenarioError) as fault:
         parse(data, "f.toml")
     assert told in str(fault.value) and "\n" not in str(fault.value)
 
