--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -1,68 +1,13 @@
-"""What one unit costs: each slope with where it comes from, the sizes it was looked at, and how well it fits.
-
-A slope of basis RUN names a result file under docs/scale/ and holds the value that stands there, to four
-digits.
-Times are seconds of one core of this machine, memory and traffic bytes.
-"""
-
-from dataclasses import dataclass
-from enum import StrEnum
+"""Every slope of the model. Times are seconds of one core of this machine, memory and traffic bytes."""
 
 from calicopin.capacity import encoded
-
-DIGITS = 4  # that a slope keeps of what a run told
-
-
-class Basis(StrEnum):
-    """Where a slope comes from."""
-
-    RUN = "run"  # a result file under docs/scale/
-    PAGE = "page"  # a run that another page of this repository tells
-    OUTSIDE = "outside run"  # one run outside of this repository, the decisions alone on one core
-    ENCODED = "encoded"  # counted from messages that the program's own code writes
-    ASSUMED = "assumed"  # no run
-
-
-class Kind(StrEnum):
-    """What a slope takes from a result file."""
-
-    SLOPE = "slope"  # of the line
-    INTERCEPT = "intercept"  # of the line
-    MEDIAN = "median"  # of the repeats at one size
-    VALUE = "value"  # a figure without sizes
-
-
-@dataclass(frozen=True, slots=True)
-class Run:
-    """A result file and the figure in it: the slope or intercept of its line, its median at one size, or its
-    plain value."""
-
-    file: str
-    figure: str
-    command: str
-    kind: Kind = Kind.SLOPE
-    at_size: float = 0.0  # of a median
-    factor: float = 1.0  # from its unit to the slope's
-
-
-@dataclass(frozen=True, slots=True)
-class Slope:
-    """A cost a unit. `sizes` are those looked at, `residual` a share of the mean; `why` says what stands
-    behind it."""
-
-    name: str
-    value: float
-    unit: str
-    basis: Basis
-    why: str
-    sizes: tuple[float, ...] = ()
-    residual: float | None = None
-    run: Run | None = None
-
+from calicopin.capacity.slope import Basis, Kind, Run, Slope
 
 SCALE = "python -m calicopin.scale "
 LIST_FILE = "docs/scale/slopes-list-before.json"
+LIST_AFTER_FILE = "docs/scale/slopes-list-after.json"
 MESSAGES_FILE = "docs/scale/slopes-messages.json"
+SENDERS_FILE = "docs/scale/sender-count.json"
 LIST_SIZES = (1_000, 10_000, 50_000)
 MESSAGE_SIZES = (10_000, 30_000, 100_000)
 BEFORE = "the program before this sitting's mechanism"
@@ -146,6 +91,31 @@
     0.0,
     _messages_run("journal file of waiting messages, 256 B body"),
 )
+JOURNAL_TRAFFIC = Slope(
+    "a message in the journal from its taking on to its end",
+    647.8,
+    "B / message",
+    Basis.RUN,
+    "body of 256 B, delivered at its first call",
+    (1_320, 3_960, 13_200),
+    0.0003,
+    _messages_run("journal bytes of delivered messages, 256 B body"),
+)
+DECISION_TIME = Slope(
+    "an event in the decisions",
+    1.504e-4,
+    "s / event",
+    Basis.RUN,
+    "90 destinations, delivered at its first call",
+    (33, 132, 528),
+    0.0613,
+    Run(
+        MESSAGES_FILE,
+        "processor time of the decisions a second",
+        SCALE + "slopes messages kept-messages rate journal",
+        factor=1e-3,
+    ),
+)
 TRAFFIC = "python -m calicopin.capacity.traffic --json docs/scale/traffic.json"
 BACKLOG = "python -m calicopin.capacity.backlog --json docs/scale/backlog.json"
 WALKED_DOWN = Slope(
@@ -232,15 +202,127 @@
     Basis.ENCODED,
     "a row of `Facade.state` as JSON",
 )
-RENEWAL_COURIER_TIME = Slope(
-    "a renewal at the courier", 1e-3, "s / call", Basis.ASSUMED, "one exchange through h11 and json, guessed"
+NODE_SLOPES_FILE = "docs/scale/bench-slopes.json"
+NODE_SIZES = (100_000, 400_000, 1_700_000)
+COURIER_SIZES = (200, 613, 1_118)
+NODE_FILE = "docs/scale/bench-node-full.json"
+NODE_COURIERS = 613
+DAY_LOAD = "613 couriers, 0.127 changes/s: "
+TENFOLD_LOAD = "613 couriers, 1.27 changes/s: "
+
+
+def _node_run(figure: str, factor: float = 1.0) -> Run:
+    return Run(NODE_FILE, figure, SCALE + "bench node", Kind.VALUE, factor=factor)
+
+
+COURIER_CORE = Slope(
+    "a courier's processor time for its subscription at one node",
+    2.412e-4,
+    "core",
+    Basis.RUN,
+    "hollow couriers, no changes",
+    COURIER_SIZES,
+    0.0195,
+    Run(
+        NODE_SLOPES_FILE,
+        "processor time of the hollow couriers a second, no changes",
+        SCALE + "bench slopes",
+        factor=0.001,
+    ),
+)
+COURIER_MEMORY = Slope(
+    "a courier's memory for its subscription",
+    138_200.0,
+    "B / courier",
+    Basis.RUN,
+    "hollow couriers, without the decisions' own list; what the run compares is counted in",
+    COURIER_SIZES,
+    0.0174,
+    Run(NODE_SLOPES_FILE, "memory of the hollow couriers", SCALE + "bench slopes", factor=1.0),
+)
+COURIER_BYTES = Slope(
+    "a courier's bytes a second, both ways",
+    257.2,
+    "B / s",
+    Basis.RUN,
+    "hollow couriers, the changes of a day",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "a courier's bytes a second, both ways"),
+)
+NODE_CORE = Slope(
+    "a node's processor time for one courier",
+    2.351e-4,
+    "core / courier",
+    Basis.RUN,
+    "no changes",
+    COURIER_SIZES,
+    0.0281,
+    Run(
+        NODE_SLOPES_FILE,
+        "processor time of the node a second, no changes",
+        SCALE + "bench slopes",
+        factor=0.001,
+    ),
+)
+ARRIVAL = Slope(
+    "613 new leases at one node, until the last courier has its set",
+    2.198,
+    "s / start",
+    Basis.RUN,
+    "hollow couriers that begin at once, 1.7 million destinations",
+    (NODE_COURIERS,),
+    None,
+    _node_run(DAY_LOAD + "all have their whole set after"),
+)
+IN_FORCE_WORST = Slope(
+    "a change in force at the last courier, the worst, at ten times the changes",
+    0.2943,
+    "s / change",
+    Basis.RUN,
+    "hollow couriers; from the time at which the change was due",
+    (NODE_COURIERS,),
+    None,
+    _node_run(TENFOLD_LOAD + "in force, worst", 1e-3),
+)
+SET_MEMORY = Slope(
+    "memory of a listed destination, with subscriptions' program",
+    6_707.0,
+    "B / destination",
+    Basis.RUN,
+    "a change costs by what it names",
+    LIST_SIZES,
+    0.0055,
+    Run(LIST_AFTER_FILE, "memory of the list in the decisions", SCALE + "slopes list list-memory"),
+)
+SET_TIME = Slope(
+    "whole list taken in, with subscriptions' program",
+    3.023e-5,
+    "s / destination",
+    Basis.RUN,
+    "the same",
+    LIST_SIZES,
+    0.0423,
+    Run(LIST_AFTER_FILE, "time of the first whole list", SCALE + "slopes list list-memory", factor=1e-3),
 )
-RENEWAL_NODE_TIME = Slope(
-    "a renewal at the node", 1e-3, "s / call", Basis.ASSUMED, "one exchange through h11 and json, guessed"
+SET_CHANGE_TIME = Slope(
+    "one change, whatever is known",
+    3.837e-5,
+    "s / change",
+    Basis.RUN,
+    "the line's value at no destinations; its slope is 0.12 ns a known destination",
+    LIST_SIZES,
+    0.1089,
+    Run(
+        LIST_AFTER_FILE,
+        "time of one changed entry (median in a process)",
+        SCALE + "slopes list list-memory",
+        Kind.INTERCEPT,
+        factor=1e-3,
+    ),
 )
 NODE_PAGE = "docs/discovery-node.md, `python -m calicopin.discovery_node.measure`"
 NODE_PROCESS = "docs/discovery-node.md, one run of a whole process"
-NODE_SIZES = (100_000, 400_000, 1_700_000)
 NEW_LEASE_NODE_TIME = Slope(
     "a subscribed destination of a new lease at the node",
     0.7 / 613 / 90,
@@ -251,11 +333,13 @@
 )
 NODE_LISTED_MEMORY = Slope(
     "memory of a destination at the node",
-    266e6 / 1.7e6,
+    176.3,
     "B / destination",
-    Basis.PAGE,
-    NODE_PAGE + "; 266 MB at the largest",
+    Basis.RUN,
+    "a whole process; 31.7 MB more at any size",
     NODE_SIZES,
+    0.0022,
+    Run(NODE_SLOPES_FILE, "the node's memory with the list", SCALE + "bench slopes", factor=1.0),
 )
 NODE_CHANGED_MEMORY = Slope(
     "memory of a destination that changed since a node's start",
@@ -265,55 +349,111 @@
     NODE_PAGE,
     (11_000,),
 )
-NODE_SUBSCRIPTION_MEMORY = Slope(
-    "memory of one subscribed destination at the node",
-    94.0,
-    "B / subscription",
-    Basis.PAGE,
-    NODE_PAGE,
-    (55_170,),
-)
 NODE_LEASE_MEMORY = Slope(
-    "memory of a lease's connection at the node",
-    8e6 / 613 - 90 * 94.0,
+    "memory of a lease with its connection and 90 destinations at the node",
+    19_470.0,
     "B / courier",
-    Basis.PAGE,
-    NODE_PROCESS + "; 8 MB more for 613 couriers, less their subscriptions",
-    (613,),
+    Basis.RUN,
+    "",
+    COURIER_SIZES,
+    0.0016,
+    Run(NODE_SLOPES_FILE, "the node's memory with its leases", SCALE + "bench slopes", factor=1.0),
 )
 NODE_LOAD_TIME = Slope(
     "a destination read by a node's start",
-    16.4 / 1.7e6,
+    1.058e-5,
     "s / destination",
-    Basis.PAGE,
-    NODE_PAGE + "; 14.6 to 16.4 s at the largest",
+    Basis.RUN,
+    "a whole process",
     NODE_SIZES,
+    0.0084,
+    Run(NODE_SLOPES_FILE, "processor time of the node's load", SCALE + "bench slopes", factor=1.0),
 )
 NODE_CHANGE_TIME = Slope(
-    "a change at the node, one subscriber",
-    91e-6,
+    "a change at the node, told to one courier",
+    3.057e-4,
     "s / change",
-    Basis.PAGE,
-    NODE_PAGE + "; 68 to 91 µs at the largest, 84 to 87 µs at the others; no call on sockets",
+    Basis.RUN,
+    "calls on sockets counted in; the line at no destinations, falling by 0.02 ns a destination known",
     NODE_SIZES,
+    0.0507,
+    Run(
+        NODE_SLOPES_FILE,
+        "processor time of the node for a change that one courier hears",
+        SCALE + "bench slopes",
+        Kind.INTERCEPT,
+        factor=0.001,
+    ),
 )
 
 
+SERVED = "delivered before the last was offered"
+
+
+def _senders_run(size: float, figure: str = SERVED) -> Run:
+    return Run(SENDERS_FILE, figure, SCALE + "sender-count", Kind.MEDIAN, size)
+
+
 SERVED_TOLD = Slope(
-    "served share, 20 senders told that they are 19,000",
-    0.594,
+    "served within a minute, 20 senders told that they are 19,000",
+    0.5607,
     "share",
-    Basis.OUTSIDE,
-    "one run: limit 50 a second, 40 a second offered for a minute",
+    Basis.RUN,
+    "limit 50 a second, 40 a second offered; median of ten",
     (19_000,),
+    None,
+    _senders_run(19_000),
 )
 SERVED_KNOWN = Slope(
-    "served share, 20 senders that know they are 20",
-    0.945,
+    "served within a minute, 20 senders that know they are 20",
+    0.9367,
     "share",
-    Basis.OUTSIDE,
-    "the same run",
+    Basis.RUN,
+    "the same",
     (20,),
+    None,
+    _senders_run(20),
+)
+
+
+GIVEN_UP_TOLD = Slope(
+    "given up, 20 senders told that they are 19,000",
+    0.2238,
+    "share",
+    Basis.RUN,
+    "the same; none is where they know that they are 20",
+    (19_000,),
+    None,
+    _senders_run(19_000, "given up"),
+)
+
+
+def _played(name: str, value: float, kind: str, figure: str, command: str = "fault ") -> Slope:
+    """A fault played with 800 hollow couriers before four nodes that know 100,000 destinations."""
+    run = Run(f"docs/scale/fault-{kind}.json", figure, SCALE + command + kind, Kind.VALUE)
+    return Slope(name, value, "s / fault", Basis.RUN, PLAYED, (PLAYED_COURIERS,), None, run)
+
+
+PLAYED = "800 hollow couriers, four nodes, 100,000 destinations, five changes a second"
+PLAYED_COURIERS = 800
+PLAYED_KILLED = _played(
+    "a node killed: all its couriers at another", 2.715, "node-killed", "all couriers at another node after"
+)
+PLAYED_HALF_OPEN = _played(
+    "a node half-open: all its couriers at another", 4.163, "half-open", "all couriers at another node after"
+)
+PLAYED_ALL_GONE = _played(
+    "all nodes gone and back: all couriers at a node",
+    3.240,
+    "all-gone-and-back",
+    "all couriers at a node after these were ready",
+    "bench fault ",
+)
+PLAYED_RESTART = _played(
+    "a tenth of the couriers restarted: all have their set",
+    1.180,
+    "restart-tenth",
+    "all have their whole set after",
 )
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,10 +7,11 @@
 
 import pytest
 
-from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records
+from calicopin.capacity import backlog, courier, encoded, faults, model, node, page, ranking, records, slopes
 from calicopin.capacity.figures import Figure, Unit, Use, plain, said
 from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
-from calicopin.capacity.slopes import DIGITS, Basis, Kind, Slope, all_slopes
+from calicopin.capacity.slope import DIGITS, Basis, Kind, Slope
+from calicopin.capacity.slopes import all_slopes
 from calicopin.subscription import messages
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -87,6 +88,21 @@
         assert slope.run.file.startswith("docs/scale/") and slope.sizes
         assert slope.run.command.startswith(told["command"])
         assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
+        if slope.run.kind in (Kind.SLOPE, Kind.INTERCEPT):
+            assert set(slope.sizes) == sizes_in(slope)
+            assert slope.residual == pytest.approx(residual_in(slope), abs=0.0001)
+        elif slope.run.kind == Kind.MEDIAN:
+            assert slope.sizes == (slope.run.at_size,)
+        assert not told.get("void")
+
+
+def test_each_slope_stands_behind_a_figure():
+    figures = [one for role in model.roles(IN_TWO_YEARS) for one in role.figures]
+    figures += [one for fault in faults.faults(IN_TWO_YEARS) for one in fault.figures]
+    for row in ranking.demands(IN_TWO_YEARS):
+        figures += [row.today] + ([row.subscribed] if row.subscribed else [])
+    used = {use.slope.name for one in figures for use in one.uses}
+    assert {slope.name for slope in all_slopes()} == used
 
 
 def test_no_two_slopes_share_a_name():
@@ -116,12 +132,8 @@
         ((Use(measured(10, 100), 250),), (), "extrapolated 2.5 times"),
         ((Use(measured(10, 100), 250),), ("machines_a_rack",), "extrapolated 2.5 times; shape assumed"),
         ((Use(Slope("b", 1.0, "", Basis.ASSUMED, "guess")), Use(measured(10), 5)), (), "assumed"),
-        (
-            (Use(Slope("b", 1.0, "", Basis.OUTSIDE, "told", (10,)), 20),),
-            (),
-            "extrapolated 2 times from an outside run",
-        ),
         ((Use(Slope("b", 1.0, "", Basis.ENCODED, "bytes")),), (), "counted"),
+        ((Use(Slope("b", 1.0, "", Basis.PAGE, "a page", (10,)), 20),), (), "extrapolated 2 times"),
         ((Use(Slope("b", 1.0, "", Basis.ENCODED, "bytes")), Use(measured(10), 5)), (), "measured"),
     ],
 )
@@ -176,8 +188,8 @@
         (courier.changes_core, {"changes_a_day": 22_000.0}),
         (courier.waiting_memory, {"waiting_events": 78e9}),
         (courier.walked_down, {"waiting_events": 78e9}),
-        (courier.set_memory, {"destinations": 3.4e6}),
-        (courier.set_memory, {"shape": Shape(senders_a_destination=2.0)}),
+        (courier.set_take, {"destinations": 3.4e6}),
+        (courier.set_take, {"shape": Shape(senders_a_destination=2.0)}),
         (node.list_memory, {"destinations": 3.4e6}),
         (node.renewals, {"couriers": 38_000.0}),
         (node.news, {"changes_a_day": 22_000.0}),
@@ -188,6 +200,16 @@
     assert after.value == pytest.approx(2.0 * before.value)
 
 
+@pytest.mark.parametrize(
+    "twice",
+    [{"destinations": 3.4e6}, {"shape": Shape(senders_a_destination=2.0)}],
+    ids=lambda twice: min(twice),
+)
+def test_memory_of_the_set_grows_by_its_destinations_alone(twice):
+    grown = courier.set_memory(replace(IN_TWO_YEARS, **twice)).value - courier.set_memory(IN_TWO_YEARS).value
+    assert grown == pytest.approx(IN_TWO_YEARS.destinations_a_courier * slopes.SET_MEMORY.value)
+
+
 @pytest.mark.parametrize(
     "field",
     [
--- a/tests/test_subscription_settings.py
+++ b/tests/test_subscription_settings.py
@@ -8,8 +8,8 @@
 
 import pytest
 from click.testing import CliRunner
+from configuration_helper import BASE, findings
 from helper import free_address, terms
-from test_configuration import BASE, findings
 from test_handover import platform
 from test_subscribed_courier import entry_line
 
