--- a/calicopin/emulator/list_referee.py
+++ b/calicopin/emulator/list_referee.py
@@ -2,10 +2,9 @@
 
 - An announced leave is told within 6 s of when a node could be reached: from then on it counts as told.
 - No destination is called, and no message for one taken on, before a node has told of it; given up and
-subscribed to
-  anew it counts as not told; a restarted courier calls nobody before its first answer while every node can
-  be reached
-  and no answer is lost.
+  subscribed to anew it counts as not told; a restarted courier calls nobody before its first answer while
+  every node can be
+  reached and no answer is lost.
 - A list from the folder may be as old as the configuration says.
 - At the quiet end each courier's own file holds exactly what the source has of its destinations.
 """
@@ -34,9 +33,8 @@
 
 @dataclass(slots=True)
 class Listing:
-    """One time in the list of one endpoint: when all nodes had it, the first one had its leave, all had
-    that, and the
-    first one had it listed again."""
+    """One time in the list of one endpoint: when all nodes had it, the first one had its leave, all had that,
+    and the first one had it listed again."""
 
     destination: int
     begin: float
@@ -281,9 +279,8 @@
                         DRAIN,
                         at,
                         call.courier,
-                        f"a call to {call.endpoint} begun {at - listing.leave:.0f} ms after every"
-                        " node had its "
-                        f"leave, which was to be told by {due:.1f}",
+                        f"a call to {call.endpoint} begun {at - listing.leave:.0f} ms after each node had "
+                        f"its leave, which was to be told by {due:.1f}",
                     )
 
     def _judge_leaves(self, courier: str):
@@ -305,8 +302,7 @@
                             KNOWN,
                             due,
                             courier,
-                            f"the leave of {endpoint}, which every node had at {listing.leave:.1f},"
-                            " was not told",
+                            f"the leave of {endpoint}, at every node by {listing.leave:.1f}, was not told",
                         )
 
     def _before_first_answer(self, call, began: float, heard: float):
@@ -326,9 +322,8 @@
                     DRAIN,
                     call.begun,
                     call.courier,
-                    f"a call to {call.endpoint}, whose leave was announced before its start,"
-                    " and not asked about: a "
-                    "node could be reached",
+                    f"a call to {call.endpoint}, announced as leaving before its start, no node asked: "
+                    "a node could be reached",
                 )
         if began - heard > self.settings.list_age_s * 1000.0:
             self.referee.add(
@@ -392,8 +387,7 @@
                     KNOWN,
                     end,
                     name,
-                    f"destination {destination}: it holds {sorted(own)},"
-                    f" the list has {sorted(listed[destination])}",
+                    f"destination {destination}: it holds {sorted(own)}, not {sorted(listed[destination])}",
                 )
         for destination in self._used(name, life):
             if listed[destination] and destination not in held:
--- a/calicopin/emulator/nodes.py
+++ b/calicopin/emulator/nodes.py
@@ -1,11 +1,10 @@
-"""Discovery nodes of a run: the real node as a process on emulated files and sockets, the source of the
-list, their faults.
+"""Discovery nodes of a run: the real node as a process on emulated files and sockets, the source of the list,
+their faults.
 
 Every node reads a source file of its own, to which the changes of the one list are appended; each change
-reaches
-each node after a time of its own. Notes for the referee: `source` (a change is in a node's file), `answered`
-(a
-courier has read an answer), `cut-off` (a courier and a node cannot speak).
+reaches each node after a time of its own. Notes for the referee: `source` (a change is in a node's file),
+`answered`
+(a courier has read an answer), `cut-off` (a courier and a node cannot speak).
 """
 
 import json
@@ -109,8 +108,7 @@
 
 class AnswerWatch:
     """Reads what passes on one connection: what the courier gives up as it asks for that, and an answer once
-    the courier
-    has read the whole of it."""
+    the courier has read the whole of it."""
 
     def __init__(self, node: "NodeProcess", end: End):
         self.node, self.end, self.send, self.host = node, end, end.send, end.peer.machine.address
@@ -125,8 +123,7 @@
         self.ask(data, heard)
 
     def _whole_request(self, message, body, begun):
-        if given_up := json.loads(body)["subscription"]["unsubscribe"]:
-            self.node.gave_up(self.host, given_up)
+        self.node.asked(self.host, json.loads(body)["subscription"])
 
     def _sent(self, data, heard=None):
         self.parsed.feed(data)
@@ -239,7 +236,7 @@
             self.world, self.net, name, host, self._begin, {}, DESCRIPTORS, self.world.chance(name)
         )
         process.pass_ms = self.day.scenario.couriers.pass_ms
-        process.heard, process.gave_up = self._heard, self._gave_up
+        process.heard, process.asked = self._heard, self._asked
         return process
 
     def _begin(self, environ, signal_reader, system):
@@ -266,8 +263,17 @@
         addresses = [f"{process.host}:{PORT}" for process in self.processes]
         return {"nodes": addresses, "fleet": FLEET, "list_age": self.settings.list_age_s}
 
-    def _gave_up(self, host: str, destinations: list[int]):
-        self.world.note("gives-up", self.day.hosts[host], tuple(destinations))
+    def _asked(self, host: str, subscription: dict):
+        """A courier asks. A request for a new lease names the whole set: what is not in it was given up
+        before."""
+        courier = self.day.hosts[host]
+        given_up = subscription["unsubscribe"]
+        if subscription["lease"] is None:
+            given_up = sorted(self.known[courier].keys() - set(subscription["subscribe"]))
+        for destination in given_up:
+            self.known[courier].pop(destination, None)
+        if given_up:
+            self.world.note("gives-up", courier, tuple(given_up))
 
     def _heard(self, node: str, host: str, answer: dict):
         """A courier has read an answer."""
@@ -377,8 +383,7 @@
 
     def _withdraw(self, trouble, lasts):
         """All endpoints of a destination are announced as leaving, and have left later; size 0: they have
-        left at once. It
-        is listed again after that time, where one is told."""
+        left at once. It is listed again after that time, where one is told."""
         gap = LEFT_AFTER if trouble.size else 0.0
         for one in self.day.whom(trouble):
             for endpoint in one.endpoints:
--- a/calicopin/emulator/scenario.py
+++ b/calicopin/emulator/scenario.py
@@ -215,8 +215,7 @@
 
 class Nodes(Strict):
     """Discovery nodes; with some, couriers subscribe to the destinations that they use. `given_up_s`: how
-    long after its
-    last message a destination is given up (0: as the program has it)."""
+    long after its last message a destination is given up (0: as the program has it)."""
 
     count: Annotated[int, Meta(ge=0, le=16)] = 0
     lease_s: Annotated[float, Meta(ge=5.0, le=3600.0)] = 30.0
--- a/tests/test_emulator_subscriptions.py
+++ b/tests/test_emulator_subscriptions.py
@@ -1,6 +1,5 @@
 """Couriers that subscribe to parts of the list at real discovery nodes, in virtual time: the six rules and
-what such
-couriers owe beside them; same seed, same run."""
+what such couriers owe beside them; same seed, same run."""
 
 import os
 import subprocess
@@ -134,8 +133,8 @@
     script = (
         "import sys; from loguru import logger; logger.remove(); from calicopin.emulator import runs;"
         "from calicopin.emulator.scenario import load;"
-        "print(*[runs.play(load('subscriptions-mixed'), int(seed))[0].world.digest()"
-        " for seed in sys.argv[1:]])"
+        "days = [runs.play(load('subscriptions-mixed'), int(seed))[0] for seed in sys.argv[1:]];"
+        "print(*[day.world.digest() for day in days])"
     )
     here = [play("subscriptions-mixed", seed)[0].world.digest() for seed in seeds]
     there = subprocess.run(
@@ -149,8 +148,8 @@
 
 
 LEAST = (
-    b'version = 1\nname = "a"\nabout = ""\nproduct = [{name = "x", repeat = "resendable"}]\n'
-    b'partner = [{name = "p"}]\n'
+    b'version = 1\nname = "a"\nabout = ""\n'
+    b'product = [{name = "x", repeat = "resendable"}]\npartner = [{name = "p"}]\n'
 )
 NODES = LEAST + b"[nodes]\ncount = 2\n"
 
