Scale tests: real couriers with traffic before real nodes, under kills and leaves, with a verdict

Need: nothing lost, doubled or sent to one that has left, shown with real couriers and nodes on sockets. Change: 'couriers' plays messages that may go once only, kills a node and a tenth of the couriers, and lets endpoints leave.

--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from calicopin.scale import (
+    couriers_command,
     fault_command,
     fit,
     node_command,
@@ -111,6 +112,7 @@
 main.add_command(node_command.node_slopes_)
 main.add_command(fault_command.fault)
 main.add_command(one_courier_command.courier)
+main.add_command(couriers_command.couriers_)
 main.add_command(bench_group)
 
 
--- a/calicopin/scale/one_courier.py
+++ b/calicopin/scale/one_courier.py
@@ -34,7 +34,7 @@
 COURIER = """version = 1
 
 [courier]
-name = "courier"
+name = "{name}"
 listen = "127.0.0.1:{listen}"
 admin = "127.0.0.1:{admin}"
 state = "{folder}/state"
@@ -46,10 +46,10 @@
 
 [[product]]
 name = "order-confirm"
-repeat = "referenced"
+repeat = "{repeat}"
 sla = "5s"
 validity = "20s"
-memory = "5s"
+{memory}
 
 [[kind]]
 name = "any"
@@ -91,17 +91,36 @@
 class Courier:
     """One courier process, its client and its operator."""
 
-    def __init__(self, folder: Path, source: str):
+    def __init__(self, folder: Path, source: str, name: str = "courier", repeat: str = "referenced"):
         self.listen, self.admin = free_port(), free_port()
-        path = folder / "courier.toml"
-        path.write_text(
-            COURIER.format(listen=self.listen, admin=self.admin, folder=folder, source=source), "utf-8"
+        self.path = folder / "courier.toml"
+        told = COURIER.format(
+            name=name,
+            listen=self.listen,
+            admin=self.admin,
+            folder=folder,
+            source=source,
+            repeat=repeat,
+            memory='memory = "5s"' if repeat == "referenced" else "",
         )
+        self.path.write_text(told, "utf-8")
         self.log = folder / "courier.log"
-        with open(self.log, "wb") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "calicopin", "run", str(path)], cwd=ROOT, stderr=log
-            )
+        self.process = self._begin()
+
+    def _begin(self) -> subprocess.Popen:
+        words = [sys.executable, "-m", "calicopin", "run", str(self.path)]
+        with open(self.log, "ab") as log:
+            return subprocess.Popen(words, cwd=ROOT, stderr=log)
+
+    def restart(self) -> None:
+        """SIGKILL, and a new process with the same folder."""
+        self.process.kill()
+        self.process.wait()
+        self.process = self._begin()
+
+    def resident(self) -> int:
+        """Bytes that it holds resident."""
+        return process_resident(self.process.pid)
 
     def ask(self, port: int, method: str, path: str, body: bytes = b"", headers: dict | None = None):
         """(status, body) of one request; raises OSError."""
--- /dev/null
+++ b/calicopin/scale/standin.py
@@ -0,0 +1,53 @@
+"""Stand-in destinations on loopback that note each call they have read."""
+
+import http.server
+import threading
+import time
+from dataclasses import dataclass
+
+ANSWER_AFTER = 0.02  # seconds
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One call: the message's id, the destination that its id names, and when it was read (s, monotonic)."""
+
+    ident: str
+    destination: int
+    at: float
+
+
+class Destinations(http.server.ThreadingHTTPServer):
+    """Answers every call 200 after a short while; all destinations on one port."""
+
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), _Call)
+        self.arrivals: list[Arrival] = []
+        threading.Thread(target=self.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
+
+    @property
+    def port(self) -> int:
+        """Where it listens."""
+        return self.server_address[1]
+
+    def handle_error(self, *_):
+        """A connection that broke: the courier has ended."""
+
+
+class _Call(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_POST(self):
+        self.rfile.read(int(self.headers["Content-Length"]))
+        ident = self.headers["X-Request-ID"]
+        self.server.arrivals.append(Arrival(ident, int(ident.rpartition("-")[2]), time.monotonic()))
+        time.sleep(ANSWER_AFTER)
+        self.send_response(200)
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+    def log_message(self, *_):
+        pass
