Scale tests: one bench of nodes and hollow couriers; the other one is gone

Cause: two benches did the same work (`node`, `node-slopes`, `fault`; `bench node|slopes|fault`), with two sets of records and two pages, and the capacity model read the one that docs/scale-nodes.md doesn't tell.

Change: calicopin/scale/bench/ is removed. One slope has no record there: a change at the node with its calls on sockets (the kept bench has the decisions of it alone). A row of a record may be a source (bytes of a courier, worst in force). The faults played are those at 2,000 couriers, not 800. Last-courier times are a function of their own, so that tests reach them.

Where each assertion of tests/test_scale_bench.py stands now (H test_scale_hollow.py, F test_scale_faults.py): - a change counts at each of its subscribers: H, same name `... and_what_was_heard_before_it_does_not`; what told another state is now what told another revision. Worst is of changes in force at all couriers. - reach of a node: H test_time_counts_from_the_reach_..., test_the_reach_is_that_of_each_change_at_each_courier - from when the change was due: H test_time_counts_from_when_the_change_was_due - nothing heard gives no times: H, same name - how late the generator was: H test_a_feed_tells_how_late_it_was; that it voids a run: H test_the_verdict_is_ the_exit_code_and_stands_in_the_record (was there) - no destinations left: H test_a_feed_without_destinations_left_says_so_and_ends, and that it is a fault of the run: test_a_feed_that_finds_nothing_to_change_is_a_fault_of_the_run - sets by the seed, skewed: H test_a_set_names_no_destination_twice_and_is_skewed_around_its_mean, same bounds - couriers know the source, each change heard: H test_couriers_before_a_node_know_what_its_source_has, with over 20 changes, over 100 subscriptions, and each kind of difference 0 - what is known wrongly is found: H test_what_a_node_was_not_told_is_found_at_each_of_its_subscribers - a node tells its subscribers alone, by counts: H, same name, at 300 and 3,000 destinations - after each fault: F test_after_a_fault_every_courier_knows_what_the_source_has, with over 15 changes that met a subscriber and none never in force; couriers of the node before, none there after: F test_a_fault_of_a_node_meets_couriers_of_it_and_leaves_none_there (60 couriers; that one is left is a fault) - refused by memory and by processes: H test_a_run_that_takes_too_much_is_refused_beforehand - a record comes back as kept: H, same name

--- a/calicopin/capacity/courier.py
+++ b/calicopin/capacity/courier.py
@@ -234,10 +234,10 @@
     """Bytes a second of a courier as a run at full size had them."""
     return Figure(
         "the same, as 613 hollow couriers had it",
-        "bytes a second of a courier",
-        slopes.COURIER_BYTES.value,
+        "bytes a second that a courier sends + receives",
+        slopes.COURIER_SENT.value + slopes.COURIER_RECEIVED.value,
         Unit.BYTES_A_SECOND,
-        (Use(slopes.COURIER_BYTES, size.couriers_a_node),),
+        (Use(slopes.COURIER_SENT, size.couriers_a_node), Use(slopes.COURIER_RECEIVED, size.couriers_a_node)),
     )
 
 
--- a/calicopin/capacity/faults.py
+++ b/calicopin/capacity/faults.py
@@ -46,9 +46,8 @@
 
 def _played(slope: slopes.Slope) -> Figure:
     """What a fault took where it was played, at a smaller size."""
-    return Figure(
-        f"played with 800 couriers: {slope.name}", "the run's own", slope.value, Unit.SECONDS, (Use(slope),)
-    )
+    name = f"played with {slopes.PLAYED_COURIERS:,} couriers: {slope.name}"
+    return Figure(name, "the run's own", slope.value, Unit.SECONDS, (Use(slope),))
 
 
 def ordinary_day(size: Size) -> Fault:
--- a/calicopin/capacity/page.py
+++ b/calicopin/capacity/page.py
@@ -42,7 +42,7 @@
     residual = "-" if slope.residual is None else f"{slope.residual:.1%}"
     source = slope.why
     if slope.run:
-        source = f"`{slope.run.command}`, {slope.run.file}" + (f"; {slope.why}" if slope.why else "")
+        source = f"{slope.run.told()}, {slope.run.file}" + (f"; {slope.why}" if slope.why else "")
     return slope.name, value_of(slope), slope.basis.value, sizes, residual, source
 
 
--- a/calicopin/capacity/slope.py
+++ b/calicopin/capacity/slope.py
@@ -26,12 +26,22 @@
     INTERCEPT = "intercept"  # of the line
     MEDIAN = "median"  # of the repeats at one size
     VALUE = "value"  # a figure without sizes
+    ROW = "row"  # a column of one row
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A row of a result file: so many couriers under a load."""
+
+    couriers: int
+    load: str
 
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A result file and the figure in it: the slope or intercept of its line, its median at one size, or its
-    plain value."""
+    """A result file and the figure in it: the slope or intercept of its line, its median at one size, its
+    plain value, or the column of that name in one row. `revision` is named where the command is gone: there
+    it still is."""
 
     file: str
     figure: str
@@ -39,6 +49,12 @@
     kind: Kind = Kind.SLOPE
     at_size: float = 0.0  # of a median
     factor: float = 1.0  # from its unit to the slope's
+    row: Row | None = None
+    revision: str = ""
+
+    def told(self) -> str:
+        """The command as the page names it."""
+        return f"`{self.command}`" + (f" of revision {self.revision}" if self.revision else "")
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -1,7 +1,7 @@
 """Every slope of the model. Times are seconds of one core of this machine, memory and traffic bytes."""
 
 from calicopin.capacity import encoded
-from calicopin.capacity.slope import Basis, Kind, Run, Slope
+from calicopin.capacity.slope import Basis, Kind, Row, Run, Slope
 
 SCALE = "python -m calicopin.scale "
 LIST_FILE = "docs/scale/slopes-list-before.json"
@@ -202,88 +202,99 @@
     Basis.ENCODED,
     "a row of `Facade.state` as JSON",
 )
-NODE_SLOPES_FILE = "docs/scale/bench-slopes.json"
+NODE_FILE = "docs/scale/node.json"
+NODE_DESTINATIONS_FILE = "docs/scale/node-slopes-destinations.json"
+NODE_COURIERS_FILE = "docs/scale/node-slopes-couriers.json"
 NODE_SIZES = (100_000, 400_000, 1_700_000)
-COURIER_SIZES = (200, 613, 1_118)
-NODE_FILE = "docs/scale/bench-node-full.json"
+COURIER_SIZES = (200, 613, 1_731)
 NODE_COURIERS = 613
-DAY_LOAD = "613 couriers, 0.127 changes/s: "
-TENFOLD_LOAD = "613 couriers, 1.27 changes/s: "
+DAY = Row(NODE_COURIERS, "changes of a day")
+TENFOLD = Row(NODE_COURIERS, "ten times")
+MIB = float(1 << 20)
+PERCENT = 0.01
 
 
-def _node_run(figure: str, factor: float = 1.0) -> Run:
-    return Run(NODE_FILE, figure, SCALE + "bench node", Kind.VALUE, factor=factor)
+def _node_run(figure: str, row: Row | None = None) -> Run:
+    return Run(NODE_FILE, figure, SCALE + "node", Kind.VALUE if row is None else Kind.ROW, row=row)
+
+
+def _destinations_run(figure: str, factor: float = 1.0) -> Run:
+    return Run(NODE_DESTINATIONS_FILE, figure, SCALE + "node-slopes destinations", factor=factor)
+
+
+def _couriers_run(figure: str, factor: float) -> Run:
+    return Run(NODE_COURIERS_FILE, figure, SCALE + "node-slopes couriers", factor=factor)
 
 
 COURIER_CORE = Slope(
     "a courier's processor time for its subscription at one node",
-    2.412e-4,
+    2.380e-4,
     "core",
     Basis.RUN,
     "hollow couriers, no changes",
     COURIER_SIZES,
-    0.0195,
-    Run(
-        NODE_SLOPES_FILE,
-        "processor time of the hollow couriers a second, no changes",
-        SCALE + "bench slopes",
-        factor=0.001,
-    ),
+    0.0857,
+    _couriers_run("processor time of all couriers", PERCENT),
 )
 COURIER_MEMORY = Slope(
     "a courier's memory for its subscription",
-    138_200.0,
+    118_900.0,
     "B / courier",
     Basis.RUN,
     "hollow couriers, without the decisions' own list; what the run compares is counted in",
     COURIER_SIZES,
-    0.0174,
-    Run(NODE_SLOPES_FILE, "memory of the hollow couriers", SCALE + "bench slopes", factor=1.0),
+    0.0328,
+    _couriers_run("memory of all couriers for control", MIB),
 )
-COURIER_BYTES = Slope(
-    "a courier's bytes a second, both ways",
-    257.2,
+COURIER_SENT = Slope(
+    "bytes a second that a courier sends for its subscription",
+    130.4,
     "B / s",
     Basis.RUN,
     "hollow couriers, the changes of a day",
     (NODE_COURIERS,),
     None,
-    _node_run(DAY_LOAD + "a courier's bytes a second, both ways"),
+    _node_run("courier_sent_bytes_s", DAY),
+)
+COURIER_RECEIVED = Slope(
+    "bytes a second that a courier receives for its subscription",
+    123.6,
+    "B / s",
+    Basis.RUN,
+    "the same",
+    (NODE_COURIERS,),
+    None,
+    _node_run("courier_received_bytes_s", DAY),
 )
 NODE_CORE = Slope(
     "a node's processor time for one courier",
-    2.351e-4,
+    2.399e-4,
     "core / courier",
     Basis.RUN,
     "no changes",
     COURIER_SIZES,
-    0.0281,
-    Run(
-        NODE_SLOPES_FILE,
-        "processor time of the node a second, no changes",
-        SCALE + "bench slopes",
-        factor=0.001,
-    ),
+    0.0850,
+    _couriers_run("processor time of the node", PERCENT),
 )
 ARRIVAL = Slope(
     "613 new leases at one node, until the last courier has its set",
-    2.198,
+    4.401,
     "s / start",
     Basis.RUN,
-    "hollow couriers that begin at once, 1.7 million destinations",
+    "hollow couriers that begin at once, 1.7 million destinations; a run of 2,000 couriers went on beside it",
     (NODE_COURIERS,),
     None,
-    _node_run(DAY_LOAD + "all have their whole set after"),
+    _node_run("613 couriers: first answer, last"),
 )
 IN_FORCE_WORST = Slope(
     "a change in force at the last courier, the worst, at ten times the changes",
-    0.2943,
+    0.2840,
     "s / change",
     Basis.RUN,
     "hollow couriers; from the time at which the change was due",
     (NODE_COURIERS,),
     None,
-    _node_run(TENFOLD_LOAD + "in force, worst", 1e-3),
+    _node_run("last_courier_worst_s", TENFOLD),
 )
 SET_MEMORY = Slope(
     "memory of a listed destination, with subscriptions' program",
@@ -333,13 +344,13 @@
 )
 NODE_LISTED_MEMORY = Slope(
     "memory of a destination at the node",
-    176.3,
+    177.0,
     "B / destination",
     Basis.RUN,
     "a whole process; 31.7 MB more at any size",
     NODE_SIZES,
-    0.0022,
-    Run(NODE_SLOPES_FILE, "the node's memory with the list", SCALE + "bench slopes", factor=1.0),
+    0.0004,
+    _destinations_run("memory of the node", MIB),
 )
 NODE_CHANGED_MEMORY = Slope(
     "memory of a destination that changed since a node's start",
@@ -351,23 +362,23 @@
 )
 NODE_LEASE_MEMORY = Slope(
     "memory of a lease with its connection and 90 destinations at the node",
-    19_470.0,
+    17_950.0,
     "B / courier",
     Basis.RUN,
     "",
     COURIER_SIZES,
-    0.0016,
-    Run(NODE_SLOPES_FILE, "the node's memory with its leases", SCALE + "bench slopes", factor=1.0),
+    0.0262,
+    _couriers_run("growth of the node's memory", MIB),
 )
 NODE_LOAD_TIME = Slope(
     "a destination read by a node's start",
-    1.058e-5,
+    9.396e-6,
     "s / destination",
     Basis.RUN,
     "a whole process",
     NODE_SIZES,
-    0.0084,
-    Run(NODE_SLOPES_FILE, "processor time of the node's load", SCALE + "bench slopes", factor=1.0),
+    0.0260,
+    _destinations_run("processor time until the node serves"),
 )
 NODE_CHANGE_TIME = Slope(
     "a change at the node, told to one courier",
@@ -378,11 +389,12 @@
     NODE_SIZES,
     0.0507,
     Run(
-        NODE_SLOPES_FILE,
+        "docs/scale/bench-slopes.json",
         "processor time of the node for a change that one courier hears",
         SCALE + "bench slopes",
         Kind.INTERCEPT,
         factor=0.001,
+        revision="5f1c46c96502",
     ),
 )
 
@@ -428,32 +440,33 @@
 )
 
 
-def _played(name: str, value: float, kind: str, figure: str, command: str = "fault ") -> Slope:
-    """A fault played with 800 hollow couriers before four nodes that know 100,000 destinations."""
-    run = Run(f"docs/scale/fault-{kind}.json", figure, SCALE + command + kind, Kind.VALUE)
+def _played(name: str, value: float, figure: str) -> Slope:
+    """A fault played with 2,000 hollow couriers before four nodes that know 20,000 destinations."""
+    run = Run("docs/scale/fault-2000.json", figure, SCALE + "fault --couriers 2000", Kind.VALUE)
     return Slope(name, value, "s / fault", Basis.RUN, PLAYED, (PLAYED_COURIERS,), None, run)
 
 
-PLAYED = "800 hollow couriers, four nodes, 100,000 destinations, five changes a second"
-PLAYED_COURIERS = 800
+PLAYED = "2,000 hollow couriers in one process, four nodes, 20,000 destinations, ten changes a second"
+PLAYED_COURIERS = 2_000
 PLAYED_KILLED = _played(
-    "a node killed: all its couriers at another", 2.715, "node-killed", "all couriers at another node after"
+    "a node killed: all its couriers at another",
+    4.087,
+    "node-killed: until the last of them asked another node and was answered",
 )
 PLAYED_HALF_OPEN = _played(
-    "a node half-open: all its couriers at another", 4.163, "half-open", "all couriers at another node after"
+    "a node half-open: all its couriers at another",
+    5.418,
+    "half-open: until the last of them was answered by another",
 )
 PLAYED_ALL_GONE = _played(
     "all nodes gone and back: all couriers at a node",
-    3.240,
-    "all-gone-and-back",
-    "all couriers at a node after these were ready",
-    "bench fault ",
+    7.025,
+    "all-gone-and-back: until the last courier had a lease again, from then",
 )
 PLAYED_RESTART = _played(
     "a tenth of the couriers restarted: all have their set",
-    1.180,
-    "restart-tenth",
-    "all have their whole set after",
+    2.348,
+    "restart-tenth: until the last of them was answered",
 )
 
 
--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -15,7 +15,6 @@
     sender_count,
     slopes,
 )
-from calicopin.scale.bench.command import bench_group
 from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish, stop
 
 
@@ -111,7 +110,6 @@
 main.add_command(node_command.node_slopes_)
 main.add_command(fault_command.fault)
 main.add_command(one_courier_command.courier)
-main.add_command(bench_group)
 
 
 @main.command()
--- a/calicopin/scale/node_run.py
+++ b/calicopin/scale/node_run.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from calicopin.scale import guard, hollow, nodes
-from calicopin.scale.change_feed import LEAST_GAP, ChangeFeed, FeedPlan
+from calicopin.scale.change_feed import LEAST_GAP, Change, ChangeFeed, FeedPlan
 from calicopin.scale.fit import percentile
 from calicopin.scale.list_source import ListSize, write
 from calicopin.scale.results import Figure
@@ -219,7 +219,8 @@
             "load": load.name,
             "seconds": round(node_after.at - node_before.at, 1),
         }
-        row |= self._times(feed, pairs) | courier_costs(before, after) | node_costs(node_before, node_after)
+        row |= last_courier_times(feed.changes, pairs)
+        row |= courier_costs(before, after) | node_costs(node_before, node_after)
         row |= {
             "node_subscriptions": status["subscriptions"],
             "generator_late_ms": feed.most_late,
@@ -253,20 +254,6 @@
             time.sleep(LOOK)
             heard += self.couriers.heard()
 
-    @staticmethod
-    def _times(feed: ChangeFeed, pairs: list[InForce]) -> dict:
-        """How long changes took at every courier, and at the last courier of each change."""
-        took = [pair.took for pair in pairs if pair.at is not None]
-        last: dict[int, float] = {}
-        for pair in pairs:
-            at = float("inf") if pair.at is None else pair.took
-            last[pair.change.revision] = max(at, last.get(pair.change.revision, 0.0))
-        ends = [value for value in last.values() if value != float("inf")]
-        row = {"changes": len(feed.changes), "pairs": len(pairs), "never": len(pairs) - len(took)}
-        for name, share in (("p50", 0.5), ("p99", 0.99), ("worst", 1.0)):
-            row[f"last_courier_{name}_s"] = percentile(ends, share) / 1000.0 if ends else None
-        return row
-
     def _judge(self, where: str, pairs: list[InForce], feed: ChangeFeed) -> None:
         never = sum(pair.at is None for pair in pairs)
         late = sum(pair.at is not None and pair.took > BOUND for pair in pairs)
@@ -297,6 +284,19 @@
         self.outcome.figures.append(Figure(figure, unit, value, bound))
 
 
+def last_courier_times(changes: Sequence[Change], pairs: Sequence[InForce]) -> dict:
+    """How long changes took until they were in force at the last of their couriers; of those that are."""
+    last: dict[int, float] = {}
+    for pair in pairs:
+        at = float("inf") if pair.at is None else pair.took
+        last[pair.change.revision] = max(at, last.get(pair.change.revision, 0.0))
+    ends = [value for value in last.values() if value != float("inf")]
+    row = {"changes": len(changes), "pairs": len(pairs), "never": sum(pair.at is None for pair in pairs)}
+    for name, share in (("p50", 0.5), ("p99", 0.99), ("worst", 1.0)):
+        row[f"last_courier_{name}_s"] = percentile(ends, share) / 1000.0 if ends else None
+    return row
+
+
 def mean(values: Sequence[float]) -> float:
     """0 of none."""
     return sum(values) / len(values) if values else 0.0
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,6 +2,7 @@
 
 import json
 from dataclasses import replace
+from importlib.util import find_spec
 from pathlib import Path
 from statistics import median
 
@@ -12,6 +13,7 @@
 from calicopin.capacity.size import IN_TWO_YEARS, Shape, Size
 from calicopin.capacity.slope import DIGITS, Basis, Kind, Slope
 from calicopin.capacity.slopes import all_slopes
+from calicopin.scale.__main__ import main as scale_commands
 from calicopin.subscription import messages
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -55,6 +57,10 @@
 def stands_in(slope: Slope) -> float:
     """The value of a slope's figure in the result file that it names."""
     told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
+    if slope.run.kind == Kind.ROW:
+        where = (slope.run.row.couriers, slope.run.row.load)
+        (row,) = [one for one in told["rows"] if (one["couriers"], one["load"]) == where]
+        return row[slope.run.figure]
     if slope.run.kind == Kind.VALUE:
         return next(one["value"] for one in told["figures"] if one["figure"] == slope.run.figure)
     figure = next(one for one in told["slopes"] if one["figure"] == slope.run.figure)
@@ -79,6 +85,12 @@
     return {one["size"] for one in figure["samples"]}
 
 
+def is_there(command: str) -> bool:
+    """Whether the program still has the command."""
+    module, *words = command.removeprefix("python -m ").split()
+    return words[0] in scale_commands.commands if module == "calicopin.scale" else bool(find_spec(module))
+
+
 @pytest.mark.parametrize("slope", all_slopes(), ids=lambda slope: slope.name)
 def test_each_slope_has_its_source(slope):
     assert slope.why or slope.run
@@ -87,6 +99,7 @@
         told = json.loads((ROOT / slope.run.file).read_text(encoding="utf-8"))
         assert slope.run.file.startswith("docs/scale/") and slope.sizes
         assert slope.run.command.startswith(told["command"])
+        assert slope.run.revision == ("" if is_there(slope.run.command) else told["revision"])
         assert slope.value == pytest.approx(stands_in(slope) * slope.run.factor, rel=10.0 ** (1 - DIGITS) / 2)
         if slope.run.kind in (Kind.SLOPE, Kind.INTERCEPT):
             assert set(slope.sizes) == sizes_in(slope)
--- a/tests/test_scale_faults.py
+++ b/tests/test_scale_faults.py
@@ -1,6 +1,7 @@
 """Faults of nodes and couriers in small: real nodes and subscribers on loopback, with a verdict. No clock is
 asserted."""
 
+import json
 import os
 import signal
 import subprocess
@@ -60,6 +61,8 @@
     assert outcome.faults == [] and outcome.holds
     assert outcome.differences.couriers == 12 and outcome.differences.none
     assert len(outcome.pairs) > 50 and all(pair.at is not None for pair in outcome.pairs)
+    assert len({pair.change.revision for pair in outcome.pairs}) > 15
+    assert figure(outcome, "never in force") == 0
 
 
 def test_the_couriers_of_a_killed_node_are_all_at_the_rest():
@@ -71,6 +74,18 @@
     assert lost + before == 12 and outcome.holds
 
 
+def test_a_fault_of_a_node_meets_couriers_of_it_and_leaves_none_there():
+    """That one were left there is a fault of the run, so that it does not hold."""
+    plan = replace(SMALL, couriers=60)  # of three nodes, each has some
+    killed = FaultRun(plan, quiet).run()
+    lost = figure(killed, "couriers of the killed node")
+    most = next(one for one in killed.figures if one.figure == "most of them at one of the rest")
+    assert killed.holds and lost > 0
+    assert sum(json.loads(most.note.removeprefix("all: "))) == lost
+    stopped = FaultRun(replace(plan, fault=Fault.HALF_OPEN), quiet).run()
+    assert stopped.holds and figure(stopped, "couriers of the stopped node") > 0
+
+
 class ForgettingCourier(HollowCourier):
     """Its subscription keeps what has left and loses a change: one courier's answers lose their first
     entry."""
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -4,19 +4,24 @@
 import io
 import json
 import resource
+import time
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
 
 import pytest
 from click.testing import CliRunner
 
-from calicopin.scale import hollow, node_run, node_slopes, options, results
+from calicopin.scale import change_feed, hollow, node_run, node_slopes, nodes, options, results
 from calicopin.scale.__main__ import main
 from calicopin.scale.change_feed import (
+    REVISION_BASE,
     Change,
     ChangeFeed,
     FeedPlan,
     NextChange,
     ident_of,
     line_of,
+    now,
     revision_of,
 )
 from calicopin.scale.hollow import (
@@ -31,7 +36,7 @@
     subscribers_of,
 )
 from calicopin.scale.list_source import ListSize, write
-from calicopin.scale.node_run import Group, Load, NodePlan, NodeRun
+from calicopin.scale.node_run import Group, Load, NodePlan, NodeRun, last_courier_times
 from calicopin.scale.verdict import compare, in_force, read_source
 
 PLAN = CourierPlan("scale", ("127.0.0.1:9",), 10_000, 3)
@@ -56,6 +61,19 @@
     assert held[len(held) // 2] <= 2 and held[-1] > 50
 
 
+def test_a_set_names_no_destination_twice_and_is_skewed_around_its_mean():
+    plan = CourierPlan("scale", ("127.0.0.1:9",), 100_000, 1)
+    sets = [destinations_of(courier, plan) for courier in range(400)]
+    sizes = sorted(map(len, sets))
+    assert sets == [destinations_of(courier, plan) for courier in range(400)]
+    assert all(len(set(one)) == len(one) for one in sets)
+    assert 75 < sum(sizes) / len(sizes) < 105
+    assert sizes[200] < 80 and sizes[-1] > 300
+    held = subscribers_of(range(400), plan)
+    assert sum(map(len, held.values())) == sum(sizes)
+    assert max(map(len, held.values())) > 3
+
+
 def test_more_couriers_than_descriptors_are_refused_beforehand():
     limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     hollow.check_descriptors(10)
@@ -102,6 +120,28 @@
     assert next_change(0.0) and next_change(0.0) and next_change(0.0) is None
 
 
+def test_a_feed_without_destinations_left_says_so_and_ends(tmp_path):
+    path = tmp_path / "log"
+    path.write_text("")
+    plan = feed_plan(per_second=1000.0, seconds=0.05, candidates=(1, 2, 3), least_gap=60_000.0)
+    feed = ChangeFeed(str(path), plan).start()
+    assert feed.join(30.0)
+    assert feed.skipped == len(feed.schedule(0.0)) - 3 > 0
+    assert path.read_text().count("\n") == len(feed.changes) == 3
+
+
+def test_a_feed_tells_how_late_it_was(tmp_path, monkeypatch):
+    times = {}
+    for name, began, then in (("on time", 0.0, 0.0), ("late", 0.0, 5_000.0)):
+        clock = iter([began])
+        monkeypatch.setattr(change_feed, "now", lambda clock=clock, then=then: next(clock, then))
+        feed = ChangeFeed(str(tmp_path / name), feed_plan(per_second=100.0, seconds=0.1)).start()
+        assert feed.join(30.0) and feed.changes
+        times[name] = (feed.most_late, feed.changes[0].due)
+    assert times["on time"][0] == 0.0
+    assert times["late"][0] == 5_000.0 - times["late"][1]
+
+
 def test_the_schedule_is_the_seed_s_and_of_the_rate(tmp_path):
     feed = ChangeFeed(str(tmp_path / "log"), feed_plan(seconds=200.0))
     assert feed.schedule(0.0) == feed.schedule(0.0)
@@ -162,6 +202,45 @@
     assert took([change(1, 0.0)], [heard(30.0, 1)], reach=lambda *_: 700.0) == [30.0]
 
 
+def test_time_counts_from_when_the_change_was_due():
+    late = Change(100.0, 150.0, 1, "e1.0", "active", 1)
+    assert took([late], [heard(160.0, 1)]) == [60.0]
+    assert took([late], [heard(160.0, 1)], reach=lambda *_: 700.0) == [60.0]
+
+
+def test_the_reach_is_that_of_each_change_at_each_courier():
+    changes = [change(1, 100.0), change(2, 100.0, destination=2)]
+    told = [heard(900.0, 1), heard(800.0, 1, courier=1), heard(700.0, 2, ident="e2.0")]
+    reach = {(1, 0): 600.0, (1, 1): 650.0, (2, 0): 650.0}
+    pairs = in_force(changes, {1: [0, 1], 2: [0]}, told, lambda one, at: reach[one.revision, at])
+    assert [pair.took for pair in pairs] == [300.0, 150.0, 50.0]
+
+
+def test_a_change_counts_at_each_of_its_subscribers_and_what_was_heard_before_it_does_not():
+    changes = [change(1, 100.0), change(2, 200.0, destination=2)]
+    told = [
+        heard(50.0, 0, courier=7),
+        heard(130.0, 1, courier=7),
+        heard(140.0, 1, courier=8),
+        heard(260.0, 1, courier=7, ident="e2.0"),
+        heard(270.0, 2, courier=7, ident="e2.0"),
+    ]
+    pairs = in_force(changes, {1: [7, 8], 2: [7, 9], 3: [7]}, told)
+    assert [(one.courier, one.took) for one in pairs] == [(7, 30.0), (8, 40.0), (7, 70.0), (9, None)]
+    row = last_courier_times(changes, pairs)
+    assert (row["changes"], row["pairs"], row["never"]) == (2, 4, 1)
+    assert row["last_courier_p50_s"] == row["last_courier_worst_s"] == 0.04
+    whole = last_courier_times(changes, pairs[:3])
+    assert (whole["never"], whole["last_courier_p50_s"], whole["last_courier_worst_s"]) == (0, 0.04, 0.07)
+
+
+def test_nothing_heard_gives_no_times():
+    changes = [change(1, 1.0)]
+    row = last_courier_times(changes, in_force(changes, {1: [4]}, []))
+    assert (row["never"], row["last_courier_p50_s"], row["last_courier_p99_s"]) == (1, None, None)
+    assert row["last_courier_worst_s"] is None
+
+
 def endpoint(ident, ready=True, weight=5.0, destination=1):
     return KnownEndpoint(destination, ident, "10.0.0.1:80", ready, weight)
 
@@ -211,6 +290,9 @@
 )
 
 
+WRONG = ("endpoints missing at the end", "endpoints known that have left", "endpoints known as they were")
+
+
 def figure(outcome, name):
     return next(one.value for one in outcome.figures if one.figure == name)
 
@@ -221,6 +303,9 @@
     assert [row["couriers"] for row in outcome.rows] == [8, 8, 10, 10, 23, 23]
     assert all(row["never"] == 0 and row["changes"] > 0 for row in outcome.rows)
     assert figure(outcome, "couriers compared with the source") == 23
+    assert sum(row["changes"] for row in outcome.rows) > 20
+    assert outcome.rows[-1]["node_subscriptions"] > 100
+    assert [figure(outcome, name) for name in WRONG] == [0, 0, 0]
     assert figure(outcome, "destinations in service at the start") < 400
     assert outcome.rows[-1]["courier_sent_bytes_s"] > 0 and outcome.rows[-1]["courier_cpu_percent"] > 0
 
@@ -247,6 +332,90 @@
     assert any("other than the source" in fault for fault in outcome.faults)
 
 
+def test_a_feed_that_finds_nothing_to_change_is_a_fault_of_the_run():
+    crowded = NodePlan(20, (Group("one", 1),), (Load("too many", 200.0, 0.5),), 0.0, 4, 60_000.0, 0.1, 30.0)
+    assert any("found no destination to change" in fault for fault in NodeRun(crowded, quiet).run().faults)
+
+
+@dataclass
+class Stand:
+    """One real node and hollow couriers before it; a change is appended when the test says."""
+
+    path: str
+    node: nodes.NodeProcess
+    couriers: hollow.HollowProcess
+    holders: dict[int, list[int]]
+    sets: dict[int, tuple[int, ...]]
+    revision: int = 0
+
+    def change(self, destination):
+        """The next change, appended to what the node reads."""
+        self.revision += 1
+        one = Change(now(), now(), destination, ident_of(destination, 0), "active", self.revision)
+        with open(self.path, "a", encoding="ascii") as file:
+            file.write(line_of(destination, 0, "active", self.revision) + "\n")
+        return one
+
+    def differences(self):
+        """What couriers know against the source."""
+        return compare(self.couriers.known(), self.sets, read_source(self.path, set(self.holders)))
+
+    def wait_until_known(self):
+        """The differences that are left once there are none, or after a minute."""
+        until = time.monotonic() + 60.0
+        while not (found := self.differences()).none and time.monotonic() < until:
+            time.sleep(0.05)
+        return found
+
+
+@contextmanager
+def stand_of(folder, destinations, couriers, seed=3):
+    """The stand with all couriers answered."""
+    path = str(folder / f"list-{destinations}.log")
+    with open(path, "w", encoding="ascii") as file:
+        write(file, "scale", ListSize(destinations), seed)
+    with nodes.NodeProcess("n0", path, "scale", couriers, str(folder)) as node:
+        node.wait_ready(60.0)
+        plan = CourierPlan("scale", (node.address,), destinations, seed)
+        sets = {number: destinations_of(number, plan) for number in range(couriers)}
+        with hollow.HollowProcess(plan) as process:
+            process.start(range(couriers))
+            stand = Stand(path, node, process, subscribers_of(range(couriers), plan), sets)
+            assert stand.wait_until_known().none
+            yield stand
+
+
+def test_what_a_node_was_not_told_is_found_at_each_of_its_subscribers(tmp_path):
+    """The comparison and the record of times see a change that is in no node's source."""
+    with stand_of(tmp_path, 300, 12) as stand:
+        destination = max(stand.holders, key=lambda one: len(stand.holders[one]))
+        holders = stand.holders[destination]
+        unheard = Change(now(), now(), destination, ident_of(destination, 0), "active", 1)
+        source = read_source(stand.path, set(stand.holders))
+        endpoints = source[destination]
+        endpoints[unheard.ident] = replace(endpoints[unheard.ident], weight=REVISION_BASE + 1)
+        assert compare(stand.couriers.known(), stand.sets, source).outdated == len(holders) > 1
+        pairs = in_force([unheard], stand.holders, stand.couriers.heard())
+        assert [pair.at for pair in pairs] == [None] * len(holders)
+
+
+@pytest.mark.parametrize("destinations", [300, 3_000])
+def test_a_node_tells_a_change_to_its_subscribers_alone_whatever_it_knows(tmp_path, destinations):
+    """Work by counts: one change at a time, half of them of destinations that nobody holds."""
+    with stand_of(tmp_path, destinations, 8) as stand:
+        nobody_s = [one for one in range(destinations) if one not in stand.holders][:6]
+        chosen = [*nobody_s, *sorted(stand.holders, key=lambda one: -len(stand.holders[one]))[:6]]
+        before, expected, changes = stand.node.status()["changes_told"], 0, []
+        for destination in chosen:
+            changes.append(stand.change(destination))
+            expected += len(stand.holders.get(destination, ()))
+            assert stand.wait_until_known().none
+        pairs = in_force(changes, stand.holders, stand.couriers.heard())
+        assert len(nobody_s) == 6 and len(pairs) == expected > 6
+        assert all(pair.at is not None for pair in pairs)
+        assert stand.node.status()["changes_told"] - before == expected
+
+
 # Shapes by counts of work.
 
 
@@ -284,6 +453,18 @@
     told = run("node", "--destinations", "900000000")
     assert told.exit_code == 2 and "refused" in told.output
     assert run("fault", "--couriers", "19990").exit_code == 2
+    told = run("node", "--couriers", "1000000")
+    assert told.exit_code == 2 and told.stderr.startswith("refused: the run would take some")
+    told = run("fault", "node-killed", "--nodes", "20", "--processes", "10")
+    assert told.exit_code == 2 and "processes" in told.stderr
+
+
+def test_a_record_comes_back_as_it_was_kept(tmp_path):
+    record = results.begin("node", {"couriers": [1]}, 5)
+    record.figures = [results.Figure("one", "ms", 1.5, 2.0), results.Figure("none", "", None)]
+    path = str(tmp_path / "run.json")
+    results.keep(record, path)
+    assert results.load(path) == record
 
 
 @pytest.mark.parametrize(
