--- a/calicopin/scale/__main__.py
+++ b/calicopin/scale/__main__.py
@@ -16,7 +16,6 @@
     sender_count,
     slopes,
 )
-from calicopin.scale.bench.command import bench_group
 from calicopin.scale.options import MEMORY, OUTPUT, PROCESSES, SEED, Progress, allowed, finish, stop
 
 
@@ -113,7 +112,6 @@
 main.add_command(fault_command.fault)
 main.add_command(one_courier_command.courier)
 main.add_command(couriers_command.couriers_)
-main.add_command(bench_group)
 
 
 @main.command()
