Generated configurations name partners' ports that no courier of the tests listens on

Cause: a partner's port 20001 could be the port that the test gave to the courier (free_address begins at a place by the process's number): seen once, the configuration was rightly refused.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -163,7 +163,7 @@
             f"apart = {rng.choice(['true', 'false'])}",
             f'answers = "{rng.randrange(50, 900)}ms"',
         ]
-    port = 20000
+    port = 31000  # clear of the couriers' own, which free_address gives from 20000 to 29999
     for number in range(rng.randrange(1, 6)):
         out += [
             "[[partner]]",
