--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -334,8 +334,8 @@
 class Destination:
     """The queue of one destination, first in first out, and the pick of the endpoint."""
 
-    def __init__(self, scheduler, ident, desk, pool, settings):
-        self.scheduler, self.ident, self.desk, self.pool = scheduler, ident, desk, pool
+    def __init__(self, scheduler, ident, registry, pool, settings):
+        self.scheduler, self.ident, self.registry, self.pool = scheduler, ident, registry, pool
         self.tries, self.tick, self.gives_back = settings.tries, settings.tick, settings.gives_back
         self.most, self.bundle = 1, 1e9
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
@@ -346,23 +346,23 @@
         self.queue.append(text)
         self.came += 1
         if text.tries >= self.tries:  # only a restored one: all its submits were made before the restart
-            self.scheduler.post(self.desk, "give_up", self.queue.pop(), 0.0)
+            self.scheduler.post(self.registry, "give_up", self.queue.pop(), 0.0)
         self.on_pump()
 
     def on_back(self, text, event):
         """A submit came back: the text is over, waits for its next submit, or is given up at once."""
-        self.scheduler.post(self.desk, "settle", text, event.how)
+        self.scheduler.post(self.registry, "settle", text, event.how)
         if event.ended or text.over:
-            self.scheduler.post(self.desk, "withdrawn", text.ident)
+            self.scheduler.post(self.registry, "withdrawn", text.ident)
         elif text.tries >= self.tries or self.scheduler.now >= min(
             text.until - self.tick, text.last_submit()
         ):
-            self.scheduler.post(self.desk, "give_up", text, 0.0)
+            self.scheduler.post(self.registry, "give_up", text, 0.0)
         else:
             at = next((i for i, other in enumerate(self.queue) if other.taken > text.taken), len(self.queue))
             self.queue.insert(at, text)
             self.scheduler.later(
-                min(text.until - 2 * self.tick, text.last_submit()), self.desk, "lapse", text
+                min(text.until - 2 * self.tick, text.last_submit()), self.registry, "lapse", text
             )
         self.on_pump()
 
@@ -397,7 +397,7 @@
         """Gives up those of them that would earn less than `least`, answered at that time."""
         for text in [text for text in texts if text.earns(at) < least and not text.owed_a_call()]:
             self.queue.remove(text)
-            self.scheduler.post(self.desk, "give_up", text, at - self.scheduler.now)
+            self.scheduler.post(self.registry, "give_up", text, at - self.scheduler.now)
 
     def expire_early(self, opens):
         """What would earn under a fifth once the bucket opens is given up at once, not held until then: its
@@ -418,7 +418,7 @@
         return min((at for _, at in self.openings()), default=self.scheduler.now)
 
     def first(self):
-        return next((text for text in self.queue if self.desk.turn(text)), None)
+        return next((text for text in self.queue if self.registry.turn(text)), None)
 
     def pick(self, text):
         """One endpoint at random, odds in step with its room; zones bind where references live in one."""
@@ -467,7 +467,7 @@
         if not endpoint:
             self.scheduler.post(self.pool, "free", self)
             return
-        others = (t for t in self.queue if t is not head and t.ran_at is None and self.desk.turn(t))
+        others = (t for t in self.queue if t is not head and t.ran_at is None and self.registry.turn(t))
         texts = [head, *islice(others, min(self.bundle, self.most) - 1)]
         for text in texts:
             self.queue.remove(text)
@@ -498,7 +498,7 @@
             self.scheduler.post(want[0], "grant")
 
 
-class Desk:
+class Registry:
     """Takes texts, gives each its one final answer, and keeps the order of keys. After a restart all rest."""
 
     def __init__(self, scheduler, settings):
@@ -601,7 +601,7 @@
         self.products, self.misses = settings.products, 0
         self.kinds = [Kind(partner) for partner in settings.partners]
         self.pool = Pool(self.scheduler, settings.slots)
-        self.desk = Desk(self.scheduler, settings)
+        self.registry = Registry(self.scheduler, settings)
         self.dests, self.endpoints, self.inbox, self.live, self.rounds = {}, {}, deque(), {}, 0
         self.departures, self.forgotten, self.faded = Departures(), [], []  # endpoints, destinations
         self.scheduler.later(0.0, self, "round")  # behind the texts that a restart hands in
@@ -610,7 +610,7 @@
 
     def dest(self, ident):
         if ident not in self.dests:
-            self.dests[ident] = Destination(self.scheduler, ident, self.desk, self.pool, self.settings)
+            self.dests[ident] = Destination(self.scheduler, ident, self.registry, self.pool, self.settings)
         return self.dests[ident]
 
     def handle(self, now, events):
@@ -634,7 +634,7 @@
             endpoint
             and ident in endpoint.dest.endpoints
             and now >= endpoint.route.pause
-            and all(now < self.desk.texts[text].last_submit() for text in texts)
+            and all(now < self.registry.texts[text].last_submit() for text in texts)
         )
 
     def halt(self, ident, wait):
@@ -644,7 +644,7 @@
 
     def advice(self, dest):
         """When a text may come again that is turned away because too many are held."""
-        return min(max(0.0, self.dest(dest).opens() - self.scheduler.now), self.desk.advice)
+        return min(max(0.0, self.dest(dest).opens() - self.scheduler.now), self.registry.advice)
 
     def on_round(self):
         """Only destinations with something going on are looked at: idle ones cost nothing."""
@@ -663,21 +663,21 @@
         if dest not in self.live:
             self.live[dest] = None
             self.scheduler.post(dest, "round", self.rounds)
-        self.scheduler.post(self.desk, "take", text)
+        self.scheduler.post(self.registry, "take", text)
 
     def on_outcome(self, event):
-        text = self.desk.texts.get(event.text)
+        text = self.registry.texts.get(event.text)
         if text and text.call:
             text.over = text.over or event.ended
             self.scheduler.post(text.call.endpoint, "outcome", text, event)
 
     def on_withdrawn(self, event):
-        self.scheduler.post(self.desk, "withdrawn", event.text)
+        self.scheduler.post(self.registry, "withdrawn", event.text)
 
     def on_emptied(self, _):
         """A drain: what may be handed in elsewhere without harm does not wait here."""
-        for text in [text for text in self.desk.texts.values() if text.call is None and text.nackable()]:
-            self.scheduler.post(self.desk, "lapse", text, 0.0)
+        for text in [text for text in self.registry.texts.values() if text.call is None and text.nackable()]:
+            self.scheduler.post(self.registry, "lapse", text, 0.0)
 
     def on_ask(self):
         self.scheduler.out.append(Watch())
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -179,25 +179,29 @@
 
 @fault("key-out-of-turn", "loss", ORDER)
 def _(change):
-    change(brain.Desk, "turn", lambda desk, text: not text.over and desk.scheduler.now < text.last_submit())
+    change(
+        brain.Registry,
+        "turn",
+        lambda registry, text: not text.over and registry.scheduler.now < text.last_submit(),
+    )
 
 
 @fault("key-not-settled", "loss", ORDER)
 def _(change):
-    change(brain.Desk, "on_settle", lambda desk, text, how: None)
+    change(brain.Registry, "on_settle", lambda registry, text, how: None)
 
 
 @fault("late-final-answer", "outage", ANSWER)
 def _(change):
-    lapse = brain.Desk.on_lapse
+    lapse = brain.Registry.on_lapse
     change(
-        brain.Desk,
+        brain.Registry,
         "on_lapse",
-        lambda desk, text, *back: desk.scheduler.later(
-            desk.scheduler.now + 900.0, desk, "lapsed", text, *back
+        lambda registry, text, *back: registry.scheduler.later(
+            registry.scheduler.now + 900.0, registry, "lapsed", text, *back
         ),
     )
-    change(brain.Desk, "on_lapsed", lapse)
+    change(brain.Registry, "on_lapsed", lapse)
 
 
 @fault("lost-notice", "outage", ANSWER)
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -160,7 +160,7 @@
     def advice(self, text):
         """The milliseconds after which a text that is turned away may come again (0: none told)."""
         if text.dest not in self.dests.index:  # nothing is known of it, and nothing is to be kept for it
-            return self.module.desk.advice
+            return self.module.registry.advice
         return self.module.advice(self.dests(text.dest))
 
     def hand_in(self, text, restored=False):
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -57,12 +57,12 @@
 def written(facade, calls):
     """All that the decisions behind `facade` know, with the calls that are out; JSON holds it."""
     module, endpoints, texts = facade.module, facade.endpoints.ident, {}
-    desk = module.desk
+    registry = module.registry
     held = {text.number: text for text in facade.texts.values()}
     for call in calls:
         held |= {text.number: text for text in call.texts}
     for number, text in held.items():
-        known = desk.texts.get(number)
+        known = registry.texts.get(number)
         if known is not None:
             texts[text.ident] = dict(taken=known.taken, over=known.over)
     ghosts = [
@@ -99,7 +99,7 @@
         for number, endpoint in module.endpoints.items()
         if number in endpoints
     ]
-    named = {id(known): held[number].ident for number, known in desk.texts.items() if number in held}
+    named = {id(known): held[number].ident for number, known in registry.texts.items() if number in held}
     return dict(
         form=FORM,
         places=[asdict(place) for place in facade.places.values()],
@@ -109,8 +109,8 @@
         ghosts=ghosts,
         crowded=[kind.crowded for kind in module.kinds],
         reaped=[[kind.reaped, kind.trust] for kind in module.kinds],
-        calm=desk.calm,
-        rests=[[key, until, named.get(id(text))] for key, (until, text) in desk.rests.items()],
+        calm=registry.calm,
+        rests=[[key, until, named.get(id(text))] for key, (until, text) in registry.rests.items()],
         calls=[out(facade, call) for call in calls],
         due=[],
     )  # due: an older version of the same form reads it
@@ -123,7 +123,7 @@
         (
             text.call
             for one in call.texts
-            if (text := module.desk.texts.get(one.number)) is not None and text.call
+            if (text := module.registry.texts.get(one.number)) is not None and text.call
         ),
         None,
     )
@@ -154,7 +154,7 @@
         facade.dests(one["ident"])
     facade.listed([Place(**place) for place in told["places"]], True)
     facade.tick(now)
-    module.desk.calm = told["calm"]
+    module.registry.calm = told["calm"]
     for one in told["dests"]:
         destination(facade, one)
     for one in told["endpoints"]:
@@ -179,11 +179,11 @@
         enter(
             facade, text, told["texts"].get(text.ident, {}), text.ident in flying, text.ident in ghosts, now
         )
-    known = module.desk.texts
+    known = module.registry.texts
     for key, until, ident in told["rests"]:
         text = by_ident.get(ident)
-        module.desk.rests[key] = (until, known.get(text.number) if text else object())
-        scheduler.later(until, module.desk, "rested", key)
+        module.registry.rests[key] = (until, known.get(text.number) if text else object())
+        scheduler.later(until, module.registry, "rested", key)
     calls = [under_way(facade, one, by_ident) for one in told["calls"]]
     module.departures.append(
         endpoint for endpoint in module.endpoints.values() if endpoint.ident not in endpoint.dest.endpoints
@@ -254,13 +254,13 @@
     )
     known = brain.Text(event, dest, module.products[text.product], told.get("taken", now))
     known.over = ghost or told.get("over", False)
-    module.desk.texts[text.number] = known
+    module.registry.texts[text.number] = known
     if known.key is not None:
-        module.desk.keys.setdefault(known.key, brain.deque()).append(known)
+        module.registry.keys.setdefault(known.key, brain.deque()).append(known)
     if not flying:
         dest.queue.append(known)
         module.scheduler.later(
-            min(known.until - 2 * module.settings.tick, known.last_submit()), module.desk, "lapse", known
+            min(known.until - 2 * module.settings.tick, known.last_submit()), module.registry, "lapse", known
         )
 
 
@@ -282,5 +282,5 @@
         if one["patient"]:
             target.route.patient = known
         for text in call.open:
-            module.desk.texts[text].call = known
+            module.registry.texts[text].call = known
     return call
