--- a/calicopin/boot/start.py
+++ b/calicopin/boot/start.py
@@ -297,13 +297,13 @@
     it gives it. A post of None where a signal comes first.
     """
     from calicopin.handover.meeting import Place
-    from calicopin.handover.taker import Told, begin
+    from calicopin.handover.taker import StoppedError, begin
 
     try:
         lock, taker = begin(
             Place(post.meeting or post.folder, post.folder), post.folder, signal_reader, system
         )
-    except Told:
+    except StoppedError:
         logger.info("{name} ends before it has taken anything", event="stopped", name=post.name, texts=0)
         return None, None, None
     if taker and taker.told["renewed"]:
--- a/calicopin/command/__main__.py
+++ b/calicopin/command/__main__.py
@@ -12,7 +12,7 @@
 from calicopin.command.discovery_node import discovery_node
 from calicopin.configuration import check as checks
 from calicopin.configuration import compare, convert, pages, partners, write
-from calicopin.configuration.read import Unusable, read
+from calicopin.configuration.read import UnusableError, read
 
 
 def stop(lines, code=2):
@@ -26,7 +26,7 @@
     """A configuration that can be read."""
     try:
         return read(path, os.environ, over)
-    except Unusable as fault:
+    except UnusableError as fault:
         stop(fault.faults)
 
 
@@ -134,7 +134,7 @@
     for file in files:
         try:
             faults, doubts = checks.examine(read(file, os.environ, over))
-        except Unusable as fault:
+        except UnusableError as fault:
             faults, doubts = fault.faults, []
         found = found or bool(faults)
         for kind, some in (("fault", faults), ("doubt", doubts)):
@@ -164,7 +164,7 @@
         raise click.UsageError("give a description, or --example to see one")
     try:
         text = write.compose(write.application(application), application)
-    except Unusable as fault:
+    except UnusableError as fault:
         stop(fault.faults)
     if output is None:
         click.echo(text, nl=False)
@@ -172,7 +172,7 @@
     replace_file(output, text.encode())
     try:
         faults, doubts = checks.examine(read(output))
-    except Unusable as fault:
+    except UnusableError as fault:
         faults, doubts = fault.faults, []
     for one in [*faults, *doubts]:
         click.echo(str(one), err=True)
@@ -288,7 +288,7 @@
     try:
         told = read(old, {}, ())
         sheet, lost = migrate.migrate(told, senders, reports, once_only)
-    except Unusable as fault:
+    except UnusableError as fault:
         stop(fault.faults)
     for key, before, after, _ in compare.changes(told.sheet, sheet):
         click.echo(f"changed: {change(key, before, after)}")
@@ -319,7 +319,7 @@
     replace_file(file, sealed)
     try:
         some, _ = partners.load(file)
-    except Unusable as fault:
+    except UnusableError as fault:
         stop(fault.faults, 1)
     click.echo(f"{file}: {len(some)} partners sealed")
 
--- a/calicopin/configuration/check.py
+++ b/calicopin/configuration/check.py
@@ -9,7 +9,7 @@
 
 from calicopin.configuration import partners as lists
 from calicopin.configuration import units
-from calicopin.configuration.read import Fault, Unusable
+from calicopin.configuration.read import Fault, UnusableError
 from calicopin.held.connections import Budget
 
 LEAST_BODY, RECORD = 512, 400  # bytes of disk for a text, without its body: what the journal counts with
@@ -387,7 +387,7 @@
             )
             try:
                 some, origin = lists.load(path)
-            except Unusable as faults:
+            except UnusableError as faults:
                 self.faults += faults.faults
                 return
             place = lambda key: f"{origin.get(key, path)}: {key}"  # noqa: E731
--- a/calicopin/configuration/migrate.py
+++ b/calicopin/configuration/migrate.py
@@ -8,7 +8,7 @@
 import os
 
 from calicopin.configuration import check, convert, units
-from calicopin.configuration.read import PREFIX, Fault, Read, Unusable
+from calicopin.configuration.read import PREFIX, Fault, Read, UnusableError
 
 STANDS_OVER = {
     ("settings", "groupSize"): "courier.senders",
@@ -36,7 +36,8 @@
     """(the new sheet, what was not carried over as (place, why) pairs).
 
     `told` is a file as it was read; `reports` says whether partners' answers still tell their limits (None:
-    as before); `once_only` names products that may not run twice any more. Unusable where a name is not in
+    as before); `once_only` names products that may not run twice any more. UnusableError where a name is not
+    in
     the file or the number of senders does not hold the courier's own.
     """
     sheet, lost, faults = copy.deepcopy(told.sheet), [], []
@@ -55,7 +56,7 @@
             )
         )
     if faults:
-        raise Unusable(faults)
+        raise UnusableError(faults)
     if sheet.include:
         lost.append(
             (
--- a/calicopin/configuration/partners.py
+++ b/calicopin/configuration/partners.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from calicopin.configuration import units
-from calicopin.configuration.read import Fault, Unusable, decode, types
+from calicopin.configuration.read import Fault, UnusableError, decode, types
 from calicopin.configuration.sheet import PartnerPart
 
 END = b"[end]"
@@ -55,13 +55,15 @@
 
 
 def load(path):
-    """The partner tables of a list file; Unusable with everything that is wrong."""
+    """The partner tables of a list file; UnusableError with everything that is wrong."""
     tables, origin, data = decode(path)
     faults = whole(path, data, tables)
     if faults:
-        raise Unusable(faults)
+        raise UnusableError(faults)
     if not tables.get("partner"):
-        raise Unusable([Fault(path, "holds no [[partner]] table", "a list without partners is not taken")])
+        raise UnusableError(
+            [Fault(path, "holds no [[partner]] table", "a list without partners is not taken")]
+        )
     faults = [
         Fault(
             path,
@@ -73,12 +75,12 @@
     ]
     faults += types({"partner": tables["partner"]}, origin, path)
     if faults:
-        raise Unusable(faults)
+        raise UnusableError(faults)
     try:
         return msgspec.convert(tables["partner"], list[PartnerPart]), origin
     except msgspec.ValidationError as fault:
         why, _, key = str(fault).partition(" - at ")
-        raise Unusable(
+        raise UnusableError(
             [Fault(f"{path}: partner{key.strip('`').removeprefix('$')}", why[0].lower() + why[1:])]
         ) from None
 
--- a/calicopin/configuration/posting.py
+++ b/calicopin/configuration/posting.py
@@ -4,19 +4,19 @@
 from calicopin.facade import Place
 
 
-class Refused(ValueError):  # noqa: N818 (docs/glossary.md)
+class ConfigurationRefusedError(ValueError):
     """A configuration that a courier does not start with; one line for each thing that is wrong."""
 
 
 def platform_form(path, environ):
-    """(the platform's JSON as an object, the sheet); Refused where the file is at fault."""
+    """(the platform's JSON as an object, the sheet); ConfigurationRefusedError where the file is at fault."""
     try:
         told = read.read(path, environ)
         faults, _ = check.examine(told)
-    except read.Unusable as fault:
-        raise Refused(str(fault)) from None
+    except read.UnusableError as fault:
+        raise ConfigurationRefusedError(str(fault)) from None
     if faults:
-        raise Refused("\n".join(map(str, faults)))
+        raise ConfigurationRefusedError("\n".join(map(str, faults)))
     return convert.to_platform(told), told.sheet
 
 
@@ -26,7 +26,7 @@
     def load(path):
         try:
             some, origin = partners.load(path)
-        except read.Unusable as fault:
+        except read.UnusableError as fault:
             raise ValueError(str(fault)) from None
         faults = partners.faults(some, sheet, lambda key: f"{origin.get(key, path)}: {key}")
         if faults:
--- a/calicopin/configuration/read.py
+++ b/calicopin/configuration/read.py
@@ -34,7 +34,7 @@
         return f"{self.place}: {self.why}" + (f"; {self.do}" if self.do else "")
 
 
-class Unusable(Exception):  # noqa: N818 (docs/glossary.md)
+class UnusableError(Exception):
     """A configuration that cannot be used; `faults` has at least one."""
 
     def __init__(self, faults):
@@ -94,18 +94,18 @@
         with open(path, "rb") as file:
             data = file.read(MOST + 1)
     except OSError as fault:
-        raise Unusable(
+        raise UnusableError(
             [Fault(path, fault.strerror or "cannot be read", "check the path and its rights")]
         ) from None
     if len(data) > MOST:
-        raise Unusable([Fault(path, f"is over {MOST >> 20} MiB", "this is no configuration")])
+        raise UnusableError([Fault(path, f"is over {MOST >> 20} MiB", "this is no configuration")])
     if data.startswith((b"\xff\xfe", b"\xfe\xff")):
-        raise Unusable([Fault(path, "is UTF-16", "save it as UTF-8")])
+        raise UnusableError([Fault(path, "is UTF-16", "save it as UTF-8")])
     try:
         text = data.decode("utf-8-sig")
     except UnicodeDecodeError as fault:
         line = data[: fault.start].count(b"\n") + 1
-        raise Unusable(
+        raise UnusableError(
             [
                 Fault(
                     f"{path}:{line}", f"byte 0x{data[fault.start]:02x} is not UTF-8", "save the file as UTF-8"
@@ -117,9 +117,11 @@
     except tomllib.TOMLDecodeError as fault:
         place = re.search(r"\(at line (\d+), column (\d+)\)", str(fault))
         where = f"{path}:{place[1]}" if place else f"{path}:{text.count(chr(10)) + 1}"
-        raise Unusable([Fault(where, str(fault).split(" (at ")[0].lower(), "mend the TOML there")]) from None
+        raise UnusableError(
+            [Fault(where, str(fault).split(" (at ")[0].lower(), "mend the TOML there")]
+        ) from None
     except RecursionError:
-        raise Unusable([Fault(path, "is nested too deep", "mend the TOML")]) from None
+        raise UnusableError([Fault(path, "is nested too deep", "mend the TOML")]) from None
     return tables, {key: f"{path}:{line}" for key, line in lines(text).items()}, data
 
 
@@ -129,7 +131,7 @@
     paths, base, seen = [path], {}, {}
     names = tables.get("include", [])
     if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
-        raise Unusable(
+        raise UnusableError(
             [
                 Fault(
                     origin.get("include", path),
@@ -139,7 +141,7 @@
             ]
         )
     if names and depth >= DEEP:
-        raise Unusable(
+        raise UnusableError(
             [
                 Fault(
                     origin.get("include", path),
@@ -185,7 +187,7 @@
     for part in way:
         at = at.setdefault(part, {})
         if not isinstance(at, dict):
-            raise Unusable([Fault(where, f"{key!r} leads into a list", "lists are set in the file")])
+            raise UnusableError([Fault(where, f"{key!r} leads into a list", "lists are set in the file")])
     at[last] = value
     origin[key] = where
 
@@ -239,7 +241,7 @@
     path = paths[-1]
     version = tables.get("version")
     if isinstance(version, int) and not isinstance(version, bool) and version > VERSION:
-        raise Unusable(
+        raise UnusableError(
             [
                 Fault(
                     origin.get("version", path),
@@ -249,7 +251,7 @@
             ]
         )
     if not tables:
-        raise Unusable(
+        raise UnusableError(
             [
                 Fault(
                     path,
@@ -260,7 +262,7 @@
         )
     faults = types(tables, origin, path)
     if faults:
-        raise Unusable(faults)
+        raise UnusableError(faults)
     try:
         return Read(msgspec.convert(tables, Sheet), origin, paths)
     except msgspec.ValidationError as fault:
@@ -269,7 +271,9 @@
         missing = re.search(r"missing required field `([^`]+)`", why)
         do = f"add {missing[1]} there" if missing else _unit(why, key, tables)
         short = Read(None, origin, paths)
-        raise Unusable([Fault(short.place(key) if key else path, why[0].lower() + why[1:], do)]) from None
+        raise UnusableError(
+            [Fault(short.place(key) if key else path, why[0].lower() + why[1:], do)]
+        ) from None
 
 
 def _unit(why, key, tables):
--- a/calicopin/configuration/write.py
+++ b/calicopin/configuration/write.py
@@ -11,7 +11,7 @@
 
 from calicopin.configuration import units
 from calicopin.configuration.check import LEAST_BODY, RECORD, least_descriptors
-from calicopin.configuration.read import Fault, Unusable, decode
+from calicopin.configuration.read import Fault, UnusableError, decode
 
 Name = Annotated[str, Meta(pattern="^[A-Za-z0-9][A-Za-z0-9_.-]{0,63}$")]
 
@@ -66,14 +66,14 @@
 
 
 def application(path):
-    """The description in a file; Unusable with one line that names the place."""
+    """The description in a file; UnusableError with one line that names the place."""
     tables, origin, _ = decode(path)
     try:
         return msgspec.convert(tables, Application)
     except msgspec.ValidationError as fault:
         why, _, key = str(fault).partition(" - at ")
         key = key.strip("`").removeprefix("$").removeprefix(".")
-        raise Unusable(
+        raise UnusableError(
             [
                 Fault(
                     f"{origin.get(key, path)}: {key}" if key else path,
@@ -100,7 +100,7 @@
 
 
 def compose(app, path="the description"):
-    """The configuration's text. Unusable where the description cannot be served."""
+    """The configuration's text. UnusableError where the description cannot be served."""
     faults = []
 
     def time(word, place):
@@ -129,7 +129,7 @@
     except ValueError as fault:
         faults.append(Fault(f"{path}: body", str(fault)))
     if faults:
-        raise Unusable(faults)
+        raise UnusableError(faults)
     page, longest, slowest = Page(), max(useful for _, useful in spans), max(answers)
     rate = app.texts_per_s / app.couriers
     slots = max(4, math.ceil(2.0 * rate * slowest / 1000.0) + 4)
--- a/calicopin/handover/taker.py
+++ b/calicopin/handover/taker.py
@@ -20,7 +20,7 @@
 TELL = 5.0  # between two lines while it waits
 
 
-class Told(Exception):  # noqa: N818 (docs/glossary.md)
+class StoppedError(Exception):
     """A signal came before there was anything to stop."""
 
 
@@ -92,7 +92,7 @@
 
 def begin(place, folder, signal_reader, system):
     """(the folder's lock, None) where no other process holds it, else (None, a Taker) once the other has
-    told all. Told where a signal comes first.
+    told all. StoppedError where a signal comes first.
     """
     said = -TELL
     while True:
@@ -109,7 +109,7 @@
             )
             said = time.monotonic()
         if signal_reader.heard().intersection(signal_reader.STOPS):
-            raise Told
+            raise StoppedError
         time.sleep(STEP)
 
 
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -30,7 +30,7 @@
 TURNED_AWAY = b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
-class Refused(Exception):  # noqa: N818 (docs/glossary.md)
+class RequestRefusedError(Exception):
     """A request that cannot be taken, with its status and a plain sentence."""
 
     def __init__(self, status, why):
@@ -44,21 +44,21 @@
 
 
 def read_text(head, body, products, now):
-    """A request as a text; raises Refused with a plain sentence."""
+    """A request as a text; raises RequestRefusedError with a plain sentence."""
     told = {name.decode(): value.decode("latin-1") for name, value in head.headers}
     parts = [unquote(part) for part in urlsplit(head.target.decode("latin-1")).path.split("/")[1:]]
     if parts[0] not in products:
-        raise Refused(404, f"no product {parts[0][:40]!r}")
+        raise RequestRefusedError(404, f"no product {parts[0][:40]!r}")
     ident, reference = told.get("x-request-id", ""), told.get("idempotency-key")
     key = "/".join(parts[1:]) or None
     if not ident or max(len(ident), len(reference or ""), len(key or "")) > MOST_WORD:
-        raise Refused(400, "X-Request-ID is absent, or a word is too long")
+        raise RequestRefusedError(400, "X-Request-ID is absent, or a word is too long")
     left = told.get("x-timeout", "").strip()
     if not SECONDS.fullmatch(left) or float(left) > MOST_TIME:
-        raise Refused(400, "X-Timeout is no number of seconds")
+        raise RequestRefusedError(400, "X-Timeout is no number of seconds")
     dest = envelope(told.get("x-envelope", "")).get("dest", "")
     if not NUMBER.fullmatch(dest):
-        raise Refused(400, "X-Envelope names no dest")
+        raise RequestRefusedError(400, "X-Envelope names no dest")
     return Text(ident, int(dest), products[parts[0]], reference, key, now + float(left) * 1000.0, body)
 
 
@@ -256,7 +256,7 @@
             return (yield from self.reply(line, status))
         try:
             text = read_text(head, body, self.products, self.loop.now())
-        except Refused as fault:
+        except RequestRefusedError as fault:
             visit.pause = PAUSE
             self.complain(fault.status, fault)
             return (yield from self.reply(line, fault.status, str(fault).encode()))
--- a/tests/configuration_helper.py
+++ b/tests/configuration_helper.py
@@ -8,7 +8,7 @@
 
 from calicopin.boot.start import build, posted
 from calicopin.configuration import check
-from calicopin.configuration.read import Unusable, read
+from calicopin.configuration.read import UnusableError, read
 from calicopin.wire.loop import Loop
 
 BASE = """version = 1
@@ -78,7 +78,7 @@
 def findings(path):
     try:
         return check.examine(read(str(path)))[0]
-    except Unusable as fault:
+    except UnusableError as fault:
         return fault.faults
 
 
