--- a/tests/courier_helper.py
+++ b/tests/courier_helper.py
@@ -2,7 +2,7 @@
 
 import json
 
-from helper import Clock, Door, Rebooted, answer, client, free_address, spin, terms
+from helper import Clock, Listener, Rebooted, answer, client, free_address, spin, terms
 
 from calicopin.boot.signals import SignalReader
 from calicopin.boot.start import Post, build
@@ -49,7 +49,7 @@
 
     def __init__(self, folder, clock=None, endpoint=None, disk=3_000_000, asked=True, **settings):
         self.loop = Loop(now=clock or Clock(), system=Rebooted())
-        self.endpoint, self.platform = endpoint or Door(self.loop), Door(self.loop)
+        self.endpoint, self.platform = endpoint or Listener(self.loop), Listener(self.loop)
         self.endpoint.loop = self.loop
         self.listen = free_address()
         self.known = {
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -153,7 +153,7 @@
         return self.heard
 
 
-class Door:
+class Listener:
     """A listener of the test's own; `meet` is the next connection to it."""
 
     def __init__(self, loop):
--- a/tests/test_courier.py
+++ b/tests/test_courier.py
@@ -7,7 +7,7 @@
 
 import pytest
 from courier_helper import CourierFixture, place
-from helper import Clock, Door, answer, client, spin, terms
+from helper import Clock, Listener, answer, client, spin, terms
 
 from calicopin import brain
 from calicopin.boot.leave import LAST_CALL, LAST_TEXT, LEAVE, LISTEN
@@ -100,7 +100,7 @@
     as leaving before it began.
     """
     house = CourierFixture(tmp_path, asked=False)
-    other = Door(house.loop)
+    other = Listener(house.loop)
     assert house.post("a") == b"202", "taken on at once all the same"
     house.tell(
         {
@@ -145,7 +145,7 @@
     )
     house = CourierFixture(tmp_path, asked=False, groupSize=1024)
     assert house.post("a") == b"202"
-    entry, other = house.known["servers"][0], Door(house.loop)
+    entry, other = house.known["servers"][0], Listener(house.loop)
     many = [entry | {"id": f"s-{number}"} for number in range(1024)]
     house.tell({"version": 4, "full": True, "servers": many})
     house.endpoint.meet().wait(b"\xfe\xfe\xfe")
@@ -320,7 +320,7 @@
     old = house.platform.meet()
     old.wait(b"\r\n\r\n")
     spin(house.loop, lambda: house.runtime.notices.owed)
-    new = Door(house.loop)
+    new = Listener(house.loop)
     renew(house, discovery=new.address, descriptors=40, disk=6_000_000)
     heard = {peer.wait(b"\r\n\r\n")[:8]: peer for peer in (new.meet(), new.meet())}
     old.wait_end()
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -10,7 +10,7 @@
 
 import pytest
 from courier_helper import CourierFixture, endings, facade, picked, text
-from helper import Clock, Door, Peer, Rebooted, answer, client, spin, terms
+from helper import Clock, Listener, Peer, Rebooted, answer, client, spin, terms
 from wire_helper import Out, call, clients, request
 
 from calicopin.boot.leave import LAST_TEXT, LEAVE
@@ -192,7 +192,7 @@
     """The courier wrote on to its time-out, or took a closed connection for one that never came up, and
     passed over the wait.
     """
-    out, peer = blocked(loop, Door(loop))
+    out, peer = blocked(loop, Listener(loop))
     peer.say(answer(status, X_Retry_In_Ms="700"))
     if then == "ends":
         peer.sock.shutdown(socket.SHUT_WR)
@@ -201,7 +201,7 @@
 
 
 def test_an_endpoint_that_resets_while_the_call_is_written_has_not_run_it(loop):
-    out, peer = blocked(loop, Door(loop))
+    out, peer = blocked(loop, Listener(loop))
     reset(peer)
     assert out.end() == Answer(Far.UNSENT)
 
@@ -211,7 +211,7 @@
     """The process stands still; the answer and the time-out lie there together, and the time-out is
     resumed first.
     """
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -224,7 +224,7 @@
 
 @pytest.mark.parametrize("end", ["closes", "resets", "stops"])
 def test_the_wait_of_an_answer_that_breaks_off_binds_and_the_call_may_have_run(loop, end):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -262,7 +262,7 @@
     """What stands in front of the answer may be the end of another: the call may have run, and the
     connection serves no more.
     """
-    door, lines = Door(loop), Lines(4, 1000.0)
+    door, lines = Listener(loop), Lines(4, 1000.0)
     first = Out(loop, call(door.address), lines)
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -305,7 +305,7 @@
     """Every call behind a silent watch was given up after 0.25 s: one that works off a line of calls was
     not heard again.
     """
-    door, heard = Door(loop), []
+    door, heard = Listener(loop), []
     began = loop.now()
     Discovery(loop, door.address, 41, 2000.0, lambda places, whole: heard.append(loop.now()), 30, 1)
     met = []
--- a/tests/test_subscribed_courier.py
+++ b/tests/test_subscribed_courier.py
@@ -9,7 +9,7 @@
 from dataclasses import replace
 
 import pytest
-from helper import Clock, Door, Peer, Rebooted, answer, client, free_address, spin, terms
+from helper import Clock, Listener, Peer, Rebooted, answer, client, free_address, spin, terms
 from loguru import logger
 from test_subscriber import FLEET, Node, entry
 
@@ -31,7 +31,7 @@
 
     def __init__(self, folder, node, clock=None, system=None, nodes=None, disk=DISK, max_age=DAY, **settings):
         self.loop = Loop(now=clock or Clock(), system=system or Rebooted())
-        self.node, self.platform = node, Door(self.loop)
+        self.node, self.platform = node, Listener(self.loop)
         if node:
             node.loop, node.peer = self.loop, None
         self.listen = free_address()
@@ -107,7 +107,7 @@
 
 @pytest.fixture
 def endpoint(loop):
-    return Door(loop)
+    return Listener(loop)
 
 
 def started(folder, node, endpoint, **other):
@@ -222,7 +222,7 @@
 
 
 def test_an_endpoint_announced_as_leaving_is_called_no_more(tmp_path, node, endpoint):
-    house, other = started(tmp_path, node, endpoint), Door(Loop())
+    house, other = started(tmp_path, node, endpoint), Listener(Loop())
     other.loop = house.loop
     _, asked = house.node.hear()
     house.node.tell(asked, 3, [served(endpoint, state="leaving"), served(other, ident="s-2")])
@@ -241,7 +241,7 @@
     assert house.post("b") == b"202"
     assert b"\xfe\xfe\xfe" in endpoint.meet().wait(b"\xfe\xfe\xfe")
     house.kill()
-    other = Door(Loop())
+    other = Listener(Loop())
     again = SubscribedCourierFixture(tmp_path, node, clock=house.loop.now)
     other.loop = again.loop
     assert set(again.runtime.facade.places_of) == {7} and again.post("c") == b"202", "taken on at once"
@@ -482,7 +482,7 @@
 
 
 def test_a_courier_is_served_by_a_real_node_and_by_its_folder_once_that_is_gone(tmp_path):
-    endpoint, other = Door(Loop()), Door(Loop())
+    endpoint, other = Listener(Loop()), Listener(Loop())
     source, listen = tmp_path / "list", free_address()
     source.write_bytes(
         b'{"form":1,"fleet":"%s"}\n' % FLEET.encode()
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -4,7 +4,7 @@
 import socket
 
 import pytest
-from helper import Clock, Door, Peer, answer, spin
+from helper import Clock, Listener, Peer, answer, spin
 from loguru import logger
 
 from calicopin.discovery_node.server import NodeServer, ServerBounds
@@ -44,7 +44,7 @@
     return Place(ident, "127.0.0.1:9", destination, "", "a", True, 0.0)
 
 
-class Node(Door):
+class Node(Listener):
     """A discovery node of which the test says each answer."""
 
     def __init__(self, loop, name="n1", lease="n1-1"):
--- a/tests/test_wire_calls.py
+++ b/tests/test_wire_calls.py
@@ -4,7 +4,7 @@
 import socket
 
 import pytest
-from helper import Door, answer, free_address, spin
+from helper import Listener, answer, free_address, spin
 from wire_helper import Out, call
 
 from calicopin.facade import Far
@@ -12,7 +12,7 @@
 
 
 def test_a_call_passes_id_and_body_on_and_its_connection_serves_the_next(loop):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     heard = peer.wait(b"\x00\xff")
@@ -33,14 +33,14 @@
 
 
 def test_a_call_that_is_no_longer_wanted_when_its_connection_is_up_is_not_begun(loop):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     out.wanted = False
     assert out.end().far == Far.CALLED_OFF and not door.meet().wait_end() and out.lines.used == 0
 
 
 def test_a_connection_that_breaks_after_the_call_may_have_run_and_is_not_sent_again(loop):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -61,7 +61,7 @@
     """Kept connections were reset under the next call, 25 to 40 in 100 on one day, and each counted
     against it.
     """
-    door, lines = Door(loop), Lines(4, 8000.0)
+    door, lines = Listener(loop), Lines(4, 8000.0)
     peer = None
     for took, gone in ((50.0, None), (0.0, True), (50.0, None), (60.0, False)):
         out = Out(loop, call(door.address), lines)
@@ -79,7 +79,7 @@
 
 
 def test_a_time_out_closes_the_connection(loop):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -106,7 +106,7 @@
     ],
 )
 def test_an_answer_that_cannot_be_read_may_have_run(loop, garbage):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -134,7 +134,7 @@
     """Whatever becomes of the rest, the call has run; it once counted as failed, or waited for its
     time-out.
     """
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -149,7 +149,7 @@
 @pytest.mark.parametrize("behind", [answer(200), b"\x00noise", b"\r\n"])
 def test_a_connection_with_more_than_the_answer_on_it_is_never_lent_again(loop, behind):
     """What lay behind an answer was once read as the answer to the next call."""
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -162,7 +162,7 @@
     "report", ["[" * 9000, "1" + "0" * 400, '{"x0":1' + "0" * 400 + "}", "[1]", '"', "{"]
 )
 def test_a_report_that_cannot_be_read_is_passed_over(loop, report):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -171,7 +171,7 @@
 
 
 def test_without_a_descriptor_a_call_waits_and_no_endpoint_is_blamed(loop, monkeypatch):
-    door, sock = Door(loop), socket.socket
+    door, sock = Listener(loop), socket.socket
 
     def none_left(*_):
         raise OSError(24, "too many open files")
@@ -188,7 +188,7 @@
 
 
 def test_a_connection_closed_behind_the_answer_is_not_kept(loop):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address))
     peer = door.meet()
     peer.wait(b"\x00\xff")
@@ -197,7 +197,7 @@
 
 
 def test_a_bulk_answer_tells_of_each_text(loop):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address, texts=3))
     peer = door.meet()
     heard = peer.wait(b"]")
@@ -215,7 +215,7 @@
 
 @pytest.mark.parametrize("body", [b"", b"{}x", b"[1]", b'[{"id":[],"state":1}]'])
 def test_a_bulk_answer_that_cannot_be_read_may_have_run(loop, body):
-    door = Door(loop)
+    door = Listener(loop)
     out = Out(loop, call(door.address, texts=2))
     peer = door.meet()
     peer.wait(b"]")
--- a/tests/test_wire_loop.py
+++ b/tests/test_wire_loop.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from helper import Door, answer, spin
+from helper import Listener, answer, spin
 from wire_helper import Out, call
 
 from calicopin.held.connections import Lines
@@ -84,7 +84,7 @@
     """A process that stood still just after it asked for events once held answers that lay there for
     time-outs.
     """
-    door, lines = Door(loop), Lines(4, 1000.0)
+    door, lines = Listener(loop), Lines(4, 1000.0)
     out = Out(loop, call(door.address), lines)
     peer = door.meet()
     peer.wait(b"\x00\xff")
--- a/tests/test_wire_platform.py
+++ b/tests/test_wire_platform.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from helper import Clock, Door, answer, spin
+from helper import Clock, Listener, answer, spin
 from loguru import logger
 
 from calicopin.held.texts import Text
@@ -17,7 +17,7 @@
 
 def test_a_fault_in_the_watch_costs_its_connection(loop, monkeypatch):
     """Begun again on the old one, in the middle of an exchange, it once met a fault for ever."""
-    door, heard = Door(loop), []
+    door, heard = Listener(loop), []
     monkeypatch.setattr("calicopin.wire.discovery.read", None)
     Discovery(loop, door.address, 41, 5000.0, lambda places, whole: heard.append(whole))
     whole = answer(200, b'{"version":42,"full":true,"servers":[]}')
@@ -126,7 +126,7 @@
     such call is work for nothing.
     """
     loop = Loop(now=Clock())
-    door, began = Door(loop), loop.now()
+    door, began = Listener(loop), loop.now()
     watch = Discovery(loop, door.address, 41, 2000.0, lambda places, whole: None, 40, 5, spread=True)
 
     def next_due():
@@ -145,7 +145,7 @@
 
 
 def test_the_watch_goes_on_and_is_begun_again_when_broken_garbled_or_silent(loop):
-    door, heard = Door(loop), []
+    door, heard = Listener(loop), []
     Discovery(loop, door.address, 41, 5000.0, lambda places, whole: heard.append((places, whole)))
     peer = door.meet()
     assert b"GET /api/targets?index=41&wait=5000" in peer.wait(b"\r\n\r\n")
@@ -188,7 +188,7 @@
     ],
 )
 def test_a_list_that_cannot_be_read_leaves_the_last_one_and_is_told_in_one_line(loop, servers, told):
-    door, heard, lines = Door(loop), [], []
+    door, heard, lines = Listener(loop), [], []
     sink = logger.add(lines.append, format="{message}", level="WARNING")
     Discovery(loop, door.address, None, 2000.0, lambda places, whole: heard.append(places), pushed=True)
     for _ in range(3):
@@ -214,7 +214,7 @@
 
 
 def test_notices_gather_and_are_sent_until_heard(loop):
-    door, heard = Door(loop), []
+    door, heard = Listener(loop), []
     notices = Notices(loop, door.address, lambda text: heard.append(text.ident))
     for ident, verdict, wait in (("a", "dead", 0.0), ("b", "bounced", 500.4)):
         notices.owe(Text(ident, 1, 0, None, None, 1.0, b"", verdict=verdict, wait=wait))
@@ -237,7 +237,7 @@
 
 def test_a_notice_on_a_connection_that_fell_silent_goes_on_a_new_one_in_time(loop):
     """It waited 2 s there, and its text had 0.3 s. An agent that is slow is waited for longer each time."""
-    door, heard = Door(loop), []
+    door, heard = Listener(loop), []
     notices = Notices(loop, door.address, lambda text: heard.append(text.ident))
     notices.owe(Text("a", 1, 0, None, None, 1.0, b"", verdict="dead"))
     for patience in (200.0, 400.0, 800.0, 1600.0, 2000.0, 2000.0):
@@ -254,7 +254,7 @@
 
 
 def test_notices_without_a_descriptor_wait_for_one_without_a_fault(loop, monkeypatch):
-    door, sock, heard = Door(loop), socket.socket, []
+    door, sock, heard = Listener(loop), socket.socket, []
     notices = Notices(loop, door.address, lambda text: heard.append(text.ident))
     monkeypatch.setattr(
         socket, "socket", lambda *_: (_ for _ in ()).throw(OSError(24, "too many open files"))
