--- a/calicopin/capacity/slopes.py
+++ b/calicopin/capacity/slopes.py
@@ -10,7 +10,7 @@
 SENDERS_FILE = "docs/scale/sender-count.json"
 LIST_SIZES = (1_000, 10_000, 50_000)
 MESSAGE_SIZES = (10_000, 30_000, 100_000)
-BEFORE = "the program before this sitting's mechanism"
+BEFORE = "the program before subscriptions"
 
 
 def _list_run(figure: str, factor: float = 1.0) -> Run:
