--- a/calicopin/boot/runtime.py
+++ b/calicopin/boot/runtime.py
@@ -89,8 +89,7 @@
 
     def first_answer(self, text):
         """What a text has to wait for before it can be taken on or refused: the first answer on its
-        destination. None
-        where that is known, and where the text is refused in any case."""
+        destination. None where that is known, and where the text is refused in any case."""
         if self.subscribed is None or self.closed_to(text) or self.journal.knows(text.ident):
             return None
         return self.subscribed.first_answer(text.dest)
--- a/calicopin/capacity/figures.py
+++ b/calicopin/capacity/figures.py
@@ -35,8 +35,7 @@
 @dataclass(frozen=True, slots=True)
 class Figure:
     """One number of the page. `uses` are the slopes in its formula, `assumes` the parts of `Shape` that are;
-    with
-    neither it is a quotient of the users' numbers and of constants of the program."""
+    with neither it is a quotient of the users' numbers and of constants of the program."""
 
     name: str
     formula: str
--- a/calicopin/discovery_node/catalogue.py
+++ b/calicopin/discovery_node/catalogue.py
@@ -1,10 +1,8 @@
 """The whole list in memory, compactly: each entry as the JSON bytes that answers send. No I/O and no clock.
 
 A load appends entries to one block of bytes; two open-addressing tables of row numbers find them by endpoint
-and by
-destination. What changes after the load lies over it in plain maps, and the load's part stays as it is. A
-change costs
-by its own destination, whatever else is known.
+and by destination. What changes after the load lies over it in plain maps, and the load's part stays as it
+is. A change costs by its own destination, whatever else is known.
 """
 
 from array import array
--- a/calicopin/discovery_node/measure.py
+++ b/calicopin/discovery_node/measure.py
@@ -1,8 +1,7 @@
 """What a node's parts cost, in one process and without sockets: `python -m calicopin.discovery_node.measure`.
 
 A made list is loaded, couriers subscribe to disjoint sets of it, destinations change one after the other.
-Processor
-time is this process's own; memory is what its resident size grew by.
+Processor time is this process's own; memory is what its resident size grew by.
 """
 
 import json
--- a/calicopin/discovery_node/server.py
+++ b/calicopin/discovery_node/server.py
@@ -1,8 +1,8 @@
 """The discovery node on sockets: HTTP/1.1 with long polls, one process, one thread, one loop.
 
 Each connection is a coroutine. A request that has nothing to be told waits, and is answered at once when a
-change
-touches its lease. Every refusal is one typed message; what cannot be read any further ends its connection.
+change touches its lease. Every refusal is one typed message; what cannot be read any further ends its
+connection.
 """
 
 import json
--- a/calicopin/discovery_node/source.py
+++ b/calicopin/discovery_node/source.py
@@ -276,8 +276,7 @@
 
     def _take_beside(self, file: SourceFile) -> None:
         """What is appended while the file is read whole is told by the last good list already: a load may
-        last longer
-        than a change may take. Its faults are told when the load comes to them."""
+        last longer than a change may take. Its faults are told when the load comes to them."""
         if self.catalogue is None:
             return
         touched = set()
--- a/calicopin/discovery_node/upstream.py
+++ b/calicopin/discovery_node/upstream.py
@@ -2,8 +2,8 @@
 follows.
 
 The copy is asked for from where it ends, again and again. Where the upstream node began another file, or is
-another
-run, a new copy is made beside the old one and takes its place once it is whole: the last good copy serves on.
+another run, a new copy is made beside the old one and takes its place once it is whole: the last good copy
+serves on.
 """
 
 import os
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -198,8 +198,7 @@
 
     def listed(self, places, whole):
         """News of the list; what has left is forgotten once the decisions have no more use for it. Returns
-        the
-        number of each endpoint that is named, with its place as it was before, or None."""
+        the number of each endpoint that is named, with its place as it was before, or None."""
         entries, before, former = [], self.places, {}
         if whole:
             self.places, self.places_of = {}, {}
@@ -252,8 +251,7 @@
 
     def release(self, dest):
         """The destination is used no more: what is known of it goes once the decisions have no more use for
-        it.
-        Returns its endpoints as they were listed."""
+        it. Returns its endpoints as they were listed."""
         numbers = list(self.places_of.get(dest, ()))
         self.unlisted |= dict.fromkeys(numbers)
         if dest in self.dests.index:
--- a/calicopin/held/connections.py
+++ b/calicopin/held/connections.py
@@ -113,8 +113,7 @@
 
     def change(self, gone, come):
         """The same where the list changed in some places only: it costs by them. `gone` holds them as they
-        were
-        before, `come` as they are."""
+        were before, `come` as they are."""
         gone = {self.shelf(place) for place in gone}
         self.listed.difference_update(gone)
         self.listed.update(self.shelf(place) for place in come)
--- a/calicopin/held/known_list.py
+++ b/calicopin/held/known_list.py
@@ -1,10 +1,8 @@
 """The part of the list that a courier subscribes to, kept in its folder so that a restart goes on with it.
 
 One file, replaced at once by a whole new one. Its first line tells form, checksum and length of the rest,
-which is
-JSON: the fleet, the wall time of the last news, and the endpoints by destination. A file that is damaged,
-too old or
-of another fleet is passed over with one line. Times are milliseconds.
+which is JSON: the fleet, the wall time of the last news, and the endpoints by destination. A file that is
+damaged, too old or of another fleet is passed over with one line. Times are milliseconds.
 """
 
 import json
--- a/calicopin/scale/change_feed.py
+++ b/calicopin/scale/change_feed.py
@@ -1,8 +1,8 @@
 """Changes of the list on a schedule of their own, appended to the file that discovery nodes read.
 
-Open loop: no change waits for the one before to be in force. An entry's weight tells its revision, by which
-a courier
-that heard it can be told from one that did not. Times are milliseconds of the machine's monotonic clock.
+Open loop: no change waits for the one before to be in force. An entry's weight tells its revision, by which a
+courier that heard it can be told from one that did not. Times are milliseconds of the machine's monotonic
+clock.
 """
 
 import random
--- a/calicopin/scale/couriers.py
+++ b/calicopin/scale/couriers.py
@@ -1,10 +1,8 @@
 """Real courier processes with traffic before real discovery nodes, under faults, with a verdict.
 
 Destinations are two stand-in servers on loopback: every destination has its first endpoint at one of them;
-when that
-is announced as leaving, the second one takes its place. Every message may go once only, so that any second
-call is
-seen. A node is killed and some couriers are killed and started again while messages flow.
+when that is announced as leaving, the second one takes its place. Every message may go once only, so that any
+second call is seen. A node is killed and some couriers are killed and started again while messages flow.
 """
 
 import http.client
--- a/calicopin/scale/fault_command.py
+++ b/calicopin/scale/fault_command.py
@@ -45,9 +45,8 @@
     NAMES.
 
     Changes go on meanwhile. Each has to be in force within 12 s of a node's reach, and at the end every
-    courier has to
-    know exactly what the source has; else the exit code is 1. Exit code 3: the run is void, its generator
-    was late.
+    courier has to know exactly what the source has; else the exit code is 1. Exit code 3: the run is void,
+    its generator was late.
     """
     plans = [
         FaultPlan(Fault(name), nodes, destinations, couriers, rate, seed, during=during)
--- a/calicopin/scale/faults.py
+++ b/calicopin/scale/faults.py
@@ -1,10 +1,8 @@
 """Faults of discovery nodes and couriers under a list that goes on changing, and the verdict on each.
 
 Real nodes as processes, hollow couriers in one process, changes on a schedule of their own. A change has to
-be in
-force at each courier within a bound of the time at which a node is within that courier's reach, and at the
-end each
-courier has to know exactly what the source has.
+be in force at each courier within a bound of the time at which a node is within that courier's reach, and at
+the end each courier has to know exactly what the source has.
 """
 
 import os
--- a/calicopin/scale/hollow.py
+++ b/calicopin/scale/hollow.py
@@ -2,8 +2,8 @@
 process.
 
 Each runs the real `Subscriber` on one loop that all share. The process is asked over a pipe; its times are
-those of the
-machine's monotonic clock in milliseconds, so that other processes can compare them with their own.
+those of the machine's monotonic clock in milliseconds, so that other processes can compare them with their
+own.
 """
 
 import math
--- a/calicopin/scale/list_source.py
+++ b/calicopin/scale/list_source.py
@@ -1,8 +1,8 @@
 """A seeded list of destinations, and changes of it, as the source file that a discovery node reads.
 
 The file is a log: its first line names the form and the fleet, each further line is one ENTRY of the list's
-own form,
-and the last line about an endpoint holds. One destination has one endpoint unless more are asked for.
+own form, and the last line about an endpoint holds. One destination has one endpoint unless more are asked
+for.
 """
 
 import json
--- a/calicopin/scale/measures.py
+++ b/calicopin/scale/measures.py
@@ -1,8 +1,7 @@
 """Measurements of the decisions and the journal alone, each meant for a process of its own, on one core.
 
 Each returns plain numbers by the name of the figure. Time is processor time of this process; memory is what
-the
-process holds resident, before and after.
+the process holds resident, before and after.
 """
 
 import gc
--- a/calicopin/scale/node_command.py
+++ b/calicopin/scale/node_command.py
@@ -68,12 +68,9 @@
     in force.
 
     Three groups of couriers in turn, each arriving at once, and for each of them three loads: the changes of
-    a day, ten
-    times as many, and those that follow from destinations which are down and come back. Every change is of a
-    destination
-    that some courier of the run uses, which is more than a node has of the day's changes. Exit code 3: the
-    run is void,
-    its generator was late.
+    a day, ten times as many, and those that follow from destinations which are down and come back. Every
+    change is of a destination that some courier of the run uses, which is more than a node has of the day's
+    changes. Exit code 3: the run is void, its generator was late.
     """
     groups = [Group(f"{couriers} couriers", couriers)]
     if neighbour:
--- a/calicopin/scale/node_run.py
+++ b/calicopin/scale/node_run.py
@@ -1,7 +1,6 @@
 """One real discovery node with the whole list and hollow couriers before it: what it takes, and how soon
-changes are in
-force. Groups of couriers arrive one after the other, each group at once; each then meets loads of changes in
-turn."""
+changes are in force. Groups of couriers arrive one after the other, each group at once; each then meets loads
+of changes in turn."""
 
 import os
 import tempfile
--- a/calicopin/scale/node_slopes.py
+++ b/calicopin/scale/node_slopes.py
@@ -1,6 +1,5 @@
-"""Slopes of the discovery node: memory and load over destinations, processor time over couriers, and the
-work of one change
-over destinations known. Repeated runs; each of them in processes of its own."""
+"""Slopes of the discovery node: memory and load over destinations, processor time over couriers, and the work
+of one change over destinations known. Repeated runs; each of them in processes of its own."""
 
 import multiprocessing
 import os
--- a/calicopin/scale/one_courier.py
+++ b/calicopin/scale/one_courier.py
@@ -1,8 +1,7 @@
 """One real courier process: it holds the whole list, or subscribes to the destinations that it uses.
 
-Both are measured in one run: resident memory, bytes and processor time for control under changes of the
-list, and
-the time from a change to its being in force. All addresses are on loopback. Figures are of this machine.
+Both are measured in one run: resident memory, bytes and processor time for control under changes of the list,
+and the time from a change to its being in force. All addresses are on loopback. Figures are of this machine.
 """
 
 import http.client
--- a/calicopin/scale/sender_count.py
+++ b/calicopin/scale/sender_count.py
@@ -1,8 +1,7 @@
 """What a told sender count costs where only few of the senders send: the decisions alone, in virtual time.
 
 One destination with a limit that its answers tell. Twenty couriers send to it; each is told how many senders
-there
-are, and takes its share of the limit by that number.
+there are, and takes its share of the limit by that number.
 """
 
 import heapq
--- a/calicopin/scale/verdict.py
+++ b/calicopin/scale/verdict.py
@@ -1,6 +1,5 @@
 """Whether each change came into force at each courier that uses its destination, and whether each courier
-knows what the
-source has. No I/O but the reading of the source; times are milliseconds."""
+knows what the source has. No I/O but the reading of the source; times are milliseconds."""
 
 from bisect import bisect_right
 from collections import defaultdict
@@ -72,8 +71,7 @@
 
 def resolve(changes: Sequence[Change], heard: Iterable[Heard]) -> dict[tuple[int, str], list[Heard]]:
     """What was heard, by courier and endpoint, with a revision in place of each LEFT: that of the last time
-    the endpoint
-    left before it was heard."""
+    the endpoint left before it was heard."""
     left: dict[str, list[Change]] = defaultdict(list)
     for change in changes:
         if change.state == "left":
--- a/calicopin/subscription/leases.py
+++ b/calicopin/subscription/leases.py
@@ -1,14 +1,11 @@
 """The leases of a discovery node: who is told which destinations, and when. No I/O and no clock.
 
 A lease is one courier's subscription to a set of destinations. Every request of the courier renews it. The
-table
-decides what each request is answered with; the entries themselves it never sees. Times are milliseconds and
-come in
-as arguments. docs/subscriptions-design.md has the exchange.
+table decides what each request is answered with; the entries themselves it never sees. Times are milliseconds
+and come in as arguments. docs/subscriptions-design.md has the exchange.
 
 What was told under a version stays pending until the courier comes with that version as its index: an answer
-that was
-lost is told again, in whatever state its destinations are by then.
+that was lost is told again, in whatever state its destinations are by then.
 """
 
 from array import array
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -279,8 +279,7 @@
 
     def wait_for_destination(self, line, text):
         """Where the text's destination is not known yet, until its first answer is there, the text's time is
-        up, or its
-        client has left. Nothing is kept of the text meanwhile."""
+        up, or its client has left. Nothing is kept of the text meanwhile."""
         event = self.acceptor.first_answer(text)
         if event is None:
             return
