Scale tests: a node that does not start ends a run in one plain line

Cause: node and fault let the error through as a traceback. Result: its test passes (2 cases), fails without the mend by construction: the error is raised by the run itself.

--- a/calicopin/scale/fault_command.py
+++ b/calicopin/scale/fault_command.py
@@ -6,6 +6,7 @@
 
 from calicopin.scale import faults, hollow, results
 from calicopin.scale.faults import Fault, FaultPlan, FaultRun
+from calicopin.scale.nodes import NodeError
 from calicopin.scale.options import (
     LATE_BOUND,
     MEMORY,
@@ -70,7 +71,10 @@
     end_on_sigterm()
     with Progress() as progress:
         for plan in plans:
-            outcome = FaultRun(plan, progress).run()
+            try:
+                outcome = FaultRun(plan, progress).run()
+            except NodeError as failure:
+                stop(f"{plan.fault}: {failure}")
             most_late = max(most_late, outcome.most_late)
             run.faults += [f"{plan.fault}: {line}" for line in outcome.faults]
             for one in outcome.figures:
--- a/calicopin/scale/node_command.py
+++ b/calicopin/scale/node_command.py
@@ -6,6 +6,7 @@
 
 from calicopin.scale import hollow, node_run, node_slopes, results
 from calicopin.scale.node_run import DAY, Group, Load, NodePlan, NodeRun
+from calicopin.scale.nodes import NodeError
 from calicopin.scale.options import (
     LATE_BOUND,
     MEMORY,
@@ -101,8 +102,11 @@
     }
     run, began = results.begin("node", arguments, seed), time.monotonic()
     end_on_sigterm()
-    with Progress() as progress:
-        outcome = NodeRun(plan, progress).run()
+    try:
+        with Progress() as progress:
+            outcome = NodeRun(plan, progress).run()
+    except NodeError as fault:
+        stop(str(fault))
     run.figures, run.rows, run.faults = outcome.figures, outcome.rows, outcome.faults
     finish_load(run, began, path, outcome.most_late, late_bound)
 
--- a/tests/test_scale_hollow.py
+++ b/tests/test_scale_hollow.py
@@ -499,3 +499,27 @@
     record.rows = [{f"key{number}": 1.5 * number for number in range(12)}, {"key11": None}]
     results.show(record)
     assert "key11" in out.getvalue() and "16.5" in out.getvalue()
+
+
+@pytest.mark.parametrize(
+    "words, run",
+    [
+        (
+            "node --destinations 100 --couriers 2 --neighbour 0 --zone 0",
+            "calicopin.scale.node_command.NodeRun",
+        ),
+        ("fault node-killed --destinations 100 --couriers 2", "calicopin.scale.fault_command.FaultRun"),
+    ],
+)
+def test_a_node_that_does_not_start_is_told_in_one_line(monkeypatch, words, run):
+    class Unstartable:
+        def __init__(self, plan, progress):
+            pass
+
+        def run(self):
+            raise nodes.NodeError("node0 ended with 2: the address is in use")
+
+    monkeypatch.setattr(run, Unstartable)
+    done = CliRunner().invoke(main, words.split())
+    assert done.exit_code == 2 and "node0 ended with 2" in done.output
+    assert "Traceback" not in done.output and len(done.output.splitlines()) == 1
