Tests: one profile of generated examples for all, read in before the first test

Seen twice in two runs of some test files: at the end of the run the hypothesis plugin read its library in and ended with 'AST constructor recursion depth mismatch' (CPython 3.11). Likely cause: abandoned coroutines of earlier tests, collected just then, log by way of a parser. The whole suite reads the library in at its collection and never showed it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import pytest
 from helper import Clock
+from hypothesis import settings
 from known_red import pytest_collection_modifyitems, pytest_terminal_summary
 
 from calicopin.wire.loop import Loop
@@ -13,6 +14,13 @@
 __all__ = ["pytest_collection_modifyitems", "pytest_terminal_summary", "signals", "loop"]
 
 
+# One verdict in every run. Read in here: the plugin would otherwise read the library in at the end of a
+# run, when coroutines that tests left behind are collected; their log lines parse source, which likely
+# breaks the parse under way.
+settings.register_profile("calicopin", derandomize=True, deadline=None)
+settings.load_profile("calicopin")
+
+
 @pytest.fixture(autouse=True)
 def signals():
     """Whatever a courier in the test's own process does to them is undone."""
