Read once more: one reader of a process's time and memory for the traffic run and the scale tests

calicopin/capacity/traffic.py had its own copies of scale.nodes' process_cpu, process_resident and free_port; it calls them.

--- a/calicopin/capacity/traffic.py
+++ b/calicopin/capacity/traffic.py
@@ -17,6 +17,7 @@
 
 from calicopin.capacity.records import Measure, fitted, record
 from calicopin.command.demo import Desk, Notices, ask, configuration
+from calicopin.scale.nodes import free_port, process_cpu, process_resident
 
 RATES = (33, 66, 132)  # events a second
 REPEATS = 3
@@ -24,8 +25,6 @@
 SETTLE_S = 1.0  # behind a courier's start, and behind the last event of a run
 READY_TRIES, READY_PAUSE_S = 200, 0.05
 BODY = b"x" * 300
-TICKS_A_SECOND = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 class NotMeasuredError(RuntimeError):
@@ -40,19 +39,6 @@
     resident_bytes: int
 
 
-def processor_seconds(process: int) -> float:
-    """User and system time of a process so far."""
-    with open(f"/proc/{process}/stat", encoding="ascii") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_A_SECOND
-
-
-def resident_bytes(process: int) -> int:
-    """Memory that a process holds resident."""
-    with open(f"/proc/{process}/statm", encoding="ascii") as file:
-        return int(file.read().split()[1]) * PAGE_BYTES
-
-
 class Client:
     """One client on one connection, on a schedule."""
 
@@ -103,25 +89,23 @@
     wait_ready(address)
     client = Client(address)
     client.play(rate, SETTLE_S)  # its first connections and code paths
-    before, began = processor_seconds(process), time.monotonic()
+    before, began = process_cpu(process), time.monotonic()
     client.play(rate, SECONDS)
-    spent = processor_seconds(process) - before
+    spent = process_cpu(process) - before
     passed = time.monotonic() - began
     time.sleep(SETTLE_S)
     if (delivered := sum(len(desk.delivered) for desk in desks)) != client.number:
         raise NotMeasuredError(f"{delivered} of {client.number} events were delivered")
-    return Spent(spent * 1000.0 / passed, resident_bytes(process))
-
-
-def free_address() -> str:
-    """An address on loopback that nobody listens at."""
-    with Notices() as server:
-        return f"127.0.0.1:{server.server_address[1]}"
+    return Spent(spent * 1000.0 / passed, process_resident(process))
 
 
 def run_once(rate: float) -> Spent:
     """A courier, its destinations and a client, from start to end."""
-    desks, notices, address = [Desk(str(number)) for number in range(3)], Notices(), free_address()
+    desks, notices, address = (
+        [Desk(str(number)) for number in range(3)],
+        Notices(),
+        f"127.0.0.1:{free_port()}",
+    )
     servers = (*desks, notices)
     for server in servers:
         threading.Thread(target=server.serve_forever, kwargs={"poll_interval": 0.05}, daemon=True).start()
