--- a/calicopin/brain.py
+++ b/calicopin/brain.py
@@ -5,50 +5,17 @@
 The types of both are in `calicopin/interface.py`; docs/design.md says what is kept of the design.
 """
 
-import heapq
-import zlib
 from collections import Counter, deque
-from itertools import accumulate, count, islice
+from itertools import accumulate, islice
 from math import log
 
-from calicopin.interface import Close, How, Log, Nack, Repeat, Submit, Undeliverable, Wake, Watch
+from calicopin.interface import Close, How, Nack, Repeat, Submit, Undeliverable, Wake, Watch
+from calicopin.scheduler import Scheduler
 
 HARMLESS = (How.FULL, How.UNREACHED, How.NOT_SENT)  # these prove that the submit never ran
 ROUND, SECOND = 250.0, 1000.0  # the one periodic timer; what limits count over
 
 
-class Floor:
-    """The one loop: notes lie in the inboxes of the parts, due times in one heap."""
-
-    def __init__(self, number, seed):
-        self.now, self.late, self.out = 0.0, 0.0, []
-        self.busy, self.due, self.order, self.armed = deque(), [], count(), float("inf")
-        self.wakes, self.number, self.draws = 0, number, count(seed & 0xFFFFFFFF)
-
-    def post(self, part, name, *args):
-        part.inbox.append((name, args))
-        self.busy.append(part)
-
-    def later(self, when, part, name, *args):
-        heapq.heappush(self.due, (when, next(self.order), part, name, args))
-
-    def run(self):
-        """Empties the inboxes; what is due posts its note whenever they are empty."""
-        while self.busy or self.due and self.due[0][0] <= self.now:
-            if not self.busy:
-                _, _, part, name, args = heapq.heappop(self.due)
-                self.post(part, name, *args)
-            part = self.busy.popleft()
-            name, args = part.inbox.popleft()
-            getattr(part, "on_" + name)(*args)
-
-    def chance(self, ident):
-        return zlib.crc32(f"{self.number}:{ident}:{next(self.draws)}".encode()) / 2**32
-
-    def log(self, line):
-        self.out.append(Log(line))
-
-
 class Text:
     """One text and what its submits may have done so far."""
 
@@ -102,12 +69,12 @@
     BURST, COOLDOWN, CUT, STEP, FLOOR, IDLE = 300.0, 4000.0, 0.7, 0.1, 0.001, 60000.0
     STREAK, RARE, FEW, LONG = 5, 12.0, 4, 20000.0
 
-    def __init__(self, floor, name, senders, fail_back):
-        self.floor, self.name, self.senders, self.fail_back = floor, name, senders, fail_back
+    def __init__(self, scheduler, name, senders, fail_back):
+        self.scheduler, self.name, self.senders, self.fail_back = scheduler, name, senders, fail_back
         self.rate = self.start = self.agreed = self.limit = None
-        self.tokens, self.filled, self.pause, self.patient = 1.0, floor.now, 0.0, None
+        self.tokens, self.filled, self.pause, self.patient = 1.0, scheduler.now, 0.0, None
         self.cut_at, self.changed, self.waited, self.left = -1e12, -1e12, False, 0.5
-        self.sends, self.sent_at, self.born = deque(), floor.now, floor.now
+        self.sends, self.sent_at, self.born = deque(), scheduler.now, scheduler.now
         self.usual = self.flow = self.cut_off = self.warm_at = 0.0
         self.doubted, self.refused = None, False  # refused: all failures since a delivery were refusals
         self.gap, self.fastest = 0.0, float("inf")  # failures between deliveries; the quickest of those
@@ -135,7 +102,7 @@
     def recent(self):
         """Own calls a millisecond, over a cooldown; where no limit is told nor listed, over the last few
         if that is longer: 200 senders that each count one call in a cooldown use a limit up for good."""
-        now, span = self.floor.now, self.COOLDOWN
+        now, span = self.scheduler.now, self.COOLDOWN
         if not (self.limit or self.agreed):
             span = max(span, now - self.sends[0] if len(self.sends) >= self.FEW else self.LONG)
         return sum(at > now - span - 1e-6 for at in self.sends) / min(span, max(SECOND, now - self.born))
@@ -144,7 +111,7 @@
         """Whether failures without an end that last for the rule's span may be an outage: they come by the
         usual loss at fewer than one of all senders. One refusal is how a limit shows."""
         return (
-            self.floor.now - self.fail_since >= self.fail_back.span
+            self.scheduler.now - self.fail_since >= self.fail_back.span
             and self.fails > self.refused
             and (self.gap / (1.0 + self.gap)) ** self.fails * self.senders < 1.0
         )
@@ -152,7 +119,7 @@
     def speed(self):
         """The bucket's rate; under fail-back what a cold one can do, shared by those who met the outage.
         Failures without an end that last for the rule's span count as met: this sender may see little."""
-        now, fail_back = self.floor.now, self.fail_back
+        now, fail_back = self.scheduler.now, self.fail_back
         if self.mode == "well" and not self.doubtful():
             lasted = now - self.fail_since
             doubt = self.fails > 1 and lasted >= fail_back.span
@@ -167,29 +134,29 @@
         return held if self.rate is None else min(self.pace_now(), held)
 
     def fill(self):
-        now, speed = self.floor.now, self.speed()
+        now, speed = self.scheduler.now, self.speed()
         if speed is not None:
-            most = max(1.0, speed * max(self.BURST, self.floor.late)) if self.mode == "well" else 1.0
+            most = max(1.0, speed * max(self.BURST, self.scheduler.late)) if self.mode == "well" else 1.0
             self.tokens = min(most, self.tokens + max(0.0, now - max(self.filled, self.pause)) * speed)
         self.filled = now
         return speed
 
     def opens(self):
         """When the next call may go."""
-        speed, start = self.fill(), max(self.floor.now, self.pause)
+        speed, start = self.fill(), max(self.scheduler.now, self.pause)
         return start if speed is None or self.tokens >= 1.0 - 1e-9 else start + (1.0 - self.tokens) / speed
 
     def spend(self):
         self.tokens -= float(self.speed() is not None)
-        self.sends.append(self.floor.now)
+        self.sends.append(self.scheduler.now)
 
     def pace(self, rate, why):
         self.rate = self.start = rate
-        self.floor.log(f"{self.name} paced at {rate * 1000:.2f}/s, {why}")
+        self.scheduler.log(f"{self.name} paced at {rate * 1000:.2f}/s, {why}")
 
     def full(self, call):
         """A throttle: one wave, one cut."""
-        now = self.floor.now
+        now = self.scheduler.now
         self.fill()
         self.waited, self.changed, self.left = False, now, min(self.left, 0.5)
         if self.rate is None:
@@ -200,15 +167,15 @@
             before, least = self.rate, (self.limit or self.FLOOR) / self.senders
             self.rate, self.cut_at = min(before, max(least, before * self.CUT)), now
             if self.rate < before:
-                self.floor.log(f"{self.name} cut from {before * 1000:.2f} to {self.rate * 1000:.2f}/s")
+                self.scheduler.log(f"{self.name} cut from {before * 1000:.2f} to {self.rate * 1000:.2f}/s")
 
     def halt(self, wait):
         """A told wait, in whichever answer it comes: it binds in full and the bucket restarts empty."""
         self.fill()
-        self.pause, self.tokens = max(self.pause, self.floor.now + wait), 0.0
+        self.pause, self.tokens = max(self.pause, self.scheduler.now + wait), 0.0
 
     def delivered(self, elapsed):
-        now, self.fastest = self.floor.now, min(self.fastest, elapsed)
+        now, self.fastest = self.scheduler.now, min(self.fastest, elapsed)
         beyond = elapsed / 4.0 if elapsed > 8.0 * self.usual else 0.0  # were cut off: let the next ones come
         self.usual = max(beyond, self.usual + 0.1 * (elapsed - self.usual)) if self.usual else elapsed
         if self.rate is None and self.limit:
@@ -226,7 +193,7 @@
 
     def failed(self, why, wait):
         """An outage, whatever causes it: nothing delivered between many failures, or for the rule's span."""
-        now = self.floor.now
+        now = self.scheduler.now
         self.refused = why == "full" and (self.refused or not self.fails)
         self.fail_since, self.fails = self.fail_since if self.fails else now, self.fails + 1
         self.failed_at, streak = now, max(self.STREAK, self.RARE / log(1.0 + 1.0 / max(1e-9, self.gap)))
@@ -238,11 +205,11 @@
 
     def turn(self, mode, why):
         self.fill()
-        self.mode, self.since, self.fails, self.tokens = mode, self.floor.now, 0, 0.0
-        self.floor.log(f"{self.name} {mode}: {why}")
+        self.mode, self.since, self.fails, self.tokens = mode, self.scheduler.now, 0, 0.0
+        self.scheduler.log(f"{self.name} {mode}: {why}")
 
     def look(self, rounds):
-        now = self.floor.now
+        now = self.scheduler.now
         while self.sends and (
             self.sends[0] <= now - self.LONG
             or (self.sends[0] <= now - self.COOLDOWN and len(self.sends) > self.FEW)
@@ -253,7 +220,8 @@
         if self.mode == "well" and self.doubtful():
             if self.doubted != self.fail_since:  # so that whole first calls add up to what all may send
                 self.fill()
-                self.doubted, self.tokens = self.fail_since, min(self.tokens, self.floor.chance(self.name))
+                self.doubted = self.fail_since
+                self.tokens = min(self.tokens, self.scheduler.chance(self.name))
         elif self.mode == "well":
             self.flow += (1.0 - 0.95**rounds) * (self.recent() - self.flow) if self.flow else self.recent()
         elif self.mode == "cold" and now >= self.warm_at:
@@ -268,11 +236,11 @@
         self.bundle, self.apart, self.crowded = partner.bundle, partner.apart, -1e12
         self.reaped, self.trust, self.endpoints = -1e12, float("inf"), {}
 
-    def gone(self, floor, stood):
+    def gone(self, scheduler, stood):
         """What has stood idle for as long is looked at now, before the next call goes over it."""
-        self.trust, self.reaped = min(self.trusts(floor.now), stood / 2.0), floor.now
+        self.trust, self.reaped = min(self.trusts(scheduler.now), stood / 2.0), scheduler.now
         for endpoint in self.endpoints.values():
-            floor.post(endpoint, "rest")
+            scheduler.post(endpoint, "rest")
 
     def trusts(self, now):
         """For how long an idle connection is still believed in."""
@@ -282,10 +250,10 @@
 class Endpoint:
     """Carries calls to one endpoint and tells its destination how they went."""
 
-    def __init__(self, floor, ident, zone, dest, route, kind):
-        self.floor, self.ident, self.zone, self.dest = floor, ident, zone, dest
+    def __init__(self, scheduler, ident, zone, dest, route, kind):
+        self.scheduler, self.ident, self.zone, self.dest = scheduler, ident, zone, dest
         self.route, self.kind = route, kind
-        self.inbox, self.calls, self.seen, self.freed, self.shy = deque(), [], floor.now, 1e12, 0.0
+        self.inbox, self.calls, self.seen, self.freed, self.shy = deque(), [], scheduler.now, 1e12, 0.0
         self.misses, self.missed = 0, Counter()  # in a row, of all products and of each
         self.used, self.doubt, kind.endpoints[ident] = 0.0, (0.0, 0.0), self
 
@@ -293,15 +261,15 @@
         """An idle connection is given back where endpoints of its kind refused one: they may take few, and
         what many senders leave idle there shuts out the calls of all; and where one that stood idle was gone
         under the next call: what goes over it may have run. After a crash it may cost time."""
-        now, kind = self.floor.now, self.kind
+        now, kind = self.scheduler.now, self.kind
         scarce = self.used <= now < kind.crowded + Route.IDLE
         if not self.calls and (scarce or self.freed + kind.trusts(now) <= now):
-            self.floor.out.append(Close(self.ident))
+            self.scheduler.out.append(Close(self.ident))
 
     def on_carry(self, texts):
         """Time-outs lie far beyond the usual, so that a lost call frees its slot; one out may be slow. Guards
         against a partner whose answers all come later: while out, one call at a time waits twice the last."""
-        now, route = self.floor.now, self.route
+        now, route = self.scheduler.now, self.route
         call, out = Call(self, now, len(texts)), route.mode == "out"
         self.calls.append(call)
         if patient := out and not (route.patient and route.patient.texts):
@@ -312,7 +280,7 @@
             if text.product.repeat == Repeat.ONCE_ONLY:  # its time-out is its end: not before it earns less
                 usual = max(usual, text.product.sla)
             limit = min(text.until - now, max(usual, 2.0 * route.cut_off) if patient else usual)
-            self.floor.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
+            self.scheduler.out.append(Submit(text.ident, self.ident, max(1.0, limit)))
 
     def on_outcome(self, text, event):
         call, text.call = text.call, None
@@ -320,31 +288,33 @@
         fresh, first, call.told = call.told is None, call.told != how, how  # each way it ends counts once
         if not call.texts:
             self.calls.remove(call)
-            self.floor.post(self.dest.pool, "free", self.dest)
-            self.freed = self.floor.now
+            self.scheduler.post(self.dest.pool, "free", self.dest)
+            self.freed = self.scheduler.now
             if self.dest.gives_back:
                 self.used = self.freed + max(route.usual, self.dest.tick)
-                self.floor.later(self.used, self, "rest")
+                self.scheduler.later(self.used, self, "rest")
                 if (trust := self.kind.trusts(self.freed)) < float("inf"):
-                    self.floor.later(self.freed + trust, self, "rest")
+                    self.scheduler.later(self.freed + trust, self, "rest")
         if fresh and event.limit is not None:
             route.hint(event.limit / 1000.0, event.left or 0.0, call.size)
         if how == How.UNREACHED:
-            self.kind.crowded = self.floor.now  # full or down: at once again, a text would use up its submits
+            self.kind.crowded = (
+                self.scheduler.now
+            )  # full or down: at once again, a text would use up its submits
             rest = max(route.usual, 20.0 * self.dest.tick) * 2.0**self.misses
-            self.shy = self.floor.now + rest * (0.5 + self.floor.chance(self.ident))
+            self.shy = self.scheduler.now + rest * (0.5 + self.scheduler.chance(self.ident))
         if fresh and how == How.BROKEN and 0.0 < call.stood and event.elapsed < route.fastest:
-            self.kind.gone(self.floor, call.stood)
+            self.kind.gone(self.scheduler, call.stood)
             how = How.CALLED_OFF  # no fault of the endpoint's, though it may have run
         if how == How.FULL:
             route.full(call)
         elif how == How.TIMEOUT:
             route.cut_off = max(route.cut_off, event.elapsed)
             if fresh and call.sent >= self.doubt[1]:  # the next one, on a new line, tells
-                self.doubt = (0.0 if self.doubt[0] else call.stood, self.floor.now)
+                self.doubt = (0.0 if self.doubt[0] else call.stood, self.scheduler.now)
         elif fresh and how == How.DELIVERED and self.doubt[0] and call.sent >= self.doubt[1]:
-            self.kind.gone(self.floor, self.doubt[0])
-            self.doubt = (0.0, self.floor.now)
+            self.kind.gone(self.scheduler, self.doubt[0])
+            self.doubt = (0.0, self.scheduler.now)
         if event.wait > 0.0:
             route.halt(event.wait)
         if first and how == How.DELIVERED:
@@ -359,15 +329,16 @@
                 self.dest.bundle = max(1, min(self.dest.bundle, call.size // 2))
         if how not in HARMLESS and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent, self.zone
-        self.floor.post(self.dest, "back", text, event)
+        self.scheduler.post(self.dest, "back", text, event)
 
 
 class Destination:
     """The queue of one destination, first in first out, and the pick of the endpoint."""
 
-    def __init__(self, floor, ident, desk, pool, tries, tick, gives_back):
-        self.floor, self.ident, self.desk, self.pool, self.gives_back = floor, ident, desk, pool, gives_back
-        self.tries, self.tick, self.most, self.bundle = tries, tick, 1, 1e9
+    def __init__(self, scheduler, ident, desk, pool, settings):
+        self.scheduler, self.ident, self.desk, self.pool = scheduler, ident, desk, pool
+        self.tries, self.tick, self.gives_back = settings.tries, settings.tick, settings.gives_back
+        self.most, self.bundle = 1, 1e9
         self.inbox, self.queue, self.endpoints, self.routes = deque(), deque(), {}, {}
         self.wanting, self.wake_at, self.held, self.came, self.load, self.round = False, 0.0, 0, 0, 0.0, 0
 
@@ -375,20 +346,24 @@
         self.queue.append(text)
         self.came += 1
         if text.tries >= self.tries:  # only a restored one: all its submits were made before the restart
-            self.floor.post(self.desk, "give_up", self.queue.pop(), 0.0)
+            self.scheduler.post(self.desk, "give_up", self.queue.pop(), 0.0)
         self.on_pump()
 
     def on_back(self, text, event):
         """A submit came back: the text is over, waits for its next submit, or is given up at once."""
-        self.floor.post(self.desk, "settle", text, event.how)
+        self.scheduler.post(self.desk, "settle", text, event.how)
         if event.ended or text.over:
-            self.floor.post(self.desk, "withdrawn", text.ident)
-        elif text.tries >= self.tries or self.floor.now >= min(text.until - self.tick, text.last_submit()):
-            self.floor.post(self.desk, "give_up", text, 0.0)
+            self.scheduler.post(self.desk, "withdrawn", text.ident)
+        elif text.tries >= self.tries or self.scheduler.now >= min(
+            text.until - self.tick, text.last_submit()
+        ):
+            self.scheduler.post(self.desk, "give_up", text, 0.0)
         else:
             at = next((i for i, other in enumerate(self.queue) if other.taken > text.taken), len(self.queue))
             self.queue.insert(at, text)
-            self.floor.later(min(text.until - 2 * self.tick, text.last_submit()), self.desk, "lapse", text)
+            self.scheduler.later(
+                min(text.until - 2 * self.tick, text.last_submit()), self.desk, "lapse", text
+            )
         self.on_pump()
 
     def idle(self):
@@ -416,7 +391,7 @@
         """Gives up those of them that would earn less than `least`, answered at that time."""
         for text in [text for text in texts if text.earns(at) < least and not text.owed_a_call()]:
             self.queue.remove(text)
-            self.floor.post(self.desk, "give_up", text, at - self.floor.now)
+            self.scheduler.post(self.desk, "give_up", text, at - self.scheduler.now)
 
     def expire_early(self, opens):
         """What would earn under a fifth once the bucket opens is given up at once, not held until then: its
@@ -434,7 +409,7 @@
         return [(endpoint, max(opens[endpoint.route], endpoint.shy)) for endpoint in self.endpoints.values()]
 
     def opens(self):
-        return min((at for _, at in self.openings()), default=self.floor.now)
+        return min((at for _, at in self.openings()), default=self.scheduler.now)
 
     def first(self):
         return next((text for text in self.queue if self.desk.turn(text)), None)
@@ -447,10 +422,12 @@
             and (text.product.repeat == Repeat.REFERENCED)
         )
         fit = [
-            e for e, at in self.openings() if at <= self.floor.now and not (bound and e.zone != text.ran_zone)
+            e
+            for e, at in self.openings()
+            if at <= self.scheduler.now and not (bound and e.zone != text.ran_zone)
         ]
         odds = [0.5 ** max(e.misses, e.missed[text.product]) / (1 + len(e.calls)) for e in fit]
-        draw = self.floor.chance(text.ident) * sum(odds)
+        draw = self.scheduler.chance(text.ident) * sum(odds)
         return next((e for e, upto in zip(fit, accumulate(odds)) if draw < upto), fit[-1] if fit else None)
 
     def on_pump(self):
@@ -459,17 +436,17 @@
         if text is None:
             return
         opens = self.opens()
-        if opens > self.floor.now:
+        if opens > self.scheduler.now:
             self.expire_early(opens)
             for route in self.ways():
                 route.waited = True
-            if not self.floor.now < self.wake_at <= opens:
-                self.wake_at = max(opens, self.floor.now + self.tick)
-                self.floor.later(self.wake_at, self, "pump")
+            if not self.scheduler.now < self.wake_at <= opens:
+                self.wake_at = max(opens, self.scheduler.now + self.tick)
+                self.scheduler.later(self.wake_at, self, "pump")
             return
         self.wanting = True
         gain = text.product.revenue * min(self.bundle, self.most, len(self.queue)) / max(1.0, self.usual())
-        self.floor.post(self.pool, "want", self, -gain, self.load * self.usual())
+        self.scheduler.post(self.pool, "want", self, -gain, self.load * self.usual())
 
     def usual(self):
         return max((route.usual for route in self.ways()), default=0.0)
@@ -477,7 +454,7 @@
     def weed(self):
         """Guards against a standing line in which every text is sent too late to earn: what earns nothing, or
         under half while the newest earns in full, goes at once. It may hurt where the load just falls."""
-        at = self.floor.now + self.usual()
+        at = self.scheduler.now + self.usual()
         least = 0.5 if self.queue and self.queue[-1].earns(at) == 1.0 else 1e-9
         self.cull(list(self.queue)[:-1], at, least)
 
@@ -487,7 +464,7 @@
         self.weed()
         endpoint = (head := self.first()) and self.pick(head)
         if not endpoint:
-            self.floor.post(self.pool, "free", self)
+            self.scheduler.post(self.pool, "free", self)
             return
         texts = [
             head,
@@ -503,15 +480,15 @@
         for text in texts:
             self.queue.remove(text)
         endpoint.route.spend()
-        self.floor.post(endpoint, "carry", texts)
-        self.floor.post(self, "pump")
+        self.scheduler.post(endpoint, "carry", texts)
+        self.scheduler.post(self, "pump")
 
 
 class Pool:
     """The slots, dealt to whoever holds least of its usual need: one that hangs comes last."""
 
-    def __init__(self, floor, slots):
-        self.floor, self.free, self.inbox, self.wants = floor, slots, deque(), []
+    def __init__(self, scheduler, slots):
+        self.scheduler, self.free, self.inbox, self.wants = scheduler, slots, deque(), []
 
     def on_want(self, dest, order, need):
         self.wants.append((dest, order, need))
@@ -526,24 +503,26 @@
             want = min(self.wants, key=lambda w: (w[0].held / max(0.5, w[2]), w[1], w[0].ident))
             self.wants.remove(want)
             self.free, want[0].held = self.free - 1, want[0].held + 1
-            self.floor.post(want[0], "grant")
+            self.scheduler.post(want[0], "grant")
 
 
 class Desk:
     """Takes texts, gives each its one final answer, and keeps the order of keys. After a restart all rest."""
 
-    def __init__(self, floor, room, tick, settle, most_advice, restarted):
-        self.floor, self.room, self.tick, self.settle, self.advice = floor, room, tick, settle, most_advice
-        self.inbox, self.texts, self.keys, self.rests, self.calm = deque(), {}, {}, {}, restarted + settle
+    def __init__(self, scheduler, settings):
+        self.scheduler, self.room, self.tick = scheduler, settings.room, settings.tick
+        self.settle, self.advice = settings.settle, settings.most_advice
+        self.inbox, self.texts, self.keys, self.rests = deque(), {}, {}, {}
+        self.calm = settings.restarted + settings.settle
 
     def on_take(self, text):
         self.texts[text.ident] = text
         if text.key is not None:
             self.keys.setdefault(text.key, deque()).append(text)
-        self.floor.later(min(text.until - 2 * self.tick, text.last_submit()), self, "lapse", text)
-        self.floor.post(text.dest, "take", text)
+        self.scheduler.later(min(text.until - 2 * self.tick, text.last_submit()), self, "lapse", text)
+        self.scheduler.post(text.dest, "take", text)
         if len(self.texts) >= self.room - max(1, self.room // 20):
-            self.floor.post(self, "shed")
+            self.scheduler.post(self, "shed")
 
     def on_shed(self):
         """The store is nearly full: what earns least by its turn makes room for texts that can still go."""
@@ -557,17 +536,17 @@
                 for text in line
                 if text.product.revenue <= least.product.revenue and not text.owed_a_call()
             )
-            self.on_lapse(oldest, at - self.floor.now)
+            self.on_lapse(oldest, at - self.scheduler.now)
 
     def turn(self, text):
         """Whether a text may go now. Guards the order per key: its first unfinished text, after its rest."""
         return (
             not text.over
-            and self.floor.now < text.last_submit()
+            and self.scheduler.now < text.last_submit()
             and (
                 text.key is None
                 or (
-                    self.floor.now >= self.calm
+                    self.scheduler.now >= self.calm
                     and self.keys[text.key][0] is text
                     and self.rests.get(text.key, (0.0, text))[1] is text
                 )
@@ -577,14 +556,14 @@
     def on_settle(self, text, how):
         """A submit that may still run lays its key to rest for the texts behind it."""
         if text.key is not None and how in (How.TIMEOUT, How.BROKEN, How.CALLED_OFF):
-            self.rests[text.key] = (self.floor.now + self.settle, text)
-            self.floor.later(self.floor.now + self.settle, self, "rested", text.key)
+            self.rests[text.key] = (self.scheduler.now + self.settle, text)
+            self.scheduler.later(self.scheduler.now + self.settle, self, "rested", text.key)
 
     def on_rested(self, key):
-        if key in self.rests and self.rests[key][0] <= self.floor.now:
+        if key in self.rests and self.rests[key][0] <= self.scheduler.now:
             del self.rests[key]
             if key in self.keys:
-                self.floor.post(self.keys[key][0].dest, "pump")
+                self.scheduler.post(self.keys[key][0].dest, "pump")
 
     def clear(self, text):
         if text.call is not None:
@@ -594,7 +573,7 @@
         if text in line:
             line.remove(text)
             if line:
-                self.floor.post(line[0].dest, "pump")
+                self.scheduler.post(line[0].dest, "pump")
             else:
                 del self.keys[text.key]
 
@@ -603,76 +582,62 @@
         if (
             text.call is None
             and not text.over
-            and (back is not None or self.floor.now >= min(text.until - 2 * self.tick, text.last_submit()))
+            and (
+                back is not None or self.scheduler.now >= min(text.until - 2 * self.tick, text.last_submit())
+            )
         ):
-            self.floor.post(text.dest, "drop", text)
+            self.scheduler.post(text.dest, "drop", text)
             self.on_give_up(text, back or 0.0)
 
     def on_give_up(self, text, stay_away):
         if not text.over:
             text.over, advice = True, min(stay_away, self.advice)
-            self.floor.out.append(Nack(text.ident, advice) if text.nackable() else Undeliverable(text.ident))
+            self.scheduler.out.append(
+                Nack(text.ident, advice) if text.nackable() else Undeliverable(text.ident)
+            )
             self.clear(text)
 
     def on_withdrawn(self, ident):
         text = self.texts.get(ident)
         if text is not None:
             text.over = True
-            self.floor.post(text.dest, "drop", text)
+            self.scheduler.post(text.dest, "drop", text)
             self.clear(text)
 
 
 class Courier:
     """One instance: it owns the parts, hands them what comes in, and collects what goes out."""
 
-    def __init__(
-        self,
-        *,
-        seed,
-        number,
-        senders,
-        tick,
-        slots,
-        room,
-        tries,
-        products,
-        partners,
-        fail_back,
-        settle=0.0,
-        most_advice=0.0,
-        gives_back=False,
-        asks=False,
-        ask_within=10000.0,
-        restarted=-1e12,
-    ):
-        self.floor = Floor(number, seed)
-        self.senders, self.tick, self.tries, self.fail_back = senders, tick, tries, fail_back
-        self.products, self.ask_within, self.misses, self.gives_back = products, ask_within, 0, gives_back
-        self.kinds = [Kind(partner) for partner in partners]
-        self.pool = Pool(self.floor, slots)
-        self.desk = Desk(self.floor, room, tick, settle, most_advice, restarted)
+    def __init__(self, settings):
+        self.scheduler = Scheduler(settings.number, settings.seed)
+        self.settings, self.senders, self.fail_back = settings, settings.senders, settings.fail_back
+        self.products, self.misses = settings.products, 0
+        self.kinds = [Kind(partner) for partner in settings.partners]
+        self.pool = Pool(self.scheduler, settings.slots)
+        self.desk = Desk(self.scheduler, settings)
         self.dests, self.endpoints, self.inbox, self.live, self.rounds = {}, {}, deque(), {}, 0
-        self.floor.later(0.0, self, "round")  # behind the texts that a restart hands in
-        if asks:
-            self.floor.post(self, "ask")
+        self.scheduler.later(0.0, self, "round")  # behind the texts that a restart hands in
+        if settings.asks:
+            self.scheduler.post(self, "ask")
 
     def dest(self, ident):
-        return self.dests.get(ident) or self.dests.setdefault(
-            ident,
-            Destination(self.floor, ident, self.desk, self.pool, self.tries, self.tick, self.gives_back),
-        )
+        if ident not in self.dests:
+            self.dests[ident] = Destination(self.scheduler, ident, self.desk, self.pool, self.settings)
+        return self.dests[ident]
 
     def handle(self, now, events):
-        floor = self.floor
-        floor.late = max(0.0, floor.late - (now - floor.now), now - floor.due[0][0] if self.rounds else 0.0)
-        floor.now, floor.out = now, []
+        scheduler = self.scheduler
+        scheduler.late = max(
+            0.0, scheduler.late - (now - scheduler.now), now - scheduler.due[0][0] if self.rounds else 0.0
+        )
+        scheduler.now, scheduler.out = now, []
         for event in events:
             getattr(self, "on_" + type(event).__name__.lower())(event)
-        floor.run()
-        if floor.due and floor.due[0][0] < floor.armed:
-            floor.armed, floor.wakes = floor.due[0][0], floor.wakes + 1
-            floor.out.append(Wake(floor.armed - now, floor.wakes))
-        return floor.out
+        scheduler.run()
+        if scheduler.due and scheduler.due[0][0] < scheduler.armed:
+            scheduler.armed, scheduler.wakes = scheduler.due[0][0], scheduler.wakes + 1
+            scheduler.out.append(Wake(scheduler.armed - now, scheduler.wakes))
+        return scheduler.out
 
     def still(self, now, ident, texts):
         """Whether a call that took its time to connect may begin: list, waits and memories have moved on."""
@@ -691,49 +656,49 @@
 
     def advice(self, dest):
         """When a text may come again that is turned away because too many are held."""
-        return min(max(0.0, self.dest(dest).opens() - self.floor.now), self.desk.advice)
+        return min(max(0.0, self.dest(dest).opens() - self.scheduler.now), self.desk.advice)
 
     def on_round(self):
         """Only destinations with something going on are looked at: idle ones cost nothing."""
-        self.floor.later(self.floor.now + ROUND, self, "round")
+        self.scheduler.later(self.scheduler.now + ROUND, self, "round")
         self.rounds += 1
         self.live = {dest: None for dest in self.live if not dest.idle()}
         for dest in self.live:
-            self.floor.post(dest, "round", self.rounds)
+            self.scheduler.post(dest, "round", self.rounds)
 
     def on_woken(self, event):
-        self.floor.armed = float("inf") if event.token == self.floor.wakes else self.floor.armed
+        self.scheduler.armed = float("inf") if event.token == self.scheduler.wakes else self.scheduler.armed
 
     def on_taken(self, event):
         dest = self.dest(event.dest)
-        text = Text(event, dest, self.products[event.product], self.floor.now)
+        text = Text(event, dest, self.products[event.product], self.scheduler.now)
         if dest not in self.live:
             self.live[dest] = None
-            self.floor.post(dest, "round", self.rounds)
-        self.floor.post(self.desk, "take", text)
+            self.scheduler.post(dest, "round", self.rounds)
+        self.scheduler.post(self.desk, "take", text)
 
     def on_outcome(self, event):
         text = self.desk.texts.get(event.text)
         if text and text.call:
             text.over = text.over or event.ended
-            self.floor.post(text.call.endpoint, "outcome", text, event)
+            self.scheduler.post(text.call.endpoint, "outcome", text, event)
 
     def on_withdrawn(self, event):
-        self.floor.post(self.desk, "withdrawn", event.text)
+        self.scheduler.post(self.desk, "withdrawn", event.text)
 
     def on_emptied(self, _):
         """A drain: what may be handed in elsewhere without harm does not wait here."""
         for text in [text for text in self.desk.texts.values() if text.call is None and text.nackable()]:
-            self.floor.post(self.desk, "lapse", text, 0.0)
+            self.scheduler.post(self.desk, "lapse", text, 0.0)
 
     def on_ask(self):
-        self.floor.out.append(Watch())
+        self.scheduler.out.append(Watch())
 
     def on_listfailed(self, _):
         """The watch may have ended: ask again, later each time, but well before we count as told anyway."""
         self.misses += 1
-        wait = min(self.ask_within / 4.0, 500.0 * 2.0 ** min(self.misses, 8))
-        self.floor.later(self.floor.now + wait * (0.5 + self.floor.chance("list")), self, "ask")
+        wait = min(self.settings.ask_within / 4.0, 500.0 * 2.0 ** min(self.misses, 8))
+        self.scheduler.later(self.scheduler.now + wait * (0.5 + self.scheduler.chance("list")), self, "ask")
 
     def on_listed(self, event):
         self.misses, seen, changed = 0, {entry.endpoint for entry in event.entries}, {}
@@ -743,22 +708,22 @@
             route = dest.routes.get(place)
             if route is None:
                 name = f"destination {entry.dest}" + (f" route {place}" if kind.apart else "")
-                route = dest.routes[place] = Route(self.floor, name, self.senders, self.fail_back)
+                route = dest.routes[place] = Route(self.scheduler, name, self.senders, self.fail_back)
             route.agreed = entry.agreed / 1000.0 if entry.agreed else route.agreed
             if not entry.ready:
                 dest.endpoints.pop(entry.endpoint, None)
             elif entry.endpoint not in dest.endpoints:
                 dest.endpoints[entry.endpoint] = self.endpoints.setdefault(
-                    entry.endpoint, Endpoint(self.floor, entry.endpoint, entry.zone, dest, route, kind)
+                    entry.endpoint, Endpoint(self.scheduler, entry.endpoint, entry.zone, dest, route, kind)
                 )
             changed[dest] = None
         for dest in changed:
-            self.floor.post(dest, "pump")
+            self.scheduler.post(dest, "pump")
         for ident, endpoint in list(self.endpoints.items()):  # health is kept for one that may soon be back
             if event.whole and ident not in seen:
                 endpoint.dest.endpoints.pop(ident, None)
             if ident in endpoint.dest.endpoints:
-                endpoint.seen = self.floor.now
-            elif not endpoint.calls and self.floor.now - endpoint.seen > Route.IDLE:
+                endpoint.seen = self.scheduler.now
+            elif not endpoint.calls and self.scheduler.now - endpoint.seen > Route.IDLE:
                 del self.endpoints[ident], endpoint.kind.endpoints[ident]
                 endpoint.dest.routes.pop(ident, None)
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -179,7 +179,7 @@
 
 @fault("key-out-of-turn", "loss", ORDER)
 def _(change):
-    change(brain.Desk, "turn", lambda desk, text: not text.over and desk.floor.now < text.last_submit())
+    change(brain.Desk, "turn", lambda desk, text: not text.over and desk.scheduler.now < text.last_submit())
 
 
 @fault("key-not-settled", "loss", ORDER)
@@ -193,7 +193,9 @@
     change(
         brain.Desk,
         "on_lapse",
-        lambda desk, text, *back: desk.floor.later(desk.floor.now + 900.0, desk, "lapsed", text, *back),
+        lambda desk, text, *back: desk.scheduler.later(
+            desk.scheduler.now + 900.0, desk, "lapsed", text, *back
+        ),
     )
     change(brain.Desk, "on_lapsed", lapse)
 
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -261,7 +261,7 @@
                     endpoints=len(dest.endpoints) if dest else 0,
                     pace=round(worst.rate * 1000.0, 3) if worst and worst.rate else None,
                     usual_ms=round(worst.usual, 1) if worst else 0.0,
-                    wait_ms=round(max(0.0, worst.pause - self.module.floor.now), 1) if worst else 0.0,
+                    wait_ms=round(max(0.0, worst.pause - self.module.scheduler.now), 1) if worst else 0.0,
                 )
             )
         return out
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -143,7 +143,7 @@
 def read(facade, told, texts, now):
     """Puts it into a new facade. `texts` are those that its journal holds, in the order in which they were taken on.
     Returns the calls that are out."""
-    module, floor = facade.module, facade.module.floor
+    module, scheduler = facade.module, facade.module.scheduler
     for one in told["dests"]:
         facade.dests(one["ident"])
     facade.listed([Place(**place) for place in told["places"]], True)
@@ -178,13 +178,13 @@
     for key, until, ident in told["rests"]:
         text = by_ident.get(ident)
         module.desk.rests[key] = (until, known.get(text.number) if text else object())
-        floor.later(until, module.desk, "rested", key)
+        scheduler.later(until, module.desk, "rested", key)
     calls = [under_way(facade, one, by_ident) for one in told["calls"]]
     facade.listed([], False)  # no news: the first turn empties the inboxes
     for dest in module.dests.values():
         if not dest.idle() and dest not in module.live:
             module.live[dest] = None
-            floor.post(dest, "round", module.rounds)
+            scheduler.post(dest, "round", module.rounds)
     return calls
 
 
@@ -193,7 +193,7 @@
     module = facade.module
     if place not in dest.routes:
         dest.routes[place] = brain.Route(
-            module.floor,
+            module.scheduler,
             f"destination {dest.ident}" + ("" if place is None else f" route {place}"),
             module.senders,
             module.fail_back,
@@ -222,7 +222,7 @@
         route = route_of(facade, dest, number if one["apart"] else None)
         kind = module.kinds[min(one.get("kind", 0), len(module.kinds) - 1)]
         module.endpoints[number] = brain.Endpoint(
-            module.floor, number, facade.zones(one["zone"]), dest, route, kind
+            module.scheduler, number, facade.zones(one["zone"]), dest, route, kind
         )
     put(module.endpoints[number], ("misses", "seen", "shy"), one)
     module.endpoints[number].missed.update(dict(zip(module.products, one.get("missed", []))))
@@ -249,8 +249,8 @@
         module.desk.keys.setdefault(known.key, brain.deque()).append(known)
     if not flying:
         dest.queue.append(known)
-        module.floor.later(
-            min(known.until - 2 * module.tick, known.last_submit()), module.desk, "lapse", known
+        module.scheduler.later(
+            min(known.until - 2 * module.settings.tick, known.last_submit()), module.desk, "lapse", known
         )
 
 
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -62,6 +62,34 @@
     span: float
 
 
+@dataclass(slots=True, frozen=True)
+class CourierSettings:
+    """What one instance of the decisions is told at its start. Times in milliseconds.
+
+    `number` is its place among `senders` instances that send to the same destinations; `slots` bounds calls out
+    at once, `room` the texts held, `tries` the submits of one text; `tick` is the time between two turns.
+    `asks`: the list of endpoints is asked for and counts as told `ask_within` after its last call; `restarted`
+    is the time of a start behind which texts of the last process may still run.
+    """
+
+    seed: int
+    number: int
+    senders: int
+    tick: float
+    slots: int
+    room: int
+    tries: int
+    products: list
+    partners: list
+    fail_back: FailBack
+    settle: float = 0.0
+    most_advice: float = 0.0
+    gives_back: bool = False
+    asks: bool = False
+    ask_within: float = 10000.0
+    restarted: float = -1e12
+
+
 # What comes in.
 
 
--- a/calicopin/terms.py
+++ b/calicopin/terms.py
@@ -6,7 +6,7 @@
 from itertools import count
 
 from calicopin.brain import Courier
-from calicopin.interface import FailBack, Partner, Product, Repeat
+from calicopin.interface import CourierSettings, FailBack, Partner, Product, Repeat
 
 REPEATS = {
     "read_like": Repeat.RESENDABLE,
@@ -165,4 +165,4 @@
         asks=not pushed(env),
         ask_within=ms(rules.get("askWithin", 10.0)),
     )
-    return Courier(**(told | other))
+    return Courier(CourierSettings(**(told | other)))
