Referee: an answer read after a message of its call expired confirms no delivery

Trace: call 1489 carries 636.1, 7d3.1, 7d7.1 and 620.2. 620.2 is valid until 15107.2 ms; the answer, all delivered, is read at 15108.8 ms. It gives 620.2 up at 15109.5 ms and repeats the three others, all of products that may be repeated and within the partner's memory. The program is right; the referee took a late answer to a shared call for a confirmation.

Taken at the clients' times, which end before the courier's: an answer that the courier has to believe is always one that the referee believes.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -5,6 +5,7 @@
 import os
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import pytest
 from click.testing import CliRunner
@@ -15,6 +16,7 @@
 from calicopin.emulator.disk import Disk
 from calicopin.emulator.faults import FAULTS, SHOWN_BY
 from calicopin.emulator.net import Listener, Network
+from calicopin.emulator.referee import Referee
 from calicopin.emulator.scenario import ScenarioError, load, parse, scenario_names
 from calicopin.emulator.world import World
 
@@ -113,6 +115,39 @@
     assert not referee.violations, list(map(str, referee.violations[:5]))
 
 
+def repeated_delivery(answer_read_at):
+    """A trace: "a.1" shares a call with "b.1", which is valid for 1 s, and is sent again 1 s later."""
+    texts = [("a.1", None, 0), ("b.1", None, 0)]
+    trace = [
+        (0.0, "ready", "courier0"),
+        (10.0, "hand-in", "a.1", 1, "courier0", 0, 0, None, None, 0, 8000.0),
+        (10.0, "hand-in", "b.1", 2, "courier0", 0, 0, None, None, 0, 1000.0),
+        (12.0, "answer", "a.1", 202),
+        (12.0, "answer", "b.1", 202),
+        (30.0, "call", 1, "courier0", "e0.0", "z0", 0, texts, 20.0),
+        (answer_read_at - 5.0, "reply", 1, 200, 0.0, (("a.1", "delivered"), ("b.1", "delivered"))),
+        (answer_read_at, "heard", 1),
+        (2010.0, "call", 2, "courier0", "e0.0", "z0", 0, texts[:1], 2000.0),
+        (2100.0, "reply", 2, 200, 0.0, (("a.1", "delivered"),)),
+        (2105.0, "heard", 2),
+    ]
+    return SimpleNamespace(scenario=load("calm"), world=SimpleNamespace(trace=trace, now=30000.0))
+
+
+@pytest.mark.parametrize("answer_read_at,confirmed", [(500.0, True), (999.9, True), (1001.0, False)])
+def test_a_delivery_is_confirmed_only_while_every_text_of_its_call_is_valid(answer_read_at, confirmed):
+    violations = Referee(repeated_delivery(answer_read_at)).violations
+    repeats = [
+        violation for violation in violations if "after its delivery was confirmed" in violation.reason
+    ]
+    assert [violation.party for violation in repeats] == ["a.1"] * confirmed
+
+
+def test_texts_of_a_call_that_outlived_one_of_them_may_be_sent_again():
+    _, referee, _ = runs.play(load("stop-under-load"), 2)
+    assert not referee.violations, list(map(str, referee.violations[:5]))
+
+
 def test_the_same_seed_gives_the_same_run_in_any_process_and_order():
     seeds = list(range(20, 24))
     script = (
