Soak: answers sent twice, signals in series, crowds, and clients that send until the kill

A busy destination, others by draw and the platform now send a share of their answers once more, whole or cut, up to 90 ms later.

Couriers that are told to end get signals in series (SIGTERM, SIGINT, SIGHUP), clients go on sending on every connection that stays open, and SIGKILL comes 3.7 s after the first signal, the earliest that the protocol allows (it was 5 s). SIGHUP comes in series at other times.

--- a/calicopin/soak/__main__.py
+++ b/calicopin/soak/__main__.py
@@ -33,8 +33,8 @@
     result = "passed" if not verdict.violations else f"{len(verdict.violations)} violations"
     click.echo(
         f"seed {verdict.seed}: {result}; {verdict.messages} messages, {verdict.arrivals} calls, "
-        f"{verdict.delivered} delivered, {verdict.refused} refused; worst recovery "
-        f"{verdict.tightest:+.1f} calls over its limit; {verdict.plan}"
+        f"{verdict.delivered} delivered, {verdict.refused} refused, {verdict.copies} repeated answers; "
+        f"worst recovery {verdict.tightest:+.1f} calls over its limit; {verdict.plan}"
     )
     for violation in verdict.violations:
         click.echo(f"  {violation.rule}: {violation.what}")
--- a/calicopin/soak/client.py
+++ b/calicopin/soak/client.py
@@ -62,17 +62,37 @@
     def __init__(self, record: Record):
         self.record = record
         self.idle: dict[Address, list[Connection]] = defaultdict(list)
+        self.crowds: dict[Address, list[Connection]] = defaultdict(list)
 
     def close(self) -> None:
         """Closes all idle connections."""
-        for connections in self.idle.values():
+        for connections in [*self.idle.values(), *self.crowds.values()]:
             for _, writer in connections:
                 writer.close()
 
-    async def send(self, request: Request, address: Address) -> int:
-        """The status that the request was answered with, or NO_CONNECTION, TIMED_OUT or UNANSWERED."""
+    async def gather_crowd(self, address: Address, connections: int) -> None:
+        """Opens connections that send nothing, as many as the courier takes."""
+        for _ in range(connections):
+            try:
+                opened = await asyncio.wait_for(asyncio.open_connection(*address), TIMEOUT_SECONDS)
+            except (OSError, TimeoutError):
+                return
+            self.crowds[address].append(opened)
+
+    def dissolve_crowd(self, address: Address) -> None:
+        """Closes the connections of `gather_crowd`."""
+        for _, writer in self.crowds.pop(address, ()):
+            writer.close()
+
+    async def send(self, request: Request, address: Address, only_open: bool = False) -> int:
+        """The status that the request was answered with, or NO_CONNECTION, TIMED_OUT or UNANSWERED.
+
+        `only_open`: not sent if no connection is open.
+        """
         sent_at, status = time.monotonic(), UNANSWERED
         idle_connection = self._take_idle(address)
+        if only_open and idle_connection is None:
+            return NO_CONNECTION
         if idle_connection is not None:
             status = await self._exchange(request, address, idle_connection)
         if status == UNANSWERED:  # none idle, or closed before the request was read
--- a/calicopin/soak/courier.py
+++ b/calicopin/soak/courier.py
@@ -1,5 +1,6 @@
 """One real courier process of a soak: starting, signalling and killing it, and reading its log."""
 
+import asyncio
 import json
 import os
 import signal
@@ -13,7 +14,8 @@
 from calicopin.scale.nodes import ROOT, free_port, process_resident
 from calicopin.soak.rules import Failure
 
-SHUTDOWN_TIMEOUT_SECONDS = 5.0  # from SIGTERM to SIGKILL
+SHUTDOWN_TIMEOUT_SECONDS = 3.7  # from the stop signal to SIGKILL, the least that the protocol allows
+EXIT_POLL_SECONDS = 0.01
 FAULTS_VARIABLE = "LB_SOAK_FAULTS"  # read by `calicopin.soak.faulty_courier`
 FAULT_EVENTS = ("turn.fault", "call.fault", "request.fault", "coroutine.fault", "coroutine.again")
 
@@ -41,6 +43,7 @@
         self.log_path = folder / "courier.log"
         self.wall_offset = time.time() - time.monotonic()
         self.process: subprocess.Popen | None = None
+        self.ready = False  # whether the running process has answered that it is ready
         self.faults: list[dict] = []  # of system calls, with the fields of `faulty_system.Fault`
 
     @property
@@ -54,6 +57,7 @@
 
     def start(self) -> None:
         """Starts a new process over the existing folder."""
+        self.ready = False
         command = [sys.executable, "-m", "calicopin.soak.faulty_courier"]
         environment = os.environ | {
             "LB_CONFIG": str(self.config_path),
@@ -67,14 +71,17 @@
         self.process.kill()
         self.process.wait()
 
-    def terminate(self) -> int | None:
-        """Ends it by SIGTERM, or SIGKILL after a time-out; the exit code, or None if it was killed."""
-        self.process.terminate()
-        try:
-            return self.process.wait(SHUTDOWN_TIMEOUT_SECONDS)
-        except subprocess.TimeoutExpired:
-            self.kill()
-            return None
+    async def terminate(self, signals: tuple[str, ...] = ("SIGTERM",)) -> int | None:
+        """Ends it by signals, or SIGKILL after a time-out; the exit code, or None if it was killed."""
+        deadline = time.monotonic() + SHUTDOWN_TIMEOUT_SECONDS
+        for name in signals:
+            self.signal(signal.Signals[name])
+        while self.is_running():
+            if time.monotonic() >= deadline:
+                self.kill()
+                return None
+            await asyncio.sleep(EXIT_POLL_SECONDS)
+        return self.process.returncode
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal if it is running."""
--- a/calicopin/soak/destination.py
+++ b/calicopin/soak/destination.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 import socket
 import struct
 import time
@@ -16,6 +17,7 @@
 
 LINGER_RESET = struct.pack("ii", 1, 0)  # SO_LINGER on, 0 s: closing sends a reset
 HEADERS_END = b"\r\n\r\n"
+MAX_CUT_BYTES = 40  # of a copy that breaks off
 # `shut`: refuses each call with 503 or 429; `cut`: breaks off the answer of a call that ran.
 MODES = ("well", "errors", "hang", "refuse", "reset", "shut", "cut")
 OUTAGE_MODES = MODES[1:]
@@ -61,6 +63,33 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+@dataclass(slots=True)
+class AnswerCopies:
+    """Sends copies of answers: of a share of them, within `delay` seconds, whole or `cut`.
+
+    Nothing is copied before `begin` and after `end` (s, monotonic).
+    """
+
+    rng: random.Random
+    record: Record
+    share: float
+    delay: float
+    cut: bool
+    begin: float
+    end: float
+
+    def schedule(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Sends a copy of an answer that was just written, or not, as drawn."""
+        if self.begin <= time.monotonic() < self.end and self.rng.random() < self.share:
+            copy = data[: self.rng.randint(1, min(MAX_CUT_BYTES, len(data) - 1))] if self.cut else data
+            asyncio.get_running_loop().call_later(self.rng.uniform(0.0, self.delay), self._send, writer, copy)
+
+    def _send(self, writer: asyncio.StreamWriter, copy: bytes) -> None:
+        if not writer.is_closing():
+            writer.write(copy)
+            self.record.copies += 1
+
+
 @dataclass(slots=True)
 class Endpoint:
     """One listening address of a destination; `server` is None while it accepts no connections."""
@@ -80,6 +109,7 @@
         self.number, self.capacity, self.rule, self.record = number, capacity, rule, record
         self.answer_after, self.mode, self.recovered_at = answer_after, "well", float("-inf")
         self.refusal_wait = 0.0  # seconds that refusals ask couriers to wait; 0: none
+        self.copies: AnswerCopies | None = None
         self.accepted_at: list[float] = []
         self.endpoints: list[Endpoint] = []
         self.connections: set[asyncio.StreamWriter] = set()
@@ -175,7 +205,7 @@
             return False
         if mode == "errors":
             arrival.outcome = "error"
-            writer.write(response(500))
+            await self._write(writer, response(500))
         elif mode == "cut":  # the call ran, but its answer is incomplete
             arrival.outcome = "cut"
             writer.write(b"HTTP/1.1 20")
@@ -184,16 +214,20 @@
         else:
             arrival.outcome = "delivered"
             states = [{"id": ident, "state": "delivered"} for ident in arrival.messages]
-            writer.write(response(200, json.dumps(states).encode() if bulk else b""))
-        await writer.drain()
+            await self._write(writer, response(200, json.dumps(states).encode() if bulk else b""))
         arrival.answered = time.monotonic()
         return True
 
+    async def _write(self, writer, answer: bytes) -> None:
+        writer.write(answer)
+        await writer.drain()
+        if self.copies is not None:
+            self.copies.schedule(writer, answer)
+
     async def _refuse(self, arrival: Arrival, writer) -> bool:
         arrival.outcome = "refused"
         headers = {"X_Retry_In_Ms": f"{self.refusal_wait * 1000.0:.0f}"} if self.refusal_wait else {}
-        writer.write(response(429 if self.refusal_wait else 503, **headers))
-        await writer.drain()
+        await self._write(writer, response(429 if self.refusal_wait else 503, **headers))
         arrival.answered = time.monotonic()
         if self.refusal_wait:
             self.record.waits.append(
--- a/calicopin/soak/fleet.py
+++ b/calicopin/soak/fleet.py
@@ -1,13 +1,14 @@
 """The parts of one soak together: destinations, the platform, courier processes and their clients."""
 
 import asyncio
+import random
 import time
 from dataclasses import dataclass
 from pathlib import Path
 
 from calicopin.soak.client import UNANSWERED, Clients, Request
 from calicopin.soak.courier import CourierProcess
-from calicopin.soak.destination import Destination, Endpoint
+from calicopin.soak.destination import AnswerCopies, Destination, Endpoint
 from calicopin.soak.platform import LEFT, Platform
 from calicopin.soak.rules import (
     Drain,
@@ -21,6 +22,8 @@
 )
 
 ENDPOINTS_PER_DESTINATION = 2
+CROWD_GONE_SECONDS = 0.5  # until a courier has noticed that a crowd has gone
+STOPPING_TRAFFIC_SECONDS = 0.1  # between two messages to a courier that was told to stop
 READY_TIMEOUT_SECONDS = 60.0  # generous, for a busy machine
 PRODUCTS = (
     dict(name="status", idempotency="read_like", aim=1.5, giveUp=5.0, points=2.0, lateWorth=0.0),
@@ -109,6 +112,7 @@
             self.destinations.append(destination)
         self.courier_count, self.seed, self.message_count = couriers, seed, 0
         self.couriers: list[CourierProcess] = []
+        self.crowded: set[str] = set()  # couriers that may close new connections unread
         # By destination: when the outage began, and its mode.
         self.active_outages: dict[int, tuple[float, str]] = {}
 
@@ -145,6 +149,7 @@
             if not courier.is_running():
                 break
             if await is_ready(courier.address):
+                courier.ready = True
                 return
             await asyncio.sleep(0.02)
         lines = courier.log_path.read_text(errors="replace")[-600:]
@@ -186,23 +191,63 @@
         await asyncio.sleep(drain_seconds)
         self.platform.put_endpoint(endpoint_entry(destination, listed[0], LEFT))
 
+    def repeat_answers(self, step, begin: float) -> None:
+        """The peer that a `plan.RepeatStep` names sends answers twice.
+
+        `begin` (s, monotonic) is the step's time 0.
+        """
+        rng = random.Random(f"soak/{self.seed}/copies/{step.destination}")
+        peer = self.platform if step.destination is None else self.destinations[step.destination]
+        at = begin + step.at
+        peer.copies = AnswerCopies(rng, self.record, step.share, step.delay, step.cut, at, at + step.length)
+
+    async def crowd(self, courier: CourierProcess, connections: int, seconds: float) -> None:
+        """Idle clients hold connections at a courier; new ones may then be closed unread."""
+        began_at = time.monotonic()
+        self.crowded.add(courier.name)
+        await self.clients.gather_crowd(courier.address, connections)
+        await asyncio.sleep(max(0.0, began_at + seconds - time.monotonic()))
+        self.clients.dissolve_crowd(courier.address)
+        await asyncio.sleep(CROWD_GONE_SECONDS)
+        self.crowded.discard(courier.name)
+
+    async def _send_until_exit(self, courier: CourierProcess, destination: int) -> None:
+        """Sends messages on every connection that stays open until the process has ended."""
+        process = courier.process
+        while process.poll() is None:
+            product = PRODUCTS[self.message_count % len(PRODUCTS)]
+            if product["name"] in ORDERED_PRODUCTS:
+                product = PRODUCTS[0]
+            sent = self.send_message(courier, destination, product["name"], product["giveUp"], only_open=True)
+            await asyncio.gather(sent, asyncio.sleep(STOPPING_TRAFFIC_SECONDS))
+
     async def restart(
-        self, couriers: list[CourierProcess], down: float = 0.0, graceful: bool = False
+        self,
+        couriers: list[CourierProcess],
+        down: float = 0.0,
+        graceful: bool = False,
+        signals: tuple[str, ...] = ("SIGTERM",),
     ) -> None:
-        """Stops couriers by SIGKILL (`graceful`: SIGTERM) and starts new processes after `down` seconds.
+        """Stops couriers by SIGKILL (`graceful`: by signals) and starts new processes after `down` seconds.
 
         The new processes use the same folders and are configured with the endpoint list that was last sent to
         their predecessors.
         """
         ended_at, known = time.monotonic(), self.platform.last_sent
         if graceful:
-            codes = await asyncio.gather(*(asyncio.to_thread(each.terminate) for each in couriers))
+            traffic = [
+                asyncio.create_task(self._send_until_exit(courier, number % len(self.destinations)))
+                for number, courier in enumerate(couriers)
+            ]
+            codes = await asyncio.gather(*(each.terminate(signals) for each in couriers))
+            await asyncio.gather(*traffic)
             for courier, code in zip(couriers, codes, strict=True):
                 if code != 0:
                     what = "did not exit in time" if code is None else f"exited with {code}"
-                    self.record.crashes.append(f"{courier.name} {what} after SIGTERM")
+                    self.record.crashes.append(f"{courier.name} {what} after {'+'.join(signals)}")
         else:
             for courier in couriers:
+                courier.ready = False
                 courier.process.kill()
             for courier in couriers:
                 courier.process.wait()
@@ -217,16 +262,23 @@
     # Traffic.
 
     async def send_message(
-        self, courier: CourierProcess, destination: int, product: str, validity: float, key: str | None = None
+        self,
+        courier: CourierProcess,
+        destination: int,
+        product: str,
+        validity: float,
+        key: str | None = None,
+        only_open: bool = False,
     ) -> int:
         """Sends one message with an id of its own; returns the status as `Clients.send` does."""
         self.message_count += 1
         request = Request(
             f"{courier.name}.{self.message_count}", courier.name, destination, product, validity, key
         )
-        process = courier.process
-        status = await self.clients.send(request, courier.address)
-        if status == UNANSWERED and courier.process is process and courier.is_running():
+        process, crowded = courier.process, courier.name in self.crowded
+        status = await self.clients.send(request, courier.address, only_open)
+        excused = crowded or courier.name in self.crowded
+        if status == UNANSWERED and not excused and courier.process is process and courier.is_running():
             self.record.unanswered.append(request.ident)
         return status
 
--- a/calicopin/soak/plan.py
+++ b/calicopin/soak/plan.py
@@ -1,7 +1,7 @@
 """The plan of a soak, drawn from its seed. No I/O; times are seconds from the start of the traffic."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from calicopin.soak.destination import OUTAGE_MODES
 from calicopin.soak.fleet import DestinationPlan
@@ -15,6 +15,17 @@
 MIN_COURIERS, MAX_COURIERS = 10, 40
 FILE_WRITE_CALLS = ("write", "create", "replace")  # a full or failing disk fails every one of them
 MAX_FILE_FAULT_SECONDS = 12.0
+STOP_SIGNALS = (
+    ("SIGTERM",),
+    ("SIGTERM", "SIGTERM"),
+    ("SIGHUP", "SIGTERM"),
+    ("SIGTERM", "SIGHUP", "SIGINT"),
+    ("SIGINT", "SIGTERM", "SIGTERM", "SIGHUP"),
+)
+BUSY_CAPACITY = (60.0, 150.0)  # calls per second: connections are reused soon
+REPEATING_PEERS = 0.4  # share of the peers that send answers twice
+COPY_DELAYS_SECONDS = (0.0, 0.012, 0.05, 0.09)
+CUT_COPIES = 0.3  # share of them that send cut copies
 LOAD_RANGE = (0.5, 1.1)  # share of a destination's capacity
 SYSTEM_ERRORS = {  # documented by Linux for the call and possible in a courier; `short`: partial transfer
     "accept": (
@@ -64,13 +75,14 @@
 class RestartStep:
     """A share of the couriers is stopped at once and started again after `down` seconds.
 
-    `gently`: by SIGTERM instead of SIGKILL.
+    `gently`: by `signals`, sent one right after the other, and by SIGKILL only once their time is over.
     """
 
     at: float
     share: float
     down: float
     gently: bool
+    signals: tuple[str, ...] = ("SIGTERM",)
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +111,41 @@
     destination: int
 
 
+@dataclass(frozen=True, slots=True)
+class SignalStep:
+    """A share of the couriers gets `count` SIGHUP, `gap` seconds apart."""
+
+    at: float
+    share: float
+    count: int
+    gap: float
+
+
+@dataclass(frozen=True, slots=True)
+class CrowdStep:
+    """Idle clients hold `connections` connections at each of a share of the couriers."""
+
+    at: float
+    length: float
+    share: float
+    connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatStep:
+    """A peer sends a share of its answers once more, up to `delay` seconds later.
+
+    `destination` is None for the platform; `cut`: each copy breaks off.
+    """
+
+    at: float
+    length: float
+    destination: int | None
+    share: float
+    delay: float
+    cut: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SystemFault:
     """A share of one kind of system call fails at a share of the couriers.
@@ -132,28 +179,41 @@
     silences: tuple[SilenceStep, ...]
     system: tuple[SystemFault, ...]
     drains: tuple[DrainStep, ...] = ()
+    signals: tuple[SignalStep, ...] = ()
+    crowds: tuple[CrowdStep, ...] = ()
+    repeats: tuple[RepeatStep, ...] = ()
 
     def summary(self) -> str:
         """The plan in one line."""
         outages = ", ".join(f"{o.destination} {o.how} {o.at:.1f}+{o.length:.1f}" for o in self.outages)
         restarts = ", ".join(
-            f"{r.share:.0%} {'TERM' if r.gently else 'KILL'} {r.at:.1f}+{r.down:.1f}" for r in self.restarts
+            f"{r.share:.0%} {'+'.join(r.signals) if r.gently else 'SIGKILL'} {r.at:.1f}+{r.down:.1f}"
+            for r in self.restarts
         )
         drains = ", ".join(f"{d.destination} {d.at:.1f}" for d in self.drains)
         faults = ", ".join(f"{f.call} {f.error or f.step} {f.at:.1f}+{f.length:.1f}" for f in self.system)
+        signals = ", ".join(f"{s.count} SIGHUP {s.at:.1f}" for s in self.signals)
+        crowds = ", ".join(f"{c.connections} clients {c.at:.1f}+{c.length:.1f}" for c in self.crowds)
+        repeats = ", ".join(
+            f"{'platform' if r.destination is None else r.destination} {r.share:.0%} within {r.delay:.3f} s"
+            f"{' cut' if r.cut else ''} {r.at:.1f}+{r.length:.1f}"
+            for r in self.repeats
+        )
         return (
             f"{self.couriers} couriers; outages {outages}; restarts {restarts}; drains {drains}; "
-            f"system calls {faults}"
+            f"system calls {faults}; signals {signals}; crowds {crowds}; repeated answers {repeats}"
         )
 
 
 def draw_plan(seed: int, seconds: float = 30.0, couriers: int | None = None) -> Plan:
     """The plan of a seed.
 
-    Each destination has one outage. Restarts are placed so that they overlap with outages and recoveries;
-    other faults come at any time.
+    Each destination has one outage, except for a busy one at the end, which repeats answers. Restarts are
+    placed so that they overlap with outages and recoveries; other faults come at any time.
     """
     rng = random.Random(f"soak/{seed}")
+    client_rng = random.Random(f"soak/{seed}/clients")
+    peer_rng = random.Random(f"soak/{seed}/peers")
     rule = rng.choice(SLOW_START_RULES)
     destinations = tuple(
         DestinationPlan(
@@ -165,16 +225,24 @@
         for _ in range(rng.randint(2, 4))
     )
     outages = tuple(_draw_outage(rng, number, seconds) for number in range(len(destinations)))
+    busy = DestinationPlan(
+        capacity=peer_rng.uniform(*BUSY_CAPACITY),
+        answer_after=peer_rng.uniform(0.01, 0.1),
+        bundle=peer_rng.choice((1, 1, 10)),
+    )
     return Plan(
         seed=seed,
         couriers=couriers or rng.randint(MIN_COURIERS, MAX_COURIERS),
         seconds=seconds,
         rule=rule,
-        destinations=destinations,
+        destinations=(*destinations, busy),
         load=rng.uniform(*LOAD_RANGE),
         skew=rng.uniform(1.2, 3.0),
         outages=outages,
-        restarts=tuple(sorted(_draw_restarts(rng, outages, seconds), key=lambda step: step.at)),
+        restarts=tuple(
+            replace(step, signals=client_rng.choice(STOP_SIGNALS))
+            for step in sorted(_draw_restarts(rng, outages, seconds), key=lambda step: step.at)
+        ),
         stalls=tuple(
             StallStep(rng.uniform(0.0, seconds), rng.uniform(0.1, 0.5), rng.uniform(0.05, 0.15))
             for _ in range(rng.randint(0, 6))
@@ -188,6 +256,41 @@
             DrainStep(rng.uniform(1.0, seconds), rng.uniform(0.2, 4.0), rng.randrange(len(destinations)))
             for _ in range(rng.randint(0, 4))
         ),
+        signals=tuple(
+            SignalStep(
+                client_rng.uniform(0.0, seconds),
+                client_rng.uniform(0.1, 1.0),
+                client_rng.randint(1, 5),
+                client_rng.choice((0.0, 0.02, 0.2)),
+            )
+            for _ in range(client_rng.randint(0, 3))
+        ),
+        crowds=tuple(
+            CrowdStep(
+                client_rng.uniform(0.0, seconds * 0.7),
+                client_rng.uniform(2.0, 8.0),
+                client_rng.uniform(0.1, 0.3),
+                client_rng.randint(60, 300),
+            )
+            for _ in range(client_rng.choice((0, 0, 1)))
+        ),
+        repeats=tuple(
+            _draw_repeats(peer_rng, destination, seconds)
+            for destination in (None, *range(len(destinations) + 1))
+            if destination == len(destinations) or peer_rng.random() < REPEATING_PEERS
+        ),
+    )
+
+
+def _draw_repeats(rng: random.Random, destination: int | None, seconds: float) -> RepeatStep:
+    at = rng.uniform(0.0, seconds * 0.6)
+    return RepeatStep(
+        at,
+        rng.uniform(2.0, seconds - at),
+        destination,
+        rng.uniform(0.05, 1.0),
+        rng.choice(COPY_DELAYS_SECONDS),
+        rng.random() < CUT_COPIES,
     )
 
 
--- a/calicopin/soak/platform.py
+++ b/calicopin/soak/platform.py
@@ -5,7 +5,7 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
-from calicopin.soak.destination import abort, read_request, response
+from calicopin.soak.destination import AnswerCopies, abort, read_request, response
 from calicopin.soak.rules import Record
 
 LEFT = "left"
@@ -25,6 +25,7 @@
         self.changed = asyncio.Event()
         self.last_sent: dict = self.snapshot()  # the list as last sent to couriers
         self.server, self.port, self.connections = None, 0, set()
+        self.copies: AnswerCopies | None = None
 
     def put_endpoint(self, entry: dict) -> None:
         """Adds, changes or (state `left`) removes an endpoint; all watching couriers are sent the change."""
@@ -66,10 +67,13 @@
                 method, target, _ = request.request_line.split(" ", 2)
                 if method == "POST":
                     self._record_notices(request.body)
-                    writer.write(response(204))
+                    answer = response(204)
                 else:
-                    writer.write(response(200, await self._list_endpoints(target)))
+                    answer = response(200, await self._list_endpoints(target))
+                writer.write(answer)
                 await writer.drain()
+                if self.copies is not None:
+                    self.copies.schedule(writer, answer)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
--- a/calicopin/soak/rules.py
+++ b/calicopin/soak/rules.py
@@ -129,6 +129,7 @@
     crashes: list[str] = field(default_factory=list)
     invariants: list[str] = field(default_factory=list)  # violations logged by the couriers' own checks
     drains: list[Drain] = field(default_factory=list)
+    copies: int = 0  # answers that peers sent once more
 
 
 @dataclass(frozen=True, slots=True)
--- a/calicopin/soak/run.py
+++ b/calicopin/soak/run.py
@@ -30,6 +30,7 @@
     messages: int = 0
     arrivals: int = 0
     refused: int = 0
+    copies: int = 0  # answers that peers sent once more
     delivered: int = 0
     tightest: float = float("-inf")  # excess calls in the worst window of all recoveries; negative: none
     violations: list[Violation] = field(default_factory=list)
@@ -64,6 +65,10 @@
         steps += [self._stall(step) for step in plan.stalls]
         steps += [self._silence(step) for step in plan.silences]
         steps += [self._drain(step) for step in plan.drains]
+        steps += [self._signal(step) for step in plan.signals]
+        steps += [self._crowd(step) for step in plan.crowds]
+        for step in plan.repeats:
+            fleet.repeat_answers(step, self.traffic_start)
         steps.append(self._restarts())
         steps += [self._traffic(number) for number in range(len(plan.destinations))]
         await asyncio.gather(*steps)
@@ -84,6 +89,7 @@
             messages=len(fleet.record.messages),
             arrivals=len(fleet.record.arrivals),
             refused=self.refused,
+            copies=fleet.record.copies,
             delivered=sum(arrival.outcome == "delivered" for arrival in fleet.record.arrivals),
             tightest=max((window.excess for window in windows if window), default=float("-inf")),
             violations=violations,
@@ -137,7 +143,7 @@
         for number, step in enumerate(self.plan.restarts):
             await self._sleep_until(step.at)
             affected = self._sample_couriers(step.share, f"restart/{number}")
-            await self.fleet.restart(affected, step.down, step.gently)
+            await self.fleet.restart(affected, step.down, step.gently, step.signals)
 
     async def _stall(self, step) -> None:
         await self._sleep_until(step.at)
@@ -148,6 +154,21 @@
         for courier in affected:
             courier.signal(signal.SIGCONT)
 
+    async def _signal(self, step) -> None:
+        await self._sleep_until(step.at)
+        affected = self._sample_couriers(step.share, f"signal/{step.at}")
+        for _ in range(step.count):
+            for courier in affected:
+                if courier.ready:  # before, the signal would end the process
+                    courier.signal(signal.SIGHUP)
+            await asyncio.sleep(step.gap)
+
+    async def _crowd(self, step) -> None:
+        await self._sleep_until(step.at)
+        affected = self._sample_couriers(step.share, f"crowd/{step.at}")
+        crowds = (self.fleet.crowd(courier, step.connections, step.length) for courier in affected)
+        await asyncio.gather(*crowds)
+
     async def _drain(self, step) -> None:
         await self._sleep_until(step.at)
         excused = {
