A copy of an answer is not taken for the answer to the next call on its connection

An endpoint had sent an answer once more, 1 to 12 ms later; the courier had called again on that connection and took the copy for the answer: a 503 for a call that ran, a 200 for a call that was refused. From then on the connection stayed one answer behind.

Cause: an answer in HTTP/1.1 does not name its request, and the pool handed out the connection that was used last, at once. Class: received bytes taken for the answer to something sent, without a check that they are.

Change, decisions in calicopin/connection_reuse.py: - a connection carries its next call 100 ms after its last answer at the earliest; others rest meanwhile; - data that no call asked for (at rest, behind an answer, a copy before one) closes the connection, and its destination gets one call for each connection, for 60 s at first, doubled each time; a 408 that announces a close is none; - an answer that equals an earlier one on its connection is a copy, and the next one is awaited, if it names another call's messages, if it repeats a load report where reports vary, or if it comes in under half of the fastest answer's time. Where none follows, such doubts end after two calls; - part of an answer, alone or with another one behind it, proves nothing: the call may have run. So does a 200 that names no message where all others did, a bulk answer about other messages, and a 200 to a call that was not written whole on a connection that has carried answers.

wire/answers.py has the reading of answers that stood in wire/endpoints.py.

--- a/calicopin/handover/receiver.py
+++ b/calicopin/handover/receiver.py
@@ -11,6 +11,7 @@
 
 from calicopin.handover.channel import Channel, HandoverError
 from calicopin.handover.state import FORM, restore
+from calicopin.state.connections import IdleConnection
 from calicopin.wire.clients import ClientConnection
 from calicopin.wire.endpoints import OutstandingCall
 from calicopin.wire.http import Connection
@@ -101,7 +102,7 @@
     def adopt_idle_connection(self, loop, runtime, clients, connection, sock):
         """Adds an idle connection to an endpoint to the pool, with the time since which it has been idle."""
         runtime.pool.idle.setdefault(tuple(connection["shelf"]), []).append(
-            (Connection(loop, sock, h11.CLIENT), connection["since"])
+            IdleConnection(Connection(loop, sock, h11.CLIENT), connection["since"], connection.get("dest"))
         )
 
 
--- a/calicopin/handover/sender.py
+++ b/calicopin/handover/sender.py
@@ -194,8 +194,11 @@
                         connection,
                     )
                 )
-        for key, idle in runtime.pool.idle.items():
-            connections += [("idle", dict(shelf=key, since=since), connection) for connection, since in idle]
+        for key, idle_connections in runtime.pool.idle.items():
+            connections += [
+                ("idle", dict(shelf=key, since=idle.since, dest=idle.destination), idle.connection)
+                for idle in idle_connections
+            ]
         runtime.pool.idle = {}
         for start in range(0, len(connections), CONNECTIONS_PER_FRAME):
             batch = connections[start : start + CONNECTIONS_PER_FRAME]
--- a/calicopin/state/connections.py
+++ b/calicopin/state/connections.py
@@ -2,8 +2,13 @@
 their uses.
 """
 
+from dataclasses import dataclass
+from typing import Any
+
 from loguru import logger
 
+from calicopin.connection_reuse import ReusePolicy, is_request_timeout
+
 
 def close(connection, endpoint, why):
     """Closes a connection to an endpoint and logs the reason at DEBUG."""
@@ -28,11 +33,21 @@
         self.other_clients = available - self.endpoints - self.clients
 
 
+@dataclass(slots=True)
+class IdleConnection:
+    """A connection that carries no call since `since` (ms); `destination` is None where it is unknown."""
+
+    connection: Any
+    since: float
+    destination: int | None = None
+
+
 class ConnectionPool:
     """A pool of connections to endpoints: at most `most`, in use or idle.
 
-    Idle connections are kept by endpoint and address, since an address may pass to another endpoint. The one
-    used last is taken first; the oldest is closed where room is needed.
+    Idle connections are kept by endpoint and address, since an address may pass to another endpoint. Of those
+    that `reuse` lets carry another call, the one used last is taken first; the oldest is closed where room is
+    needed.
 
     `trusted_idle_ms` is how long (ms) a connection may have been idle and still be used, at most
     `idle_limit`: an endpoint may close an idle connection while the next call is being written to it, and
@@ -44,6 +59,7 @@
     def __init__(self, most, idle_limit):
         self.most, self.idle_limit, self.idle, self.used, self.listed = most, idle_limit, {}, 0, None
         self.trusted_idle_ms, self.fastest_answer_ms, self.answered_unlisted = idle_limit, {}, set()
+        self.reuse = ReusePolicy()
 
     @property
     def count(self):
@@ -55,34 +71,65 @@
         """The key under which idle connections to an endpoint are kept."""
         return place.ident, place.address
 
-    def is_usable(self, connection, since, now):
-        """Whether a connection that is idle since `since` (ms) may still be used."""
-        return now - since < self.trusted_idle_ms and connection.open_without_data()
+    def is_usable(self, idle, endpoint, now):
+        """Whether an idle connection may still be used, as far as the time since its last call allows."""
+        if now - idle.since >= self.trusted_idle_ms or not self.reuse.may_keep(idle.destination, now):
+            return False
+        if idle.connection.open_without_data():
+            return True
+        if (data := idle.connection.pending_data()) and not is_request_timeout(data):
+            self.unsolicited(idle.destination, endpoint, now)
+        return False
+
+    def unsolicited(self, destination, endpoint, now):
+        """Notes that an endpoint sent data that no call had asked for."""
+        period = self.reuse.unsolicited(destination, now)
+        logger.log(
+            "INFO" if period else "DEBUG",
+            "{endpoint} sent data that no call had asked for; connections to destination {destination} carry "
+            "one call each for {seconds:.0f} s",
+            event="connection.unsolicited",
+            endpoint=endpoint,
+            destination=destination,
+            seconds=period / 1000.0,
+        )
 
     def take(self, place, now):
         """A usable idle connection; None where the caller has to open a new one, for which room was made."""
         self.used += 1
-        idle = self.idle.get(self.key(place), [])
-        while idle:
-            connection, since = idle.pop()
-            if self.is_usable(connection, since, now):
-                connection.idle_ms = now - since
-                return connection
-            close(connection, place.ident, "idle for too long, or closed by the endpoint")
+        idle_connections = self.idle.get(self.key(place), [])
+        for idle in reversed(list(idle_connections)):
+            if not self.reuse.has_settled(now - idle.since):
+                continue
+            idle_connections.remove(idle)
+            if self.is_usable(idle, place.ident, now):
+                idle.connection.idle_ms = now - idle.since
+                return idle.connection
+            close(idle.connection, place.ident, "idle for too long, closed by it, or not trusted")
         if self.used + self.count > self.most:
-            oldest_by_key = [(idle[0][1], key) for key, idle in self.idle.items() if idle]
-            if oldest_by_key:
-                _, oldest = min(oldest_by_key)
-                close(self.idle[oldest].pop(0)[0], oldest[0], "its place is needed for another endpoint")
+            self.close_oldest()
         return None
 
+    def close_oldest(self):
+        """Closes the connection that has been idle for the longest time, if there is one."""
+        oldest_by_key = [(idle[0].since, key) for key, idle in self.idle.items() if idle]
+        if oldest_by_key:
+            _, oldest = min(oldest_by_key)
+            connection = self.idle[oldest].pop(0).connection
+            close(connection, oldest[0], "its place is needed for another endpoint")
+
     def keep(self, place, connection, now):
-        """Returns a connection to the pool for later calls; closes it if its endpoint is no longer listed."""
+        """Returns a connection to the pool for later calls; closes it if its endpoint is no longer listed or
+        its destination not trusted.
+        """
         if self.listed is not None and self.key(place) not in self.listed:
             self.drop(connection, place.ident, "its endpoint is no longer listed")
             return
+        if not self.reuse.may_keep(place.dest, now):
+            self.drop(connection, place.ident, "its destination has sent data that no call had asked for")
+            return
         self.used -= 1
-        self.idle.setdefault(self.key(place), []).append((connection, now))
+        self.idle.setdefault(self.key(place), []).append(IdleConnection(connection, now, place.dest))
 
     def drop(self, connection, endpoint="", why="it cannot be used for another call"):
         """Removes a connection that was taken and is not to be used again, or that could not be opened."""
@@ -92,8 +139,8 @@
 
     def close_idle(self, place):
         """Closes the idle connections to an endpoint that may accept only a few from all its callers."""
-        for connection, _ in self.idle.pop(self.key(place), ()):
-            close(connection, place.ident, "the endpoint may accept only a few connections")
+        for idle in self.idle.pop(self.key(place), ()):
+            close(idle.connection, place.ident, "the endpoint may accept only a few connections")
 
     def answered(self, place, elapsed):
         """Records how long an answer took (`elapsed`, ms). The fastest answer of an endpoint tells which
@@ -122,8 +169,8 @@
         """Sets the endpoints that are listed now and closes idle connections to all others."""
         self.listed = {self.key(place) for place in places}
         for key in [key for key in self.idle if key not in self.listed]:
-            for connection, _ in self.idle.pop(key):
-                close(connection, key[0], "its endpoint is no longer listed")
+            for idle in self.idle.pop(key):
+                close(idle.connection, key[0], "its endpoint is no longer listed")
         self.fastest_answer_ms = {
             key: elapsed for key, elapsed in self.fastest_answer_ms.items() if key in self.listed
         }
@@ -138,8 +185,8 @@
         self.listed.update(self.key(place) for place in added)
         for key in (removed | self.answered_unlisted) - self.listed:
             self.fastest_answer_ms.pop(key, None)
-            for connection, _ in self.idle.pop(key, ()):
-                close(connection, key[0], "its endpoint is no longer listed")
+            for idle in self.idle.pop(key, ()):
+                close(idle.connection, key[0], "its endpoint is no longer listed")
         self.answered_unlisted.clear()
 
     def sweep(self, now):
@@ -147,13 +194,13 @@
         `trusted_idle_ms` up to the idle limit.
         """
         self.trusted_idle_ms = min(self.idle_limit, 2.0 * self.trusted_idle_ms)
-        for key, idle in list(self.idle.items()):
+        for key, idle_connections in list(self.idle.items()):
             usable = []
-            for connection, since in idle:
-                if self.is_usable(connection, since, now):
-                    usable.append((connection, since))
+            for idle in idle_connections:
+                if self.is_usable(idle, key[0], now):
+                    usable.append(idle)
                 else:
-                    close(connection, key[0], "idle for too long, or closed by the endpoint")
+                    close(idle.connection, key[0], "idle for too long, closed by it, or not trusted")
             if usable:
                 self.idle[key] = usable
             else:
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -2,43 +2,15 @@
 
 import base64
 import json
-import re
 
 import h11
 
+from calicopin.connection_reuse import past_answer
 from calicopin.facade import CallProgress, CallResult
-from calicopin.wire.http import NO_RESOURCES, TOO_LONG, open_connection
+from calicopin.wire.answers import read_outcome, read_unsent_outcome
+from calicopin.wire.http import NO_RESOURCES, open_connection
 from calicopin.wire.loop import RETRY_DELAY_MS, Until
 
-MAX_ANSWER_BYTES = 65536
-MAX_STATUS_LINE_BYTES = 1024
-NOT_EXECUTED_STATUSES = (429, 503, 504, 410)  # by which an endpoint says that it did not execute a call
-MAX_INTERIM_ANSWERS = 16  # 1xx answers before the final one
-ANSWER_REMAINDER_MS = 1000.0  # for the rest of an answer, so that one that never ends does not hold a slot
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: [^\r\n]*)?\r?\n")  # complete: a cut one proves nothing
-
-
-def parse_number(header, least=0.0):
-    """A finite number of at least `least` from a header, or None."""
-    try:
-        value = float(header)
-    except (TypeError, ValueError):
-        return None
-    return value if least <= value < float("inf") else None
-
-
-def parse_load(header):
-    """The load report in an answer; entries that are not numbers are ignored."""
-    try:
-        value = json.loads(header) if header else {}
-        return {
-            name: float(x)
-            for name, x in value.items()
-            if isinstance(x, (int, float)) and not isinstance(x, bool) and 0.0 <= x < float("inf")
-        }
-    except (ValueError, AttributeError, RecursionError, OverflowError):
-        return {}
-
 
 def encode(call, timeout):
     """The head and the body of a call."""
@@ -66,38 +38,6 @@
     return h11.Request(method="POST", target=target, headers=headers), body
 
 
-def decode_bulk_states(body):
-    """The state of each text by its id in a bulk answer; None if it cannot be decoded."""
-    try:
-        return {line["id"]: line["state"] for line in json.loads(body)}
-    except (ValueError, TypeError, KeyError, RecursionError):
-        return None
-
-
-def decode_head(head):
-    """Decodes the head of an answer."""
-    headers = {name.decode(): value.decode("latin-1") for name, value in head.headers}
-    return CallResult(
-        CallProgress.ANSWERED,
-        status=head.status_code,
-        wait=parse_number(headers.get("x-retry-in-ms")) or 0.0,
-        no_slot=headers.get("x-no-slot") == "1",
-        load=parse_load(headers.get("x-server-load")),
-    )
-
-
-def parse_status(data):
-    """The status at the beginning of an answer; None if more data is needed, 0 if it is malformed."""
-    match = STATUS_LINE.match(data)
-    if match:
-        return int(match[1])
-    return (
-        None
-        if b"HTTP/1.".startswith(data[:7]) and b"\n" not in data and len(data) < MAX_STATUS_LINE_BYTES
-        else 0
-    )
-
-
 class OutstandingCall:
     """A call under way and its progress, with which it can be cancelled or continued in another process."""
 
@@ -184,88 +124,33 @@
         if loop.now() < call.valid_until:
             report(partial)
 
-    outcome, complete = yield from read_outcome(connection, call, outstanding.until, report_in_time)
+    answer = yield from read_outcome(connection, outstanding, pool.reuse, report_in_time)
+    outcome, elapsed = answer.outcome, loop.now() - outstanding.began
     if outcome.progress == CallProgress.ANSWERED:
-        pool.answered(call.place, loop.now() - outstanding.began)
+        pool.answered(call.place, elapsed)
+        if answer.complete:
+            remember_answer(pool, connection, call, outcome, elapsed)
         if outcome.status == 200 and loop.now() >= call.valid_until:
             outcome = CallResult(
                 CallProgress.SENT, stale_connection=True, wait=outcome.wait, load=outcome.load
             )
     elif outcome.progress == CallProgress.SENT and connection.at_eof and not connection.unparsed():
-        outcome.stale_connection = pool.was_closed_before(
-            call.place, connection, loop.now() - outstanding.began
-        )
-    return outcome, complete and connection.prepare_next_message() and not connection.has_extra_data()
-
+        outcome.stale_connection = pool.was_closed_before(call.place, connection, elapsed)
+    return outcome, answer.complete and may_be_reused(loop, pool, call, connection, answer.unsolicited)
 
-def read_outcome(connection, call, until, report):
-    """(outcome, whether the answer was read completely)."""
-    for _ in range(MAX_INTERIM_ANSWERS):
-        while (status := parse_status(connection.unparsed())) is None and not connection.at_eof:
-            if not (yield from connection.read_more(until)):
-                return CallResult(CallProgress.SENT, timed_out=True), False
-        if not status or status >= 200:
-            break
-        if not isinstance((yield from connection.event(until)), h11.InformationalResponse):
-            return CallResult(CallProgress.SENT), False
-    if status == 200 and len(call.texts) == 1:
-        return (yield from read_delivered(connection, until, report))
-    return (
-        (yield from read_complete_answer(connection, call, until))
-        if status
-        else (CallResult(CallProgress.SENT), False)
-    )
 
+def remember_answer(pool, connection, call, outcome, elapsed):
+    """Notes an answer as one that later ones on its connection may be copies of."""
+    data = bytes(connection.received[: len(connection.received) - len(connection.unparsed())])
+    past = past_answer(data, [text.ident for text in call.texts], bool(outcome.load))
+    pool.reuse.answered(call.place.dest, past, connection.history, elapsed)
+    connection.remember_answer(past, outcome.status == 200)
 
-def read_delivered(connection, until, report):
-    """As `read_outcome` after status 200 to a single text: delivered, whatever follows the status line."""
-    outcome, deadline = (
-        CallResult(CallProgress.ANSWERED, status=200),
-        min(until, connection.loop.now() + ANSWER_REMAINDER_MS),
-    )
-    event = connection.parse()
-    if event is h11.NEED_DATA:
-        report(outcome)
-        event = yield from connection.event(deadline)
-    if not isinstance(event, h11.Response):
-        return outcome, False
-    outcome = decode_head(event)
-    report(outcome)
-    body = yield from connection.body(MAX_ANSWER_BYTES, deadline)
-    return outcome, body is not None and body is not TOO_LONG
 
-
-def read_unsent_outcome(connection, call, until):
-    """The outcome of a call that was not sent completely.
-
-    It has not been executed, but the endpoint may have answered, and a wait in its answer is heeded.
-    """
-    if not connection.peek():
-        return CallResult(CallProgress.UNSENT)
-    outcome, _ = yield from read_complete_answer(connection, call, until)
-    if outcome.progress == CallProgress.ANSWERED and (
-        outcome.status in NOT_EXECUTED_STATUSES or outcome.status == 200
-    ):
-        return outcome
-    return CallResult(CallProgress.UNSENT, wait=outcome.wait)
-
-
-def read_complete_answer(connection, call, until):
-    """As `read_outcome` for other answers, which count only if complete and well-formed.
-
-    After any other the call may have been executed; a wait in its head is heeded all the same.
-    """
-    deadline = min(until, connection.loop.now() + ANSWER_REMAINDER_MS)
-    event = yield from connection.event(deadline)
-    if not isinstance(event, h11.Response):
-        return CallResult(CallProgress.SENT, timed_out=connection.loop.now() >= until), False
-    outcome, body = decode_head(event), (yield from connection.body(MAX_ANSWER_BYTES, deadline))
-    if body is None or body is TOO_LONG:
-        return CallResult(
-            CallProgress.SENT, timed_out=connection.loop.now() >= until, wait=outcome.wait
-        ), False
-    if len(call.texts) > 1 and outcome.status == 200:
-        outcome.text_states = decode_bulk_states(body)
-        if outcome.text_states is None:  # any of the texts may have been executed
-            return CallResult(CallProgress.SENT, wait=outcome.wait), False
-    return outcome, True
+def may_be_reused(loop, pool, call, connection, unsolicited):
+    """Whether a connection may carry another call; notes data that this call had not asked for."""
+    extra = connection.has_extra_data()
+    if unsolicited or (extra and connection.pending_data()):
+        pool.unsolicited(call.place.dest, call.place.ident, loop.now())
+        return False
+    return connection.prepare_next_message() and not extra
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -5,6 +5,7 @@
 
 import h11
 
+from calicopin.connection_reuse import AnswerHistory
 from calicopin.system_errors import concerns_one_connection, is_transient, lacks_local_resources, no_route
 from calicopin.wire.loop import READ, RETRY_DELAY_MS, WRITE, Until
 
@@ -12,6 +13,7 @@
 MAX_ABORTED_ACCEPTS = 32  # skipped in one accept; more in a row point to a fault of this machine
 UNKNOWN = b"?"  # result of `peek` where the system lacked the resources to read
 MAX_DISCARDED_BYTES = 16 * READ_SIZE  # read and discarded in a lingering close
+PENDING_BYTES = 64  # enough to tell what kind of data it is
 MAX_DISCARD_READS = 1024  # in a lingering close; each may return few bytes
 MAX_IMMEDIATE_TRIES = 16  # of one system call that lacks resources, where the caller cannot wait
 TOO_LONG = object()
@@ -34,6 +36,7 @@
         self.loop, self.sock, self.h11 = loop, sock, h11.Connection(role)
         self.at_eof, self.idle_ms = False, None  # end of stream read; ms it was idle before its last reuse
         self.received = bytearray()  # received since the last message ended; handed over with the connection
+        self.history = None  # AnswerHistory, once it has carried an answer to a call
         sock.setblocking(False)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -233,6 +236,35 @@
         except OSError as fault:
             return UNKNOWN if is_transient(fault) else b""
 
+    def remember_answer(self, answer, delivered):
+        """Adds an answer (`PastAnswer`) to the history of this connection."""
+        if self.history is None:
+            self.history = AnswerHistory()
+        self.history.add(answer, delivered)
+
+    def pending_data(self):
+        """The beginning of the data that is unread or not parsed yet; b"" if there is none."""
+        if data := self.unparsed():
+            return bytes(data[:PENDING_BYTES])
+        try:
+            return self.sock.recv(PENDING_BYTES, socket.MSG_PEEK)
+        except OSError:
+            return b""
+
+    def drop_interim_answer(self):
+        """Forgets the data of an interim answer that was parsed."""
+        self.received[:] = self.unparsed()
+
+    def discard_received(self, size):
+        """Discards the first `size` bytes of the answer: they answer no request of this side."""
+        rest = bytes(self.received[size:])
+        self.h11, self.received = h11.Connection(h11.CLIENT), bytearray()
+        self.encode(h11.Request(method="POST", target="/", headers=[("Host", "-"), ("Content-Length", "0")]))
+        if rest:
+            self.feed(rest)
+        if self.at_eof:
+            self.feed(b"")
+
     def open_without_data(self):
         """Whether an idle connection is open with nothing to read."""
         return self.peek() is None
--- a/tests/repeating_endpoint.py
+++ b/tests/repeating_endpoint.py
@@ -52,6 +52,9 @@
             while True:
                 sock = self.listener.accept()[0]
                 sock.setblocking(False)
+                sock.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_NODELAY, 1
+                )  # a copy delays no answer behind it
                 self.connections.append(EndpointConnection(sock))
                 self.opened += 1
         except BlockingIOError:
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -13,6 +13,7 @@
 from helper import Clock, Listener, Peer, Rebooted, answer, client, spin, terms
 from wire_helper import Out, call, clients, request
 
+from calicopin.connection_reuse import SETTLE_MS
 from calicopin.facade import CallProgress, CallResult, outcome_of
 from calicopin.interface import How
 from calicopin.lifecycle.shutdown_steps import LAST_ACCEPT_MS, STOP_LIMIT_MS
@@ -393,10 +394,11 @@
     peer.wait(b"\x00\xff")
     peer.say(answer(200))
     assert first.end().status == 200 and lines.count == 1
+    loop.now.now += SETTLE_MS
     is_usable = ConnectionPool.is_usable
 
-    def crossed(lines, line, since, now):
-        quiet = is_usable(lines, line, since, now)
+    def crossed(lines, idle, endpoint, now):
+        quiet = is_usable(lines, idle, endpoint, now)
         peer.say(b"HTTP/1.1 2")
         return quiet
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from calicopin.connection_reuse import DISTRUST_MS, SETTLE_MS
 from calicopin.facade import Place
 from calicopin.state.connections import Budget, ConnectionPool
 from calicopin.state.journal import Journal, allocated_bytes
@@ -163,14 +164,20 @@
 
 
 class FakeConnection:
-    """An idle connection that the test can close, or make readable by clearing `is_quiet`."""
+    """An idle connection that the test can close, or make readable by clearing `is_quiet`.
 
-    def __init__(self):
-        self.closed, self.is_quiet = False, True
+    `data` is what can be read then; b"" stands for the end of the stream.
+    """
+
+    def __init__(self, data=b""):
+        self.closed, self.is_quiet, self.data = False, True, data
 
     def open_without_data(self):
         return self.is_quiet
 
+    def pending_data(self):
+        return self.data
+
     def close(self):
         self.closed = True
 
@@ -187,7 +194,39 @@
     pool, connection = ConnectionPool(5, 1000.0), FakeConnection()
     pool.keep(place("x"), connection, 0.0)
     connection.is_quiet = False
-    assert pool.take(place("x"), 1.0) is None and connection.closed and pool.count == 0
+    assert pool.take(place("x"), SETTLE_MS) is None and connection.closed and pool.count == 0
+    assert pool.reuse.may_keep(7, SETTLE_MS), "an endpoint may close what is idle"
+
+
+def test_a_connection_that_was_just_answered_rests_before_the_next_call():
+    pool, old, new = ConnectionPool(5, 1000.0), FakeConnection(), FakeConnection()
+    for at, connection in ((0.0, old), (50.0, new)):
+        assert pool.take(place("x"), at) is None
+        pool.keep(place("x"), connection, at)
+    assert pool.take(place("x"), SETTLE_MS - 1.0) is None
+    assert pool.take(place("x"), SETTLE_MS) is old and pool.take(place("x"), SETTLE_MS) is None
+    assert pool.take(place("x"), 50.0 + SETTLE_MS) is new and not (old.closed or new.closed)
+
+
+@pytest.mark.parametrize(
+    "data,trusted",
+    [(b"HTTP/1.1 200 OK\r\n", False), (b"H", False), (b"\r\n", False), (b"HTTP/1.1 408 Request", True)],
+)
+def test_a_destination_that_sends_data_unasked_gets_one_call_for_each_connection(data, trusted):
+    pool, now = ConnectionPool(5, 1e9), 0.0
+    for period in (DISTRUST_MS, 2.0 * DISTRUST_MS, 4.0 * DISTRUST_MS):
+        assert pool.take(place("x"), now) is None
+        pool.keep(place("x"), connection := FakeConnection(data), now)
+        connection.is_quiet = False
+        pool.sweep(now)
+        assert connection.closed and pool.count == 0
+        for at, kept in ((now, trusted), (now + period - 1.0, trusted), (now + period, True)):
+            assert pool.take(place("y"), at) is None
+            pool.keep(place("y"), other := FakeConnection(), at)
+            assert other.closed != kept
+            pool.close_idle(place("y"))
+        now += period
+    assert pool.used == 0 and pool.reuse.unsolicited_count == (0 if trusted else 3)
 
 
 def test_the_oldest_idle_connection_is_closed_to_make_room():
@@ -201,7 +240,7 @@
         False,
     ]
     assert (
-        pool.take(place("2"), 3.0) is connections[2]
+        pool.take(place("2"), 2.0 + SETTLE_MS) is connections[2]
         and not connections[1].closed
         and (pool.used, pool.count) == (2, 1)
     )
--- a/tests/test_wire_calls.py
+++ b/tests/test_wire_calls.py
@@ -7,6 +7,7 @@
 from helper import Listener, answer, free_address, spin
 from wire_helper import Out, call
 
+from calicopin.connection_reuse import SETTLE_MS
 from calicopin.facade import CallProgress
 from calicopin.state.connections import ConnectionPool
 
@@ -25,6 +26,7 @@
         200,
         {"x0": 0.4, "x1": 25.0},
     )
+    loop.now.now += SETTLE_MS
     again = Out(loop, call(listener.address), out.lines)
     assert peer.wait(b"\x00\xff")
     peer.say(answer(429, X_Retry_In_Ms="640", X_Server_Load="broken"))
@@ -223,7 +225,10 @@
     assert out.end().text_states == {"id0": "delivered", "id1": "refused"} and out.answer.wait == 90.0
 
 
-@pytest.mark.parametrize("body", [b"", b"{}x", b"[1]", b'[{"id":[],"state":1}]'])
+@pytest.mark.parametrize(
+    "body",
+    [b"", b"{}x", b"[1]", b"[]", b'[{"id":[],"state":1}]', b'[{"id":"another","state":"delivered"}]'],
+)
 def test_a_bulk_call_with_a_malformed_answer_may_have_been_executed(loop, body):
     listener = Listener(loop)
     out = Out(loop, call(listener.address, texts=2))
