A copy of the platform's acknowledgement acknowledges no later notice

A copy that came behind the next request ended notices that the platform had not read: their messages would be lost.

Change: each request with notices has a connection of its own, opened in advance; the one used last is a reserve for a moment in which this machine can open none, once a copy would have arrived. An agent's kept connection that holds data unasked is not used again by any client of this kind.

The test of a shortage covers three notices in a row.

--- a/calicopin/wire/notices.py
+++ b/calicopin/wire/notices.py
@@ -5,6 +5,7 @@
 import h11
 from loguru import logger
 
+from calicopin.connection_reuse import ReusePolicy
 from calicopin.wire.loop import READ, RETRY_DELAY_MS, Event, Until
 from calicopin.wire.persistent_client import PersistentClient
 
@@ -12,6 +13,7 @@
 ANSWER_TIMEOUT_MS = 200.0
 # upper bound of the doubled time-out, which spares a slow agent the same notices again and again
 MAX_ANSWER_TIMEOUT_MS = 2000.0
+RESERVE_CONNECT_MS = 50.0  # to connect, where waiting longer would hold up notices
 LOG_INTERVAL_MS = 1000.0  # between two log lines on notices that were not acknowledged
 RECONNECT_INTERVAL_MS = 1000.0  # without a notice to send, as the agent may close each connection at once
 MAX_NOTICES_PER_REQUEST = 500
@@ -65,11 +67,16 @@
 class Notices(PersistentClient):
     """Sends notices in batches, one request at a time, and repeats them until acknowledged.
 
+    All acknowledgements are alike: if one came twice, its copy would acknowledge the next notices. So each
+    request has a connection of its own, opened in advance; the connection used last is kept only as a reserve
+    for a moment in which this machine can open none.
+
     `heard(text)` is called for each acknowledged notice. After a change of address, all notices that were not
     acknowledged are sent to the new one at once.
     """
 
     def __init__(self, loop, address, heard):
+        self.reserve, self.reserve_since, self.connects_at_once = None, 0.0, False
         self.heard, self.owed, self.event, self.answer_timeout, self.logged_at = (
             heard,
             [],
@@ -92,14 +99,12 @@
                 yield from self.maintain_connection()
             batch = self.owed[:MAX_NOTICES_PER_REQUEST]
             until = self.loop.now() + self.answer_timeout
-            if self.connection is not None and not self.connection.open_without_data():
-                self.close_connection()
-            connection = yield from self.connect(until)
+            connect_until = self.loop.now() + RESERVE_CONNECT_MS if self.reserve else until
+            connection = (yield from self.connect(connect_until)) or self.take_reserve()
             status = (
                 (yield from self.post(connection, b"".join(map(encode, batch)), until)) if connection else 0
             )
-            if connection and not (status and connection.prepare_next_message()):
-                self.close_connection()
+            self.retire_connection(status)
             if status in (200, 204, 400):
                 if status == 400:
                     logger.error(
@@ -132,6 +137,37 @@
                 )
                 yield Until(self.loop.now() + (0.0 if timed_out else RETRY_DELAY_MS))
 
+    def take_reserve(self):
+        """The connection used last, if a copy of its acknowledgement would have arrived by now; else None."""
+        reserve, self.reserve = self.reserve, None
+        if reserve is None:
+            return None
+        if ReusePolicy.has_settled(self.loop.now() - self.reserve_since) and not reserve.has_extra_data():
+            self.connection = reserve
+            return reserve
+        reserve.close()
+        return None
+
+    def retire_connection(self, status):
+        """Keeps the connection of a complete exchange as the reserve, and closes the former one."""
+        connection, self.connection = self.connection, None
+        if connection is None:
+            return
+        if not (status and connection.prepare_next_message()):
+            connection.close()
+            return
+        if self.reserve is not None:
+            self.reserve.close()
+        self.reserve, self.reserve_since = connection, self.loop.now()
+        self.connects_at_once = True
+
+    def close_connection(self):
+        """Closes both connections."""
+        super().close_connection()
+        reserve, self.reserve = self.reserve, None
+        if reserve is not None:
+            reserve.close()
+
     def maintain_connection(self):
         """Waits for a notice and meanwhile keeps a connection open.
 
@@ -140,11 +176,13 @@
         if self.connection is not None:
             yield Until(fd=self.connection.sock.fileno(), mask=READ, event=self.event)
             if not self.connection.open_without_data():  # closed by the agent
-                self.close_connection()
+                super().close_connection()
             return
-        yield Until(self.loop.now() + RECONNECT_INTERVAL_MS, event=self.event)
+        if not self.connects_at_once:
+            yield Until(self.loop.now() + RECONNECT_INTERVAL_MS, event=self.event)
+        self.connects_at_once = False
         if not self.owed:
-            yield from self.connect(self.loop.now() + ANSWER_TIMEOUT_MS)
+            yield from self.connect(self.loop.now() + RESERVE_CONNECT_MS)
 
     def post(self, connection, body, until):
         """Sends notices: the status, or 0 without a complete answer by `until` (ms)."""
--- a/calicopin/wire/persistent_client.py
+++ b/calicopin/wire/persistent_client.py
@@ -30,7 +30,12 @@
             connection.close()
 
     def connect(self, until):
-        """The open connection or a new one; None if it could not be opened by `until` (ms)."""
+        """The open connection or a new one; None if it could not be opened by `until` (ms).
+
+        A connection on which the agent has sent something unasked, or which it closed, is not used again.
+        """
+        if self.connection is not None and self.connection.has_extra_data():
+            self.close_connection()
         if self.connection is None:
             self.connection = (yield from open_connection(self.loop, self.address, until)) or None
         return self.connection
--- a/tests/test_wire_platform.py
+++ b/tests/test_wire_platform.py
@@ -9,11 +9,12 @@
 from helper import Clock, Listener, answer, spin
 from loguru import logger
 
+from calicopin.connection_reuse import SETTLE_MS
 from calicopin.state.texts import Text
 from calicopin.wire.discovery import Discovery
 from calicopin.wire.loop import Loop
 from calicopin.wire.notices import RECONNECT_INTERVAL_MS, Notices
-from calicopin.wire.poll_schedule import PollSchedule
+from calicopin.wire.poll_schedule import POLL_INTERVAL_MS, PollSchedule
 
 
 def test_an_exception_in_polling_closes_the_connection(loop, monkeypatch):
@@ -296,11 +297,90 @@
     peer = listener.meet()
     spin(loop, lambda: notices.connection is not None)
     system.permanent[call] = error
-    notices.owe(undelivered_text())
-    assert b'"dead"' in peer.wait(b"dead")
-    peer.say(answer(204))
+    for ident in "abc":  # the first on the connection opened beforehand, then on the one used last
+        failed = system.failed[call]
+        notices.owe(undelivered_text(ident))
+        assert b'"dead"' in peer.wait(b"dead")
+        assert ident != "a" or system.failed[call] == failed
+        peer.say(answer(204))
+        spin(loop, lambda ident=ident: received[-1:] == [ident])
+        loop.now.now += SETTLE_MS
+
+
+@pytest.mark.parametrize("delay", [0, 1, 8, 150, 2000])
+def test_a_copy_of_an_acknowledgement_acknowledges_no_later_notice(loop, delay):
+    """The request behind it never reaches the platform: its notice has to be sent again."""
+    listener, received = Listener(loop), []
+    notices = Notices(loop, listener.address, lambda text: received.append(text.ident))
+    notices.owe(undelivered_text("a"))
+    first = listener.meet()
+    first.wait(b"dead")
+    first.say(answer(204))
     spin(loop, lambda: received == ["a"])
-    assert not system.failed[call]
+    for _ in range(5):
+        loop.once(loop.now())
+    loop.now.now += delay
+    notices.owe(undelivered_text("b"))
+    for _ in range(5):
+        loop.once(loop.now())
+    first.say(answer(204))
+    first.sock.close()
+    for _ in range(20):
+        loop.once(loop.now())
+    assert received == ["a"]
+    peer = listener.meet()
+    assert b'"b"' in peer.wait(b"dead")
+    peer.say(answer(204))
+    spin(loop, lambda: received == ["a", "b"])
+
+
+LIST_AGAIN = answer(200, b'{"version":43,"full":true,"servers":[]}')
+
+
+@pytest.mark.parametrize(
+    "copy",
+    [
+        LIST_AGAIN,
+        answer(200, b'{"version":42,"full":true,"servers":[]}'),
+        answer(200, b'{"version":43,"full":false,"servers":[]}'),
+        LIST_AGAIN[:30],
+        LIST_AGAIN + LIST_AGAIN,
+    ],
+)
+@pytest.mark.parametrize("delay", [0.0, 8.0, 700.0])
+def test_a_copy_of_a_list_is_not_taken_for_the_next_one(loop, copy, delay):
+    """Neither the copy nor the answer behind it, which belongs to the request before, is applied."""
+    listener, received = Listener(loop), []
+    Discovery(loop, listener.address, 41, 5000.0, lambda places, whole: received.append(whole), pushed=True)
+    peer = listener.meet()
+    peer.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    peer.wait(b"index=41")
+    peer.say(LIST_AGAIN)
+    peer.wait(b"index=43&wait=5000")
+    loop.now.now += delay
+    peer.say(copy)
+    for _ in range(20):
+        loop.once(loop.now())
+    peer.say(answer(200, json.dumps(LIST | dict(version=44)).encode()))
+    for _ in range(20):
+        loop.once(loop.now())
+    loop.now.now += POLL_INTERVAL_MS
+    again = listener.meet()
+    assert b"index=43&wait=0" in again.wait(b"\r\n\r\n") and received == [True]
+    again.say(answer(200, json.dumps(LIST | dict(version=44)).encode()))
+    assert b"index=44&wait=5000" in again.wait(b"\r\n\r\n") and received == [True, False]
+
+
+def test_an_agent_whose_waits_end_without_a_change_keeps_its_connection(loop):
+    listener, received = Listener(loop), []
+    Discovery(loop, listener.address, 43, 5000.0, lambda places, whole: received.append(whole), pushed=True)
+    peer = listener.meet()
+    for _ in range(5):
+        peer.wait(b"index=43&wait=5000")
+        loop.now.now += 5000.0
+        peer.say(answer(200, b'{"version":43,"full":false,"servers":[]}'))
+    peer.wait(b"index=43&wait=5000")
+    assert received == [False] * 5
 
 
 def test_a_connection_for_notices_closed_by_the_agent_is_reopened_after_an_interval(loop):
