A copy of a list is not taken for the answer to the next call of discovery

A late copy of an older list was applied over a newer one: a leaving endpoint would have been called again until the next answer.

Change: on a connection that has carried an answer, the next one is newer than the version asked for, or empty once the wait is over. A new connection may tell any version, as before: a restarted discovery counts anew.

--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -17,6 +17,7 @@
 FIRST_ANSWER_GRACE_MS = 2.0 * GRACE_MS  # for the first answer after a start, once a call was not answered
 MAX_BACKOFF_EXPONENT = 16  # beyond it `answer_grace` has reached its maximum
 MAX_LIST_BYTES = 8 << 20
+EARLY_ANSWER_MS = 50.0  # by which an agent may end a wait too early
 ENDPOINT_STATES = ("active", "leaving", "left")
 ASK_WITHIN_WAITS = 5.0  # after which the platform regards a polling courier as informed, in waits of a poll
 
@@ -70,6 +71,7 @@
     def __init__(self, loop, address, version, wait, heard, senders=1, seed=0, spread=False, pushed=False):
         self.version, self.wait, self.heard, self.spread = version, wait, heard, spread
         self.tried = self.answered = False
+        self.answered_on = None  # the connection of the last answer
         self.logged_fault = None  # last one logged: it may recur ten times a second
         # consecutive calls without an answer; meanwhile calls do not wait for changes, so that an agent that
         # is back is noticed at once
@@ -148,10 +150,25 @@
         if self.version is not None:
             wait = 0.0 if self.silent_calls else self.wait
             target = f"{target}?index={self.version}&wait={wait:.0f}"
-        until = self.loop.now() + wait + self.answer_grace()
+        began, reused = self.loop.now(), connection is self.answered_on and self.version is not None
+        until = began + wait + self.answer_grace()
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         status, body = (yield from connection.exchange(request, b"", MAX_LIST_BYTES, until)) or (0, b"")
         self.refused = status in (429, 503)
         if body is TOO_LONG:
             raise ValueError(f"the list is over {MAX_LIST_BYTES >> 20} MiB")
-        return decode_list(json.loads(body)) if status == 200 else None
+        if status != 200:
+            return None
+        version, whole, places = decode_list(json.loads(body))
+        if reused and self.repeats_earlier(version, places, began + wait - EARLY_ANSWER_MS):
+            raise ValueError(f"version {version} again, where a change of version {self.version} was awaited")
+        self.answered_on = connection
+        return version, whole, places
+
+    def repeats_earlier(self, version, places, wait_over):
+        """Whether an answer on a connection that has carried one is a copy of it: the answer to this request
+        is newer, or empty once the wait is over (`wait_over`, ms).
+        """
+        if version != self.version:
+            return version < self.version
+        return bool(places) or self.loop.now() < wait_over
