--- a/calicopin/discovery_node/upstream.py
+++ b/calicopin/discovery_node/upstream.py
@@ -53,7 +53,7 @@
         super().__init__(loop, address)
 
     def run(self) -> Iterator[Until]:
-        """Sends one request after another on one connection, forever; reconnects after a failure."""
+        """Sends one request after another, forever."""
         self.close_connection()
         while True:
             pause = POLL_INTERVAL_MS
@@ -70,7 +70,11 @@
             yield Until(self.loop.now() + pause)
 
     def _request_chunk(self) -> Iterator[Until]:
-        """The next chunk, or None if the request failed."""
+        """The next chunk, or None if the request failed.
+
+        A chunk does not name its offset, so each request has a connection of its own: on a kept one, an
+        answer that came twice would be appended twice.
+        """
         until = self.loop.now() + ANSWER_TIMEOUT_MS
         connection = yield from self.connect(until)
         if not connection:
@@ -83,8 +87,7 @@
             0,
             b"",
         )
-        if not (status and connection.prepare_next_message()):
-            self.close_connection()
+        self.close_connection()
         return body if status == 200 else None
 
     def _append(self, chunk: bytes) -> bool:
--- a/tests/test_discovery_node.py
+++ b/tests/test_discovery_node.py
@@ -1,6 +1,7 @@
 """Tests of the discovery node: its catalogue, its source file (growing, damaged or replaced), and whole nodes
 on loopback."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -14,7 +15,7 @@
 
 import pytest
 from click.testing import CliRunner
-from helper import Clock, Peer, free_address, spin
+from helper import Clock, Listener, Peer, answer, free_address, spin
 
 from calicopin.command.__main__ import main
 from calicopin.discovery_node import catalogue as catalogue_module
@@ -34,7 +35,7 @@
     Source,
     SourceError,
 )
-from calicopin.discovery_node.upstream import Upstream
+from calicopin.discovery_node.upstream import Upstream, encode_log_chunk
 from calicopin.subscription.leases import LeaseBounds, LeaseTable
 from calicopin.subscription.messages import (
     Reason,
@@ -1095,6 +1096,26 @@
     assert copying_node.path.read_bytes() == upstream_node.path.read_bytes()
 
 
+@pytest.mark.parametrize("delay", [0.0, 8.0, 400.0])
+def test_a_chunk_that_an_upstream_node_sends_twice_is_appended_once(loop, tmp_path, delay):
+    source, data = Listener(loop), source_bytes(entry("s-3", 3))
+    path = tmp_path / "copy.log"
+    copying = Upstream(loop, source.address, str(path), "fleet")
+    for chunk in (b"", data):  # the first answer names the file, the second holds its data
+        peer = source.meet()
+        peer.wait(b"offset=0")
+        peer.say(answer(200, encode_log_chunk("file-1", chunk)))
+        spin(loop, lambda peer=peer: peer.hear() is not None and peer.ended)
+        loop.now.now += upstream_module.POLL_INTERVAL_MS + delay
+    following = source.meet()
+    assert b"offset=%d" % len(data) in following.wait(b"\r\n\r\n")
+    with contextlib.suppress(OSError):
+        peer.say(answer(200, encode_log_chunk("file-1", data)))
+    following.say(answer(200, encode_log_chunk("file-1", b"")))
+    spin(loop, lambda: following.hear() is not None and following.ended)
+    assert path.read_bytes() == data and copying.copies == 1
+
+
 def test_a_replaced_upstream_file_is_copied_and_only_differences_are_reported(upstream):
     upstream_node, copying_node = upstream
     copying_node.copies(1)
