A subscription's answer that came before, with changes, is not taken for the next one

An answer with changes has to be newer than the last one, unless the request changed the subscription; else the lease is taken anew on a new connection. Three new cases fail before; a copy of an older answer was refused before too, and has a test now.

--- a/calicopin/subscription/session.py
+++ b/calicopin/subscription/session.py
@@ -318,6 +318,7 @@
             )
         if request.lease is not None:
             self._check_renewal(answer, lease)
+            self._check_not_repeated(answer, request, lease)
         elif not answer.full:
             raise MessageError("full", "is false in the first answer of a lease")
         self._check_destinations(answer)
@@ -334,6 +335,13 @@
                 "version", f"{answer.version} is lower than {lease.version} in the last answer"
             )
 
+    @staticmethod
+    def _check_not_repeated(answer: SubscribeAnswer, request: SubscribeRequest, lease: _Lease) -> None:
+        """An answer with changes is newer than the last one, unless the request changed the subscription."""
+        changed = request.subscribe or request.unsubscribe
+        if answer.version == lease.version and answer.servers and not (answer.full or changed):
+            raise MessageError("version", f"{answer.version} came before, with changes")
+
     def _check_destinations(self, answer: SubscribeAnswer) -> None:
         """Each destination is listed once, and the required ones are present: the whole set in a full answer,
         otherwise those just subscribed."""
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -174,6 +174,52 @@
     }
 
 
+@pytest.mark.parametrize("delay", [0.0, 8.0, 1500.0])
+def test_a_copy_of_an_answer_is_not_taken_for_the_next_one(loop, delay):
+    updates = Updates()
+    subscriber, node, request = started(loop, updates, 41)
+    second = answer(200, node.body(request, 2, [entry("e-41", 41, "leaving")]))
+    node.peer.say(second)
+    spin(loop, lambda: len(updates) == 2)
+    target, _ = node.next_request()
+    assert target == "/api/targets?index=2&wait=2000"
+    loop.now.now += delay
+    first = node.peer
+    first.say(second)
+    first.wait_end()
+    assert len(updates) == 2 and subscriber.use(41) is DestinationState.KNOWN
+    advance(loop, 5000.0)
+    _, request = node.next_request()
+    assert node.peer is not first and request["subscribe"] == [41]
+    node.respond(request, 3, [entry("f-41", 41)], full=True)
+    spin(loop, lambda: len(updates) == 3)
+    assert updates[-1] == ([("e-41", False, True), ("f-41", True, False)], True)
+
+
+def test_a_copy_of_an_older_answer_is_never_applied_over_a_newer_one(loop):
+    """Behind it the lease is taken anew, and the whole state is told."""
+    updates = Updates()
+    subscriber, node, request = started(loop, updates, 41)
+    active = answer(200, node.body(request, 2, [entry("e-41", 41)]))
+    node.peer.say(active)
+    spin(loop, lambda: len(updates) == 2)
+    advance(loop)
+    _, request = node.next_request()
+    node.respond(request, 3, [entry("e-41", 41, "leaving")])
+    spin(loop, lambda: len(updates) == 3)
+    advance(loop)
+    node.next_request()
+    node.peer.say(active)
+    for _ in range(20):
+        loop.once(loop.now())
+    assert updates[-1] == ([("e-41", False, False)], False) and len(updates) == 3
+    advance(loop, 5000.0)
+    _, request = node.next_request()
+    node.respond(request, 3, [entry("e-41", 41, "leaving")], full=True)
+    spin(loop, lambda: len(updates) == 4)
+    assert updates[-1] == ([("e-41", False, False)], True) and subscriber.version == 3
+
+
 def test_fresh_subscription_does_not_wait_for_the_parked_poll(loop):
     updates, event, ended = Updates(), Event(loop), []
     subscriber, node, _ = started(loop, updates, 41)
