--- a/calicopin/connection_reuse.py
+++ b/calicopin/connection_reuse.py
@@ -5,9 +5,10 @@
 not answered. No I/O; times are milliseconds.
 """
 
+import json
 from collections import deque
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 SETTLE_MS = (
     100.0  # between an answer and the next call on its connection: a copy of the answer shows up before
@@ -16,6 +17,7 @@
 MAX_DISTRUST_MS = 3_600_000.0
 EARLY_SHARE = 0.5  # of a destination's fastest answer; a repeated answer that comes sooner is a copy
 MIN_TIMED_ANSWERS = 10  # until the fastest answer counts
+HEAD_END = b"\r\n\r\n"
 STATUS_BYTES = len(b"HTTP/1.1 200")
 MAX_DOUBTED_ANSWERS = 2  # taken for copies in vain, until a destination's equal answers are believed
 KEPT_ANSWERS = 4  # of one connection
@@ -35,9 +37,18 @@
     has_report: bool
 
 
+def names_message(data: bytes, ident: str) -> bool:
+    """Whether the body of an answer to a single message is that message's id."""
+    return data.partition(HEAD_END)[2] == ident.encode("latin-1")
+
+
 def past_answer(data: bytes, idents: Collection[str], has_report: bool) -> PastAnswer:
     """The answer to a call with these messages, to be remembered."""
-    named = frozenset(ident for ident in idents if ident.encode("latin-1") in data)
+    if len(idents) == 1:
+        named = frozenset(ident for ident in idents if names_message(data, ident))
+    else:
+        body = data.partition(HEAD_END)[2]
+        named = frozenset(ident for ident in idents if json.dumps(ident).encode() in body)
     return PastAnswer(data, named, has_report)
 
 
@@ -56,7 +67,7 @@
         return 0 < self.deliveries == self.named_deliveries
 
     def add(self, answer: PastAnswer, delivered: bool) -> None:
-        """Adds an answer; `delivered`: it says that a message was delivered."""
+        """Adds an answer; `delivered`: it says that the one message of its call was delivered."""
         if delivered:
             self.deliveries += 1
             self.named_deliveries += bool(answer.named)
@@ -85,10 +96,11 @@
     two answers of one status have held different load reports.
     """
 
-    distrusted_until: float = 0.0
+    distrusted_until: float = float("-inf")
     distrust_ms: float = 0.0  # the last period of distrust
     answers: int = 0
     fastest_ms: float = float("inf")
+    last_reports: dict[bytes, bytes] = field(default_factory=dict)  # the last answer with one, by status
     reports_vary: bool = False
     doubted: int = 0
 
@@ -109,6 +121,11 @@
         known = self.destinations.get(destination)
         return known is None or now >= known.distrusted_until
 
+    @staticmethod
+    def settled_at(idle_since: float) -> float:
+        """When a connection that is idle since `idle_since` (ms) may carry another call."""
+        return idle_since + SETTLE_MS
+
     @staticmethod
     def has_settled(idle_ms: float) -> bool:
         """Whether a copy of the last answer would have arrived by now."""
@@ -127,35 +144,36 @@
         record.distrusted_until = now + record.distrust_ms
         return record.distrust_ms
 
-    def answered(
-        self, destination: int, past: PastAnswer, history: AnswerHistory | None, elapsed: float
-    ) -> None:
-        """Notes an answer that was believed, `elapsed` ms after its call began, before it joins `history`."""
+    def answered(self, destination: int, past: PastAnswer, elapsed: float) -> None:
+        """Notes an answer that was believed, `elapsed` ms after its call began."""
         record = self.record_of(destination)
         record.answers += 1
         record.fastest_ms = min(record.fastest_ms, elapsed)
-        if history is not None and past.has_report and not record.reports_vary:
-            record.reports_vary = any(
-                other.data != past.data and other.data.startswith(past.data[:STATUS_BYTES])
-                for other in history.answers
-            )
+        if past.has_report and not record.reports_vary:
+            status = past.data[:STATUS_BYTES]
+            record.reports_vary = record.last_reports.setdefault(status, past.data) != past.data
 
     def is_copy(self, past: PastAnswer, destination: int, idents: Collection[str], elapsed: float) -> bool:
         """Whether an answer that equals `past`, an earlier one on its connection, is a copy of that one.
 
         `idents` are the messages of the call that it came to, `elapsed` the ms since that call began. An
-        answer that names messages of another call is a copy. Otherwise it is one if it holds a load report
-        where reports vary, or if it comes much sooner than any answer did, unless such answers have turned
-        out to be genuine.
+        answer that names messages of another call is a copy. Where data has come unasked before, it is also
+        one if it holds a load report where reports vary, or if it comes much sooner than any answer did,
+        unless such answers have turned out to be genuine.
         """
         if past.named:
             return past.named.isdisjoint(idents)
         record = self.record_of(destination)
-        if record.doubted >= MAX_DOUBTED_ANSWERS:
+        if not record.distrust_ms or record.doubted >= MAX_DOUBTED_ANSWERS:
             return False
         early = record.answers >= MIN_TIMED_ANSWERS and elapsed < EARLY_SHARE * record.fastest_ms
         return early or (past.has_report and record.reports_vary)
 
+    def came_in_usual_time(self, destination: int, elapsed: float) -> bool:
+        """Whether an answer that breaks off came as late as answers do, `elapsed` ms after its call began."""
+        record = self.record_of(destination)
+        return record.answers >= MIN_TIMED_ANSWERS and elapsed >= EARLY_SHARE * record.fastest_ms
+
     def no_answer_behind_copy(self, destination: int) -> None:
         """Notes that no other answer followed one that was taken for a copy."""
         self.record_of(destination).doubted += 1
--- a/calicopin/state/connections.py
+++ b/calicopin/state/connections.py
@@ -95,7 +95,9 @@
         )
 
     def take(self, place, now):
-        """A usable idle connection; None where the caller has to open a new one, for which room was made."""
+        """A usable idle connection; None where the caller has to wait for one that rests (`take_resting`) or to
+        open a new one, for which room was made.
+        """
         self.used += 1
         idle_connections = self.idle.get(self.key(place), [])
         for idle in reversed(list(idle_connections)):
@@ -106,10 +108,18 @@
                 idle.connection.idle_ms = now - idle.since
                 return idle.connection
             close(idle.connection, place.ident, "idle for too long, closed by it, or not trusted")
-        if self.used + self.count > self.most:
+        if not idle_connections and self.used + self.count > self.most:
             self.close_oldest()
         return None
 
+    def take_resting(self, place):
+        """The idle connection that was answered first of those that rest after an answer, or None.
+
+        The caller waits until `reuse.settled_at(idle.since)` and then has to ask `is_usable`.
+        """
+        idle_connections = self.idle.get(self.key(place))
+        return idle_connections.pop(0) if idle_connections else None
+
     def close_oldest(self):
         """Closes the connection that has been idle for the longest time, if there is one."""
         oldest_by_key = [(idle[0].since, key) for key, idle in self.idle.items() if idle]
--- a/calicopin/wire/answers.py
+++ b/calicopin/wire/answers.py
@@ -10,7 +10,7 @@
 import h11
 from loguru import logger
 
-from calicopin.connection_reuse import ReusePolicy
+from calicopin.connection_reuse import HEAD_END, ReusePolicy, names_message
 from calicopin.facade import CallProgress, CallResult
 from calicopin.wire.http import TOO_LONG
 
@@ -22,7 +22,6 @@
 ANSWER_REMAINDER_MS = 1000.0  # for the rest of an answer, so that one that never ends does not hold a slot
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([0-9]{3})(?: [^\r\n]*)?\r?\n")  # complete: a cut one proves nothing
 EMBEDDED_STATUS_LINE = re.compile(rb".HTTP/1\.[01] [1-5][0-9]{2}", re.DOTALL)
-HEAD_END = b"\r\n\r\n"
 
 
 @dataclass(slots=True)
@@ -98,7 +97,9 @@
         outcome, complete = yield from read_answer(connection, call, until, report)
         return Answer(outcome, complete)
     copies = yield from discard_copies(connection, outstanding, reuse)
-    if connection.received and connection.history.may_become_copy(bytes(connection.received)):
+    elapsed = connection.loop.now() - outstanding.began
+    is_part = connection.received and connection.history.may_become_copy(bytes(connection.received))
+    if is_part and not reuse.came_in_usual_time(call.place.dest, elapsed):
         return Answer(CallResult(CallProgress.SENT, timed_out=connection.loop.now() >= until), False)
     if not (yield from is_one_answer(connection, until)):
         return Answer(CallResult(CallProgress.SENT), False, unsolicited=True)
@@ -174,13 +175,15 @@
 def read_delivered(connection, ident, until, report):
     """As `read_answer` after status 200 to a single text: delivered, whatever follows the status line.
 
-    Where all deliveries on this connection have named their message, one that does not proves nothing.
+    Where all deliveries on this connection have named their message, one that is whole and does not proves
+    nothing.
     """
-    if connection.history is not None and connection.history.names_messages:
-        outcome, complete = yield from read_to_end(connection, until)
-        named = ident.encode("latin-1") in connection.received
-        return (outcome, complete) if named else (CallResult(CallProgress.SENT, wait=outcome.wait), False)
-    return (yield from read_to_end(connection, until, report))
+    if connection.history is None or not connection.history.names_messages:
+        return (yield from read_to_end(connection, until, report))
+    outcome, complete = yield from read_to_end(connection, until)
+    if complete and not names_message(connection.parsed_data(), ident):
+        return CallResult(CallProgress.SENT, wait=outcome.wait), False
+    return outcome, complete
 
 
 def read_to_end(connection, until, report=lambda outcome: None):
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -59,7 +59,18 @@
     """
     call, until, place = outstanding.call, outstanding.until, outstanding.call.place
     connection, reusable = pool.take(place, loop.now()), False
+    resting = None if connection else pool.take_resting(place)
     try:
+        if resting:
+            connection = resting.connection
+            yield Until(pool.reuse.settled_at(resting.since))
+            connection.idle_ms = loop.now() - resting.since
+            if not pool.is_usable(resting, place.ident, loop.now()):
+                connection.close()
+                connection = None
+            elif not still_wanted(call, loop.now()):
+                reusable = True
+                return CallResult(CallProgress.CALLED_OFF)
         while not connection:
             connection = yield from open_connection(
                 loop, place.address, min(until, loop.now() + connect_timeout)
@@ -141,10 +152,9 @@
 
 def remember_answer(pool, connection, call, outcome, elapsed):
     """Notes an answer as one that later ones on its connection may be copies of."""
-    data = bytes(connection.received[: len(connection.received) - len(connection.unparsed())])
-    past = past_answer(data, [text.ident for text in call.texts], bool(outcome.load))
-    pool.reuse.answered(call.place.dest, past, connection.history, elapsed)
-    connection.remember_answer(past, outcome.status == 200)
+    past = past_answer(connection.parsed_data(), [text.ident for text in call.texts], bool(outcome.load))
+    pool.reuse.answered(call.place.dest, past, elapsed)
+    connection.remember_answer(past, outcome.status == 200 and len(call.texts) == 1)
 
 
 def may_be_reused(loop, pool, call, connection, unsolicited):
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -236,6 +236,10 @@
         except OSError as fault:
             return UNKNOWN if is_transient(fault) else b""
 
+    def parsed_data(self):
+        """The data of the current message that was parsed so far."""
+        return bytes(self.received[: len(self.received) - len(self.unparsed())])
+
     def remember_answer(self, answer, delivered):
         """Adds an answer (`PastAnswer`) to the history of this connection."""
         if self.history is None:
