--- a/calicopin/connection_reuse.py
+++ b/calicopin/connection_reuse.py
@@ -178,6 +178,10 @@
         """Notes that no other answer followed one that was taken for a copy."""
         self.record_of(destination).doubted += 1
 
+    def forget(self, destination: int) -> None:
+        """Forgets a destination that is not used any more."""
+        self.destinations.pop(destination, None)
+
     def forget_unlisted(self, listed: Collection[int]) -> None:
         """Forgets destinations that are not listed any more."""
         self.destinations = {known: record for known, record in self.destinations.items() if known in listed}
--- a/calicopin/lifecycle/runtime.py
+++ b/calicopin/lifecycle/runtime.py
@@ -232,6 +232,7 @@
         removed = self.facade.release(destination)
         if self.pool.listed is not None:
             self.pool.update_listed(removed, [])
+        self.pool.reuse.forget(destination)
 
     # The turn.
 
@@ -466,6 +467,7 @@
                 journal_bytes=self.journal.size,
                 journal_stuck=self.failed_turns,
                 idle_connections=self.pool.count,
+                data_unasked=self.pool.reuse.unsolicited_count,
                 destinations=self.facade.state(),
                 invariants_broken=self.guard.counts_by_name(),
             )
--- a/calicopin/soak/faulty_courier.py
+++ b/calicopin/soak/faulty_courier.py
@@ -3,8 +3,9 @@
 It is configured like any courier, with the faults as JSON in `LB_SOAK_FAULTS`. Without faults it is
 the same as in production.
 
-`LB_SOAK_VARIANT=forgets` is for the tests of the soak itself: a restarted courier then ignores the outages
-that its previous process recorded, and the send guard lets every call pass.
+`LB_SOAK_VARIANT` is for the tests of the soak itself. With `forgets`, a restarted courier ignores the outages
+that its previous process recorded, and the send guard lets every call pass. With `believes`, a courier calls
+again on a connection at once, and takes any answer for the one that it waits for.
 """
 
 import json
@@ -14,7 +15,7 @@
 from calicopin.lifecycle.signals import SignalReader
 from calicopin.soak.faulty_system import FaultInjector, FaultySystem, parse_faults
 
-VARIANT_VARIABLE, FORGETS = "LB_SOAK_VARIANT", "forgets"
+VARIANT_VARIABLE, FORGETS, BELIEVES = "LB_SOAK_VARIANT", "forgets", "believes"
 
 
 def disable_outage_recovery() -> None:
@@ -27,6 +28,15 @@
     SendGuard.may_call = lambda *_: True
 
 
+def believe_every_answer() -> None:
+    """Makes the courier reuse connections at once and tell no answer from another."""
+    from calicopin.connection_reuse import ReusePolicy
+
+    ReusePolicy.has_settled = staticmethod(lambda idle_ms: True)
+    ReusePolicy.may_keep = lambda *_: True
+    ReusePolicy.is_copy = lambda *_: False
+
+
 def main() -> int:
     """Serves until a signal; returns the courier's exit code."""
     signal_reader = SignalReader()
@@ -37,6 +47,8 @@
 
     if os.environ.get(VARIANT_VARIABLE) == FORGETS:
         disable_outage_recovery()
+    if os.environ.get(VARIANT_VARIABLE) == BELIEVES:
+        believe_every_answer()
     faults = json.loads(os.environ.get("LB_SOAK_FAULTS") or "[]")
     if faults:
         return start.main(signal_reader, FaultySystem(FaultInjector(parse_faults(faults), os.getpid())))
--- a/calicopin/state/connections.py
+++ b/calicopin/state/connections.py
@@ -95,8 +95,8 @@
         )
 
     def take(self, place, now):
-        """A usable idle connection; None where the caller has to wait for one that rests (`take_resting`) or to
-        open a new one, for which room was made.
+        """A usable idle connection; None where the caller has to wait for one that rests (`take_resting`) or
+        to open a new one, for which room was made.
         """
         self.used += 1
         idle_connections = self.idle.get(self.key(place), [])
@@ -177,7 +177,9 @@
 
     def set_listed(self, places):
         """Sets the endpoints that are listed now and closes idle connections to all others."""
+        places = list(places)
         self.listed = {self.key(place) for place in places}
+        self.reuse.forget_unlisted({place.dest for place in places})
         for key in [key for key in self.idle if key not in self.listed]:
             for idle in self.idle.pop(key):
                 close(idle.connection, key[0], "its endpoint is no longer listed")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,7 +16,7 @@
 from calicopin.soak.destination import read_request, response
 from calicopin.soak.faulty_system import Fault, FaultInjector, FaultySystem
 from calicopin.soak.fleet import DestinationPlan
-from calicopin.soak.plan import OutageStep, Plan, RestartStep, draw_plan
+from calicopin.soak.plan import CrowdStep, OutageStep, Plan, RepeatStep, RestartStep, SignalStep, draw_plan
 from calicopin.soak.platform import Platform
 from calicopin.soak.rules import Arrival, Drain, Failure, Message, Outage, Record, RequestedWait, SlowStart
 from calicopin.soak.run import courier_faults, is_affected, run_soak
@@ -269,3 +269,38 @@
         assert broken >= {"failback", "invariant"}, verdict.violations
     else:
         assert not broken, verdict.violations
+
+
+def repeating_plan():
+    """Two destinations and the platform send every answer twice; signals come in series, and a crowd."""
+    return Plan(
+        seed=2,
+        couriers=4,
+        seconds=6.0,
+        rule=SlowStart(cold_from=0.3, cold=8.0, multiple=2.5, span=3.0),
+        destinations=(DestinationPlan(120.0, 0.03), DestinationPlan(60.0, 0.05, bundle=10)),
+        load=0.8,
+        skew=1.2,
+        outages=(),
+        restarts=(RestartStep(3.0, 0.5, 0.5, True, ("SIGTERM", "SIGHUP", "SIGTERM")),),
+        stalls=(),
+        silences=(),
+        system=(),
+        signals=(SignalStep(1.0, 1.0, 3, 0.02),),
+        crowds=(CrowdStep(1.5, 2.0, 0.25, 150),),
+        repeats=tuple(RepeatStep(0.0, 6.0, party, 1.0, 0.012, False) for party in (None, 0, 1)),
+    )
+
+
+@pytest.mark.parametrize("variant", ["", "believes"])
+def test_soak_passes_while_peers_repeat_answers_and_detects_couriers_that_believe_them(
+    tmp_path, monkeypatch, variant
+):
+    monkeypatch.setenv("LB_SOAK_VARIANT", variant)
+    verdict = asyncio.run(run_soak(repeating_plan(), tmp_path))
+    broken = {violation.rule for violation in verdict.violations}
+    assert verdict.copies > 100 and verdict.delivered > 100
+    if variant:
+        assert broken & {"duplicate", "lost"}, verdict.violations
+    else:
+        assert not broken, verdict.violations
