Test of the pool's rest: times follow the constant

The same three facts are checked: no call before the rest is over, the first connection at its end, the second at its own.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -200,12 +200,12 @@
 
 def test_a_connection_that_was_just_answered_rests_before_the_next_call():
     pool, old, new = ConnectionPool(5, 1000.0), FakeConnection(), FakeConnection()
-    for at, connection in ((0.0, old), (50.0, new)):
+    for at, connection in ((0.0, old), (SETTLE_MS / 2.0, new)):
         assert pool.take(place("x"), at) is None
         pool.keep(place("x"), connection, at)
     assert pool.take(place("x"), SETTLE_MS - 1.0) is None
     assert pool.take(place("x"), SETTLE_MS) is old and pool.take(place("x"), SETTLE_MS) is None
-    assert pool.take(place("x"), 50.0 + SETTLE_MS) is new and not (old.closed or new.closed)
+    assert pool.take(place("x"), 1.5 * SETTLE_MS) is new and not (old.closed or new.closed)
 
 
 @pytest.mark.parametrize(
