Tests of a subscription's copied answers ask at the time of the next request

They are as strict as meant now: the copy changes nothing, its connection is closed, the lease is taken anew on another.

--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -181,6 +181,7 @@
     second = answer(200, node.body(request, 2, [entry("e-41", 41, "leaving")]))
     node.peer.say(second)
     spin(loop, lambda: len(updates) == 2)
+    advance(loop)
     target, _ = node.next_request()
     assert target == "/api/targets?index=2&wait=2000"
     loop.now.now += delay
@@ -193,7 +194,7 @@
     assert node.peer is not first and request["subscribe"] == [41]
     node.respond(request, 3, [entry("f-41", 41)], full=True)
     spin(loop, lambda: len(updates) == 3)
-    assert updates[-1] == ([("e-41", False, True), ("f-41", True, False)], True)
+    assert updates[-1] == ([("f-41", True, False)], True)
 
 
 def test_a_copy_of_an_older_answer_is_never_applied_over_a_newer_one(loop):
