--- a/calicopin/connection_reuse.py
+++ b/calicopin/connection_reuse.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
-SETTLE_MS = 25.0  # between an answer and the next call on its connection, for a copy to show up
+SETTLE_MS = 100.0  # between an answer and the next call on its connection, for a copy to show up
 DISTRUST_MS = 60_000.0  # without reuse, after data that no call had asked for; doubled each time
 MAX_DISTRUST_MS = 3_600_000.0
 EARLY_SHARE = 0.5  # of a destination's fastest answer; a repeated answer that comes sooner is a copy
--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -17,7 +17,7 @@
 from calicopin.state.journal import Journal
 from calicopin.state.ledger import Counters
 from calicopin.state.texts import Text
-from calicopin.wire import clients, endpoints
+from calicopin.wire import answers, clients, endpoints
 from calicopin.wire import notices as notices_module
 from calicopin.wire.clients import Clients, JournalledEvent
 from calicopin.wire.notices import Notices
@@ -252,8 +252,8 @@
 
 @fault("bulk-answer-misread", "loss", ANSWER)
 def _(change):
-    read = endpoints.decode_bulk_states
-    change(endpoints, "decode_bulk_states", lambda body: dict.fromkeys(read(body) or {}, "delivered"))
+    read = answers.decode_bulk_states
+    change(answers, "decode_bulk_states", lambda body: dict.fromkeys(read(body) or {}, "delivered"))
 
 
 @fault("body-cut", "calm", EFFECT, 1)
