--- a/calicopin/emulator/faults.py
+++ b/calicopin/emulator/faults.py
@@ -146,14 +146,14 @@
 
 @fault("wait-in-other-unit", "shut", WAIT)
 def _(change):
-    read = endpoints.decode_head
+    read = answers.decode_head
 
     def answer_in_seconds(head):
         told = read(head)
         told.wait /= 1000.0
         return told
 
-    change(endpoints, "decode_head", answer_in_seconds)
+    change(answers, "decode_head", answer_in_seconds)
 
 
 @fault("wait-ends-early", "shut", WAIT)
