A call with little time left waits for no resting connection

Found by reading the change: a call waited up to 100 ms for a connection that rests, however little time it had; one with 100 ms left was withdrawn at the end of its wait (`may_begin` asks again, nothing was sent late). It waits for half of its time at most now, else it opens a connection.

--- a/calicopin/state/connections.py
+++ b/calicopin/state/connections.py
@@ -112,13 +112,16 @@
             self.close_oldest()
         return None
 
-    def take_resting(self, place):
-        """The idle connection that was answered first of those that rest after an answer, or None.
+    def take_resting(self, place, latest):
+        """The idle connection that was answered first of those that rest after an answer; None if there is
+        none whose rest ends by `latest` (ms).
 
         The caller waits until `reuse.settled_at(idle.since)` and then has to ask `is_usable`.
         """
         idle_connections = self.idle.get(self.key(place))
-        return idle_connections.pop(0) if idle_connections else None
+        if not idle_connections or self.reuse.settled_at(idle_connections[0].since) > latest:
+            return None
+        return idle_connections.pop(0)
 
     def close_oldest(self):
         """Closes the connection that has been idle for the longest time, if there is one."""
--- a/calicopin/wire/endpoints.py
+++ b/calicopin/wire/endpoints.py
@@ -59,7 +59,8 @@
     """
     call, until, place = outstanding.call, outstanding.until, outstanding.call.place
     connection, reusable = pool.take(place, loop.now()), False
-    resting = None if connection else pool.take_resting(place)
+    # a call with little time left opens a connection rather than wait for one
+    resting = None if connection else pool.take_resting(place, (loop.now() + until) / 2.0)
     try:
         if resting:
             connection = resting.connection
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -5,7 +5,8 @@
 
 import pytest
 from helper import answer
-from repeating_endpoint import Copies, RepeatingEndpoint, run_calls
+from repeating_endpoint import Copies, RepeatingEndpoint, advance, make_call, run_calls
+from wire_helper import Out
 
 from calicopin.connection_reuse import DISTRUST_MS, MAX_DOUBTED_ANSWERS, MIN_TIMED_ANSWERS, SETTLE_MS
 from calicopin.facade import CallProgress, outcome_of
@@ -168,6 +169,15 @@
     assert not false_outcomes(endpoint, made) and endpoint.opened == 1
 
 
+def test_a_call_with_little_time_left_waits_for_no_resting_connection(loop):
+    endpoint = RepeatingEndpoint(loop, sequence(delivered), lambda number: Copies(), latency_ms=10.0)
+    pool = ConnectionPool(8, 8000.0)
+    run_calls(loop, endpoint, pool, 1)
+    hurried = Out(loop, make_call(endpoint, 1, timeout_ms=SETTLE_MS), pool)
+    advance(loop, endpoint, loop.now() + SETTLE_MS / 2.0, lambda: hurried.answer is not None)
+    assert hurried.answer.status == 200 and endpoint.opened == 2
+
+
 @pytest.mark.parametrize("suspected", [False, True])
 def test_equal_load_reports_are_no_sign_of_a_copy_where_reports_do_not_vary(loop, suspected):
     constant = [lambda number, idents: answer(503, X_Server_Load='{"x0":1,"x1":7.0}')]
