Ports of couriers and nodes in the soak and scale tests lie below those of outgoing connections

`free_port` asked the system for a port of the range from which outgoing connections get theirs, and let it go until the process listened.

--- a/calicopin/scale/nodes.py
+++ b/calicopin/scale/nodes.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -11,6 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+LISTENING_PORTS = (15000, 32000)  # below the ports that Linux gives to outgoing connections
 ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = (sys.executable, "-m", "calicopin", "discovery-node")
 SPARE_LEASES = 512  # beyond one per courier: leases of restarted couriers remain until they expire
@@ -34,10 +36,15 @@
 
 
 def free_port() -> int:
-    """A free TCP port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A free TCP port on loopback, which no outgoing connection takes before it is used."""
+    while True:
+        port = random.randrange(*LISTENING_PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def process_cpu(pid: int) -> float:
