--- a/review/stage.py
+++ b/review/stage.py
@@ -175,6 +175,9 @@
     def ran(self, ident, reference):
         """A message has taken effect."""
 
+    def failed(self, texts):
+        """A call fails; by default it does not run."""
+
     def _serve(self, endpoint):
         async def serve(request, writer, reader):
             first, headers, body = request
@@ -194,6 +197,7 @@
                 await writer.drain()
                 return True
             if what == "error":
+                self.failed(texts)
                 await asyncio.sleep(0.02)
                 writer.write(answer(500))
                 await writer.drain()
