--- a/review/stage.py
+++ b/review/stage.py
@@ -276,7 +276,7 @@
         host, _, port = address.rpartition(":")
         self.record, self.address, self.idle, self.messages = record, (host, int(port)), [], []
 
-    async def hand_in(self, message, retried=""):
+    async def hand_in(self, message):
         """Hands a message in and notes what came back: a status, 0 for no connection, -1 for no answer."""
         self.messages.append(message)
         message.sent_at = self.record.now()
@@ -289,7 +289,6 @@
             "Content-Length: 24",
         ]
         head += [f"Idempotency-Key: {message.reference}"] if message.reference else []
-        head += [f"X-Retried: {retried}"] if retried else []
         data = ("\r\n".join(head) + "\r\n\r\n").encode() + b"order 4711 is confirmed."
         try:
             message.status = await asyncio.wait_for(self._exchange(data), CLIENT_WAIT)
