--- a/review/stage.py
+++ b/review/stage.py
@@ -475,9 +475,12 @@
     """Plays `day(record, scratch)`, a coroutine that returns (exit code, summary lines); exits the script."""
     record, scratch = Record(Path(folder) / "record.txt"), Path(tempfile.mkdtemp(prefix="case-"))
     couriers = []
+    signal.signal(
+        signal.SIGTERM, signal.default_int_handler
+    )  # ended from outside, it still ends its couriers
     try:
         code, summary = asyncio.run(asyncio.wait_for(day(record, scratch, couriers), seconds))
-    except (CannotRunError, TimeoutError, OSError) as fault:
+    except Exception as fault:  # whatever it is, the case has not judged the courier
         code, summary = NOT_RUN, [f"could not run: {fault!r}"]
     except KeyboardInterrupt:
         code, summary = NOT_RUN, ["interrupted"]
