--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -18,6 +18,8 @@
 from calicopin.scheduler import Scheduler
 from calicopin.slow_start import COLD, OUT, OUTAGE_STREAK
 
+# Refusals and calls that were given up are no failures.
+FAILURES = (How.ERROR, How.TIMEOUT, How.UNREACHED, How.BROKEN)
 NEVER_RAN = (How.FULL, How.UNREACHED, How.NOT_SENT)  # outcomes that prove that the submit never ran
 MAINTENANCE_INTERVAL_MS = 250.0
 
@@ -77,6 +79,8 @@
             None,
         )
         self.idle_before = 0.0 if endpoint.calls else sent_at - endpoint.idle_since
+        route = endpoint.route
+        self.burst = route.slow_start.losses.sent(sent_at, route.usual_latency)
 
 
 class Kind:
@@ -222,6 +226,9 @@
             self.suspect_idle = (0.0, self.scheduler.now)
         if event.wait > 0.0:
             route.apply_wait(event.wait)
+        if first_of_outcome:
+            losses, delivered = route.slow_start.losses, outcome == How.DELIVERED
+            losses.ended(call.burst, outcome in FAILURES, delivered, first_of_call)
         if first_of_outcome and outcome == How.DELIVERED:
             route.delivered(event.elapsed)
             self.dest.bundle_size = min(self.dest.max_bundle, self.dest.bundle_size + 1)
--- a/calicopin/route.py
+++ b/calicopin/route.py
@@ -210,7 +210,7 @@
         suspected_since, changed = self.slow_start.suspected_since, self.slow_start.must_persist()
         if lasting := self.slow_start.detect_lasting_outage(now):  # it became one since the last maintenance
             self.mode_changed(lasting)
-        if why := self.slow_start.delivered(now):
+        if why := self.slow_start.delivered(now, self.usual_latency):
             self.mode_changed(why)
         elif suspected_since is not None:
             self.scheduler.log(f"{self.name} trusted: a call was delivered")
@@ -229,9 +229,10 @@
 
     def failed(self, why, wait):
         """A call failed; `why` is the outcome, `wait` how long (ms) its answer asks to wait."""
-        if outage := self.slow_start.failed(self.scheduler.now, why, wait):
+        now, slow_start = self.scheduler.now, self.slow_start
+        if outage := slow_start.failed(now, why, wait, self.usual_latency, self.usual_rate):
             self.mode_changed(outage)
-        if self.slow_start.must_persist():
+        if slow_start.must_persist():
             self.mark_changed()
 
     def interrupted(self):
--- a/calicopin/route_state.py
+++ b/calicopin/route_state.py
@@ -3,7 +3,7 @@
 No I/O, and nothing here decides anything. Times are milliseconds of the monotonic clock.
 """
 
-from calicopin import slow_start
+from calicopin import loss_tracker, slow_start
 
 # The stored fields of a token bucket, in their stored order, with the attribute of `Route` that holds each.
 BUCKET = {
@@ -35,7 +35,8 @@
     "doubted",
     "warm_at",
 )
-FIELDS = (*BUCKET, *slow_start.STATE)  # in the order of the journal: add new ones at the end
+# In the order of the journal: add new ones at the end.
+FIELDS = (*BUCKET, *slow_start.STATE, *loss_tracker.STATE)
 DECIMALS = 7  # rates are small: calls per millisecond
 TIME_DECIMALS = 1
 
@@ -54,13 +55,18 @@
 
 def values(route):
     """The stored state of a route, by field name."""
-    return read_fields(route, BUCKET) | read_fields(route.slow_start, slow_start.STATE)
+    return (
+        read_fields(route, BUCKET)
+        | read_fields(route.slow_start, slow_start.STATE)
+        | read_fields(route.slow_start.losses, loss_tracker.STATE)
+    )
 
 
 def set_values(route, state):
     """Sets the stored state of a route."""
     write_fields(route, BUCKET, state)
     write_fields(route.slow_start, slow_start.STATE, state)
+    write_fields(route.slow_start.losses, loss_tracker.STATE, state)
 
 
 def shift_times(state, offset):
--- a/calicopin/slow_start.py
+++ b/calicopin/slow_start.py
@@ -10,6 +10,7 @@
 from math import log
 
 from calicopin.interface import FailBack
+from calicopin.loss_tracker import LossTracker
 
 WELL, OUT, COLD = "well", "out", "cold"
 OUTAGE_STREAK = 5  # failures in a row that mean an outage, where failures are not usual
@@ -38,7 +39,8 @@
 
     `mode` is well, out (in an outage, as far as is known) or cold (it has answered since); `since` is when
     that began. `failures` counts the failures since the last delivery, from `first_failure_at` to
-    `last_failure_at`; `usual_failures` is the average number of failures between two deliveries.
+    `last_failure_at`; `usual_failures` is the average number of failures between two deliveries. `losses`
+    tells whether most calls fail.
     `only_refusals` says that all of them were refusals, `last_was_refusal` that the last one was.
     `suspected_since` is the `first_failure_at` of failures that may be an outage, or None.
     """
@@ -48,6 +50,7 @@
         self.mode, self.since, self.warm_at = WELL, 0.0, 0.0
         self.failures, self.only_refusals, self.first_failure_at, self.last_failure_at = 0, False, 0.0, 0.0
         self.usual_failures, self.suspected_since, self.last_was_refusal = 0.0, None, False
+        self.losses = LossTracker()
         # time (ms) and rate of each call that was sent while throttled
         self.recent_calls: deque[tuple[float, float]] = deque()
         self.violations = 0
@@ -122,8 +125,10 @@
 
     # Outcomes of calls.
 
-    def delivered(self, now: float) -> str | None:
-        """A call was delivered. Returns why the mode changed, or None."""
+    def delivered(self, now: float, usual_latency: float = 0.0) -> str | None:
+        """A call was delivered. Returns why the mode changed, or None. While calls still fail, the warm-up
+        cannot have begun long ago: it ends its time after the recovery.
+        """
         why = None
         if self.mode == OUT:
             why = f"answered after {now - self.since:.0f} ms"
@@ -131,25 +136,42 @@
             self.mode, self.since = COLD, self.last_failure_at
             self.warm_at = now + self.rule.cold
             self.failures = 0
+        if self.losses.mostly_failing:
+            self.warm_at = now + self.rule.cold
+            self.losses.check_recovery(now, usual_latency)
         self.usual_failures += 0.1 * (self.failures - self.usual_failures)
         self.failures, self.suspected_since = 0, None
         return why
 
-    def failed(self, now: float, why: str, wait: float) -> str | None:
+    def failed(
+        self, now: float, why: str, wait: float, usual_latency: float = 0.0, usual_rate: float = 0.0
+    ) -> str | None:
         """A call failed; its answer asked to wait for `wait` ms. Many failures in a row, or failures for the
-        rule's span, without a delivery between them are an outage, whatever their cause. Returns why the
-        mode changed, or None.
+        rule's span, without a delivery between them are an outage, whatever their cause; so are failures of
+        most calls. While most fail, a cold destination has not returned: its warm-up begins anew. Returns
+        why the mode changed, or None.
         """
         refusal = why == "full"
         self.only_refusals = refusal and (self.only_refusals or not self.failures)
         self._count_failure(now)
         self.last_failure_at, self.last_was_refusal = now, refusal
+        if self.mode == COLD and self.losses.mostly_failing and not refusal:
+            self.since, self.warm_at = now, now + self.rule.cold
+            return None
         streak = max(OUTAGE_STREAK, RARE_STREAK_EXPONENT / log(1.0 + 1.0 / max(1e-9, self.usual_failures)))
-        many = not refusal and self.failures >= streak
-        if self.mode == OUT or not (self.is_lasting(now) or many or wait > self.rule.span):
+        # failures may end sooner than the deliveries of calls that are out
+        excess = self.losses.excess(now, usual_latency)
+        many = not refusal and self.failures >= streak and excess >= OUTAGE_STREAK
+        most = not refusal and self._most_calls_fail(now, usual_latency, usual_rate)
+        if self.mode == OUT or not (self.is_lasting(now) or many or most or wait > self.rule.span):
             return None
         return self._enter_outage(now, f"last {why}, requested wait {wait:.0f} ms")
 
+    def _most_calls_fail(self, now: float, usual_latency: float, usual_rate: float) -> bool:
+        if self.mode == COLD:
+            return self.losses.returns_to_outage(now, usual_latency)
+        return self.losses.is_outage(now, usual_latency, usual_rate)
+
     def is_lasting(self, now: float) -> bool:
         """Whether failures have lasted long enough, and are enough, to be an outage."""
         min_failures = OUTAGE_STREAK if self.last_was_refusal else MIN_LASTING_FAILURES
@@ -158,6 +180,7 @@
     def _enter_outage(self, now: float, detail: str) -> str:
         reason = f"{self.failures} failures in {now - self.first_failure_at:.0f} ms, {detail}"
         self.mode, self.since, self.failures, self.suspected_since = OUT, now, 0, None
+        self.losses.begin_outage()
         return reason
 
     def detect_lasting_outage(self, now: float) -> str | None:
@@ -184,6 +207,7 @@
         self.only_refusals = self.last_was_refusal = False
         self._count_failure(now)
         self.last_failure_at = now
+        self.losses.interrupted()
 
     def starts_suspecting(self, now: float) -> bool:
         """Notes failures that have begun to look like an outage; returns whether there are new ones."""
@@ -198,16 +222,18 @@
 
     def finish_warmup(self, now: float) -> bool:
         """Ends the warm-up of a cold destination once its time has passed; returns whether it did."""
-        if self.mode != COLD or now < self.warm_at:
+        unanswered = self.losses.mostly_failing and self.failures > self.only_refusals
+        if self.mode != COLD or now < self.warm_at or unanswered:
             return False
         self.mode, self.since, self.failures, self.suspected_since = WELL, now, 0, None
+        self.losses.end_outage()
         return True
 
     # Restarts.
 
     def must_persist(self) -> bool:
         """Whether the next process has to know this state."""
-        return self.mode != WELL or self.failures > self.only_refusals
+        return self.mode != WELL or self.failures > self.only_refusals or self.losses.known_excess > 0
 
     def restore_clock(self, now: float, continuous: bool) -> None:
         """Adjusts the times after a restart: none may lie in the future but the end of the warm-up. Where the
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -19,6 +19,7 @@
     Undeliverable,
     Withdrawn,
 )
+from calicopin.slow_start import WELL
 
 
 def test_no_text_waits_before_the_first_refusal():
@@ -75,11 +76,23 @@
 def test_partial_loss_is_no_outage():
     """Two failures, or one call without an answer among answered ones, counted as an outage."""
     fixture = DecisionsFixture()
-    for how in (How.BROKEN, How.BROKEN, How.DELIVERED) * 10:
+    for how in (How.BROKEN, How.BROKEN, How.DELIVERED, How.DELIVERED, How.DELIVERED) * 10:
         fixture.outcome(submits(fixture.take(1))[0], how, ended=True)
     assert len(submits(fixture.take(10))) == 10
 
 
+def test_loss_of_most_calls_is_an_outage_despite_deliveries_between():
+    """Each delivery made the failures before it forgotten: a partner that failed two calls of three was
+    called at full rate, and pushed over when it returned cold.
+    """
+    fixture = DecisionsFixture()
+    for how in (How.BROKEN, How.BROKEN, How.DELIVERED) * 10:
+        for submit in submits(fixture.take(1)):
+            fixture.outcome(submit, how, ended=True)
+    assert fixture.courier.dests[0].routes[None].mode != WELL
+    assert len(submits(fixture.take(10))) == 0
+
+
 def test_an_endpoint_that_does_not_answer_is_chosen_seldom_but_not_never():
     """Of two endpoints, the one that once did not answer got every second text."""
     fixture, picked = DecisionsFixture(), []
--- /dev/null
+++ b/tests/test_partial_outage.py
@@ -0,0 +1,143 @@
+"""Outages in which most calls fail and some are delivered: seen while they last and over a restart, the
+return not pushed over, and usual losses, under a half, not taken for them.
+"""
+
+import pytest
+from fleet_simulation import Failure, Scenario, play
+from helper import DecisionsFixture, submits
+
+from calicopin import route_state
+from calicopin.interface import FailBack, How
+from calicopin.loss_tracker import RECOVERY_EXCESS, LossTracker
+from calicopin.slow_start import COLD, OUT, WELL, SlowStart
+
+RULE = FailBack(0.24, 9500.0, 1.5, 3000.0)
+FAILURES = (Failure.ERROR, Failure.REFUSED, Failure.SILENT, Failure.FLAPPING)
+
+
+def route_of(fixture):
+    return fixture.courier.dests[0].routes[None]
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+@pytest.mark.parametrize("senders", [1, 2, 12, 30])
+@pytest.mark.parametrize("failing", [0.65, 0.9])
+def test_a_destination_that_failed_most_calls_is_not_pushed_over(senders, failure, failing):
+    """Each delivery during the outage made the couriers forget it: they kept their rate, retried at once, and
+    brought the destination down within 2 s of its return.
+    """
+    scenario = Scenario(senders=senders, failure=failure, failing=failing)
+    assert play(scenario).excess() <= 0.0
+
+
+@pytest.mark.parametrize("length", [8.6, 20.0, 40.0])
+def test_the_length_of_a_partial_outage_does_not_matter(length):
+    """The longer it lasted, the more usual its failures were taken for."""
+    assert play(Scenario(length=length)).excess() <= 0.0
+
+
+@pytest.mark.parametrize("failure", [Failure.ERROR, Failure.SILENT])
+@pytest.mark.parametrize("loss", [0.15, 0.25, 0.33])
+@pytest.mark.parametrize("senders", [1, 2])
+def test_losses_of_a_third_do_not_slow_a_destination(senders, loss, failure):
+    """A third of the calls lost was taken for an outage, and service fell (incident of partial loss)."""
+    scenario = Scenario(senders=senders, failure=failure, failing=loss, load=0.45, length=25.0, warm_up=0.0)
+    result = play(scenario)
+    assert [line for _, _, line in result.logs if " out:" in line] == []
+
+
+def test_failures_that_end_before_the_deliveries_of_a_burst_are_no_outage():
+    """Errors come sooner than deliveries: of 40 calls sent together the first 16 to end had failed."""
+    fixture = DecisionsFixture()
+    for _ in range(30):
+        fixture.outcome(submits(fixture.take(1))[0], How.DELIVERED, elapsed=100.0, ended=True)
+    burst = submits(fixture.take(40))
+    fixture.step(after=20.0)
+    for submit in burst[::5] + burst[1::5]:
+        fixture.outcome(submit, How.ERROR, elapsed=20.0, ended=True)
+    assert route_of(fixture).mode == WELL
+
+
+def test_a_failure_during_the_warm_up_of_a_failing_destination_begins_it_anew():
+    """One delivery counted as the return, and the warm-up ended while most calls still failed."""
+    slow_start = SlowStart(RULE, 2)
+    for _ in range(6):
+        slow_start.losses.ended(slow_start.losses.sent(0.0), failed=True)
+        slow_start.failed(10.0, "error", 0.0)
+    assert slow_start.mode == OUT
+    slow_start.losses.ended(slow_start.losses.sent(100.0), delivered=True)
+    assert slow_start.delivered(200.0) and slow_start.mode == COLD
+    slow_start.losses.ended(slow_start.losses.sent(5000.0), failed=True)
+    slow_start.failed(5000.0, "error", 0.0)
+    assert slow_start.mode == COLD and slow_start.since == 5000.0
+    assert not slow_start.finish_warmup(5000.0 + RULE.cold), "no call was delivered since"
+    for at in range(6000, 12000, 1000):
+        slow_start.losses.ended(slow_start.losses.sent(at), delivered=True)
+        slow_start.delivered(at)
+    assert not slow_start.losses.mostly_failing
+    assert slow_start.warm_at == 11000.0 + RULE.cold, "from the delivery that made up for the failures"
+    assert not slow_start.finish_warmup(slow_start.warm_at - 1.0) and slow_start.finish_warmup(
+        slow_start.warm_at
+    )
+
+
+def test_a_single_failure_after_the_recovery_does_not_prolong_the_warm_up():
+    slow_start = SlowStart(RULE, 2)
+    slow_start.failed(0.0, "error", 4000.0)  # a requested wait that is longer than the rule's span
+    assert slow_start.mode == OUT
+    slow_start.losses.ended(slow_start.losses.sent(5000.0), delivered=True)
+    slow_start.delivered(5000.0)
+    slow_start.losses.ended(slow_start.losses.sent(6000.0), failed=True)
+    slow_start.failed(6000.0, "error", 0.0)
+    assert slow_start.mode == COLD and slow_start.warm_at == 5000.0 + RULE.cold
+
+
+@pytest.mark.parametrize(
+    "outcomes", [(How.ERROR,) * 4 + (How.DELIVERED,), (How.ERROR,) * 6 + (How.DELIVERED,)]
+)
+def test_a_restart_remembers_the_losses(outcomes):
+    """A process that had not counted as many failures as an outage takes began anew with each restart."""
+    fixture = DecisionsFixture()
+    for how in outcomes:
+        for submit in submits(fixture.take(1)) or submits(fixture.step(after=2000.0)):
+            fixture.outcome(submit, how, ended=True)
+    before = route_of(fixture)
+    assert before.has_stored_state
+    state = route_state.unpacked(route_state.packed(route_state.values(before)))
+    after = route_of(DecisionsFixture())
+    route_state.restore(after, state, 0.0, True)
+    losses = after.slow_start.losses
+    assert losses.known_excess == before.slow_start.losses.known_excess > 0
+    assert losses.mostly_failing == before.slow_start.losses.mostly_failing
+
+
+def test_calls_that_are_late_count_neither_as_failed_nor_as_delivered():
+    losses = LossTracker()
+    for _ in range(3):
+        losses.ended(losses.sent(0.0), failed=True)
+    late = losses.sent(0.0)
+    losses.sent(900.0)
+    assert losses.excess(1000.0, usual_latency=100.0) == 2, "the late one is passed over"
+    losses.ended(late, failed=True)
+    assert losses.excess(1000.0, usual_latency=100.0) == 3
+
+
+def test_failures_of_an_outage_are_not_learned_as_usual():
+    """The average that an outage had to exceed was raised by the outage itself."""
+    losses = LossTracker()
+    for change in (1, 1, 1, -1) * 20:
+        losses.ended(losses.sent(0.0), change > 0, change < 0)
+    assert losses.usual_failures == 0.0
+    losses = LossTracker()
+    for change in (1, -1, -1) * 20:
+        losses.ended(losses.sent(0.0), change > 0, change < 0)
+    assert 0.4 < losses.usual_failures < 0.6
+
+
+def test_deliveries_have_to_make_up_for_no_more_than_the_last_failures_of_an_outage():
+    losses = LossTracker()
+    losses.begin_outage()
+    for change in (1,) * 100 + (-1,) * RECOVERY_EXCESS:
+        losses.ended(losses.sent(0.0), change > 0, change < 0)
+    losses.check_recovery(0.0, 0.0)
+    assert not losses.mostly_failing
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -333,7 +333,8 @@
 
 STORED_FIELDS = (
     "rate start agreed limit tokens filled pause cut_at changed waited left sent_at usual flow cut_off "
-    "mode since fails refused last_refused fail_since failed_at doubted gap warm_at"
+    "mode since fails refused last_refused fail_since failed_at doubted gap warm_at "
+    "excess failing losses"
 ).split()
 
 
@@ -356,6 +357,8 @@
     assert (known.only_refusals, known.last_was_refusal) == (18.0, 19.0)
     failures = known.first_failure_at, known.last_failure_at, known.suspected_since, known.usual_failures
     assert (*failures, known.warm_at) == (20.0, 21.0, 22.0, 23.0, 24.0)
+    losses = known.losses
+    assert (losses.known_excess, losses.mostly_failing, losses.usual_failures) == (25.0, 26.0, 27.0)
 
 
 def test_a_handover_sends_the_decisions_under_their_outer_names():
