--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -67,7 +67,8 @@
 
 class Call:
     """One call in flight and the texts that share it: `pending` counts those without an outcome, `size` all
-    of them; `idle_before` is how long (ms) the connection was idle before the call.
+    of them; `idle_before` is how long (ms) its connection was idle before the call, 0 if it was in use or is
+    a new one.
     """
 
     def __init__(self, endpoint, sent_at, texts):
@@ -78,7 +79,9 @@
             texts,
             None,
         )
-        self.idle_before = 0.0 if endpoint.calls else sent_at - endpoint.idle_since
+        idle = sent_at - endpoint.idle_since
+        is_new_connection = idle >= endpoint.kind.current_idle_limit(sent_at)  # idle ones were closed by then
+        self.idle_before = 0.0 if endpoint.calls or is_new_connection else idle
         route = endpoint.route
         self.burst = route.slow_start.losses.sent(sent_at, route.usual_latency)
 
@@ -145,7 +148,9 @@
         cost needless reconnects.
         """
         now, kind = self.scheduler.now, self.kind
-        contended = self.keep_open_until <= now < kind.last_unreached_at + Route.RETENTION_MS
+        contended = self.dest.closes_idle and (
+            self.keep_open_until <= now < kind.last_unreached_at + Route.RETENTION_MS
+        )
         if not self.calls and (contended or self.idle_since + kind.current_idle_limit(now) <= now):
             self.scheduler.actions.append(Close(self.ident))
 
@@ -192,8 +197,8 @@
             if self.dest.closes_idle:
                 self.keep_open_until = self.idle_since + max(route.usual_latency, self.dest.tick)
                 self.scheduler.schedule(self.keep_open_until, self, "close_idle")
-                if (idle_limit := self.kind.current_idle_limit(self.idle_since)) < float("inf"):
-                    self.scheduler.schedule(self.idle_since + idle_limit, self, "close_idle")
+            if (idle_limit := self.kind.current_idle_limit(self.idle_since)) < float("inf"):
+                self.scheduler.schedule(self.idle_since + idle_limit, self, "close_idle")
         if first_of_call and event.limit is not None:
             route.note_limit(event.limit / 1000.0, event.left or 0.0, call.size)
         if outcome == How.UNREACHED:
--- a/tests/test_partial_outage.py
+++ b/tests/test_partial_outage.py
@@ -7,12 +7,12 @@
 from helper import DecisionsFixture, submits
 
 from calicopin import route_state
-from calicopin.interface import FailBack, How
+from calicopin.interface import FailBack, How, Partner
 from calicopin.loss_tracker import RECOVERY_EXCESS, LossTracker
 from calicopin.slow_start import COLD, OUT, WELL, SlowStart
 
 RULE = FailBack(0.24, 9500.0, 1.5, 3000.0)
-FAILURES = (Failure.ERROR, Failure.REFUSED, Failure.SILENT, Failure.FLAPPING)
+FAILURES = (Failure.ERROR, Failure.RESET, Failure.REFUSED, Failure.SILENT, Failure.FLAPPING)
 
 
 def route_of(fixture):
@@ -36,7 +36,7 @@
     assert play(Scenario(length=length)).excess() <= 0.0
 
 
-@pytest.mark.parametrize("failure", [Failure.ERROR, Failure.SILENT])
+@pytest.mark.parametrize("failure", [Failure.ERROR, Failure.RESET, Failure.SILENT])
 @pytest.mark.parametrize("loss", [0.15, 0.25, 0.33])
 @pytest.mark.parametrize("senders", [1, 2])
 def test_losses_of_a_third_do_not_slow_a_destination(senders, loss, failure):
@@ -141,3 +141,17 @@
         losses.ended(losses.sent(0.0), change > 0, change < 0)
     losses.check_recovery(0.0, 0.0)
     assert not losses.mostly_failing
+
+
+def test_resets_under_calls_on_new_connections_are_failures():
+    """A reset that came sooner than any answer was laid to an idle connection each time, though the one
+    before had left no connection open.
+    """
+    fixture = DecisionsFixture(partners=[Partner()])
+    for _ in range(4):
+        fixture.outcome(submits(fixture.take(1))[0], How.DELIVERED, elapsed=100.0, ended=True)
+    for _ in range(12):
+        fixture.step(after=60.0)
+        for submit in submits(fixture.take(1)):
+            fixture.outcome(submit, How.BROKEN, elapsed=20.0, ended=True)
+    assert route_of(fixture).mode == OUT
