--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -191,68 +191,88 @@
             outcome,
         )
         if not call.pending:
-            self.calls.remove(call)
-            self.scheduler.post(self.dest.pool, "release", self.dest)
-            self.idle_since = self.scheduler.now
-            if self.dest.closes_idle:
-                self.keep_open_until = self.idle_since + max(route.usual_latency, self.dest.tick)
-                self.scheduler.schedule(self.keep_open_until, self, "close_idle")
-            if (idle_limit := self.kind.current_idle_limit(self.idle_since)) < float("inf"):
-                self.scheduler.schedule(self.idle_since + idle_limit, self, "close_idle")
+            self.release_call(call)
         if first_of_call and event.limit is not None:
             route.note_limit(event.limit / 1000.0, event.left or 0.0, call.size)
         if outcome == How.UNREACHED:
-            self.kind.last_unreached_at = self.scheduler.now
-            # without a delay a text would use up its submits while the endpoint is full or down
-            delay = max(route.usual_latency, 20.0 * self.dest.tick) * 2.0**self.consecutive_failures
-            self.retry_at = self.scheduler.now + delay * (0.5 + self.scheduler.draw(self.ident))
-        if (
-            first_of_call
-            and outcome == How.BROKEN
-            and 0.0 < call.idle_before
-            and event.elapsed < route.fastest_answer
-        ):
+            self.delay_next_connection()
+        if first_of_call and self.was_stale(call, event):
             self.kind.note_stale_connection(self.scheduler, call.idle_before)
             outcome = How.CALLED_OFF  # not the endpoint's fault, but the text may have run
         if outcome == How.FULL:
             route.refused(call)
         elif outcome == How.TIMEOUT:
             route.longest_timeout = max(route.longest_timeout, event.elapsed)
-            if first_of_call and call.sent_at >= self.suspect_idle[1]:
-                # the next call, on a new connection, decides
-                self.suspect_idle = (0.0 if self.suspect_idle[0] else call.idle_before, self.scheduler.now)
-        elif (
-            first_of_call
-            and outcome == How.DELIVERED
-            and self.suspect_idle[0]
-            and call.sent_at >= self.suspect_idle[1]
-        ):
-            self.kind.note_stale_connection(self.scheduler, self.suspect_idle[0])
-            self.suspect_idle = (0.0, self.scheduler.now)
+        if first_of_call:
+            self.check_suspect_idle(call, outcome)
         if event.wait > 0.0:
             route.apply_wait(event.wait)
         if first_of_outcome:
             losses, delivered = route.slow_start.losses, outcome == How.DELIVERED
             losses.ended(call.burst, outcome in FAILURES, delivered, first_of_call)
         if first_of_outcome and outcome == How.DELIVERED:
-            route.delivered(event.elapsed)
-            self.dest.bundle_size = min(self.dest.max_bundle, self.dest.bundle_size + 1)
-            self.consecutive_failures, self.failures_by_product[text.product] = (
-                0,
-                self.failures_by_product[text.product] // 2,
-            )
+            self.record_delivery(text.product, event.elapsed)
         elif first_of_outcome and outcome not in (How.NOT_SENT, How.CALLED_OFF):
-            route.failed(outcome.name.lower(), event.wait)
-            self.consecutive_failures = min(OUTAGE_STREAK, self.consecutive_failures + (outcome != How.FULL))
-            self.failures_by_product[text.product] = min(
-                OUTAGE_STREAK, self.failures_by_product[text.product] + (outcome != How.FULL)
-            )
-            if outcome == How.BROKEN:  # one lost answer fails every text of the call
-                self.dest.bundle_size = max(1, min(self.dest.bundle_size, call.size // 2))
+            self.record_failure(text.product, outcome, event.wait, call)
         if outcome not in NEVER_RAN and text.ran_at is None:
             text.ran_at, text.ran_zone = call.sent_at, self.zone
         self.scheduler.post(self.dest, "submit_ended", text, event)
 
+    def release_call(self, call):
+        """The last text of a call has its outcome: its slot is free and its connection idle."""
+        self.calls.remove(call)
+        self.scheduler.post(self.dest.pool, "release", self.dest)
+        self.idle_since = self.scheduler.now
+        if self.dest.closes_idle:
+            self.keep_open_until = self.idle_since + max(self.route.usual_latency, self.dest.tick)
+            self.scheduler.schedule(self.keep_open_until, self, "close_idle")
+        if (idle_limit := self.kind.current_idle_limit(self.idle_since)) < float("inf"):
+            self.scheduler.schedule(self.idle_since + idle_limit, self, "close_idle")
+
+    def delay_next_connection(self):
+        """A connection was refused: without a delay a text would use up its submits while the endpoint is
+        full or down.
+        """
+        self.kind.last_unreached_at = self.scheduler.now
+        delay = max(self.route.usual_latency, 20.0 * self.dest.tick) * 2.0**self.consecutive_failures
+        self.retry_at = self.scheduler.now + delay * (0.5 + self.scheduler.draw(self.ident))
+
+    def was_stale(self, call, event):
+        """Whether a call broke since its connection had been closed while it was idle: it did so sooner than
+        any answer came.
+        """
+        broke_at_once = event.how == How.BROKEN and event.elapsed < self.route.fastest_answer
+        return broke_at_once and call.idle_before > 0.0
+
+    def check_suspect_idle(self, call, outcome):
+        """A time-out may mean a connection that was dropped while it was idle: the next call, on a new one,
+        decides.
+        """
+        if call.sent_at < self.suspect_idle[1]:
+            return
+        if outcome == How.TIMEOUT:
+            self.suspect_idle = (0.0 if self.suspect_idle[0] else call.idle_before, self.scheduler.now)
+        elif outcome == How.DELIVERED and self.suspect_idle[0]:
+            self.kind.note_stale_connection(self.scheduler, self.suspect_idle[0])
+            self.suspect_idle = (0.0, self.scheduler.now)
+
+    def record_delivery(self, product, elapsed):
+        """A call was answered as delivered, `elapsed` ms after it was sent."""
+        self.route.delivered(elapsed)
+        self.dest.bundle_size = min(self.dest.max_bundle, self.dest.bundle_size + 1)
+        self.consecutive_failures = 0
+        self.failures_by_product[product] //= 2
+
+    def record_failure(self, product, outcome, wait, call):
+        """A call failed or was refused; its answer asks to wait for `wait` ms."""
+        self.route.failed(outcome.name.lower(), wait)
+        failures = int(outcome != How.FULL)
+        self.consecutive_failures = min(OUTAGE_STREAK, self.consecutive_failures + failures)
+        by_product = self.failures_by_product[product] + failures
+        self.failures_by_product[product] = min(OUTAGE_STREAK, by_product)
+        if outcome == How.BROKEN:  # one lost answer fails every text of the call
+            self.dest.bundle_size = max(1, min(self.dest.bundle_size, call.size // 2))
+
 
 class Destination:
     """The queue of one destination, first in, first out, and the choice of an endpoint.
