--- a/calicopin/slow_start.py
+++ b/calicopin/slow_start.py
@@ -155,17 +155,27 @@
         self.only_refusals = refusal and (self.only_refusals or not self.failures)
         self._count_failure(now)
         self.last_failure_at, self.last_was_refusal = now, refusal
+        if self.mode == OUT:
+            return None
         if self.mode == COLD and self.losses.mostly_failing and not refusal:
             self.since, self.warm_at = now, now + self.rule.cold
             return None
-        streak = max(OUTAGE_STREAK, RARE_STREAK_EXPONENT / log(1.0 + 1.0 / max(1e-9, self.usual_failures)))
-        # failures may end sooner than the deliveries of calls that are out
-        excess = self.losses.excess(now, usual_latency)
-        many = not refusal and self.failures >= streak and excess >= OUTAGE_STREAK
-        most = not refusal and self._most_calls_fail(now, usual_latency, usual_rate)
-        if self.mode == OUT or not (self.is_lasting(now) or many or most or wait > self.rule.span):
+        detail = f"last {why}, requested wait {wait:.0f} ms"
+        if self.is_lasting(now) or wait > self.rule.span:
+            return self._enter_outage(now, detail)
+        if refusal:
             return None
-        return self._enter_outage(now, f"last {why}, requested wait {wait:.0f} ms")
+        # with the calls that are out: failures may end sooner than the deliveries of calls sent before
+        excess = self.losses.excess(now, usual_latency)
+        if self.failures >= self._outage_streak() and excess >= OUTAGE_STREAK:
+            return self._enter_outage(now, detail)
+        if self._most_calls_fail(now, usual_latency, usual_rate):
+            return self._enter_outage(now, f"{excess} more failures than deliveries, {detail}")
+        return None
+
+    def _outage_streak(self) -> float:
+        """How many failures in a row mean an outage."""
+        return max(OUTAGE_STREAK, RARE_STREAK_EXPONENT / log(1.0 + 1.0 / max(1e-9, self.usual_failures)))
 
     def _most_calls_fail(self, now: float, usual_latency: float, usual_rate: float) -> bool:
         if self.mode == COLD:
