--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,24 +3,18 @@
 A sample of the kill steps is run; with CALICOPIN_SWEEP=all in the environment, all of them.
 """
 
-import http.client
-import json
 import os
 import random
 import signal
 import socket
-import subprocess
-import sys
-import threading
 import time
 
 import pytest
-from helper import free_address, terms
+from platform_helper import Platform
 
 from calicopin.handover import state
 from calicopin.handover.channel import Channel, HandoverError
 
-ROOT = os.path.join(os.path.dirname(__file__), "..")
 DRIVER = """
 import os, signal, socket, sys
 from calicopin import system
@@ -88,203 +82,6 @@
 """
 
 
-def serve(listener, handler):
-    """A test server that handles each connection in a thread of its own."""
-
-    def accept():
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError:
-                return
-            threading.Thread(target=handler, args=(sock,), daemon=True).start()
-
-    threading.Thread(target=accept, daemon=True).start()
-
-
-def requests(sock):
-    """(target, headers, body) of each request until the other side closes."""
-    data = b""
-    while True:
-        while b"\r\n\r\n" not in data:
-            more = sock.recv(65536)
-            if not more:
-                return
-            data += more
-        head, _, data = data.partition(b"\r\n\r\n")
-        fields = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
-        size = int(fields.get(b"content-length", 0))
-        while len(data) < size:
-            data += sock.recv(65536)
-        body, data = data[:size], data[size:]
-        yield head.split(b" ")[1].decode(), fields, body
-
-
-class Platform:
-    """The platform, one endpoint of destination 7, and couriers started with one inherited socket."""
-
-    def __init__(self, folder):
-        self.folder, self.release, self.wait = folder, threading.Event(), 0
-        self.endpoint_listener, self.agent_listener = (
-            socket.create_server(("127.0.0.1", 0)) for _ in range(2)
-        )
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
-        self.heard, self.delivered, self.notices, self.list_requests, self.connections = [], [], [], 0, 0
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        serve(self.endpoint_listener, self.serve_endpoint)
-        serve(self.agent_listener, self.serve_agent)
-        self.processes = []
-        for name in ("state", "tmp"):
-            (folder / name).mkdir()
-
-    def serve_endpoint(self, sock):
-        self.connections += 1
-        try:
-            for _, fields, _ in requests(sock):
-                ident = fields[b"x-request-id"].decode()
-                self.heard.append(ident)
-                if ident.startswith("hold"):
-                    self.release.wait(20.0)
-                if ident.startswith("wait"):
-                    sock.sendall(b"HTTP/1.1 429 X\r\nX-Retry-In-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                self.delivered.append(ident)
-                sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
-        except OSError:
-            pass
-
-    def serve_agent(self, sock):
-        try:
-            for target, _, body in requests(sock):
-                if target == "/v1/outcomes":
-                    self.notices += [json.loads(line) for line in body.splitlines()]
-                    sock.sendall(b"HTTP/1.1 204 X\r\n\r\n")
-                else:
-                    self.list_requests += 1
-                    answer = json.dumps(self.known()).encode()
-                    if "index" in target:
-                        time.sleep(2.0)  # no change of the list
-                        answer = b'{"version": 4, "full": false, "servers": []}'
-                    sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
-        except OSError:
-            pass
-
-    def known(self):
-        return {
-            "version": 4,
-            "full": True,
-            "servers": [
-                {
-                    "id": "s-1",
-                    "addr": "127.0.0.1:%d" % self.endpoint_listener.getsockname()[1],
-                    "zone": "a",
-                    "kind": "one",
-                    "cell": 7,
-                    "state": "active",
-                }
-            ],
-        }
-
-    def start(self, role=None, at=0, **env):
-        """Starts a courier with an admin address; with a `role` it is killed at step `at` of the handover."""
-        config = dict(
-            name="n0",
-            listen=self.address,
-            discovery="127.0.0.1:%d" % self.agent_listener.getsockname()[1],
-            seed="5",
-            known=self.known(),
-            limits=dict(sockets=256, disk_mb=3),
-            settings=terms(),
-        )
-        (self.folder / "config.json").write_text(json.dumps(config))
-        admin = free_address()
-        env = {
-            **os.environ,
-            "LB_CONFIG": str(self.folder / "config.json"),
-            "LB_STATE": str(self.folder / "state"),
-            "LB_ADMIN_ADDR": admin,
-            "TMPDIR": str(self.folder / "tmp"),
-            "LB_PASSED_SOCKET": str(self.listener.fileno()),
-            "PYTHONPATH": ROOT,
-            **env,
-        }
-        command = (
-            [sys.executable, "-c", DRIVER, role, str(at)] if role else [sys.executable, "-m", "calicopin"]
-        )
-        process = subprocess.Popen(
-            command,
-            env=env,
-            cwd=self.folder,
-            pass_fds=(self.listener.fileno(),),
-            stderr=subprocess.PIPE,
-            text=True,
-        )
-        process.admin, process.lines = admin, []
-        threading.Thread(target=lambda: process.lines.extend(process.stderr), daemon=True).start()
-        self.processes.append(process)
-        return process
-
-    def call(self, process, path, method="GET"):
-        """The body of the admin answer, or None if the answer is not 200."""
-        connection = http.client.HTTPConnection(process.admin, timeout=3.0)
-        try:
-            connection.request(method, f"/admin/{path}")
-            answer = connection.getresponse()
-            return json.loads(answer.read()) if answer.status == 200 else None
-        except (OSError, http.client.HTTPException):
-            return None
-        finally:
-            connection.close()
-
-    def up(self, *processes, patience=15.0):
-        """The first of the processes that reports health."""
-        until = time.monotonic() + patience
-        while time.monotonic() < until:
-            for process in processes:
-                if process.poll() is None and self.call(process, "health"):
-                    return process
-            time.sleep(0.02)
-        raise AssertionError(f"no process became healthy: {[process.lines[-5:] for process in processes]}")
-
-    def client(self):
-        return http.client.HTTPConnection(self.address, timeout=5.0)
-
-    def post(self, ident, product="notice", connection=None):
-        connection = connection or self.client()
-        connection.request(
-            "POST", f"/{product}", b"xyz", {"X-Request-ID": ident, "X-Timeout": "15", "X-Envelope": "dest=7"}
-        )
-        answer = connection.getresponse()
-        answer.read()
-        return answer.status
-
-    def accepts_messages(self):
-        """Whether a message is accepted or already known; a client whose connection breaks tries again."""
-        try:
-            return self.post("after") in (202, 409)
-        except (OSError, http.client.HTTPException):
-            return False
-
-    def until(self, done, patience=15.0):
-        end = time.monotonic() + patience
-        while not done():
-            assert time.monotonic() < end, (
-                self.heard,
-                self.delivered,
-                self.notices,
-                [process.lines[-8:] for process in self.processes],
-            )
-            time.sleep(0.02)
-
-    def end(self):
-        for process in self.processes:
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-        for sock in (self.endpoint_listener, self.agent_listener, self.listener):
-            sock.close()
-
-
 @pytest.fixture
 def platform(tmp_path):
     test_platform = Platform(tmp_path)
@@ -356,11 +153,11 @@
     """Checks that the other tests here would fail if waits or drains were not handed over. The second call
     has to come within the wait, as one after it would show nothing.
     """
-    old = platform.up(platform.start("loses-waits"))
+    old = platform.up(platform.start(DRIVER, "loses-waits", "0"))
     assert platform.post("wait-1") == 202
     platform.until(lambda: platform.heard == ["wait-1"])
     wait_told_at = time.monotonic()
-    platform.up(platform.start("loses-drains"))
+    platform.up(platform.start(DRIVER, "loses-drains", "0"))
     old.send_signal(signal.SIGTERM)
     platform.until(lambda: len(platform.heard) > 1)
     assert time.monotonic() < wait_told_at + 4.9, "the endpoint asked for a wait of 5 s"
@@ -455,7 +252,7 @@
     """The surviving process goes on serving: each accepted text ends once, and once-only texts are not
     submitted twice.
     """
-    old = platform.up(platform.start(*(("old", at) if role == "old" else ())))
+    old = platform.up(platform.start(*((DRIVER, "old", str(at)) if role == "old" else ())))
     accepted = [
         ident
         for ident, product in (
@@ -467,7 +264,7 @@
         if platform.post(ident, product) == 202
     ]
     platform.until(lambda: len(platform.heard) == 4)
-    new = platform.start(*(("new", at) if role == "new" else ()))
+    new = platform.start(*((DRIVER, "new", str(at)) if role == "new" else ()))
     victim, survivor = (old, new) if role == "old" else (new, old)
     platform.until(lambda: victim.poll() is not None or platform.call(new, "health"))
     platform.until(lambda: not (role == "old" and victim.poll() is None) or platform.call(new, "health"))
