A discovery address moved by a reload outlives new versions, restarts and dead successors

The same behind one SIGKILL or SIGTERM and start, and where a successor was killed.

Cause: which of LB_DISCOVERY and the file was told last was known to one process, in memory (ConfigurationReload.reloaded, False in each new one). Restarts, the old process behind a dead successor and a successor's successor went by the precedence of a first start. A SIGHUP to a process that had handed over was passed over.

A start that waited for its folder reads the configuration again, and a retired process passes a reload on to its successor.

--- a/calicopin/handover/channel.py
+++ b/calicopin/handover/channel.py
@@ -12,6 +12,7 @@
 MAX_FRAME_BYTES = 64 << 20
 MAX_FRAME_DESCRIPTORS = 64  # in one frame
 RECEIVE_BYTES = 1 << 18
+RELOAD = b"R"  # sent behind the frames, by a retired process that was signalled to reload
 PEER_CREDENTIALS = struct.Struct("3i")
 
 
--- a/calicopin/handover/receiver.py
+++ b/calicopin/handover/receiver.py
@@ -9,12 +9,13 @@
 import h11
 from loguru import logger
 
-from calicopin.handover.channel import Channel, HandoverError
+from calicopin.handover.channel import RECEIVE_BYTES, RELOAD, Channel, HandoverError
 from calicopin.handover.state import FORM, restore
 from calicopin.state.connections import IdleConnection
 from calicopin.wire.clients import ClientConnection
 from calicopin.wire.endpoints import OutstandingCall
 from calicopin.wire.http import Connection
+from calicopin.wire.loop import FOREVER, READ, Until
 
 ANSWER_TIMEOUT_S = 3.0  # longer than the other process's own time-out
 POLL_INTERVAL_S = 0.05
@@ -73,6 +74,25 @@
             runtime.connection_lost(call)
         return lock
 
+    def wait_for_reload(self, request):
+        """A coroutine that calls `request` for each reload that the retired process passes on."""
+        sock, received = self.channel.sock, bytes(self.channel.buffer)
+        self.channel.buffer.clear()
+        sock.setblocking(False)
+        while True:
+            if RELOAD in received:
+                request()
+            yield Until(FOREVER, sock.fileno(), READ)
+            try:
+                received = sock.recv(RECEIVE_BYTES)
+            except BlockingIOError:
+                received = b""
+                continue
+            except OSError:
+                return
+            if not received:
+                return
+
     def resume_call(self, loop, runtime, clients, connection, sock):
         """Resumes a call in flight with its connection and the bytes received on it."""
         number, call = connection["call"], self.outstanding_calls.pop(connection["call"])
--- a/calicopin/handover/sender.py
+++ b/calicopin/handover/sender.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from calicopin.handover.channel import Channel, HandoverError, is_same_user
+from calicopin.handover.channel import RELOAD, Channel, HandoverError, is_same_user
 from calicopin.handover.state import FORM, snapshot
 from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Until
 
@@ -156,12 +156,17 @@
             began=[outstanding.began for outstanding in outstanding_calls],
             version=None if self.runtime.subscription else getattr(self.discovery, "version", None),
             current=self.runtime.list_received,
-            renewed=self.reload.reloaded,
+            renewed=self.prefers_file(),  # read by versions that journal no discovery address
             trust=pool.trusted_idle_ms,
             fastest=[[*key, elapsed] for key, elapsed in pool.fastest_answer_ms.items()],
             drained=stop.drain.began if stop.drain else None,
         )
 
+    def prefers_file(self):
+        """Whether the discovery address of the configuration file precedes the variable."""
+        discovery_address = self.runtime.journal.discovery_address
+        return discovery_address is not None and discovery_address.prefers_file
+
     def send_connections(self, channel, outstanding_calls):
         """Sends the connections, some in each frame, and closes each here once it is sent."""
         runtime, clients = self.runtime, self.clients
@@ -234,8 +239,22 @@
         self.stop.end_drain()
         self.clients.closing = self.clients.leaving = True
         sock.setblocking(False)
+        self.reload.pass_on = lambda: self.pass_reload_on(sock)
         loop.spawn_restarting(lambda: self.watch_successor(sock))
 
+    def pass_reload_on(self, sock):
+        """Tells the successor of a reload that was asked of this process. One that has died is replaced by a
+        process that reads the configuration anyway.
+        """
+        try:
+            sock.send(RELOAD)
+        except OSError as fault:
+            logger.warning(
+                "the reload could not be passed on to the successor: {fault}",
+                event="reload.not-passed-on",
+                fault=fault,
+            )
+
     def watch_successor(self, sock):
         """A coroutine that ends with SIGTERM, or restarts this process if the successor dies."""
         while True:
--- a/calicopin/lifecycle/reload.py
+++ b/calicopin/lifecycle/reload.py
@@ -4,7 +4,7 @@
 
 from calicopin.state.connections import Budget
 from calicopin.wire.discovery import decode_list
-from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Until
+from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Event, Until
 
 RELOAD_RETRY_WINDOW_MS = (
     3000.0  # ms of retries: the platform relies on a new configuration 4 s after its signal
@@ -33,24 +33,34 @@
             read_configuration,
             stop,
         )
-        self.discovery, self.clients, self.runtime, self.reloaded = discovery, clients, runtime, False
+        self.discovery, self.clients, self.runtime = discovery, clients, runtime
         self.subscribes = bool(configuration.nodes)
         self.retry_at, self.retry_deadline = FOREVER, -FOREVER  # ms, of a reload that failed with an OSError
+        self.requested = Event(loop)
+        self.pass_on = None  # once this process has retired: has its successor reload
 
     def wait(self):
         """A coroutine that waits for signals: SIGTERM and SIGINT request the stop, SIGHUP the reload."""
         while True:
-            yield Until(self.retry_at, self.signal_reader.fd, READ)
+            yield Until(self.retry_at, self.signal_reader.fd, READ, self.requested)
             signals = self.signal_reader.take_signals()
             if signals.intersection(self.signal_reader.STOP_SIGNALS):
                 self.stop.requested.set()
             if signals.difference(self.signal_reader.STOP_SIGNALS):
-                self.retry_deadline = self.loop.now() + RELOAD_RETRY_WINDOW_MS
-                self.retry_at = self.loop.now()
-            if self.loop.now() >= self.retry_at and not self.stop.retired:
-                # a retired process does not reload: its successor does
+                self.schedule()
+            if self.loop.now() >= self.retry_at:
                 self.retry_at = FOREVER
-                self.reload()
+                (self.pass_on or self.reload)()
+
+    def schedule(self):
+        """Has the configuration reloaded in this pass, and retried until the deadline."""
+        self.retry_at = self.loop.now()
+        self.retry_deadline = self.retry_at + RELOAD_RETRY_WINDOW_MS
+
+    def request(self):
+        """The process that retired before this one was signalled to reload."""
+        self.schedule()
+        self.requested.set()
 
     def apply_partner_list(self, configuration, old):
         """Applies the list of partners of an operator's file, which was checked as a whole."""
@@ -85,7 +95,9 @@
             if isinstance(fault, OSError) and self.loop.now() < self.retry_deadline:
                 self.retry_at = self.loop.now() + RETRY_DELAY_MS
             return
-        old, self.configuration, self.reloaded = self.configuration, configuration, True
+        old, self.configuration = self.configuration, configuration
+        if configuration.discovery_address is not None:
+            self.runtime.journal.put_discovery_address(configuration.discovery_address)
         logger.info(
             "SIGHUP: discovery at {agent}, {notices} notices unacknowledged",
             event="reload",
--- a/calicopin/lifecycle/start.py
+++ b/calicopin/lifecycle/start.py
@@ -5,12 +5,13 @@
 import socket
 import sys
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
 from calicopin.admin.server import AdminServer
 from calicopin.deployment_settings import check, list_is_pushed
+from calicopin.discovery_address import DiscoveryAddress
 from calicopin.facade import Facade
 from calicopin.lifecycle.reload import ConfigurationReload
 from calicopin.lifecycle.runtime import Runtime
@@ -56,6 +57,7 @@
     nodes: tuple = ()  # addresses of discovery nodes; if any, the courier subscribes to destinations
     fleet: str = ""  # the name of the list that the nodes serve
     max_age: float = 0.0  # ms, of the list in the folder at a start
+    discovery_address: DiscoveryAddress | None = None  # the sources of `discovery`
 
 
 def check_address(value):
@@ -69,7 +71,7 @@
 
 def load_configuration(environ, reloaded=False, system=REAL_SYSTEM):
     """Reads the configuration from the file named by `LB_CONFIG`; for addresses and the folder, environment
-    variables take precedence. After a reload (`reloaded`) the file's discovery address precedes the variable.
+    variables take precedence. At a reload (`reloaded`) the file's discovery address precedes the variable.
     """
     path, operator_configuration = environ["LB_CONFIG"], None
     admin_address, listening_socket, handover_folder = (
@@ -89,8 +91,11 @@
         from calicopin.lifecycle.node_settings import parse_subscription
 
         subscription = parse_subscription(configuration, path)
-    discovery_addresses = environ.get("LB_DISCOVERY"), configuration.get("discovery")
-    preferred, fallback = reversed(discovery_addresses) if reloaded else discovery_addresses
+    discovery_address = DiscoveryAddress(
+        environ.get("LB_DISCOVERY") or "", configuration.get("discovery") or "", prefers_file=reloaded
+    )
+    if not (discovery_address.in_force or operator_configuration or subscription):
+        raise KeyError("discovery")
     admin_address = admin_address or configuration.get("admin_addr")
     limits, seed = configuration.get("limits", {}), str(configuration.get("seed", ""))
     try:
@@ -100,9 +105,8 @@
     return CourierConfiguration(
         name=configuration.get("name") or environ.get("LB_NAME", "courier"),
         listen=environ.get("LB_LISTEN") or configuration["listen"],
-        discovery=check_address(preferred or fallback)
-        if preferred or fallback or not (operator_configuration or subscription)
-        else "",
+        discovery=check_address(discovery_address.in_force) if discovery_address.in_force else "",
+        discovery_address=discovery_address,
         admin=check_address(admin_address) if admin_address else "",
         listening_socket=listening_socket,
         handover_folder=handover_folder,
@@ -137,6 +141,28 @@
     return version, places
 
 
+def restore_discovery_address(configuration, journal, receiver):
+    """The configuration with the discovery address that is in force after what the processes before were
+    told; it is journalled for the next one. Raises ValueError if it is no address.
+    """
+    told = configuration.discovery_address
+    if told is None:
+        return configuration
+    previous = journal.discovery_address
+    if previous is None and receiver and receiver.snapshot["renewed"]:  # from a version that journals none
+        previous = replace(told, prefers_file=True)
+    current = told.following(previous)
+    journal.put_discovery_address(current)
+    if current.in_force == configuration.discovery:
+        return configuration
+    logger.info(
+        "discovery at {agent}, as the configuration file was told last",
+        event="discovery.address-kept",
+        agent=current.in_force,
+    )
+    return replace(configuration, discovery=check_address(current.in_force), discovery_address=current)
+
+
 def build(configuration, loop, signal_reader, read_configuration, lock=None, receiver=None):
     """Builds the parts of one courier and returns its `Runtime`. The journal is restored before any client is
     served.
@@ -188,6 +214,7 @@
                 loop.now,
             ),
         )
+    configuration = restore_discovery_address(configuration, journal, receiver)
     facade = Facade(configuration.seed, terms, budget.calls, loop.now(), journal.is_restart and not receiver)
     # idle connections are closed at least one connect time-out before the limit
     pool = ConnectionPool(budget.endpoints, max(idle_timeout / 2.0, idle_timeout - connect_timeout))
@@ -281,6 +308,7 @@
     if receiver:
         lock = receiver.complete(loop, runtime, clients)
         journal.begin()
+        loop.spawn_restarting(lambda: receiver.wait_for_reload(reload.request))
         if receiver.snapshot["drained"] is not None:
             stop.begin_drain(receiver.snapshot["drained"])
     if configuration.listening_socket:
@@ -308,14 +336,19 @@
     return runtime
 
 
-def serve(environ, signal_reader, system=REAL_SYSTEM):
-    """Runs one courier until a signal stops it; raises ValueError for a configuration that cannot be read."""
+def load_for_start(environ, system):
+    """The configuration for a start; raises ValueError if it cannot be read."""
     try:
-        configuration = call_with_retries(system, lambda: load_configuration(environ, system=system))
+        return call_with_retries(system, lambda: load_configuration(environ, system=system))
     except (KeyError, TypeError, AttributeError) as fault:
         raise ValueError(
             f"{environ.get('LB_CONFIG', 'LB_CONFIG')}: the configuration cannot be read: {fault!r}"
         ) from None
+
+
+def serve(environ, signal_reader, system=REAL_SYSTEM):
+    """Runs one courier until a signal stops it; raises ValueError for a configuration that cannot be read."""
+    configuration = load_for_start(environ, system)
     lock = receiver = None
     if configuration.listening_socket:
         # raises for an invalid descriptor before the folder is locked
@@ -376,9 +409,8 @@
     except StoppedError:
         logger.info("{name} stopped before it took over", event="stopped", name=configuration.name, texts=0)
         return None, None, None
-    if receiver and receiver.snapshot["renewed"]:
-        configuration = load_configuration(environ, reloaded=True, system=system)
-    return lock, receiver, configuration
+    # again, since the file may have been replaced while this process waited
+    return lock, receiver, load_for_start(environ, system)
 
 
 def log_level(environ):
--- a/calicopin/state/journal.py
+++ b/calicopin/state/journal.py
@@ -10,10 +10,12 @@
 import os
 import struct
 import zlib
+from dataclasses import astuple
 
 from loguru import logger
 
 from calicopin import route_state
+from calicopin.discovery_address import DiscoveryAddress
 from calicopin.slow_start import WELL
 from calicopin.state.texts import EndedIds, Text
 from calicopin.system import REAL_SYSTEM
@@ -31,6 +33,9 @@
     b"H",
 )
 ROUTE = b"R"  # state of a route with an outage, or with a wait that an endpoint asked for
+# Versions that do not know the kind of a record take its first value for the id of a text, and pass over it.
+DISCOVERY_ADDRESS = b"D"
+NO_IDENT = ""
 ENDED_ID_BYTES = 48  # approximate size of the id of an ended text
 
 
@@ -113,6 +118,7 @@
         self.limit(most)
         self.texts, self.record_sizes, self.live_bytes, self.buffer, self.file = {}, {}, 0, bytearray(), None
         self.routes = RouteStates()
+        self.discovery_address = None  # `DiscoveryAddress` as told to the last process, once one is known
         self.interrupted = {}  # destinations to which the last process had a call in flight, in order
         self.continuous = True  # whether the records read are of this boot's monotonic clock
         self.may_hold_unflushed = False  # whether a restart may read records that were not flushed
@@ -195,6 +201,9 @@
             )
             self.routes.put((dest, ident or None), state_here, state_here and len(payload))
             return
+        if kind == DISCOVERY_ADDRESS:
+            self.discovery_address = DiscoveryAddress(*values)
+            return
         text = self.texts.get(ident)
         if text is None:
             return
@@ -262,8 +271,24 @@
             )
             self.buffer += self._route_record(key, None)
 
-    def _all_route_records(self):
-        return b"".join(self._route_record(key, state) for key, state in self.routes.states.items())
+    def put_discovery_address(self, discovery_address):
+        """Records the discovery addresses that this process was told, for the next one."""
+        if discovery_address != self.discovery_address:
+            self.discovery_address = discovery_address
+            self.buffer += self._discovery_record()
+
+    def _discovery_record(self):
+        if self.discovery_address is None:
+            return b""
+        return self._record(
+            DISCOVERY_ADDRESS, json.dumps([NO_IDENT, *astuple(self.discovery_address)]).encode()
+        )
+
+    def _state_records(self):
+        """The records of all that is kept beside texts and ids: the discovery address and the routes."""
+        return self._discovery_record() + b"".join(
+            self._route_record(key, state) for key, state in self.routes.states.items()
+        )
 
     def _add_cost(self, text, record):
         self.record_sizes[text.ident] = len(record)
@@ -345,7 +370,7 @@
             [
                 self._record(FILE_HEADER, json.dumps([self.boot, self.offset]).encode()),
                 self._record(ENDED_IDS, json.dumps(ended_ids).encode()),
-                self._all_route_records(),
+                self._state_records(),
                 *(self._add_cost(text, self._text_record(text)) for text in self.texts.values()),
             ]
         )
--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -18,6 +18,7 @@
     b"B": "back",
     b"G": "given up",
     b"O": "over",
+    b"D": "discovery",
     b"P": "past",
     b"H": "begun",
     b"Z": "sealed",
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -277,7 +277,7 @@
 
     def _open_segment(self):
         """Creates the next segment, or the same one again if nothing was written to it. `segment_head` holds
-        its first records: the header, all routes, and the texts to be written again.
+        its first records: the header, the discovery address, all routes, and the texts to be written again.
         """
         number = self.number if self.sizes.get(self.number) == 0 else self.number + 1
         file = self.system.create(self._path(number))
@@ -293,7 +293,7 @@
         moved = [self.texts[ident] for ident in self.to_rewrite if ident in self.texts]
         self.segment_head = (
             header
-            + self._all_route_records()
+            + self._state_records()
             + b"".join(self._add_cost(text, self._text_record(text)) for text in moved)
         )
         if not self.live_sizes.get(0):
--- a/tests/platform_helper.py
+++ b/tests/platform_helper.py
@@ -63,6 +63,7 @@
         )
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.heard, self.delivered, self.notices, self.list_requests, self.connections = [], [], [], 0, 0
+        self.agent_connections = []
         self.address = address_of(self.listener)
         serve(self.endpoint_listener, self.serve_endpoint)
         serve(self.agent_listener, self.serve_agent)
@@ -96,6 +97,7 @@
             pass
 
     def serve_agent(self, sock):
+        self.agent_connections.append(sock)
         try:
             for target, _, body in requests(sock):
                 if target == "/v1/outcomes":
