The window of an idempotency key outlives its message: a repeat is never sent behind it

The same with a SIGKILL or a new version between the notice and the second hand-in.

Ruled out: a window counted from a later submit (each id kept its own).

A message that comes again goes on from there, as one that a restart finds: it is taken on and submitted inside the window. Texts held under one reference at the same time share the window (references.py); a call that is out counts from when it was sent.

--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -14,6 +14,7 @@
 from calicopin import route_state
 from calicopin.departures import Departures
 from calicopin.interface import Close, How, Nack, Repeat, Submit, Undeliverable, Wake, Watch
+from calicopin.references import NO_RUN, References
 from calicopin.route import Route
 from calicopin.scheduler import Scheduler
 from calicopin.slow_start import COLD, OUT, OUTAGE_STREAK
@@ -25,7 +26,10 @@
 
 
 class Text:
-    """One text and what its submits may have done so far."""
+    """One text and what its submits may have done so far.
+
+    `reference` holds it and the others under its reference, None for a text without one.
+    """
 
     def __init__(self, event, dest, product, accepted_at):
         self.ident, self.dest, self.product, self.tries = event.text, dest, product, event.tries
@@ -35,14 +39,23 @@
             event.valid_until,
         )
         self.call, self.ran_at, self.ran_zone, self.finished = None, event.ran_at, event.ran_zone, False
-        self.restored = event.restored
+        self.restored, self.reference, self.reference_name = event.restored, None, None
+
+    def first_run(self):
+        """(time, zone) of the first submit that may have run, of this text or another one under its
+        reference; NO_RUN if there is none.
+        """
+        if self.reference is not None and len(self.reference.texts) > 1:
+            return self.reference.first_run(self)
+        return NO_RUN if self.ran_at is None else (self.ran_at, self.ran_zone)
 
     def submit_deadline(self):
         """The time after which no submit is allowed, so that the text never takes effect twice."""
-        if self.ran_at is None or self.product.repeat == Repeat.RESENDABLE:
+        ran_at, _ = self.first_run()
+        if ran_at is None or self.product.repeat == Repeat.RESENDABLE:
             return self.valid_until
         once_only = self.product.repeat == Repeat.ONCE_ONLY
-        return -1.0 if once_only else min(self.valid_until, self.ran_at + self.product.memory)
+        return -1.0 if once_only else min(self.valid_until, ran_at + self.product.memory)
 
     def revenue_share(self, at):
         """The share of the revenue, 0 to 1, that a delivery at the time `at` (ms) still earns."""
@@ -57,12 +70,12 @@
         """Whether a restart restored the text before its first submit. Such a text gets one submit before it
         may be given up early.
         """
-        return self.restored and not self.tries and self.ran_at is None
+        return self.restored and not self.tries
 
     def nackable(self):
         """Whether a nack is safe: handed in again, the text takes no second effect."""
         by_reference = self.product.repeat == Repeat.REFERENCED and not self.product.memory_by_zone
-        return self.ran_at is None or self.product.repeat == Repeat.RESENDABLE or by_reference
+        return self.first_run() == NO_RUN or self.product.repeat == Repeat.RESENDABLE or by_reference
 
 
 class Call:
@@ -169,6 +182,7 @@
             route.patient_call = call
         for text in texts:
             text.call, text.tries = call, text.tries + 1
+            self.dest.registry.limit_others(text)
             usual_timeout = (32.0 if in_outage else 8.0) * route.usual_latency or text.product.sla
             if text.product.repeat == Repeat.ONCE_ONLY:  # a time-out ends it: not while it earns in full
                 usual_timeout = max(usual_timeout, text.product.sla)
@@ -332,9 +346,7 @@
                 len(self.queue),
             )
             self.queue.insert(at, text)
-            self.scheduler.schedule(
-                min(text.valid_until - 2 * self.tick, text.submit_deadline()), self.registry, "expire", text
-            )
+            self.registry.schedule_expiry(text)
         self.on_dispatch()
 
     def idle(self):
@@ -426,9 +438,10 @@
         zone only.
         """
         by_zone = text.product.memory_by_zone and text.product.repeat == Repeat.REFERENCED
-        zone_bound = text.ran_at is not None and by_zone
+        ran_at, ran_zone = text.first_run()
+        zone_bound = ran_at is not None and by_zone
         available = [endpoint for endpoint, at in self.endpoint_openings() if at <= self.scheduler.now]
-        eligible = [endpoint for endpoint in available if not (zone_bound and endpoint.zone != text.ran_zone)]
+        eligible = [endpoint for endpoint in available if not (zone_bound and endpoint.zone != ran_zone)]
         weights = [
             0.5 ** max(candidate.consecutive_failures, candidate.failures_by_product[text.product])
             / (1 + len(candidate.calls))
@@ -492,7 +505,7 @@
         others = (
             other
             for other in self.queue
-            if other is not head and other.ran_at is None and self.registry.may_go(other)
+            if other is not head and other.first_run() == NO_RUN and self.registry.may_go(other)
         )
         texts = [head, *islice(others, min(self.bundle_size, self.max_bundle) - 1)]
         for text in texts:
@@ -551,21 +564,36 @@
         self.scheduler, self.capacity, self.tick = scheduler, settings.room, settings.tick
         self.settle, self.max_retry_after = settings.settle, settings.max_retry_after
         self.inbox, self.texts, self.keys, self.settling = deque(), {}, {}, {}
+        self.references = References()
         self.settled_at = settings.restarted + settings.settle
 
     def on_take(self, text):
         """Registers an accepted text, hands it to its destination, and sheds load if the store is nearly
         full.
         """
+        self.register(text)
+        self.schedule_expiry(text)
+        self.scheduler.post(text.dest, "take", text)
+        if len(self.texts) >= self.capacity - max(1, self.capacity // 20):
+            self.scheduler.post(self, "shed")
+
+    def register(self, text):
+        """Holds a text, in the order of its key."""
         self.texts[text.ident] = text
         if text.key is not None:
             self.keys.setdefault(text.key, deque()).append(text)
+
+    def schedule_expiry(self, text):
+        """Has a text given up once it has no time left for a submit."""
         self.scheduler.schedule(
             min(text.valid_until - 2 * self.tick, text.submit_deadline()), self, "expire", text
         )
-        self.scheduler.post(text.dest, "take", text)
-        if len(self.texts) >= self.capacity - max(1, self.capacity // 20):
-            self.scheduler.post(self, "shed")
+
+    def limit_others(self, text):
+        """A submit of the text may run: it limits the texts that wait under the same reference."""
+        if text.reference is not None:
+            for other in text.reference.waiting_beside(text):
+                self.schedule_expiry(other)
 
     def on_shed(self):
         """The store is nearly full: finds the waiting text whose expected answer earns least, and gives up
@@ -624,6 +652,7 @@
         if text.call is not None:
             return
         self.texts.pop(text.ident, None)
+        self.references.remove(text)
         queue = self.keys.get(text.key, ())
         if text in queue:
             queue.remove(text)
@@ -771,10 +800,17 @@
             float("inf") if event.token == self.scheduler.wake_token else self.scheduler.wake_at
         )
 
+    def text(self, event, dest, accepted_at):
+        """The text that was handed in to a destination, held together with others under its reference."""
+        text = Text(event, dest, self.products[event.product], accepted_at)
+        if event.reference is not None and text.product.repeat == Repeat.REFERENCED:
+            self.registry.references.add(text, event.reference)
+        return text
+
     def on_taken(self, event):
         """A text was handed in. Raises IndexError for an unknown product."""
         dest = self.dest(event.dest)
-        text = Text(event, dest, self.products[event.product], self.scheduler.now)
+        text = self.text(event, dest, self.scheduler.now)
         if event.restored:
             dest.note_restored(text.valid_until - text.product.validity)
         if dest not in self.active:
--- a/calicopin/deployment_settings.py
+++ b/calicopin/deployment_settings.py
@@ -103,6 +103,14 @@
     return (value or 0.0) * 1000.0
 
 
+def key_memory(settings):
+    """How long (ms) destinations know an idempotency key, by product; 0 for products without keys."""
+    return [
+        milliseconds(grade.get("keyTtl")) if grade["idempotency"] == "idempotency_key" else 0.0
+        for grade in settings["grades"]
+    ]
+
+
 def product(grade, fades):
     """Builds a `Product` from one entry of `grades`."""
     return Product(
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -213,6 +213,7 @@
                 ran_at=text.ran_at,
                 ran_zone=zone,
                 restored=restored,
+                reference=text.reference,
             )
         )
 
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -216,20 +216,14 @@
         tries=text.tries,
         ran_at=text.ran_at,
         ran_zone=zone,
+        reference=text.reference,
     )
-    known = decisions.Text(event, dest, module.products[text.product], state.get("taken", now))
+    known = module.text(event, dest, state.get("taken", now))
     known.finished = ended or state.get("over", False)
-    module.registry.texts[text.number] = known
-    if known.key is not None:
-        module.registry.keys.setdefault(known.key, decisions.deque()).append(known)
+    module.registry.register(known)
     if not in_flight:
         dest.queue.append(known)
-        module.scheduler.schedule(
-            min(known.valid_until - 2 * module.settings.tick, known.submit_deadline()),
-            module.registry,
-            "expire",
-            known,
-        )
+        module.registry.schedule_expiry(known)
 
 
 def restore_call(facade, one, by_ident):
--- a/calicopin/interface.py
+++ b/calicopin/interface.py
@@ -112,7 +112,9 @@
 
 @dataclass(slots=True)
 class Taken:
-    """A text was handed in; for one restored after a restart, with what its submits may have done."""
+    """A text was handed in; for one restored after a restart, or that comes again under the same `reference`,
+    with what its submits may have done.
+    """
 
     text: int
     dest: int
@@ -124,6 +126,7 @@
     ran_at: float | None = None
     ran_zone: int | None = None
     restored: bool = False
+    reference: str | None = None
 
 
 @dataclass(slots=True)
--- a/calicopin/lifecycle/call_log.py
+++ b/calicopin/lifecycle/call_log.py
@@ -24,6 +24,18 @@
     )
 
 
+def log_repeated(text, now: float) -> None:
+    """Logs a message whose idempotency key came before, with a submit that may have run."""
+    logger.info(
+        "message {message} for destination {destination} comes again under its key, "
+        "which may have taken effect {age_ms:.0f} ms ago",
+        event="message.repeated",
+        message=text.ident,
+        destination=text.dest,
+        age_ms=now - text.ran_at,
+    )
+
+
 def log_call_sent(call: Call) -> None:
     """Logs a call that is about to be made."""
     logger.debug(
--- a/calicopin/lifecycle/runtime.py
+++ b/calicopin/lifecycle/runtime.py
@@ -135,8 +135,11 @@
             call_log.log_refused(text, 503, why)
             self.counters.refused(text, again=True)
             return 503, self.retry_after(text)
+        now = self.loop.now()
+        if self.journal.keys.apply_to(text, now):
+            call_log.log_repeated(text, now)
         self.journal.accepted(text)
-        call_log.log_accepted(text, self.loop.now())
+        call_log.log_accepted(text, now)
         self.facade.add_text(text)
         self.counters.taken += 1
         return None
@@ -468,6 +471,7 @@
                 journal_stuck=self.failed_turns,
                 idle_connections=self.pool.count,
                 data_unasked=self.pool.reuse.unsolicited_count,
+                key_windows=len(self.journal.keys),
                 destinations=self.facade.state(),
                 invariants_broken=self.guard.counts_by_name(),
             )
--- a/calicopin/lifecycle/start.py
+++ b/calicopin/lifecycle/start.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from calicopin.admin.server import AdminServer
-from calicopin.deployment_settings import check, list_is_pushed
+from calicopin.deployment_settings import check, key_memory, list_is_pushed
 from calicopin.discovery_address import DiscoveryAddress
 from calicopin.facade import Facade
 from calicopin.lifecycle.reload import ConfigurationReload
@@ -198,6 +198,7 @@
                 configuration.durable,
                 in_flight,
                 loop.now,
+                key_memory(terms),
             ),
         )
     else:
@@ -212,6 +213,7 @@
                 boot,
                 in_flight,
                 loop.now,
+                key_memory(terms),
             ),
         )
     configuration = restore_discovery_address(configuration, journal, receiver)
--- a/calicopin/state/journal.py
+++ b/calicopin/state/journal.py
@@ -11,12 +11,14 @@
 import struct
 import zlib
 from dataclasses import astuple
+from math import floor
 
 from loguru import logger
 
 from calicopin import route_state
 from calicopin.discovery_address import DiscoveryAddress
 from calicopin.slow_start import WELL
+from calicopin.state.key_windows import KeyWindows
 from calicopin.state.texts import EndedIds, Text
 from calicopin.system import REAL_SYSTEM
 
@@ -35,8 +37,10 @@
 ROUTE = b"R"  # state of a route with an outage, or with a wait that an endpoint asked for
 # Versions that do not know the kind of a record take its first value for the id of a text, and pass over it.
 DISCOVERY_ADDRESS = b"D"
+KEY_WINDOWS = b"K"
 NO_IDENT = ""
 ENDED_ID_BYTES = 48  # approximate size of the id of an ended text
+KEY_WINDOW_BYTES = 48  # approximate size of one window of a key
 
 
 def allocated_bytes(size):
@@ -95,7 +99,7 @@
     ms. `boot` identifies the machine's run to which that clock belongs: within one run, a change of the wall
     clock has no effect. `now` reads the monotonic clock, by default the system's. `in_flight_elsewhere` are
     ids of texts whose calls another process still has in flight; if it is given, nothing is written before
-    `begin`.
+    `begin`. `key_memory` holds, by product, how long (ms) destinations know an idempotency key.
     """
 
     def __init__(
@@ -108,6 +112,7 @@
         boot="",
         in_flight_elsewhere=None,
         now=None,
+        key_memory=(),
     ):
         self.path, self.offset, self.system = os.path.join(folder, "journal"), offset, system
         self.now = now or system.now
@@ -115,6 +120,7 @@
         self.max_validity, self.boot, self.read_offset = max_validity, boot, offset
         self.in_flight_elsewhere = in_flight_elsewhere or ()
         self.ended_ids = EndedIds(max_validity)
+        self.keys = KeyWindows(key_memory, max_validity)
         self.limit(most)
         self.texts, self.record_sizes, self.live_bytes, self.buffer, self.file = {}, {}, 0, bytearray(), None
         self.routes = RouteStates()
@@ -157,9 +163,15 @@
                 break  # torn: it was not acted on, since acting waits for the complete write
             self._apply_record(record[:1], record[1:])
             position += RECORD_HEADER.size + size
-        self._mark_interrupted()
+        self._complete_replay()
         return True
 
+    def _complete_replay(self):
+        """Derives what follows from all records together."""
+        self._mark_interrupted()
+        for text in self.texts.values():
+            self.keys.apply_to(text, self.now())
+
     def _mark_interrupted(self):
         """Marks each submit that was in flight when the last process ended as one that may have been
         executed.
@@ -181,7 +193,9 @@
                 # limits the validity in case the wall clock was set back meanwhile
                 max_left = self.max_validity if left_ms is None else min(left_ms, self.max_validity)
                 values["until"] = min(values["until"], self.now() + max_left)
-            self.texts[values["ident"]] = Text(body=body, **values)
+            text = self.texts[values["ident"]] = Text(body=body, **values)
+            if text.verdict is not None:
+                self.keys.ended(text, self.now())
             return
         if kind == ENDED_IDS:
             for ident, at in json.loads(payload):
@@ -204,6 +218,9 @@
         if kind == DISCOVERY_ADDRESS:
             self.discovery_address = DiscoveryAddress(*values)
             return
+        if kind == KEY_WINDOWS:  # (wall time in ms, windows with times from there on)
+            self.keys.restore(values[1], values[0] - self.read_offset, self.now())
+            return
         text = self.texts.get(ident)
         if text is None:
             return
@@ -213,8 +230,10 @@
             text.mark_ended(values[0])
         elif kind == GIVEN_UP:
             text.verdict, text.wait = values
+            self.keys.ended(text, self.now())
         elif kind == ENDED:
             del self.texts[ident]
+            self.keys.ended(text, self.now())
             for at in values:  # not in journals of older versions
                 self.ended_ids.add(ident, min(at - self.read_offset, self.now()))
 
@@ -249,7 +268,8 @@
 
     def room(self, size):
         """Whether there is room for a text with a body of `size` bytes."""
-        return self.live_bytes + self.routes.size + size + 2 * BLOCK_BYTES <= self.max_live_bytes
+        kept_bytes = self.live_bytes + self.routes.size + len(self.keys) * KEY_WINDOW_BYTES
+        return kept_bytes + size + 2 * BLOCK_BYTES <= self.max_live_bytes
 
     def _route_record(self, key, state):
         dest, endpoint = key
@@ -317,6 +337,7 @@
         that the notice tells.
         """
         text.verdict, text.wait = verdict, wait
+        self.keys.ended(text, self.now())
         self._buffer_record(GIVEN_UP, text.ident, verdict, wait)
 
     def ended(self, text, now):
@@ -325,6 +346,17 @@
             self.live_bytes -= self.record_sizes.pop(text.ident)
             self._buffer_record(ENDED, text.ident, now + self.offset)
             self.ended_ids.add(text.ident, now)
+            self.keys.ended(text, now)
+
+    def _key_record(self, names):
+        """A record with the windows of those of the names that are kept; empty if none is."""
+        now = self.now()
+        names = self.keys.kept(names, now)
+        if not names:
+            return b""
+        origin = floor(now)
+        payload = [NO_IDENT, origin + self.offset, self.keys.values(names, origin)]
+        return self._record(KEY_WINDOWS, json.dumps(payload, separators=(",", ":")).encode())
 
     def knows(self, ident):
         """Whether the id is that of a live text or of one that ended within the longest validity period."""
@@ -371,6 +403,7 @@
                 self._record(FILE_HEADER, json.dumps([self.boot, self.offset]).encode()),
                 self._record(ENDED_IDS, json.dumps(ended_ids).encode()),
                 self._state_records(),
+                self._key_record(self.keys.windows),
                 *(self._add_cost(text, self._text_record(text)) for text in self.texts.values()),
             ]
         )
--- a/calicopin/state/texts.py
+++ b/calicopin/state/texts.py
@@ -37,6 +37,14 @@
             self.ran_at, self.ran_zone = self.out_at, self.out_zone
         self.out_at = self.out_zone = None
 
+    def first_run(self):
+        """(time, zone) of the first submit that may have run, the one in flight included; (None, None) if
+        there is none.
+        """
+        if self.ran_at is None:
+            return self.out_at, self.out_zone
+        return self.ran_at, self.ran_zone
+
 
 class EndedIds:
     """Ids of texts that have ended, kept as long as a text may be valid.
--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -19,6 +19,7 @@
     b"G": "given up",
     b"O": "over",
     b"D": "discovery",
+    b"K": "key windows",
     b"P": "past",
     b"H": "begun",
     b"Z": "sealed",
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -27,6 +27,8 @@
     ENDED_ID_BYTES,
     ENDED_IDS,
     FILE_HEADER,
+    KEY_WINDOW_BYTES,
+    KEY_WINDOWS,
     RECORD_HEADER,
     Journal,
     allocated_bytes,
@@ -79,7 +81,8 @@
 
     `sizes` holds the size of each file in bytes, `live_sizes` the live texts of each segment with the sizes
     of their records, `segment_of` the segment of each live text, `ended_by_segment` the ids whose end stands
-    in each segment; `damage_count` counts the spans that could not be read.
+    in each segment, `keys_by_segment` the names of the key windows that do; `damage_count` counts the spans
+    that could not be read.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         durable=False,
         in_flight_elsewhere=None,
         now=None,
+        key_memory=(),
     ):
         self.folder, self.durable, self.fault_log = folder, durable, FaultLog(now or system.now)
         self.legacy_file = False  # whether a journal in the single-file format is still beside the segments
@@ -117,7 +121,10 @@
             0,
             0,
         )
-        super().__init__(folder, most, offset, system, max_validity, boot, in_flight_elsewhere, now)
+        self.keys_by_segment = {}
+        super().__init__(
+            folder, most, offset, system, max_validity, boot, in_flight_elsewhere, now, key_memory
+        )
 
     def limit(self, most):
         """Sets the number of bytes that the folder may hold.
@@ -146,6 +153,7 @@
         self.legacy_file = super()._replay()  # in the format of earlier versions, converted once
         for ident in self.texts:
             self._assign(ident, 0)
+        self.keys_by_segment[0] = deque(self.keys.windows)
         for number, following in zip(numbers, [*numbers[1:], None], strict=False):
             self.number = number
             self._replay_segment(number)
@@ -156,12 +164,13 @@
                     "segments are missing",
                     "texts recorded there are lost or may be submitted again",
                 )
-        self._mark_interrupted()
+        self._complete_replay()
         return self.legacy_file or bool(numbers)
 
     def _replay_segment(self, number):
         data, count, sealed, damaged = self.system.read(self._path(number)), 0, None, []
         self.sizes[number], self.live_sizes[number], self.ended_by_segment[number] = len(data), {}, deque()
+        self.keys_by_segment[number] = deque()
         for position, kind, payload in scan_records(data, self._checksum):
             if kind is None:
                 damaged.append((position, payload))
@@ -199,6 +208,9 @@
         elif kind == ENDED_IDS:
             self._apply_record(kind, payload)
             self.ended_by_segment[number] += [ident for ident, _ in json.loads(payload)]
+        elif kind == KEY_WINDOWS:
+            self._apply_record(kind, payload)
+            self.keys_by_segment[number] += [name for name, *_ in json.loads(payload)[2]]
         else:
             self._apply_record(kind, payload)
 
@@ -255,6 +267,10 @@
             self.ended_ids.add(text.ident, now)
             # segment 0 stands for the first segment if that could not be created yet
             self.ended_by_segment.setdefault(self.number, deque()).append(text.ident)
+            if (name := self.keys.ended(text, now)) is not None:
+                # the record that holds its key may stand in an older segment, and go with that
+                self.keys_by_segment.setdefault(self.number, deque()).append(name)
+                self.buffer += self._key_record([name])
 
     def _rewrite(self):
         """Begins a segment with the live texts of a legacy file and of a segment that could not be synced."""
@@ -277,7 +293,8 @@
 
     def _open_segment(self):
         """Creates the next segment, or the same one again if nothing was written to it. `segment_head` holds
-        its first records: the header, the discovery address, all routes, and the texts to be written again.
+        its first records: the header, the discovery address, all routes, and the texts and key windows to be
+        written again.
         """
         number = self.number if self.sizes.get(self.number) == 0 else self.number + 1
         file = self.system.create(self._path(number))
@@ -289,11 +306,14 @@
         self.sizes.setdefault(number, 0)
         self.live_sizes.setdefault(number, {})
         self.ended_by_segment.setdefault(number, deque()).extend(self.ended_by_segment.pop(0, ()))
+        keys = self.keys_by_segment.setdefault(number, deque())
+        keys.extend(self.keys_by_segment.pop(0, ()))
         header = self._record(FILE_HEADER, json.dumps([self.boot, self.offset, FORMAT_VERSION]).encode())
         moved = [self.texts[ident] for ident in self.to_rewrite if ident in self.texts]
         self.segment_head = (
             header
             + self._state_records()
+            + self._key_record(keys)
             + b"".join(self._add_cost(text, self._text_record(text)) for text in moved)
         )
         if not self.live_sizes.get(0):
@@ -394,7 +414,12 @@
         # segments that are created below are left for later steps
         for oldest in sorted(self.sizes)[:-1]:
             live_sizes, total = self.live_sizes[oldest], self.total()
-            remaining = sum(live_sizes.values()) + ENDED_ID_BYTES * len(self.ended_by_segment[oldest])
+            keys = deque(self.keys.kept(self.keys_by_segment[oldest], self.now()))
+            remaining = (
+                sum(live_sizes.values())
+                + ENDED_ID_BYTES * len(self.ended_by_segment[oldest])
+                + KEY_WINDOW_BYTES * len(keys)
+            )
             urgent = total + self.segment_bytes + remaining > self.max_bytes
             if remaining and cleaned and not urgent:
                 return
@@ -418,11 +443,19 @@
                 budget -= self._carry_over(
                     [ended_ids.popleft() for _ in range(min(IDS_PER_RECORD, len(ended_ids)))]
                 )
+            while keys and not (live_sizes or ended_ids) and budget > 0:
+                names = [keys.popleft() for _ in range(min(IDS_PER_RECORD, len(keys)))]
+                record = self._key_record(names)
+                self.buffer += record
+                self.keys_by_segment[self.number] += names
+                budget -= len(record)
+            self.keys_by_segment[oldest] = keys
             self._write()
-            if live_sizes or ended_ids:
+            if live_sizes or ended_ids or keys:
                 return
             self.system.remove(self._path(oldest))
             del self.sizes[oldest], self.live_sizes[oldest], self.ended_by_segment[oldest]
+            del self.keys_by_segment[oldest]
             if self.size >= self.segment_bytes:
                 self._seal()
 
--- a/tests/courier_helper.py
+++ b/tests/courier_helper.py
@@ -48,7 +48,15 @@
     """
 
     def __init__(
-        self, folder, clock=None, endpoint=None, disk=3_000_000, list_answered=True, system=None, **settings
+        self,
+        folder,
+        clock=None,
+        endpoint=None,
+        disk=3_000_000,
+        list_answered=True,
+        system=None,
+        store="file",
+        **settings,
     ):
         self.loop = Loop(now=clock or Clock(), system=system or Rebooted())
         self.endpoint, self.platform = endpoint or Listener(self.loop), Listener(self.loop)
@@ -79,6 +87,7 @@
                 disk,
                 self.known,
                 terms(**settings),
+                store=store,
             )
         ]
         self.runtime = build(self.configurations[0], self.loop, SignalReader(), lambda: self.again())
@@ -97,11 +106,12 @@
     def again(self):
         return self.configurations[-1]
 
-    def post(self, ident, product="notice", size=3, left=20.0, dest=7):
+    def post(self, ident, product="notice", size=3, left=20.0, dest=7, reference=None):
         peer = client(self.loop, self.listen)
+        key = f"Idempotency-Key: {reference}\r\n" if reference else ""
         peer.say(
             (
-                f"POST /{product} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\nX-Timeout: "
+                f"POST /{product} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {ident}\r\n{key}X-Timeout: "
                 f"{left}\r\nX-Envelope: dest={dest}\r\nContent-Length: {size}\r\n\r\n"
             ).encode()
             + b"\xfe" * size
--- a/tests/platform_helper.py
+++ b/tests/platform_helper.py
@@ -57,13 +57,13 @@
     """The platform, one endpoint of destination 7, and couriers started with one inherited socket."""
 
     def __init__(self, folder):
-        self.folder, self.release, self.wait = folder, threading.Event(), 0
+        self.folder, self.release = folder, threading.Event()
         self.endpoint_listener, self.agent_listener = (
             socket.create_server(("127.0.0.1", 0)) for _ in range(2)
         )
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.heard, self.delivered, self.notices, self.list_requests, self.connections = [], [], [], 0, 0
-        self.agent_connections = []
+        self.agent_connections, self.wait_ms = [], 5000
         self.address = address_of(self.listener)
         serve(self.endpoint_listener, self.serve_endpoint)
         serve(self.agent_listener, self.serve_agent)
@@ -89,7 +89,11 @@
                 if ident.startswith("hold"):
                     self.release.wait(20.0)
                 if ident.startswith("wait"):
-                    sock.sendall(b"HTTP/1.1 429 X\r\nX-Retry-In-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+                    told = b"X-Retry-In-Ms: %d\r\n" % self.wait_ms
+                    sock.sendall(b"HTTP/1.1 429 X\r\n" + told + b"Content-Length: 0\r\n\r\n")
+                    continue
+                if ident.startswith("fail"):
+                    sock.sendall(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
                     continue
                 self.delivered.append(ident)
                 sock.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
