Segments carry key windows over when they are cleaned; an unusable address changes nothing

A file that names no address, which a reload refuses, would have ended the next start, since a file that changed is the newer word.

Change: a window goes with the segment that holds its key, and is written to the newest one when that is cleaned; the plan of cleaning counts it. A start whose file names what cannot be used goes on with the address before.

--- a/calicopin/lifecycle/start.py
+++ b/calicopin/lifecycle/start.py
@@ -143,7 +143,7 @@
 
 def restore_discovery_address(configuration, journal, receiver):
     """The configuration with the discovery address that is in force after what the processes before were
-    told; it is journalled for the next one. Raises ValueError if it is no address.
+    told; it is journalled for the next one. A new address that cannot be used changes nothing.
     """
     told = configuration.discovery_address
     if told is None:
@@ -152,6 +152,17 @@
     if previous is None and receiver and receiver.snapshot["renewed"]:  # from a version that journals none
         previous = replace(told, prefers_file=True)
     current = told.following(previous)
+    try:
+        if current.in_force:
+            check_address(current.in_force)
+    except (OSError, ValueError, AttributeError) as fault:
+        logger.error(
+            "discovery stays at {agent}, the configuration file names what cannot be used: {fault!r}",
+            event="discovery.unusable",
+            agent=previous.in_force,
+            fault=fault,
+        )
+        return replace(configuration, discovery=previous.in_force, discovery_address=previous)
     journal.put_discovery_address(current)
     if current.in_force == configuration.discovery:
         return configuration
@@ -160,7 +171,7 @@
         event="discovery.address-kept",
         agent=current.in_force,
     )
-    return replace(configuration, discovery=check_address(current.in_force), discovery_address=current)
+    return replace(configuration, discovery=current.in_force, discovery_address=current)
 
 
 def build(configuration, loop, signal_reader, read_configuration, lock=None, receiver=None):
--- a/calicopin/state/key_windows.py
+++ b/calicopin/state/key_windows.py
@@ -50,17 +50,16 @@
         known = text.reference is not None and text.product < len(self.memory)
         return self.memory[text.product] if known else 0.0
 
+    def name(self, text):
+        """The name of the window of a text's key; None if no window is kept for its product."""
+        return digest(text.dest, text.reference) if self._window_ms(text) else None
+
     def ended(self, text, now):
-        """A text has got its final answer: keeps the window of its key if a submit may have run, and returns
-        the window's name; else None.
-        """
+        """A text has got its final answer: keeps the window of its key if a submit may have run."""
         window_ms, ran_at, zone = self._window_ms(text), *text.first_run()
-        if not window_ms or ran_at is None:
-            return None
-        name = digest(text.dest, text.reference)
-        kept_until = min(ran_at + window_ms, now + self.retention) + LATE_READ_MS
-        self.put(name, KeyWindow(ran_at, zone, kept_until), now)
-        return name
+        if window_ms and ran_at is not None:
+            kept_until = min(ran_at + window_ms, now + self.retention) + LATE_READ_MS
+            self.put(self.name(text), KeyWindow(ran_at, zone, kept_until), now)
 
     def put(self, name, window, now):
         """Keeps a window unless an earlier one of its key is still kept; forgets those that are over."""
@@ -79,7 +78,7 @@
         there was one.
         """
         self.forget_expired(now)
-        window = self.windows.get(digest(text.dest, text.reference)) if self._window_ms(text) else None
+        window = self.windows.get(self.name(text))
         if window is None or (text.ran_at is not None and text.ran_at <= window.ran_at):
             return False
         text.ran_at, text.ran_zone = window.ran_at, window.ran_zone
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -81,8 +81,8 @@
 
     `sizes` holds the size of each file in bytes, `live_sizes` the live texts of each segment with the sizes
     of their records, `segment_of` the segment of each live text, `ended_by_segment` the ids whose end stands
-    in each segment, `keys_by_segment` the names of the key windows that do; `damage_count` counts the spans
-    that could not be read.
+    in each segment, `keys_by_segment` the names of the key windows whose keys do; `damage_count` counts the
+    spans that could not be read.
     """
 
     def __init__(
@@ -200,11 +200,12 @@
             self._assign(ident, number, len(payload) + 1 + RECORD_HEADER.size)
         elif kind == ENDED:
             ident = json.loads(payload)[0]
-            was_live = ident in self.texts
+            text, segment = self.texts.get(ident), self.segment_of.get(ident)
             self._apply_record(kind, payload)
-            if was_live:
+            if text is not None:
                 self._unassign(ident)
                 self.ended_by_segment[number].append(ident)
+                self._assign_window(text, segment)
         elif kind == ENDED_IDS:
             self._apply_record(kind, payload)
             self.ended_by_segment[number] += [ident for ident, _ in json.loads(payload)]
@@ -250,6 +251,11 @@
             self.live_bytes -= self.live_sizes[number].pop(ident)
             self.record_sizes.pop(ident, None)
 
+    def _assign_window(self, text, number):
+        """Records that the window of the text's key goes with that segment, which holds the key."""
+        if (name := self.keys.name(text)) in self.keys.windows:
+            self.keys_by_segment.setdefault(number, deque()).append(name)
+
     # Writing.
 
     def _add_cost(self, text, record):
@@ -261,16 +267,15 @@
         `now` (ms) on.
         """
         if text.ident in self.texts:
+            segment = self.segment_of.get(text.ident, self.number)
             del self.texts[text.ident]
             self._unassign(text.ident)
             self._buffer_record(ENDED, text.ident, now + self.offset)
             self.ended_ids.add(text.ident, now)
             # segment 0 stands for the first segment if that could not be created yet
             self.ended_by_segment.setdefault(self.number, deque()).append(text.ident)
-            if (name := self.keys.ended(text, now)) is not None:
-                # the record that holds its key may stand in an older segment, and go with that
-                self.keys_by_segment.setdefault(self.number, deque()).append(name)
-                self.buffer += self._key_record([name])
+            self.keys.ended(text, now)
+            self._assign_window(text, segment)
 
     def _rewrite(self):
         """Begins a segment with the live texts of a legacy file and of a segment that could not be synced."""
@@ -414,7 +419,7 @@
         # segments that are created below are left for later steps
         for oldest in sorted(self.sizes)[:-1]:
             live_sizes, total = self.live_sizes[oldest], self.total()
-            keys = deque(self.keys.kept(self.keys_by_segment[oldest], self.now()))
+            keys = self.keys_by_segment[oldest]
             remaining = (
                 sum(live_sizes.values())
                 + ENDED_ID_BYTES * len(self.ended_by_segment[oldest])
@@ -425,7 +430,9 @@
                 return
             budget = plan.bytes_to_move(
                 total,
-                self.live_bytes + min(self.max_ended_id_bytes, ENDED_ID_BYTES * len(self.ended_ids.idents)),
+                self.live_bytes
+                + min(self.max_ended_id_bytes, ENDED_ID_BYTES * len(self.ended_ids.idents))
+                + KEY_WINDOW_BYTES * len(self.keys),
                 self.max_bytes,
                 self.segment_bytes,
                 written_bytes,
@@ -444,12 +451,9 @@
                     [ended_ids.popleft() for _ in range(min(IDS_PER_RECORD, len(ended_ids)))]
                 )
             while keys and not (live_sizes or ended_ids) and budget > 0:
-                names = [keys.popleft() for _ in range(min(IDS_PER_RECORD, len(keys)))]
-                record = self._key_record(names)
-                self.buffer += record
-                self.keys_by_segment[self.number] += names
-                budget -= len(record)
-            self.keys_by_segment[oldest] = keys
+                budget -= self._carry_over_windows(
+                    [keys.popleft() for _ in range(min(IDS_PER_RECORD, len(keys)))]
+                )
             self._write()
             if live_sizes or ended_ids or keys:
                 return
@@ -459,6 +463,15 @@
             if self.size >= self.segment_bytes:
                 self._seal()
 
+    def _carry_over_windows(self, names):
+        """Writes the key windows that are still kept to the newest segment, before the segment with their
+        keys is removed; returns the size of the record in bytes.
+        """
+        record = self._key_record(names)
+        self.buffer += record
+        self.keys_by_segment[self.number] += self.keys.kept(names, self.now())
+        return len(record)
+
     def _carry_over(self, idents):
         """Writes the ended ids that may still be submitted again to the newest segment, before the segment
         with their end is removed; returns the size of the record in bytes.
--- a/tests/test_key_windows.py
+++ b/tests/test_key_windows.py
@@ -12,7 +12,7 @@
 from platform_helper import Platform
 
 from calicopin.interface import How, Nack, Taken
-from calicopin.state.journal import KEY_WINDOW_BYTES, Journal
+from calicopin.state.journal import KEY_WINDOW_BYTES, Journal, allocated_bytes
 from calicopin.state.key_windows import LATE_READ_MS, KeyWindows
 from calicopin.state.texts import Text
 from calicopin.store.segments import Segments
@@ -253,6 +253,7 @@
                 journal.given_up(text, "bounced", 0.0)
             journal.ended(text, clock.now)
         journal.flush()
+        assert sum(allocated_bytes(path.stat().st_size) for path in tmp_path.iterdir()) <= 60_000
         if rng.random() < 0.01:
             journal = STORES[store](tmp_path, 60_000, clock)
         if rng.random() < 0.05:
--- a/tests/test_moved_discovery.py
+++ b/tests/test_moved_discovery.py
@@ -23,6 +23,7 @@
     "a move between two new versions": "upgrade move signal upgrade upgrade",
     "SIGKILL before the signal was read": "move kill upgrade",
     "a signal to the retired process": "move signal-retired upgrade",
+    "an address that cannot be used": "move signal name-nonsense kill upgrade",
 }
 
 
@@ -48,6 +49,12 @@
         serve(self.agent_listener, self.serve_agent)
         self.write_configuration(discovery=address_of(self.agent_listener))
 
+    def name_nonsense(self):
+        """The configuration file names no address: a reload refuses it, and a start goes on as before."""
+        self.write_configuration(discovery="nowhere")
+        self.courier.send_signal(signal.SIGHUP)
+        self.until(lambda: any("nothing changes" in line for line in self.courier.lines))
+
     def signal(self):
         self.courier.send_signal(signal.SIGHUP)
         self.until(lambda: any("SIGHUP: discovery at" in line for line in self.courier.lines))
