salvage saves the texts of a damaged folder again

Seen while reading the store: salvage called Segments.taken, which is accepted since the rename, and ended in an AttributeError with exit code 1, the code for damage found; its new folder held no text. The test asked for the exit code alone and could not fail. It now asks for each readable text in the new folder: failed before (AttributeError), passes.

--- a/calicopin/store/__main__.py
+++ b/calicopin/store/__main__.py
@@ -161,7 +161,7 @@
     lock_folder(new)
     saved = Segments(new, UNLIMITED_BYTES, 0.0, REAL_SYSTEM, MAX_VALIDITY_MS)
     for text in store.texts.values():
-        saved.taken(text)
+        saved.accepted(text)
     saved.flush()
     click.echo(f"{len(saved.texts)} texts saved to {new}, {store.damage_count} places were damaged")
     sys.exit(1 if store.damage_count else 0)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -12,7 +12,7 @@
 from calicopin.emulator.scenario import load
 from calicopin.state.texts import Text
 from calicopin.store import plan
-from calicopin.store.__main__ import main
+from calicopin.store.__main__ import ReadOnlySystem, main
 from calicopin.store.measure import STORES, measure_store
 from calicopin.store.segments import NewerFormatError, Segments, scan_records
 from calicopin.system import REAL_SYSTEM, System
@@ -253,10 +253,14 @@
     data[3000] ^= 1
     first.write_bytes(data)
     assert run_command("verify", folder).exit_code == 1
-    assert (
-        run_command("salvage", folder, tmp_path / "new").exit_code == 1
-        and run_command("verify", tmp_path / "new").exit_code == 0
-    )
+    salvaged = run_command("salvage", folder, tmp_path / "new")
+    readable = Segments(str(folder), 1 << 50, 0.0, ReadOnlySystem(), 8.64e7).texts
+    kept = Segments(str(tmp_path / "new"), 1 << 50, 0.0, ReadOnlySystem(), 8.64e7).texts
+    assert salvaged.exit_code == 1 and f"{len(readable)} texts saved" in salvaged.output
+    assert readable and {ident: text.body for ident, text in kept.items()} == {
+        ident: text.body for ident, text in readable.items()
+    }
+    assert run_command("verify", tmp_path / "new").exit_code == 0
     assert (
         run_command("salvage", folder, tmp_path / "new").exit_code == 2
     )  # not into a folder that is not empty
