--- a/tests/test_facade.py
+++ b/tests/test_facade.py
@@ -280,3 +280,26 @@
     assert not endpoints_to_close(
         facade, (7, CallResult(CallProgress.UNCONNECTED)), (8, CallResult(CallProgress.ANSWERED, status=200))
     )
+
+
+@pytest.mark.parametrize("moved", [dict(address="127.0.0.1:10"), dict(dest=8)], ids=["address", "dest"])
+def test_a_call_does_not_go_to_the_former_address_of_an_endpoint_that_has_moved(moved):
+    """Another process may have come up there, at which the message would run for the wrong destination."""
+    facade = make_facade()
+    facade.add_text(make_text("a"))
+    facade.tick(0.0)
+    (call,) = take_calls(facade)
+    facade.update_list([make_place(**moved)], False)
+    facade.tick(10.0)
+    assert not facade.may_still_send(call, 10.0)
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_messages_do_not_follow_an_endpoint_to_another_destination(whole):
+    facade = make_facade()
+    facade.update_list([make_place(dest=8)], whole)
+    facade.add_text(make_text("for 7"))
+    facade.add_text(make_text("for 8", dest=8))
+    facade.tick(0.0)
+    calls = take_calls(facade)
+    assert [[text.ident for text in call.texts] for call in calls] == [["for 8"]]
