--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -28,6 +28,7 @@
 ANSWER_MARGIN_MS = 20.0  # left of a text's validity period for the client to receive the refusal
 MAX_ACCEPTS_PER_PASS = 32  # bounds the cost of one pass of the loop
 MAX_IDENTIFIER_LENGTH = 256  # characters of an id, a reference or a key
+MAX_REASON_LENGTH = 200  # characters of the reason in the answer to a refused request, and in the log
 MAX_TIMEOUT_S = 86400.0  # validity periods are not longer than a day
 SECONDS_PATTERN = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
 DESTINATION_PATTERN = re.compile(r"[0-9]{1,9}")
@@ -312,8 +313,9 @@
         elif body is None and not error:
             if self.loop.now() >= until:
                 error = 408, "a body that does not come"
-            elif connection.h11.their_state is h11.ERROR and not connection.at_eof:
-                error = 400, "a body that cannot be read"
+            elif connection.error is not None and not connection.at_eof:
+                fault = connection.error
+                error = fault.error_status_hint or 400, f"a body that cannot be read: {fault}"
         if error:
             yield from self.refuse_request(connection, *error)
         if error or body is None:
@@ -399,6 +401,7 @@
 
     def refuse_request(self, connection, status, why):
         """Answers a request with an error status and the reason, then the connection is closed."""
+        why = why[:MAX_REASON_LENGTH]  # it may quote what the client has sent
         self.log_refusal(status, why)
         yield from self.reply(connection, status, why.encode("latin-1", "replace"), [("Connection", "close")])
 
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -8,8 +8,10 @@
 from calicopin.connection_reuse import AnswerHistory
 from calicopin.system_errors import concerns_one_connection, is_transient, lacks_local_resources, no_route
 from calicopin.wire.loop import READ, RETRY_DELAY_MS, WRITE, Until
+from calicopin.wire.message_guard import MessageGuard, NextPart
 
 READ_SIZE = 65536
+REQUEST_READ_SIZE = 4096  # while the end of a request is unknown; the rest waits in the system's buffer
 MAX_ABORTED_ACCEPTS = 32  # skipped in one accept; more in a row point to a fault of this machine
 UNKNOWN = b"?"  # result of `peek` where the system lacked the resources to read
 MAX_DISCARDED_BYTES = 16 * READ_SIZE  # read and discarded in a lingering close
@@ -34,6 +36,8 @@
 
     def __init__(self, loop, sock, role):
         self.loop, self.sock, self.h11 = loop, sock, h11.Connection(role)
+        self.guard = MessageGuard()
+        self.error = None  # the RemoteProtocolError after which nothing more is parsed
         self.at_eof, self.idle_ms = False, None  # end of stream read; ms it was idle before its last reuse
         self.received = bytearray()  # received since the last message ended; handed over with the connection
         self.history = None  # AnswerHistory, once it has carried an answer to a call
@@ -49,10 +53,19 @@
         A peer that closed the connection gives ConnectionClosed, also in the middle of a message; malformed
         data gives the RemoteProtocolError as a value.
         """
+        if self.error is None and self.guard.checks_data:
+            self.error = self.guard.error(self.unparsed())
+        if self.error is not None:
+            return self.error
         try:
-            return self.h11.next_event()
+            event = self.h11.next_event()
         except h11.RemoteProtocolError as fault:
-            return h11.ConnectionClosed() if self.at_eof else fault
+            if self.at_eof:
+                return h11.ConnectionClosed()
+            self.error = fault
+            return fault
+        self.guard.parsed(event)
+        return event
 
     def read_more(self, until):
         """Reads once; False when the time `until` comes first."""
@@ -85,6 +98,13 @@
                 return None
         return event
 
+    def _read_size(self):
+        """How much to read at once: of a request, little more than what may be parsed next."""
+        is_request = self.h11.our_role is h11.SERVER
+        return (
+            READ_SIZE if not is_request or self.guard.next_part is NextPart.UNLIMITED else REQUEST_READ_SIZE
+        )
+
     def _read(self, until):
         """Reads once: the data, b"" at the end of stream or on an error, None on a time-out.
 
@@ -93,7 +113,7 @@
         ready = True
         while True:
             try:
-                return self.sock.recv(READ_SIZE)
+                return self.sock.recv(self._read_size())
             except BlockingIOError:
                 if not ready:
                     return None
@@ -144,16 +164,15 @@
 
         TOO_LONG as soon as it exceeds `max_size` bytes; the rest is not read.
         """
-        parts, size = [], 0
+        content = bytearray()
         while True:
             event = yield from self.event(until)
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > max_size:
+                content += event.data
+                if len(content) > max_size:
                     return TOO_LONG
-                parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(content)
             else:
                 return None
 
@@ -263,6 +282,7 @@
         """Discards the first `size` bytes of the answer: they answer no request of this side."""
         rest = bytes(self.received[size:])
         self.h11, self.received = h11.Connection(h11.CLIENT), bytearray()
+        self.guard, self.error = MessageGuard(), None
         self.encode(h11.Request(method="POST", target="/", headers=[("Host", "-"), ("Content-Length", "0")]))
         if rest:
             self.feed(rest)
@@ -281,6 +301,7 @@
         """Prepares for the next message; False if this connection cannot be reused."""
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
+            self.guard.begin_message()
             self.received[:] = self.unparsed()
             return True
         return False
