--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -264,7 +264,8 @@
                 keep_alive = yield from self.request(client)
                 client.fresh = client.answer_pending = False
                 # yields between requests, so that pipelined requests of one client do not delay others
-                yield Until(self.loop.now() + client.delay)
+                is_pipelined = not client.delay and connection.has_extra_data()
+                yield Until(self.loop.now() + client.delay, low_priority=is_pipelined)
             yield from self.close_gracefully(connection)
         except Exception as fault:  # the process goes on, and the client still gets an answer
             self.loop.faults.log_exception(
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -12,6 +12,7 @@
 
 READ_SIZE = 65536
 REQUEST_READ_SIZE = 4096  # while the end of a request is unknown; the rest waits in the system's buffer
+STEPS_PER_SLICE = 64  # events that one connection may parse before others get their turn
 MAX_ABORTED_ACCEPTS = 32  # skipped in one accept; more in a row point to a fault of this machine
 UNKNOWN = b"?"  # result of `peek` where the system lacked the resources to read
 MAX_DISCARDED_BYTES = 16 * READ_SIZE  # read and discarded in a lingering close
@@ -36,7 +37,7 @@
 
     def __init__(self, loop, sock, role):
         self.loop, self.sock, self.h11 = loop, sock, h11.Connection(role)
-        self.guard = MessageGuard()
+        self.guard, self.steps = MessageGuard(), 0
         self.error = None  # the RemoteProtocolError after which nothing more is parsed
         self.at_eof, self.idle_ms = False, None  # end of stream read; ms it was idle before its last reuse
         self.received = bytearray()  # received since the last message ended; handed over with the connection
@@ -96,8 +97,17 @@
                 yield from self.write(self.h11.send(interim), until)
             if not (yield from self.read_more(until)):
                 return None
+            yield from self._end_slice()
+        yield from self._end_slice()
         return event
 
+    def _end_slice(self):
+        """Lets other coroutines run after every `STEPS_PER_SLICE` steps."""
+        self.steps += 1
+        if self.steps >= STEPS_PER_SLICE:
+            self.steps = 0
+            yield Until(self.loop.now(), low_priority=True)
+
     def _read_size(self):
         """How much to read at once: of a request, little more than what may be parsed next."""
         is_request = self.h11.our_role is h11.SERVER
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -14,6 +14,7 @@
 WRITE = select.EPOLLOUT
 FOREVER = float("inf")
 RETRY_DELAY_MS = 100.0  # ms until a failed operation is retried
+LOW_PRIORITY_MS = 5.0  # of one pass, for coroutines that have yielded with low priority
 OUT_OF_RESOURCES = (errno.ENOMEM, errno.ENOSPC)  # errors of epoll_ctl that leave the descriptor usable
 
 
@@ -21,13 +22,15 @@
 class Until:
     """What a coroutine yields to wait for a descriptor, an event or a point in time (ms).
 
-    The coroutine is resumed with True, or with False when the time `at` comes first.
+    The coroutine is resumed with True, or with False when the time `at` comes first. With `low_priority` it
+    waits for nothing but its turn: it is resumed in this pass or a later one, after all others.
     """
 
     at: float = FOREVER
     fd: int = -1
     mask: int = 0
     event: object = None
+    low_priority: bool = False
 
 
 class Event:
@@ -69,6 +72,7 @@
         self.epoll, self.fds, self.faults = system.poller(), {}, FaultLog(self.now)
         # timers: heap of (time, sequence number, task, wait id); ready: queue of (task, wait id, value)
         self.timers, self.sequence, self.ready, self.running = [], count(), deque(), True
+        self.low_priority = deque()  # (task, wait id) of coroutines that yielded with low priority
         self.lateness, self.current = 0.0, None
         self.deferred_calls = []  # called once after the next turn, while no coroutine is running
 
@@ -160,6 +164,9 @@
             )
             return
         task.wait = wait
+        if wait.low_priority:
+            self.low_priority.append((task, task.wait_id))
+            return
         if wait.event is not None:
             wait.event.task = task
             if wait.event.is_set:
@@ -189,7 +196,7 @@
             heapq.heappop(self.timers)
         at = min(until, self.timers[0][0] if self.timers else FOREVER)
         polled_at = self.now()
-        wait = 0.0 if self.ready else min(1.0, max(0.0, (at - polled_at) / 1000.0))
+        wait = 0.0 if self.ready or self.low_priority else min(1.0, max(0.0, (at - polled_at) / 1000.0))
         events = self.epoll.poll(wait)
         for fd, _ in events:
             task = self.fds.get(fd)
@@ -206,6 +213,7 @@
                 self.lateness = max(self.lateness, now - at)
                 self.resume(task, task.wait.at > expired_until)  # True for a retry of epoll_ctl
         self.step()
+        self._step_low_priority()
         until = self.turn()
         deferred_calls, self.deferred_calls = self.deferred_calls, []
         for callback in deferred_calls:
@@ -219,6 +227,17 @@
             if not task.finished and task.wait_id == wait_id:
                 self._step(task, value)
 
+    def _step_low_priority(self):
+        """Resumes coroutines that yielded with low priority, each once at most, for `LOW_PRIORITY_MS`."""
+        end = self.now() + LOW_PRIORITY_MS
+        for _ in range(len(self.low_priority)):
+            task, wait_id = self.low_priority.popleft()
+            if not task.finished and task.wait_id == wait_id:
+                self.resume(task, True)
+                self.step()
+            if self.now() >= end:
+                return
+
     def run(self):
         """Makes passes until `running` is false, each waiting until the last `turn` is due again at most."""
         until = FOREVER
