--- a/calicopin/lifecycle/reload.py
+++ b/calicopin/lifecycle/reload.py
@@ -5,6 +5,7 @@
 from calicopin.state.connections import Budget
 from calicopin.wire.discovery import decode_list
 from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Event, Until
+from calicopin.wire.receive_buffers import receive_limit
 
 RELOAD_RETRY_WINDOW_MS = (
     3000.0  # ms of retries: the platform relies on a new configuration 4 s after its signal
@@ -21,7 +22,7 @@
 
 
 class ConfigurationReload:
-    """Handles signals. A new configuration's discovery, descriptors and disk limit take effect at once."""
+    """Handles signals. A new configuration's discovery and limits take effect at once."""
 
     def __init__(
         self, loop, signal_reader, configuration, read_configuration, stop, discovery, clients, runtime
@@ -125,6 +126,14 @@
                 now=configuration.descriptors,
                 before=old.descriptors,
             )
+        if configuration.memory != old.memory:
+            self.clients.buffers.limit = receive_limit(configuration.memory)
+            logger.info(
+                "SIGHUP: {now} bytes of memory, {before} before",
+                event="reload.memory",
+                now=configuration.memory,
+                before=old.memory,
+            )
         if configuration.disk != old.disk:
             self.limit_disk(configuration.disk)
             logger.info(
--- a/calicopin/lifecycle/runtime.py
+++ b/calicopin/lifecycle/runtime.py
@@ -15,6 +15,7 @@
 
 SWEEP_INTERVAL_MS = 1000.0  # ms between two passes over idle connections
 REPORT_INTERVAL_MS = 10000.0
+LONG_STEP_MS = 50.0  # of one coroutine: other clients wait meanwhile
 # A start waits this long for its first list before it makes calls by the list in its configuration. An agent
 # answers at once, but may be late on a busy machine; this leaves time for two requests of `wire.discovery`.
 FIRST_LIST_TIMEOUT_MS = 1000.0
@@ -59,6 +60,7 @@
         # consecutive failed turns and the time of the first; no message is accepted until a turn succeeds
         self.failed_turns, self.first_failure_at = 0, 0.0
         self.guard = SendGuard(facade.decisions.fail_back.cold, log_broken_invariant)
+        self.receive_buffers = None  # the `ReceiveBuffers` of the clients
         self.restored_state = None  # (texts, routes) of the last process, for the check after the first tick
         loop.turn = self.turn
 
@@ -474,6 +476,8 @@
                 key_windows=len(self.journal.keys),
                 destinations=self.facade.state(),
                 invariants_broken=self.guard.counts_by_name(),
+                buffered_bytes=self.receive_buffers.total,
+                incomplete_refused=self.receive_buffers.refused,
             )
             | (dict(subscription=self.subscription.status()) if self.subscription else {})
         ).encode()
@@ -510,4 +514,17 @@
                     held=len(self.facade.texts),
                     out=self.calls_in_progress,
                 )
+                self.report_long_step()
                 self.loop.lateness, report_at = 0.0, self.loop.now() + REPORT_INTERVAL_MS
+
+    def report_long_step(self):
+        """Logs which coroutine kept all others waiting since the last report."""
+        loop = self.loop
+        if loop.longest_step_ms >= LONG_STEP_MS:
+            logger.warning(
+                "{coroutine} held the loop for {ms:.0f} ms",
+                event="loop.held",
+                coroutine=loop.longest_step_name,
+                ms=loop.longest_step_ms,
+            )
+        loop.longest_step_ms = 0.0
--- a/calicopin/lifecycle/start.py
+++ b/calicopin/lifecycle/start.py
@@ -27,6 +27,7 @@
 from calicopin.wire.loop import Loop
 from calicopin.wire.notices import NoticeLog, Notices
 from calicopin.wire.poll_schedule import longest_wait
+from calicopin.wire.receive_buffers import receive_limit
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -44,6 +45,7 @@
     disk: int
     configured_list: dict
     terms: dict
+    memory: int = 0  # bytes that the process may take, where it is limited
     operator_configuration: object = None  # the operator's .toml file, if there is one
     partner_file: str = ""  # the path of a watched list of partners
     notices: str = ""
@@ -114,6 +116,7 @@
         seed=seed,
         descriptors=int(limits.get("sockets") or 1024),
         disk=int(float(limits.get("disk_mb") or 3) * 1e6),
+        memory=memory_limit(limits),
         configured_list=configuration.get("known") or {"version": 0, "full": True, "servers": []},
         terms=configuration["settings"],
         operator_configuration=operator_configuration,
@@ -127,6 +130,12 @@
     )
 
 
+def memory_limit(limits):
+    """The configured limit of memory in bytes; 0 where there is none."""
+    megabytes = limits.get("memory_mb")
+    return int(megabytes * 1e6) if isinstance(megabytes, (int, float)) else 0
+
+
 def initial_list(known):
     """(version, places) of the list in the configuration. One that cannot be read counts as empty: discovery
     sends the whole list.
@@ -300,7 +309,16 @@
         if configuration.listening_socket
         else None
     )
-    clients = Clients(loop, configuration.listen, products, budget, runtime, listener)
+    clients = Clients(
+        loop,
+        configuration.listen,
+        products,
+        budget,
+        runtime,
+        listener,
+        receive_limit(configuration.memory),
+    )
+    runtime.receive_buffers = clients.buffers
     clients.status = runtime.status if configuration.status else None
     stop = Shutdown(loop, runtime, clients)
     if configuration.admin:
--- a/calicopin/wire/answers.py
+++ b/calicopin/wire/answers.py
@@ -162,7 +162,7 @@
             break
         if not isinstance((yield from connection.event(until)), h11.InformationalResponse):
             return CallResult(CallProgress.SENT), False
-        connection.drop_interim_answer()
+        connection.drop_parsed_data()
     if status == 200 and len(call.texts) == 1:
         return (yield from read_delivered(connection, call.texts[0].ident, until, report))
     return (
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -14,6 +14,7 @@
 from calicopin.system import call_with_retries
 from calicopin.wire.http import TOO_LONG, Connection, accept_next
 from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Event, Until
+from calicopin.wire.receive_buffers import MIN_LIMIT, ReceiveBuffers
 
 MAX_BODY_BYTES = 65536
 REQUEST_TIMEOUT_MS = 2500.0  # for a whole request, so that silent clients do not hold descriptors
@@ -100,6 +101,7 @@
         "answer_pending",
         "handed_over",
         "last_request",
+        "refused",
     )
 
     def __init__(self, connection, now):
@@ -107,7 +109,8 @@
         self.fresh, self.delay = True, 0.0  # no request read yet; ms until the next one is read
         self.last_request = ""  # method and target of the last request
         # answer_pending: a request was read completely, or cannot be, and its answer is not sent yet
-        self.answer_pending = self.handed_over = False
+        # refused: its request was answered while it was still being received
+        self.answer_pending = self.handed_over = self.refused = False
 
 
 class JournalledEvent(Event):
@@ -138,7 +141,7 @@
     - `unanswered(request)`: a request was read and its connection closed without an answer, an error.
     """
 
-    def __init__(self, loop, address, products, budget, acceptor, listener=None):
+    def __init__(self, loop, address, products, budget, acceptor, listener=None, receive_limit=MIN_LIMIT):
         self.loop, self.products, self.budget, self.acceptor = loop, products, budget, acceptor
         host, _, port = address.rpartition(":")
         system = loop.system
@@ -150,6 +153,7 @@
         self.status = None  # returns the body of /-/status; None if it is not served
         self.idle, self.lingering, self.open, self.leaving, self.closing = {}, {}, 0, False, False
         self.connections = {}  # open connections and their tasks
+        self.buffers = ReceiveBuffers(receive_limit)
         self.unlogged_refusals, self.refusal_logged_at, self.cleaned_up_at = 0, -FOREVER, -FOREVER
         self.accepting = loop.spawn_restarting(self.accept)
 
@@ -206,8 +210,35 @@
     def receive(self, client):
         """Serves a connection in a coroutine of its own."""
         self.open += 1
+        client.connection.on_buffered = lambda size: self.on_buffered(client, size)
+        if client.connection.received:  # from another process
+            self.buffers.grow(client, len(client.connection.received))
         self.connections[client] = self.loop.spawn(self.serve(client))
 
+    def on_buffered(self, client, size):
+        """Notes data received of a client's request. Where the buffers of all clients are over their limit,
+        the requests that have been incomplete for longest are refused, and connections that were answered and
+        still linger are closed.
+        """
+        self.buffers.grow(client, size)
+        if not self.buffers.exhausted:
+            return
+        for other in self.buffers.candidates(client):
+            if not self.buffers.exhausted:
+                return
+            if other.connection in self.lingering:
+                self.loop.cancel(self.connections[other])
+            elif not other.answer_pending:
+                self.refuse_incomplete_request(other)
+
+    def refuse_incomplete_request(self, client):
+        """Answers a request that is not complete with 503 and closes its connection."""
+        self.log_refusal(503, f"incomplete, while {self.buffers.total} bytes are buffered of all requests")
+        self.buffers.refused += 1
+        client.connection.finish_without_waiting(REFUSAL_RESPONSE)
+        client.answer_pending = client.refused = True
+        self.loop.cancel(self.connections[client])
+
     def release_for_handover(self, client):
         """Releases a connection for the handover to another process, and returns it.
 
@@ -277,8 +308,10 @@
             collected = not self.connections[client].finished if client in self.connections else False
             raise
         finally:
-            if not (collected or client.handed_over):
+            if not (collected or client.handed_over or client.refused):
                 self.report_unanswered(client)
+            self.buffers.release(client)
+            connection.on_buffered = None
             self.idle.pop(client, None)
             self.lingering.pop(connection, None)
             self.connections.pop(client, None)
@@ -321,6 +354,8 @@
             yield from self.refuse_request(connection, *error)
         if error or body is None:
             return False
+        connection.drop_parsed_data()
+        self.buffers.release(client)
         if head.method != b"POST":
             if path == b"/-/status" and self.status:
                 return (
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -39,6 +39,7 @@
         self.loop, self.sock, self.h11 = loop, sock, h11.Connection(role)
         self.guard, self.steps = MessageGuard(), 0
         self.error = None  # the RemoteProtocolError after which nothing more is parsed
+        self.on_buffered = None  # called with the size of received data, before it is parsed
         self.at_eof, self.idle_ms = False, None  # end of stream read; ms it was idle before its last reuse
         self.received = bytearray()  # received since the last message ended; handed over with the connection
         self.history = None  # AnswerHistory, once it has carried an answer to a call
@@ -79,6 +80,10 @@
 
     def feed(self, data):
         """Adds received data, as if just read from the socket."""
+        if self.on_buffered is not None:
+            # h11 keeps a copy of a head until it is complete, and `body` one of data that came in chunks
+            copies = 1 if self.guard.next_part is NextPart.UNLIMITED and not self.guard.is_chunked else 2
+            self.on_buffered(copies * len(data))
         self.received += data
         try:
             self.h11.receive_data(data)
@@ -174,15 +179,17 @@
 
         TOO_LONG as soon as it exceeds `max_size` bytes; the rest is not read.
         """
-        content = bytearray()
+        content, size, start = bytearray(), 0, len(self.received) - len(self.unparsed())
         while True:
             event = yield from self.event(until)
             if isinstance(event, h11.Data):
-                content += event.data
-                if len(content) > max_size:
+                size += len(event.data)
+                if size > max_size:
                     return TOO_LONG
+                if self.guard.is_chunked:
+                    content += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return bytes(content)
+                return bytes(content) if self.guard.is_chunked else bytes(self.received[start : start + size])
             else:
                 return None
 
@@ -284,8 +291,8 @@
         except OSError:
             return b""
 
-    def drop_interim_answer(self):
-        """Forgets the data of an interim answer that was parsed."""
+    def drop_parsed_data(self):
+        """Forgets the data that was parsed: of an interim answer, or of a request that is complete."""
         self.received[:] = self.unparsed()
 
     def discard_received(self, size):
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -74,6 +74,7 @@
         self.timers, self.sequence, self.ready, self.running = [], count(), deque(), True
         self.low_priority = deque()  # (task, wait id) of coroutines that yielded with low priority
         self.lateness, self.current = 0.0, None
+        self.longest_step_ms, self.longest_step_name = 0.0, ""  # of one coroutine, until a reader resets them
         self.deferred_calls = []  # called once after the next turn, while no coroutine is running
 
     def spawn(self, gen, urgent=False):
@@ -225,7 +226,10 @@
         while self.ready:
             task, wait_id, value = self.ready.popleft()
             if not task.finished and task.wait_id == wait_id:
+                began = self.now()
                 self._step(task, value)
+                if (elapsed := self.now() - began) > self.longest_step_ms:
+                    self.longest_step_ms, self.longest_step_name = elapsed, task.gen.__qualname__
 
     def _step_low_priority(self):
         """Resumes coroutines that yielded with low priority, each once at most, for `LOW_PRIORITY_MS`."""
--- a/calicopin/wire/message_guard.py
+++ b/calicopin/wire/message_guard.py
@@ -43,14 +43,15 @@
     `error` has to be asked before each event is parsed, and `parsed` told each event.
     """
 
-    __slots__ = ("next_part", "framing_bytes", "data_bytes")
+    __slots__ = ("next_part", "is_chunked", "framing_bytes", "data_bytes")
 
     def __init__(self):
         self.begin_message()
 
     def begin_message(self):
         """A message is expected."""
-        self.next_part, self.framing_bytes, self.data_bytes = NextPart.HEAD, 0, 0
+        self.next_part, self.is_chunked = NextPart.HEAD, False
+        self.framing_bytes = self.data_bytes = 0
 
     @property
     def checks_data(self):
@@ -68,7 +69,8 @@
     def parsed(self, event):
         """Notes what the peer has sent."""
         if isinstance(event, (h11.Request, h11.Response)):
-            self.next_part = NextPart.CHUNK_HEADER if is_chunked(event) else NextPart.UNLIMITED
+            self.is_chunked = has_chunks(event)
+            self.next_part = NextPart.CHUNK_HEADER if self.is_chunked else NextPart.UNLIMITED
         elif isinstance(event, h11.Data):
             self.data_bytes += len(event.data)
             if event.chunk_end:
@@ -111,7 +113,7 @@
         return None
 
 
-def is_chunked(head):
+def has_chunks(head):
     """Whether a body in chunks follows a head."""
     if isinstance(head, h11.Response) and head.status_code in (204, 304):
         return False
