A coroutine that yields with low priority goes on in the next pass, not in the same one

Since connections share the loop, a pipelined request could be served in the same pass as the one before it, without a turn between them; before that it waited for the next pass.

--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -23,7 +23,7 @@
     """What a coroutine yields to wait for a descriptor, an event or a point in time (ms).
 
     The coroutine is resumed with True, or with False when the time `at` comes first. With `low_priority` it
-    waits for nothing but its turn: it is resumed in this pass or a later one, after all others.
+    waits for nothing but its turn: it is resumed in the next pass or a later one, after all others.
     """
 
     at: float = FOREVER
@@ -196,8 +196,8 @@
         while self.timers and (self.timers[0][2].finished or self.timers[0][2].wait_id != self.timers[0][3]):
             heapq.heappop(self.timers)
         at = min(until, self.timers[0][0] if self.timers else FOREVER)
-        polled_at = self.now()
-        wait = 0.0 if self.ready or self.low_priority else min(1.0, max(0.0, (at - polled_at) / 1000.0))
+        polled_at, yielded = self.now(), len(self.low_priority)
+        wait = 0.0 if self.ready or yielded else min(1.0, max(0.0, (at - polled_at) / 1000.0))
         events = self.epoll.poll(wait)
         for fd, _ in events:
             task = self.fds.get(fd)
@@ -214,7 +214,7 @@
                 self.lateness = max(self.lateness, now - at)
                 self.resume(task, task.wait.at > expired_until)  # True for a retry of epoll_ctl
         self.step()
-        self._step_low_priority()
+        self._step_low_priority(yielded)
         until = self.turn()
         deferred_calls, self.deferred_calls = self.deferred_calls, []
         for callback in deferred_calls:
@@ -231,10 +231,10 @@
                 if (elapsed := self.now() - began) > self.longest_step_ms:
                     self.longest_step_ms, self.longest_step_name = elapsed, task.gen.__qualname__
 
-    def _step_low_priority(self):
-        """Resumes coroutines that yielded with low priority, each once at most, for `LOW_PRIORITY_MS`."""
+    def _step_low_priority(self, count):
+        """Resumes up to `count` coroutines that yielded with low priority, for `LOW_PRIORITY_MS`."""
         end = self.now() + LOW_PRIORITY_MS
-        for _ in range(len(self.low_priority)):
+        for _ in range(count):
             task, wait_id = self.low_priority.popleft()
             if not task.finished and task.wait_id == wait_id:
                 self.resume(task, True)
