--- a/calicopin/emulator/process.py
+++ b/calicopin/emulator/process.py
@@ -253,6 +253,15 @@
         return events
 
 
+class HangUpProbe:
+    """Tells whether the peer of a socket has closed its sending side, also behind unread data."""
+
+    @staticmethod
+    def hung_up(sock):
+        """Whether the peer has left."""
+        return bool(sock.ready() & select.EPOLLRDHUP)
+
+
 class SignalReader(Handle):
     """Pending signals, with the interface of `lifecycle/signals.py`."""
 
@@ -352,6 +361,10 @@
         """A new poller."""
         return Poller(self)
 
+    def hang_up_probe(self):
+        """A new probe."""
+        return HangUpProbe()
+
     def listen(self, _, port):
         """A listening socket."""
         self.enter("listen")
--- a/calicopin/state/connections.py
+++ b/calicopin/state/connections.py
@@ -21,7 +21,9 @@
 class Budget:
     """Divides the file descriptors that the process may hold among calls, endpoints and clients."""
 
-    RESERVED = 16  # loop, listener, standard streams, journal and its successor, discovery, notices, signals
+    RESERVED = (
+        17  # 2 of the loop, listener, standard streams, journal with successor, discovery, notices, signals
+    )
 
     def __init__(self, descriptors, slots, admin=False):
         self.admin = max(4, min(16, descriptors // 16)) if admin else 0  # connections to the admin server
--- a/calicopin/system.py
+++ b/calicopin/system.py
@@ -19,6 +19,24 @@
 RETRY_INTERVAL_MS = 50.0
 
 
+class HangUpProbe:
+    """Asks an epoll of its own about one connection at a time, without waiting."""
+
+    def __init__(self):
+        self.epoll = select.epoll()
+
+    def hung_up(self, sock):
+        """Whether the peer has left; also where the system lacks the resources to tell."""
+        try:
+            self.epoll.register(sock.fileno(), select.EPOLLRDHUP)
+            try:
+                return bool(self.epoll.poll(0))
+            finally:
+                self.epoll.unregister(sock.fileno())
+        except OSError:
+            return True
+
+
 class System:
     """The operating system.
 
@@ -59,6 +77,13 @@
         """An object with `register`, `modify`, `unregister` and `poll` (seconds), like `select.epoll`."""
         return select.epoll()
 
+    @staticmethod
+    def hang_up_probe():
+        """An object whose `hung_up(sock)` tells whether the peer has closed its sending side or reset the
+        connection, also where data that it sent before is unread.
+        """
+        return HangUpProbe()
+
     @staticmethod
     def listen(host, port):
         """A non-blocking listening TCP socket."""
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -13,7 +13,7 @@
 from calicopin.state.texts import Text
 from calicopin.system import call_with_retries
 from calicopin.wire.http import TOO_LONG, Connection, accept_next
-from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Event, Until
+from calicopin.wire.loop import FOREVER, HANG_UP, READ, RETRY_DELAY_MS, Event, Until
 from calicopin.wire.receive_buffers import MIN_LIMIT, ReceiveBuffers
 
 MAX_BODY_BYTES = 65536
@@ -411,11 +411,8 @@
         until, fd = text.until - ANSWER_MARGIN_MS, connection.sock.fileno()
         try:
             while not event.received and self.loop.now() < until and not connection.peer_closed():
-                if (
-                    not connection.open_without_data()
-                ):  # a pipelined request, which has to wait and hides a close
-                    fd = -1
-                yield Until(until, fd, READ if fd >= 0 else 0, event)
+                # a pipelined request has to wait
+                yield Until(until, fd, READ if connection.open_without_data() else HANG_UP, event)
         finally:
             self.acceptor.stop_waiting_for(event)
 
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -311,8 +311,11 @@
         return self.peek() is None
 
     def peer_closed(self):
-        """Whether the peer has closed its sending side."""
-        return self.at_eof or self.peek() == b""
+        """Whether the peer has closed its sending side, also behind data that is unread."""
+        if self.at_eof:
+            return True
+        unread = self.peek()
+        return unread == b"" or (unread is not None and self.loop.hang_up_probe.hung_up(self.sock))
 
     def prepare_next_message(self):
         """Prepares for the next message; False if this connection cannot be reused."""
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -11,6 +11,7 @@
 from calicopin.system import REAL_SYSTEM
 
 READ = select.EPOLLIN | select.EPOLLRDHUP
+HANG_UP = select.EPOLLRDHUP  # the peer has closed its sending side
 WRITE = select.EPOLLOUT
 FOREVER = float("inf")
 RETRY_DELAY_MS = 100.0  # ms until a failed operation is retried
@@ -70,6 +71,7 @@
     def __init__(self, turn=lambda: FOREVER, now=None, system=REAL_SYSTEM):
         self.now, self.turn, self.system = now or system.now, turn, system
         self.epoll, self.fds, self.faults = system.poller(), {}, FaultLog(self.now)
+        self.hang_up_probe = system.hang_up_probe()
         # timers: heap of (time, sequence number, task, wait id); ready: queue of (task, wait id, value)
         self.timers, self.sequence, self.ready, self.running = [], count(), deque(), True
         self.low_priority = deque()  # (task, wait id) of coroutines that yielded with low priority
