--- a/calicopin/deployment_settings.py
+++ b/calicopin/deployment_settings.py
@@ -30,9 +30,16 @@
             self.ident[number] = ident
         return self.index[ident]
 
-    def forget(self, ident):
-        """Removes an id and its number; raises KeyError for an unknown id."""
-        del self.ident[self.index.pop(ident)]
+    def renumber(self, ident):
+        """Returns a new number for an id; the former number keeps the id until it is forgotten."""
+        del self.index[ident]
+        return self(ident)
+
+    def forget(self, number):
+        """Removes a number, and its id unless that has a newer one; raises KeyError for an unknown number."""
+        ident = self.ident.pop(number)
+        if self.index[ident] == number:
+            del self.index[ident]
 
 
 REQUIRED_MINIMUMS = {  # required keys by section, with the smallest supported value
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -173,6 +173,7 @@
         self.waiting_for_list = 0  # requests that wait for the first list of their destination
         self.texts, self.places, self.events = {}, {}, []
         self.places_of = {}  # numbers of the listed endpoints, by destination id
+        self.known_places = {}  # the last place by number of endpoint, also of those that have left the list
         self.dropped_dests = []  # forgotten destinations not yet returned by dropped_destinations
         self.unlisted = {}  # numbers of endpoints that may be unused by now
         self.calls, self.returned_texts, self.final_answers, self.log_lines, self.endpoints_to_close = (
@@ -304,6 +305,12 @@
         for place in places:
             number = self.endpoints(place.ident)
             former.setdefault(number, self._remove_place(number))
+            last_place = self.known_places.get(number, place)
+            if last_place.dest != place.dest:  # another endpoint under the same id
+                entries.append(self._departure(number, last_place))
+                number = self.endpoints.renumber(place.ident)
+                former.setdefault(number, None)
+            self.known_places[number] = place
             self._add_place(number, place)
             entries.append(
                 Entry(
@@ -324,6 +331,12 @@
         self._forget_unlisted(before)
         return former
 
+    def _departure(self, number, place):
+        """The entry by which an endpoint leaves its place in the list."""
+        self.unlisted[number] = None
+        destination, kind, zone = self.dests(place.dest), self.kinds(place.kind), self.zones(place.zone)
+        return Entry(number, destination, kind, zone, ready=False)
+
     def _add_place(self, number, place):
         self.places[number] = place
         self.places_of.setdefault(place.dest, {})[number] = None
@@ -346,7 +359,8 @@
             del self.unlisted[number]
             in_use = number in self.places or number in self.decisions.endpoints
             if not in_use and number in self.endpoints.ident:
-                self.endpoints.forget(self.endpoints.ident[number])
+                self.endpoints.forget(number)
+                self.known_places.pop(number, None)
 
     def release(self, dest):
         """Stops using a destination; its state is forgotten once the decisions no longer use it.
@@ -442,7 +456,7 @@
             self.unlisted |= dict.fromkeys(self.decisions.forgotten_endpoints)
             for number in self.decisions.forgotten_destinations:
                 self.dropped_dests.append(self.dests.ident[number])
-                self.dests.forget(self.dests.ident[number])
+                self.dests.forget(number)
             if self.decisions.forgotten_destinations:
                 self._forget_unlisted(())
         return self.wake[0] if self.wake else float("inf")
@@ -499,8 +513,15 @@
         return self.calls.popleft() if self.calls else None
 
     def may_still_send(self, call, now):
-        """Whether a picked call may still be sent, once its connection is established."""
-        return bool(self.decisions.may_begin(now, call.endpoint, [text.number for text in call.texts]))
+        """Whether a picked call may still be sent, once its connection is established: the decisions allow
+        it, and its endpoint has not moved meanwhile, since another may have come up at its former address.
+        """
+        place = self.places.get(call.endpoint)
+        return (
+            place is not None
+            and place.address == call.place.address
+            and bool(self.decisions.may_begin(now, call.endpoint, [text.number for text in call.texts]))
+        )
 
     def next_returned_text(self):
         """Returns the next text whose submit ended without a final answer, or None.
--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -70,7 +70,7 @@
             apart=endpoint.route is not endpoint.dest.routes.get(None),
         )
         for number, endpoint in module.endpoints.items()
-        if number in endpoints
+        if facade.endpoints.index.get(endpoints.get(number)) == number  # not one whose id has moved on
     ]
     named = {id(known): held[number].ident for number, known in registry.texts.items() if number in held}
     return dict(
--- a/calicopin/send_guard.py
+++ b/calicopin/send_guard.py
@@ -15,6 +15,7 @@
 class Invariant(StrEnum):
     """What holds for every call and every process; the value is the sentence for the log."""
 
+    DESTINATION = "a message goes to its own destination"
     LISTED = "a call goes to an endpoint that is listed and ready"
     WAIT_OVER = "no call goes before a requested wait is over"
     JOURNALLED = "a call is journalled before it goes"
@@ -47,6 +48,9 @@
         and `kept` the state of its route in the journal, or None.
         """
         name = call.place.ident
+        others = [text.ident for text in call.texts if text.dest != call.place.dest]
+        if not self._check(not others, Invariant.DESTINATION, " ".join(others)):
+            return False
         listed = endpoint is not None and endpoint.ident in endpoint.dest.endpoints
         if not self._check(listed, Invariant.LISTED, name):
             return False
--- a/tests/test_returning_ids.py
+++ b/tests/test_returning_ids.py
@@ -16,7 +16,7 @@
 
 
 def taken_on_and_left(courier, ident):
-    """Sends a message whose client leaves once it is taken on, before its 202; returns the endpoint's side."""
+    """Sends a message whose client leaves before its 202 is written; returns the endpoint's side."""
     peer = courier.request(ident)
     for _ in range(400):
         courier.loop.once(courier.loop.now())
