--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -523,3 +523,14 @@
         (again,) = submits(done) or submits(fixture.step(after=100.0))
         done = fixture.outcome(again, How.DELIVERED if answered else How.TIMEOUT)
         assert closes(done) == [1] * answered
+
+
+def test_timers_of_messages_that_have_ended_do_not_fill_the_memory():
+    fixture = DecisionsFixture()
+    for _ in range(60):
+        for submit in submits(fixture.take(number=40, validity=80_000_000.0)):
+            fixture.outcome(submit)
+        while fixture.courier.registry.texts:
+            for submit in submits(fixture.step(after=50.0)):
+                fixture.outcome(submit)
+        assert len(fixture.courier.scheduler.timers) < 1200
