--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -23,6 +23,7 @@
 FAILURES = (How.ERROR, How.TIMEOUT, How.UNREACHED, How.BROKEN)
 NEVER_RAN = (How.FULL, How.UNREACHED, How.NOT_SENT)  # outcomes that prove that the submit never ran
 MAINTENANCE_INTERVAL_MS = 250.0
+MAX_OBSOLETE_TIMERS = 1024  # of texts that have ended; more are dropped before they are due
 
 
 class Text:
@@ -566,6 +567,7 @@
         self.inbox, self.texts, self.keys, self.settling = deque(), {}, {}, {}
         self.references = References()
         self.settled_at = settings.restarted + settings.settle
+        self.obsolete_timers = 0  # at most, of texts that were removed since timers were last dropped
 
     def on_take(self, text):
         """Registers an accepted text, hands it to its destination, and sheds load if the store is nearly
@@ -651,7 +653,8 @@
         """Forgets a text unless a call with it is in flight; the next text of its key may go."""
         if text.call is not None:
             return
-        self.texts.pop(text.ident, None)
+        if self.texts.pop(text.ident, None) is not None:
+            self.drop_obsolete_timers()
         self.references.remove(text)
         queue = self.keys.get(text.key, ())
         if text in queue:
@@ -661,6 +664,13 @@
             else:
                 del self.keys[text.key]
 
+    def drop_obsolete_timers(self):
+        """Drops the timers of removed texts, at a cost that is small for each text."""
+        self.obsolete_timers += 1
+        if self.obsolete_timers >= max(MAX_OBSOLETE_TIMERS, len(self.texts)):
+            self.obsolete_timers = 0
+            self.scheduler.drop_timers("expire", lambda text, *_: self.texts.get(text.ident) is not text)
+
     def on_expire(self, text, stay_away=None, why="no time left to send it"):
         """Gives up a waiting text once it has no time left for a submit or, with `stay_away` (ms) given, at
         once: nacked if that is safe, with the advice to stay away for so long.
--- a/calicopin/scheduler.py
+++ b/calicopin/scheduler.py
@@ -35,6 +35,11 @@
         """Posts the message at the time `when` (ms)."""
         heapq.heappush(self.timers, (when, next(self.sequence), actor, message, args))
 
+    def drop_timers(self, message, is_obsolete):
+        """Drops the timers of a message for whose arguments `is_obsolete` holds."""
+        self.timers = [timer for timer in self.timers if not (timer[3] == message and is_obsolete(*timer[4]))]
+        heapq.heapify(self.timers)
+
     def run(self):
         """Delivers all messages. Timers that are due post theirs whenever the inboxes are empty."""
         while self.pending or self.timers and self.timers[0][0] <= self.now:
