--- a/calicopin/lifecycle/reload.py
+++ b/calicopin/lifecycle/reload.py
@@ -2,10 +2,10 @@
 
 from loguru import logger
 
+from calicopin.memory_budget import memory_budget
 from calicopin.state.connections import Budget
 from calicopin.wire.discovery import decode_list
 from calicopin.wire.loop import FOREVER, READ, RETRY_DELAY_MS, Event, Until
-from calicopin.wire.receive_buffers import receive_limit
 
 RELOAD_RETRY_WINDOW_MS = (
     3000.0  # ms of retries: the platform relies on a new configuration 4 s after its signal
@@ -127,7 +127,8 @@
                 before=old.descriptors,
             )
         if configuration.memory != old.memory:
-            self.clients.buffers.limit = receive_limit(configuration.memory)
+            self.runtime.memory_budget = memory_budget(configuration.memory)
+            self.clients.buffers.limit = self.runtime.memory_budget.receive_bytes
             logger.info(
                 "SIGHUP: {now} bytes of memory, {before} before",
                 event="reload.memory",
--- a/calicopin/lifecycle/runtime.py
+++ b/calicopin/lifecycle/runtime.py
@@ -8,6 +8,7 @@
 
 from calicopin.facade import CallProgress, CallResult
 from calicopin.lifecycle import call_log
+from calicopin.memory_budget import MemoryBudget
 from calicopin.send_guard import SendGuard
 from calicopin.wire.clients import JournalledEvent
 from calicopin.wire.endpoints import OutstandingCall, resume_call, submit
@@ -60,6 +61,7 @@
         # consecutive failed turns and the time of the first; no message is accepted until a turn succeeds
         self.failed_turns, self.first_failure_at = 0, 0.0
         self.guard = SendGuard(facade.decisions.fail_back.cold, log_broken_invariant)
+        self.memory_budget = MemoryBudget()
         self.receive_buffers = None  # the `ReceiveBuffers` of the clients
         self.restored_state = None  # (texts, routes) of the last process, for the check after the first tick
         loop.turn = self.turn
@@ -163,6 +165,8 @@
             return "the journal cannot be written"
         if self.facade.full():
             return "the limit of held messages is reached"
+        if self.memory_budget.is_history_full(self.journal.history_bytes()):
+            return "the ids of recent messages fill their share of the memory"
         return "" if self.journal.room(len(text.body)) else "the journal is full"
 
     def first_answer(self, text):
@@ -193,6 +197,10 @@
         self.unjournalled.append(event)
         return event
 
+    def request_delay(self):
+        """How long (ms) each connection of a client waits before its next request is read."""
+        return self.memory_budget.request_delay(self.journal.history_bytes())
+
     def unanswered(self, request):
         """A client's connection was closed after a request that was read but not answered."""
         self.guard.unanswered(request)
@@ -476,6 +484,7 @@
                 key_windows=len(self.journal.keys),
                 destinations=self.facade.state(),
                 invariants_broken=self.guard.counts_by_name(),
+                history_bytes=self.journal.history_bytes(),
                 buffered_bytes=self.receive_buffers.total,
                 incomplete_refused=self.receive_buffers.refused,
             )
--- a/calicopin/lifecycle/start.py
+++ b/calicopin/lifecycle/start.py
@@ -17,6 +17,7 @@
 from calicopin.lifecycle.runtime import Runtime
 from calicopin.lifecycle.signals import SignalReader
 from calicopin.lifecycle.stop import Shutdown
+from calicopin.memory_budget import memory_budget
 from calicopin.state.connections import Budget, ConnectionPool
 from calicopin.state.journal import Journal
 from calicopin.state.ledger import Counters
@@ -27,7 +28,6 @@
 from calicopin.wire.loop import Loop
 from calicopin.wire.notices import NoticeLog, Notices
 from calicopin.wire.poll_schedule import longest_wait
-from calicopin.wire.receive_buffers import receive_limit
 
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
@@ -243,6 +243,7 @@
     runtime = Runtime(
         loop, facade, journal, pool, connect_timeout, Counters(grade["name"] for grade in terms["grades"])
     )
+    runtime.memory_budget = memory_budget(configuration.memory)
     notice_address = configuration.discovery or configuration.notices
     runtime.notices = (
         Notices(loop, notice_address, runtime.notice_acknowledged)
@@ -316,7 +317,7 @@
         budget,
         runtime,
         listener,
-        receive_limit(configuration.memory),
+        runtime.memory_budget.receive_bytes,
     )
     runtime.receive_buffers = clients.buffers
     clients.status = runtime.status if configuration.status else None
--- a/calicopin/state/journal.py
+++ b/calicopin/state/journal.py
@@ -41,6 +41,8 @@
 NO_IDENT = ""
 ENDED_ID_BYTES = 48  # approximate size of the id of an ended text
 KEY_WINDOW_BYTES = 48  # approximate size of one window of a key
+ENDED_ID_MEMORY_BYTES, KEY_WINDOW_MEMORY_BYTES = 140, 270  # the same in memory
+KEY_WINDOWS_PER_RECORD = 512  # limits the memory that a rewrite takes
 
 
 def allocated_bytes(size):
@@ -266,6 +268,13 @@
     def _buffer_record(self, kind, *values):
         self.buffer += self._record(kind, json.dumps(values).encode())
 
+    def history_bytes(self):
+        """Approximately the memory that ids and keys of ended messages take; forgets those that are over."""
+        self.ended_ids.forget_expired(self.now())
+        self.keys.forget_expired(self.now())
+        ids, windows = len(self.ended_ids.idents), len(self.keys)
+        return ids * ENDED_ID_MEMORY_BYTES + windows * KEY_WINDOW_MEMORY_BYTES
+
     def room(self, size):
         """Whether there is room for a text with a body of `size` bytes."""
         kept_bytes = self.live_bytes + self.routes.size + len(self.keys) * KEY_WINDOW_BYTES
@@ -348,6 +357,12 @@
             self.ended_ids.add(text.ident, now)
             self.keys.ended(text, now)
 
+    def _key_records(self):
+        """Records with all windows that are kept, some in each."""
+        names = list(self.keys.windows)
+        for start in range(0, len(names), KEY_WINDOWS_PER_RECORD):
+            yield self._key_record(names[start : start + KEY_WINDOWS_PER_RECORD])
+
     def _key_record(self, names):
         """A record with the windows of those of the names that are kept; empty if none is."""
         now = self.now()
@@ -403,7 +418,7 @@
                 self._record(FILE_HEADER, json.dumps([self.boot, self.offset]).encode()),
                 self._record(ENDED_IDS, json.dumps(ended_ids).encode()),
                 self._state_records(),
-                self._key_record(self.keys.windows),
+                *self._key_records(),
                 *(self._add_cost(text, self._text_record(text)) for text in self.texts.values()),
             ]
         )
--- a/calicopin/state/texts.py
+++ b/calicopin/state/texts.py
@@ -54,28 +54,33 @@
     """
 
     def __init__(self, retention_ms):
+        # idents: when each is dropped (ms); by_expiry: the same ids, the first to be dropped at the front
         self.retention_ms, self.idents, self.by_expiry = retention_ms, {}, deque()
 
     def add(self, ident, now):
         """Records an id that ended at `now` (ms) and drops the ids whose retention period is over."""
         if ident not in self.idents:
             self.idents[ident] = now + self.retention_ms
-            self.by_expiry.append((now + self.retention_ms, ident))
-        while self.by_expiry and self.by_expiry[0][0] <= now:
-            self.idents.pop(self.by_expiry.popleft()[1], None)
+            self.by_expiry.append(ident)
+        self.forget_expired(now)
+
+    def forget_expired(self, now):
+        """Drops the ids whose retention period is over at `now` (ms)."""
+        while self.by_expiry and self.idents[self.by_expiry[0]] <= now:
+            del self.idents[self.by_expiry.popleft()]
 
     def newest(self, count):
         """(id, time of its end in ms) of the newest `count` ids, oldest first."""
         return [
-            (ident, expires_at - self.retention_ms)
-            for expires_at, ident in islice(self.by_expiry, max(0, len(self.by_expiry) - count), None)
+            (ident, self.idents[ident] - self.retention_ms)
+            for ident in islice(self.by_expiry, max(0, len(self.by_expiry) - count), None)
         ]
 
     def ended_at(self, ident, count):
         """When the id ended, in ms, if it is among the newest `count`; else None."""
         expires_at = self.idents.get(ident)
         among_newest = expires_at is not None and (
-            len(self.by_expiry) <= count or expires_at >= self.by_expiry[-count][0]
+            len(self.by_expiry) <= count or expires_at >= self.idents[self.by_expiry[-count]]
         )
         return expires_at - self.retention_ms if among_newest else None
 
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -10,11 +10,12 @@
 import h11
 from loguru import logger
 
+from calicopin.memory_budget import MIN_SHARE_BYTES
 from calicopin.state.texts import Text
 from calicopin.system import call_with_retries
 from calicopin.wire.http import TOO_LONG, Connection, accept_next
 from calicopin.wire.loop import FOREVER, HANG_UP, READ, RETRY_DELAY_MS, Event, Until
-from calicopin.wire.receive_buffers import MIN_LIMIT, ReceiveBuffers
+from calicopin.wire.receive_buffers import ReceiveBuffers
 
 MAX_BODY_BYTES = 65536
 REQUEST_TIMEOUT_MS = 2500.0  # for a whole request, so that silent clients do not hold descriptors
@@ -138,10 +139,13 @@
     - `acknowledged(text)` and `withdraw(text)`: its 202 was sent, or could not be sent;
     - `first_answer(text)`: an event to wait for while its destination is unknown, or None;
     - `stop_waiting_for(event)`: the wait for such an event has ended;
+    - `request_delay()`: how long (ms) each connection waits before its next request is read;
     - `unanswered(request)`: a request was read and its connection closed without an answer, an error.
     """
 
-    def __init__(self, loop, address, products, budget, acceptor, listener=None, receive_limit=MIN_LIMIT):
+    def __init__(
+        self, loop, address, products, budget, acceptor, listener=None, receive_limit=MIN_SHARE_BYTES
+    ):
         self.loop, self.products, self.budget, self.acceptor = loop, products, budget, acceptor
         host, _, port = address.rpartition(":")
         system = loop.system
@@ -295,8 +299,9 @@
                 keep_alive = yield from self.request(client)
                 client.fresh = client.answer_pending = False
                 # yields between requests, so that pipelined requests of one client do not delay others
-                is_pipelined = not client.delay and connection.has_extra_data()
-                yield Until(self.loop.now() + client.delay, low_priority=is_pipelined)
+                delay = max(client.delay, self.acceptor.request_delay())
+                is_pipelined = not delay and connection.has_extra_data()
+                yield Until(self.loop.now() + delay, low_priority=is_pipelined)
             yield from self.close_gracefully(connection)
         except Exception as fault:  # the process goes on, and the client still gets an answer
             self.loop.faults.log_exception(
--- a/calicopin/wire/receive_buffers.py
+++ b/calicopin/wire/receive_buffers.py
@@ -3,15 +3,6 @@
 No I/O. Sizes are bytes.
 """
 
-PROCESS_BYTES = 26_000_000  # of a process whose clients are all idle
-MIN_LIMIT = 3_000_000
-SHARE = 0.5  # of the memory that is left; the rest is for messages that are held
-
-
-def receive_limit(memory):
-    """How much may be buffered of all requests, where the process may take `memory` bytes."""
-    return max(MIN_LIMIT, int((memory - PROCESS_BYTES) * SHARE))
-
 
 class ReceiveBuffers:
     """The sizes of what is buffered for each client, in the order in which their requests began."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -5,10 +5,13 @@
 import time
 
 import pytest
+from courier_helper import CourierFixture
 from helper import Clock, client, spin
 from platform_helper import Platform
 from wire_helper import clients, request
 
+from calicopin.memory_budget import SLOWED_REQUEST_MS, MemoryBudget
+from calicopin.state.journal import ENDED_ID_MEMORY_BYTES
 from calicopin.wire.loop import Loop
 
 CLIENT_PATIENCE_S = 0.4  # a client waits this long for its answer
@@ -128,8 +131,8 @@
 
 def raise_descriptor_limit():
     """This process needs as many descriptors as the courier."""
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (min(4 * DESCRIPTORS, hard), hard))
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(4 * DESCRIPTORS, hard)), hard))
 
 
 def half_a_request(platform, data):
@@ -186,3 +189,21 @@
         loop.once(loop.now())
         server.acceptor.keep()
     assert server.acceptor.texts == [] and server.open == 0
+
+
+def test_ever_new_ids_neither_fill_the_memory_nor_keep_others_out(tmp_path):
+    courier = CourierFixture(tmp_path)
+    courier.runtime.memory_budget = MemoryBudget(history_bytes=40 * ENDED_ID_MEMORY_BYTES)
+    journal, peer = courier.runtime.journal, client(courier.loop, courier.listen)
+    for number in range(40):
+        peer.say(request(X_Request_ID=f"id{number}", X_Timeout="0.001"))
+        assert peer.wait(b"\r\n\r\n").split()[1] == b"202"
+        courier.pass_time(5.0, step=1.0)
+        slowed = courier.runtime.request_delay() > 0.0
+        assert slowed is (len(journal.ended_ids.idents) >= 20)
+        courier.pass_time(SLOWED_REQUEST_MS if slowed else 0.0)
+        for text in list(journal.texts.values()):
+            courier.runtime.complete(text)
+    assert courier.post("one more") == b"503"
+    courier.pass_time(25000.0, step=500.0)
+    assert courier.post("later") == b"202" and courier.runtime.request_delay() == 0.0
--- a/tests/wire_helper.py
+++ b/tests/wire_helper.py
@@ -56,6 +56,9 @@
     def first_answer(self, _):
         return None
 
+    def request_delay(self):
+        return 0.0
+
     def accept(self, text):
         if self.refusal is None:
             self.texts.append(text)
