Soak: hostile clients at some couriers, and 32 MB as the limit of a courier's memory

A courier whose process held over 32 MB at its end counts as crashed, and 32 MB stand in its settings. The soak of a few seconds in the tests has all six kinds.

--- a/calicopin/soak/courier.py
+++ b/calicopin/soak/courier.py
@@ -14,6 +14,7 @@
 from calicopin.scale.nodes import ROOT, free_port, process_resident
 from calicopin.soak.rules import Failure
 
+MEMORY_LIMIT_MB = 32
 SHUTDOWN_TIMEOUT_SECONDS = 3.7  # from the stop signal to SIGKILL, the least that the protocol allows
 EXIT_POLL_SECONDS = 0.01
 FAULTS_VARIABLE = "LB_SOAK_FAULTS"  # read by `calicopin.soak.faulty_courier`
@@ -33,7 +34,7 @@
             discovery=discovery,
             seed=f"{seed:x}",
             state=str(folder / "state"),
-            limits=dict(sockets=256, disk_mb=3),
+            limits=dict(sockets=256, disk_mb=3, memory_mb=MEMORY_LIMIT_MB),
             settings=settings,
             log="json",
             status=True,
@@ -96,6 +97,11 @@
         """Resident memory of its process."""
         return process_resident(self.process.pid)
 
+    def peak_memory_mb(self) -> float:
+        """The most memory that its process ever held at once; 0 if it has ended."""
+        status = Path(f"/proc/{self.process.pid}/status").read_text("ascii")
+        return next((int(line.split()[1]) / 1024 for line in status.splitlines() if "VmHWM" in line), 0.0)
+
     def records(self) -> Iterator[dict]:
         """The complete lines of its log as objects; lines that are no JSON as events named `plain`."""
         for line in self.log_path.read_text(errors="replace").splitlines():
--- a/calicopin/soak/fleet.py
+++ b/calicopin/soak/fleet.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from calicopin.soak.client import UNANSWERED, Clients, Request
-from calicopin.soak.courier import CourierProcess
+from calicopin.soak.courier import MEMORY_LIMIT_MB, CourierProcess
 from calicopin.soak.destination import AnswerCopies, Destination, Endpoint
 from calicopin.soak.platform import LEFT, Platform
 from calicopin.soak.rules import (
@@ -308,6 +308,8 @@
             self.record.invariants += courier.broken_invariants()
             if not courier.is_running():
                 self.record.crashes.append(f"{courier.name} exited unexpectedly")
+            elif (peak := courier.peak_memory_mb()) > MEMORY_LIMIT_MB:
+                self.record.crashes.append(f"{courier.name} held {peak:.1f} MB of memory")
         capacities = {each.number: each.capacity for each in self.destinations}
         return find_violations(self.record, capacities, self.rule, ONCE_ONLY_PRODUCTS, TIME_LIMITS)
 
--- a/calicopin/soak/plan.py
+++ b/calicopin/soak/plan.py
@@ -5,6 +5,7 @@
 
 from calicopin.soak.destination import OUTAGE_MODES
 from calicopin.soak.fleet import DestinationPlan
+from calicopin.soak.hostile import PAYLOADS
 from calicopin.soak.rules import SlowStart
 
 SLOW_START_RULES = (
@@ -131,6 +132,16 @@
     connections: int
 
 
+@dataclass(frozen=True, slots=True)
+class HostileStep:
+    """A hostile client at each of a share of the couriers sends requests of the kind `how`."""
+
+    at: float
+    length: float
+    share: float
+    how: str
+
+
 @dataclass(frozen=True, slots=True)
 class RepeatStep:
     """A peer sends a share of its answers once more, up to `delay` seconds later.
@@ -181,6 +192,7 @@
     drains: tuple[DrainStep, ...] = ()
     signals: tuple[SignalStep, ...] = ()
     crowds: tuple[CrowdStep, ...] = ()
+    hostiles: tuple[HostileStep, ...] = ()
     repeats: tuple[RepeatStep, ...] = ()
 
     def summary(self) -> str:
@@ -193,6 +205,7 @@
         drains = ", ".join(f"{d.destination} {d.at:.1f}" for d in self.drains)
         faults = ", ".join(f"{f.call} {f.error or f.step} {f.at:.1f}+{f.length:.1f}" for f in self.system)
         signals = ", ".join(f"{s.count} SIGHUP {s.at:.1f}" for s in self.signals)
+        hostiles = ", ".join(f"{h.how} {h.at:.1f}+{h.length:.1f}" for h in self.hostiles)
         crowds = ", ".join(f"{c.connections} clients {c.at:.1f}+{c.length:.1f}" for c in self.crowds)
         repeats = ", ".join(
             f"{'platform' if r.destination is None else r.destination} {r.share:.0%} within {r.delay:.3f} s"
@@ -201,7 +214,8 @@
         )
         return (
             f"{self.couriers} couriers; outages {outages}; restarts {restarts}; drains {drains}; "
-            f"system calls {faults}; signals {signals}; crowds {crowds}; repeated answers {repeats}"
+            f"system calls {faults}; signals {signals}; crowds {crowds}; "
+            f"hostile clients {hostiles}; repeated answers {repeats}"
         )
 
 
@@ -213,6 +227,7 @@
     """
     rng = random.Random(f"soak/{seed}")
     client_rng = random.Random(f"soak/{seed}/clients")
+    hostile_rng = random.Random(f"soak/{seed}/hostile")
     peer_rng = random.Random(f"soak/{seed}/peers")
     rule = rng.choice(SLOW_START_RULES)
     destinations = tuple(
@@ -274,6 +289,15 @@
             )
             for _ in range(client_rng.choice((0, 0, 1)))
         ),
+        hostiles=tuple(
+            HostileStep(
+                hostile_rng.uniform(0.0, seconds * 0.7),
+                hostile_rng.uniform(1.0, 5.0),
+                hostile_rng.uniform(0.1, 0.3),
+                hostile_rng.choice(tuple(PAYLOADS)),
+            )
+            for _ in range(hostile_rng.randint(0, 2))
+        ),
         repeats=tuple(
             _draw_repeats(peer_rng, destination, seconds)
             for destination in (None, *range(len(destinations) + 1))
--- a/calicopin/soak/run.py
+++ b/calicopin/soak/run.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from calicopin.soak.fleet import KEYS_PER_COURIER, ORDERED_PRODUCTS, PRODUCTS, Fleet
+from calicopin.soak.hostile import attack
 from calicopin.soak.plan import Plan, SystemFault
 from calicopin.soak.rules import Violation, worst_window
 
@@ -67,6 +68,7 @@
         steps += [self._drain(step) for step in plan.drains]
         steps += [self._signal(step) for step in plan.signals]
         steps += [self._crowd(step) for step in plan.crowds]
+        steps += [self._hostile(step) for step in plan.hostiles]
         for step in plan.repeats:
             fleet.repeat_answers(step, self.traffic_start)
         steps.append(self._restarts())
@@ -169,6 +171,12 @@
         crowds = (self.fleet.crowd(courier, step.connections, step.length) for courier in affected)
         await asyncio.gather(*crowds)
 
+    async def _hostile(self, step) -> None:
+        await self._sleep_until(step.at)
+        rng = random.Random(f"soak/{self.plan.seed}/hostile/{step.at}")
+        affected = self._sample_couriers(step.share, f"hostile/{step.at}")
+        await asyncio.gather(*(attack(courier.address, step.how, step.length, rng) for courier in affected))
+
     async def _drain(self, step) -> None:
         await self._sleep_until(step.at)
         excused = {
--- a/calicopin/state/connections.py
+++ b/calicopin/state/connections.py
@@ -21,9 +21,8 @@
 class Budget:
     """Divides the file descriptors that the process may hold among calls, endpoints and clients."""
 
-    RESERVED = (
-        17  # 2 of the loop, listener, standard streams, journal with successor, discovery, notices, signals
-    )
+    # two of the loop, listener, standard streams, journal and its successor, discovery, notices, signals
+    RESERVED = 16
 
     def __init__(self, descriptors, slots, admin=False):
         self.admin = max(4, min(16, descriptors // 16)) if admin else 0  # connections to the admin server
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,10 +13,21 @@
 from calicopin.soak import rules
 from calicopin.soak.__main__ import parse_seeds
 from calicopin.soak.client import UNANSWERED, Clients, Request
+from calicopin.soak.courier import CourierProcess
 from calicopin.soak.destination import read_request, response
 from calicopin.soak.faulty_system import Fault, FaultInjector, FaultySystem
-from calicopin.soak.fleet import DestinationPlan
-from calicopin.soak.plan import CrowdStep, OutageStep, Plan, RepeatStep, RestartStep, SignalStep, draw_plan
+from calicopin.soak.fleet import DestinationPlan, Fleet
+from calicopin.soak.hostile import PAYLOADS
+from calicopin.soak.plan import (
+    CrowdStep,
+    HostileStep,
+    OutageStep,
+    Plan,
+    RepeatStep,
+    RestartStep,
+    SignalStep,
+    draw_plan,
+)
 from calicopin.soak.platform import Platform
 from calicopin.soak.rules import Arrival, Drain, Failure, Message, Outage, Record, RequestedWait, SlowStart
 from calicopin.soak.run import courier_faults, is_affected, run_soak
@@ -272,7 +283,7 @@
 
 
 def repeating_plan():
-    """Two destinations and the platform send every answer twice; signals come in series, and a crowd."""
+    """Two destinations and the platform send every answer twice; signals in series, a crowd, bad clients."""
     return Plan(
         seed=2,
         couriers=4,
@@ -288,6 +299,7 @@
         system=(),
         signals=(SignalStep(1.0, 1.0, 3, 0.02),),
         crowds=(CrowdStep(1.5, 2.0, 0.25, 150),),
+        hostiles=tuple(HostileStep(0.5 * number, 2.0, 0.25, how) for number, how in enumerate(PAYLOADS)),
         repeats=tuple(RepeatStep(0.0, 6.0, party, 1.0, 0.012, False) for party in (None, 0, 1)),
     )
 
@@ -304,3 +316,13 @@
         assert broken & {"duplicate", "lost"}, verdict.violations
     else:
         assert not broken, verdict.violations
+
+
+@pytest.mark.parametrize("peak_mb,broken", [(31.0, set()), (33.0, {"crash"})])
+def test_a_courier_over_its_memory_limit_counts_as_crashed(tmp_path, peak_mb, broken):
+    fleet = Fleet(tmp_path, 1, (DestinationPlan(60.0),), SlowStart(0.3, 8.0, 2.5, 3.0), seed=1)
+    courier = CourierProcess("c0", tmp_path / "c0", {}, "127.0.0.1:9", {}, 1)
+    courier.log_path.write_text("")
+    courier.is_running, courier.peak_memory_mb = lambda: True, lambda: peak_mb
+    fleet.couriers.append(courier)
+    assert {violation.rule for violation in fleet.find_violations()} == broken
