--- a/tests/test_system_errors.py
+++ b/tests/test_system_errors.py
@@ -5,12 +5,15 @@
 """
 
 import errno
+import select
+import socket
 
 import pytest
 from courier_helper import CourierFixture
 from forced_faults import SHORT, ForcedFaults
 from helper import answer, spin
 
+from calicopin.system import HangUpProbe
 from calicopin.system_errors import SINGLE_CONNECTION_ERRORS, TRANSIENT_ERRORS
 from calicopin.wire.loop import RETRY_DELAY_MS
 
@@ -234,3 +237,15 @@
     peer.sock.close()
     courier.pass_time(2 * RETRY_DELAY_MS)
     assert not courier.runtime.journal.texts and not courier.runtime.notices.owed
+
+
+def test_a_probe_that_the_system_refuses_counts_as_a_client_that_has_left():
+    ends, probe = socket.socketpair(), HangUpProbe()
+    with ends[0], ends[1]:
+        assert not probe.hung_up(ends[0])
+        probe.epoll.register(ends[0], select.EPOLLRDHUP)  # the next registration fails with EEXIST
+        assert probe.hung_up(ends[0])
+        probe.epoll.unregister(ends[0])
+        ends[1].send(b"unread")
+        ends[1].close()
+        assert probe.hung_up(ends[0])
--- a/tests/test_wire_calls.py
+++ b/tests/test_wire_calls.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 
 import pytest
 from helper import Listener, answer, free_address, spin
@@ -236,3 +237,15 @@
     peer.wait(b"]")
     peer.say(answer(200, body))
     assert out.end().progress == CallProgress.SENT
+
+
+def test_a_malformed_line_full_of_spaces_in_an_answer_does_not_hold_up_the_loop(loop):
+    listener = Listener(loop)
+    out = Out(loop, call(listener.address))
+    peer = listener.meet()
+    peer.wait(b"\x00\xff")
+    peer.sock.setblocking(True)
+    before = time.process_time()
+    peer.say(b"HTTP/1.1 500 X\r\na:" + b" " * 15000 + b"\x00\r\n\r\n")
+    assert out.end().progress == CallProgress.SENT
+    assert time.process_time() - before < 0.4  # a client waits no longer for its answer
