--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -277,18 +277,40 @@
     def request(self, client):
         """Serves one request; returns whether the connection may serve another."""
         connection, client.delay, client.answer_pending = client.connection, 0.0, False
-        event = yield from self.next_head(client)
-        client.answer_pending = not isinstance(event, h11.Request)
-        if not isinstance(event, h11.Request):
-            if event is None and connection.unparsed():
-                yield from self.refuse_request(connection, 408, "a head that does not come")
-            if isinstance(event, h11.RemoteProtocolError):
-                yield from self.refuse_request(connection, event.error_status_hint or 400, str(event))
+        head = yield from self.receive_head(client)
+        if head is None:
+            return False
+        body = yield from self.receive_body(client, head)
+        if body is None:
             return False
-        head = read_head(event)
-        del event  # a head of many fields takes a lot of memory
-        path, until = head.target.split(b"?")[0], client.until
-        client.last_request = f"{head.method.decode()} {head.target.decode('latin-1')[:100]}"
+        connection.drop_parsed_data()
+        self.buffers.release(client)
+        if head.method != b"POST":
+            return (yield from self.answer_query(connection, head.target.split(b"?")[0]))
+        try:
+            text = read_text(head, body, self.products, self.loop.now())
+        except RequestRefusedError as fault:
+            client.delay = REFUSAL_DELAY_MS
+            self.log_refusal(fault.status, fault)
+            return (yield from self.reply(connection, fault.status, str(fault).encode()))
+        return (yield from self.take_on(client, text))
+
+    def receive_head(self, client):
+        """The `RequestHead` of the next request; None if none came, or it was refused."""
+        connection, event = client.connection, (yield from self.next_head(client))
+        client.answer_pending = not isinstance(event, h11.Request)
+        if isinstance(event, h11.Request):
+            client.last_request = f"{event.method.decode()} {event.target.decode('latin-1')[:100]}"
+            return read_head(event)
+        if event is None and connection.unparsed():
+            yield from self.refuse_request(connection, 408, "a head that does not come")
+        elif isinstance(event, h11.RemoteProtocolError):
+            yield from self.refuse_request(connection, event.error_status_hint or 400, str(event))
+        return None
+
+    def receive_body(self, client, head):
+        """The body of a request; None if its client has left, or the request was refused."""
+        connection, until = client.connection, client.until
         error = framing_error(head)
         if error is None and head.method not in (b"GET", b"HEAD", b"POST"):
             error = 405, f"no {head.method[:20]!r}"
@@ -302,27 +324,22 @@
             elif connection.error is not None and not connection.at_eof:
                 fault = connection.error
                 error = fault.error_status_hint or 400, f"a body that cannot be read: {fault}"
-        if error:
-            yield from self.refuse_request(connection, *error)
-        if error or body is None:
-            return False
-        connection.drop_parsed_data()
-        self.buffers.release(client)
-        if head.method != b"POST":
-            if path == b"/-/status" and self.status:
-                return (
-                    yield from self.reply(
-                        connection, 200, self.status(), [("Content-Type", "application/json")]
-                    )
-                )
-            status = {b"/-/ready": 503 if self.leaving else 200, b"/-/healthy": 200}.get(path, 404)
-            return (yield from self.reply(connection, status))
-        try:
-            text = read_text(head, body, self.products, self.loop.now())
-        except RequestRefusedError as fault:
-            client.delay = REFUSAL_DELAY_MS
-            self.log_refusal(fault.status, fault)
-            return (yield from self.reply(connection, fault.status, str(fault).encode()))
+        if error is None:
+            return body
+        yield from self.refuse_request(connection, *error)
+        return None
+
+    def answer_query(self, connection, path):
+        """Answers a GET or HEAD request; returns whether the connection may serve another request."""
+        if path == b"/-/status" and self.status:
+            content_type = [("Content-Type", "application/json")]
+            return (yield from self.reply(connection, 200, self.status(), content_type))
+        status = {b"/-/ready": 503 if self.leaving else 200, b"/-/healthy": 200}.get(path, 404)
+        return (yield from self.reply(connection, status))
+
+    def take_on(self, client, text):
+        """Takes a text on or refuses it; returns whether the connection may serve another request."""
+        connection = client.connection
         yield from self.wait_for_destination(connection, text)
         if connection.peer_closed():  # it may submit the text elsewhere now; if not, refusing does no harm
             return (yield from self.reply(connection, 503))
