--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -64,7 +64,7 @@
         except h11.RemoteProtocolError as fault:
             if self.at_eof:
                 return h11.ConnectionClosed()
-            self.error = fault
+            self.error = fault.with_traceback(None)  # whose frames would keep the connection
             return fault
         self.guard.parsed(event)
         return event
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -1,8 +1,10 @@
 """Clients that send what costs most: malformed lines, tiny chunks, requests that stop half way, new names."""
 
+import gc
 import resource
 import socket
 import time
+import weakref
 
 import pytest
 from courier_helper import CourierFixture
@@ -215,3 +217,31 @@
     assert courier.post("one more") == b"503"
     courier.pass_time(25000.0, step=500.0)
     assert courier.post("later") == b"202" and courier.runtime.request_delay() == 0.0
+
+
+@pytest.mark.parametrize(
+    "data,status",
+    [
+        (request(), b"202"),
+        (b"POST / HTTP/1.1\r\nHost: x\r\n" + b"n" * 100 + b"\r\n\r\n", b"400"),
+        (HEAD % (1, 1) + SPACES + b"\x00\r\n\r\n", b"431"),
+        (HEAD % (1, 1) + CHUNKED + b"zz\r\n", b"400"),
+        (HEAD % (1, 1) + b"Content-Length: 90000\r\n\r\n", b"413"),
+    ],
+    ids=["accepted", "head", "too-large-head", "body", "too-large-body"],
+)
+def test_nothing_of_a_closed_connection_waits_for_the_garbage_collector(loop, data, status):
+    server, address = clients(loop)
+    gc.collect()
+    gc.disable()
+    try:
+        peer = client(loop, address)
+        (connection,) = map(weakref.ref, waiting_connections(loop, server, 1))
+        peer.say(data)
+        spin(loop, lambda: server.acceptor.keep() or b"\r\n\r\n" in peer.hear())
+        assert peer.heard.split()[1] == status
+        peer.sock.close()
+        spin(loop, lambda: server.open == 0)
+        assert connection() is None
+    finally:
+        gc.enable()
