--- a/calicopin/memory_budget.py
+++ b/calicopin/memory_budget.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 PROCESS_BYTES = 26_000_000  # of a process whose clients are all idle
-MIN_SHARE_BYTES = 3_000_000
+MIN_SHARE_BYTES = 2_000_000
 SLOWED_REQUEST_MS = 10.0  # between two requests of one connection
 
 
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -15,6 +15,7 @@
 WRITE = select.EPOLLOUT
 FOREVER = float("inf")
 RETRY_DELAY_MS = 100.0  # ms until a failed operation is retried
+MIN_TIMERS_LIMIT = 1024  # timers that are kept without a look at which have become obsolete
 LOW_PRIORITY_MS = 5.0  # of one pass, for coroutines that have yielded with low priority
 OUT_OF_RESOURCES = (errno.ENOMEM, errno.ENOSPC)  # errors of epoll_ctl that leave the descriptor usable
 
@@ -61,6 +62,12 @@
         return self.wait is not None or self.wait_id > 0
 
 
+def is_obsolete(timer):
+    """Whether the wait that a timer belongs to has ended."""
+    _, _, task, wait_id = timer
+    return task.finished or task.wait_id != wait_id
+
+
 class Loop:
     """Resumes coroutines that are ready.
 
@@ -74,6 +81,7 @@
         self.hang_up_probe = system.hang_up_probe()
         # timers: heap of (time, sequence number, task, wait id); ready: queue of (task, wait id, value)
         self.timers, self.sequence, self.ready, self.running = [], count(), deque(), True
+        self.timers_limit = MIN_TIMERS_LIMIT
         self.low_priority = deque()  # (task, wait id) of coroutines that yielded with low priority
         self.lateness, self.current = 0.0, None
         self.longest_step_ms, self.longest_step_name = 0.0, ""  # of one coroutine, until a reader resets them
@@ -195,7 +203,9 @@
 
         Waits until `until` (ms) at most. Returns the time at which `turn` is due again.
         """
-        while self.timers and (self.timers[0][2].finished or self.timers[0][2].wait_id != self.timers[0][3]):
+        if len(self.timers) > self.timers_limit:
+            self._drop_obsolete_timers()
+        while self.timers and is_obsolete(self.timers[0]):
             heapq.heappop(self.timers)
         at = min(until, self.timers[0][0] if self.timers else FOREVER)
         polled_at, yielded = self.now(), len(self.low_priority)
@@ -223,6 +233,12 @@
             callback()
         return until
 
+    def _drop_obsolete_timers(self):
+        """Drops the timers of waits that have ended: a peer that sends byte by byte begins one with each."""
+        self.timers = [timer for timer in self.timers if not is_obsolete(timer)]
+        heapq.heapify(self.timers)
+        self.timers_limit = max(MIN_TIMERS_LIMIT, 2 * len(self.timers))
+
     def step(self):
         """Resumes coroutines until none is ready."""
         while self.ready:
--- a/tests/test_wire_loop.py
+++ b/tests/test_wire_loop.py
@@ -103,3 +103,25 @@
     loop.epoll = SuspendedPoller()
     loop.once(loop.now())
     assert out.end().status == 200
+
+
+def test_timers_of_waits_that_have_ended_do_not_fill_the_memory(loop):
+    event, resumed = Event(loop), []
+
+    def wait_again_and_again():
+        for _ in range(20000):
+            resumed.append((yield Until(loop.now() + 2500.0, event=event)))
+
+    def wait_once():
+        yield Until(loop.now() + 2500.0)
+
+    loop.spawn(wait_once())  # its timer stays the first
+    loop.spawn(wait_again_and_again())
+    for _ in range(5000):
+        event.set()
+        loop.once(loop.now())
+        assert len(loop.timers) < 1100
+    assert set(resumed) == {True}
+    loop.now.now += 2500.0
+    loop.once(loop.now())
+    assert resumed[-1] is False
