Soak: a courier's port is reserved while the courier is down

Another fleet's courier had most likely taken the port in the 0.6 s between; the logs were not kept, so that this is not proven. A bound socket that does not listen now keeps others from choosing the port; the courier itself still can listen there (tried).

tests/test_soak.py -k 'over_its or repeat': 4 passed.

--- a/calicopin/scale/nodes.py
+++ b/calicopin/scale/nodes.py
@@ -47,6 +47,14 @@
             return port
 
 
+def reserve_port(port: int) -> socket.socket:
+    """A bound socket that keeps others from choosing a port while its server is down; it does not listen."""
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind(("127.0.0.1", port))
+    return reservation
+
+
 def process_cpu(pid: int) -> float:
     """Processor time of a process in seconds."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/calicopin/soak/courier.py
+++ b/calicopin/soak/courier.py
@@ -11,7 +11,7 @@
 from datetime import datetime
 from pathlib import Path
 
-from calicopin.scale.nodes import ROOT, free_port, process_resident
+from calicopin.scale.nodes import ROOT, free_port, process_resident, reserve_port
 from calicopin.soak.rules import Failure
 
 MEMORY_LIMIT_MB = 32
@@ -26,6 +26,7 @@
 
     def __init__(self, name: str, folder: Path, settings: dict, discovery: str, known: dict, seed: int):
         self.name, self.folder, self.port = name, folder, free_port()
+        self.reservation = reserve_port(self.port)  # for the time between two processes
         folder.mkdir(parents=True, exist_ok=True)
         self.config_path = folder / "courier.json"
         self.base_config = dict(
