The limits cost a message less: no second look at the socket, the history or a buffer

Whether more requests are pipelined is seen from what was read, not asked of the socket; expired ids are looked for only where the history matters; the clock is read once a step, and a slice is counted without a generator of its own.

--- a/calicopin/lifecycle/runtime.py
+++ b/calicopin/lifecycle/runtime.py
@@ -165,7 +165,7 @@
             return "the journal cannot be written"
         if self.facade.full():
             return "the limit of held messages is reached"
-        if self.memory_budget.is_history_full(self.journal.history_bytes()):
+        if self.memory_budget.is_history_full(self.history_bytes()):
             return "the ids of recent messages fill their share of the memory"
         return "" if self.journal.room(len(text.body)) else "the journal is full"
 
@@ -199,7 +199,15 @@
 
     def request_delay(self):
         """How long (ms) each connection of a client waits before its next request is read."""
-        return self.memory_budget.request_delay(self.journal.history_bytes())
+        return self.memory_budget.request_delay(self.history_bytes())
+
+    def history_bytes(self):
+        """The memory that the ids and keys of recent messages take."""
+        used = self.journal.history_bytes()
+        if self.memory_budget.request_delay(used):  # it matters, and some may have expired since the last end
+            self.journal.forget_expired()
+            used = self.journal.history_bytes()
+        return used
 
     def unanswered(self, request):
         """A client's connection was closed after a request that was read but not answered."""
@@ -484,7 +492,7 @@
                 key_windows=len(self.journal.keys),
                 destinations=self.facade.state(),
                 invariants_broken=self.guard.counts_by_name(),
-                history_bytes=self.journal.history_bytes(),
+                history_bytes=self.history_bytes(),
                 buffered_bytes=self.receive_buffers.total,
                 incomplete_refused=self.receive_buffers.refused,
             )
--- a/calicopin/state/journal.py
+++ b/calicopin/state/journal.py
@@ -269,12 +269,15 @@
         self.buffer += self._record(kind, json.dumps(values).encode())
 
     def history_bytes(self):
-        """Approximately the memory that ids and keys of ended messages take; forgets those that are over."""
-        self.ended_ids.forget_expired(self.now())
-        self.keys.forget_expired(self.now())
+        """Approximately the memory that ids and keys of ended messages take."""
         ids, windows = len(self.ended_ids.idents), len(self.keys)
         return ids * ENDED_ID_MEMORY_BYTES + windows * KEY_WINDOW_MEMORY_BYTES
 
+    def forget_expired(self):
+        """Forgets the ids and keys of ended messages whose time is over."""
+        self.ended_ids.forget_expired(self.now())
+        self.keys.forget_expired(self.now())
+
     def room(self, size):
         """Whether there is room for a text with a body of `size` bytes."""
         kept_bytes = self.live_bytes + self.routes.size + len(self.keys) * KEY_WINDOW_BYTES
--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -245,7 +245,7 @@
                 client.fresh = client.answer_pending = False
                 # yields between requests, so that pipelined requests of one client do not delay others
                 delay = max(client.delay, self.acceptor.request_delay())
-                is_pipelined = not delay and connection.has_extra_data()
+                is_pipelined = not delay and bool(connection.unparsed())
                 yield Until(self.loop.now() + delay, low_priority=is_pipelined)
             yield from self.close_gracefully(connection)
         except Exception as fault:  # the process goes on, and the client still gets an answer
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -55,8 +55,8 @@
         A peer that closed the connection gives ConnectionClosed, also in the middle of a message; malformed
         data gives the RemoteProtocolError as a value.
         """
-        if self.error is None and self.guard.checks_data:
-            self.error = self.guard.error(self.unparsed())
+        if self.guard.checks_data and self.error is None and (unparsed := self.unparsed()):
+            self.error = self.guard.error(unparsed)
         if self.error is not None:
             return self.error
         try:
@@ -102,16 +102,12 @@
                 yield from self.write(self.h11.send(interim), until)
             if not (yield from self.read_more(until)):
                 return None
-            yield from self._end_slice()
-        yield from self._end_slice()
-        return event
-
-    def _end_slice(self):
-        """Lets other coroutines run after every `STEPS_PER_SLICE` steps."""
+            self.steps += 1
         self.steps += 1
-        if self.steps >= STEPS_PER_SLICE:
+        if self.steps >= STEPS_PER_SLICE:  # lets other coroutines run
             self.steps = 0
             yield Until(self.loop.now(), low_priority=True)
+        return event
 
     def _read_size(self):
         """How much to read at once: of a request, little more than what may be parsed next."""
--- a/calicopin/wire/loop.py
+++ b/calicopin/wire/loop.py
@@ -241,17 +241,19 @@
 
     def step(self):
         """Resumes coroutines until none is ready."""
+        began = self.now()
         while self.ready:
             task, wait_id, value = self.ready.popleft()
             if not task.finished and task.wait_id == wait_id:
-                began = self.now()
                 self._step(task, value)
-                if (elapsed := self.now() - began) > self.longest_step_ms:
-                    self.longest_step_ms, self.longest_step_name = elapsed, task.gen.__qualname__
+                ended = self.now()
+                if ended - began > self.longest_step_ms:
+                    self.longest_step_ms, self.longest_step_name = ended - began, task.gen.__qualname__
+                began = ended
 
     def _step_low_priority(self, count):
         """Resumes up to `count` coroutines that yielded with low priority, for `LOW_PRIORITY_MS`."""
-        end = self.now() + LOW_PRIORITY_MS
+        end = self.now() + LOW_PRIORITY_MS if count else 0.0
         for _ in range(count):
             task, wait_id = self.low_priority.popleft()
             if not task.finished and task.wait_id == wait_id:
