--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -166,20 +166,22 @@
 
     def on_buffered(self, client, size):
         """Notes data received of a client's request. Where the buffers of all clients are over their limit,
-        the requests that have been incomplete for longest are refused, and connections that were answered and
-        still linger are closed.
+        incomplete requests are refused, and connections that were answered and still linger are closed.
         """
         self.buffers.grow(client, size)
-        if not self.buffers.exhausted:
-            return
-        for other in self.buffers.candidates(client):
-            if not self.buffers.exhausted:
+        while self.buffers.exhausted:
+            other = self.buffers.next_to_refuse(lambda other: self.may_give_way(other, client))
+            if other is None:
                 return
             if other.connection in self.lingering:
                 self.loop.cancel(self.connections[other])
-            elif not other.answer_pending:
+            else:
                 self.refuse_incomplete_request(other)
 
+    def may_give_way(self, client, current):
+        """Whether a client's buffered data may be dropped while that of `current` is received."""
+        return client is not current and (not client.answer_pending or client.connection in self.lingering)
+
     def refuse_incomplete_request(self, client):
         """Answers a request that is not complete with 503 and closes its connection."""
         self.log_refusal(503, f"incomplete, while {self.buffers.total} bytes are buffered of all requests")
--- a/calicopin/wire/receive_buffers.py
+++ b/calicopin/wire/receive_buffers.py
@@ -3,6 +3,8 @@
 No I/O. Sizes are bytes.
 """
 
+SIZE_STEP_BYTES = 4096
+
 
 class ReceiveBuffers:
     """The sizes of what is buffered for each client, in the order in which their requests began."""
@@ -25,8 +27,11 @@
         """Whether more is buffered than the limit allows."""
         return self.total > self.limit
 
-    def candidates(self, current):
-        """The clients other than `current` with buffered data, the one whose request began first at the
-        front: a request that is sent without a pause is complete long before it is the oldest.
+    def next_to_refuse(self, may_give_way):
+        """The client whose request gives way; None if there is none.
+
+        Of those that `may_give_way` allows it is the one with most data, in steps of `SIZE_STEP_BYTES`, and of
+        equal ones the one that began first. A small request that is just being sent stays, and so does a large one that is sent without a pause.
         """
-        return [client for client in self.sizes if client is not current]
+        candidates = filter(may_give_way, self.sizes)
+        return max(candidates, key=lambda client: self.sizes[client] // SIZE_STEP_BYTES, default=None)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -183,6 +183,22 @@
     assert server.acceptor.unanswered_requests == []
 
 
+def test_a_small_request_that_is_being_sent_does_not_give_way_to_a_burst_of_large_ones(loop):
+    server, address = clients(loop, most=200)
+    honest = client(loop, address)
+    data = request(body=b"hello")
+    honest.say(data[:-5])
+    waiting_connections(loop, server, 1)
+    hostile = [client(loop, address) for _ in range(80)]
+    for number, peer in enumerate(hostile):
+        peer.say(HEAD % (number, number) + LENGTH + b"z" * 59000)
+    spin(loop, lambda: server.buffers.refused > 20)
+    honest.say(data[-5:])
+    spin(loop, lambda: server.acceptor.events)
+    server.acceptor.keep()
+    assert honest.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
+
+
 @pytest.mark.parametrize("ending", ["closed", "reset"])
 def test_requests_of_a_client_that_has_left_with_much_unread_are_not_sent(ending):
     loop = Loop(now=Clock())
