--- a/calicopin/wire/receive_buffers.py
+++ b/calicopin/wire/receive_buffers.py
@@ -30,8 +30,9 @@
     def next_to_refuse(self, may_give_way):
         """The client whose request gives way; None if there is none.
 
-        Of those that `may_give_way` allows it is the one with most data, in steps of `SIZE_STEP_BYTES`, and of
-        equal ones the one that began first. A small request that is just being sent stays, and so does a large one that is sent without a pause.
+        Of those that `may_give_way` allows it is the one with most data, in steps of `SIZE_STEP_BYTES`, and
+        of equal ones the one that began first. A small request that is just being sent stays, and so does a
+        large one that is sent without a pause.
         """
         candidates = filter(may_give_way, self.sizes)
         return max(candidates, key=lambda client: self.sizes[client] // SIZE_STEP_BYTES, default=None)
