--- a/calicopin/wire/clients.py
+++ b/calicopin/wire/clients.py
@@ -180,7 +180,9 @@
 
     def may_give_way(self, client, current):
         """Whether a client's buffered data may be dropped while that of `current` is received."""
-        return client is not current and (not client.answer_pending or client.connection in self.lingering)
+        is_served = client in self.connections and self.connections[client].started()
+        is_answered = client.answer_pending and client.connection not in self.lingering
+        return client is not current and is_served and not is_answered
 
     def refuse_incomplete_request(self, client):
         """Answers a request that is not complete with 503 and closes its connection."""
--- a/calicopin/wire/http.py
+++ b/calicopin/wire/http.py
@@ -185,7 +185,10 @@
                 if self.guard.is_chunked:
                     content += event.data
             elif isinstance(event, h11.EndOfMessage):
-                return bytes(content) if self.guard.is_chunked else bytes(self.received[start : start + size])
+                if self.guard.is_chunked:
+                    return bytes(content)
+                with memoryview(self.received) as received:
+                    return bytes(received[start : start + size])
             else:
                 return None
 
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -6,6 +6,7 @@
 import time
 import weakref
 
+import h11
 import pytest
 from courier_helper import CourierFixture
 from helper import Clock, client, spin
@@ -14,6 +15,8 @@
 
 from calicopin.memory_budget import SLOWED_REQUEST_MS, MemoryBudget
 from calicopin.state.journal import ENDED_ID_MEMORY_BYTES
+from calicopin.wire.clients import ClientConnection
+from calicopin.wire.http import Connection
 from calicopin.wire.loop import Loop
 
 CLIENT_PATIENCE_S = 0.4  # a client waits this long for its answer
@@ -199,6 +202,24 @@
     assert honest.wait(b"\r\n\r\n").startswith(b"HTTP/1.1 202")
 
 
+def test_connections_of_another_process_are_closed_whatever_gives_way(loop):
+    server, _ = clients(loop)
+    server.buffers.limit, peers = 1500, []
+    for number in range(2):
+        peer, sock = socket.socketpair()
+        connection = Connection(loop, sock, h11.SERVER)
+        connection.feed(HEAD % (number, number) + LENGTH + b"z" * 600)
+        peer.send(b"z" * 600)
+        server.receive(ClientConnection(connection, loop.now()))
+        peers.append(peer)
+    for _ in range(5):
+        loop.once(loop.now())
+    for peer in peers:
+        peer.close()
+    spin(loop, lambda: server.open == 0)
+    assert server.buffers.total == 0
+
+
 @pytest.mark.parametrize("ending", ["closed", "reset"])
 def test_requests_of_a_client_that_has_left_with_much_unread_are_not_sent(ending):
     loop = Loop(now=Clock())
