--- a/tests/helper.py
+++ b/tests/helper.py
@@ -189,11 +189,15 @@
 
 
 def free_address():
+    """An address on which nobody listens, and that no other fleet of processes has reserved."""
     while True:
         port = 20000 + next(PORTS) % 10000
         with socket.socket() as sock:
-            if sock.connect_ex(("127.0.0.1", port)):
-                return "127.0.0.1:%d" % port
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return "127.0.0.1:%d" % port
 
 
 def answer(status=200, body=b"", **headers):
