--- a/review/stage2.py
+++ b/review/stage2.py
@@ -440,6 +440,7 @@
     `couriers` is a list to which the case adds each process that it starts.
     """
     record, couriers = Record(Path(folder) / "record.txt"), []
+    sys.unraisablehook = lambda _: None  # connections that are still open when the event loop has ended
 
     async def whole():
         try:
