--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""One answer with a load report that is no share: does the courier go on serving its other destinations?"""
+"""Discovery answers late: does the courier hear that another partner's endpoint has come to an address?"""
 
 import asyncio
 import sys
@@ -19,26 +19,20 @@
     trouble,
 )
 
-SLACK_S = 0.55  # half a second after its time, and 50 ms of the sockets' rules
-VALIDITY_S = 8.0
-
-
-class Reporting(Endpoint):
-    """An endpoint that reports the share of its limit that is left; the report of one answer is spoilt."""
-
-    is_spoilt = False
-
-    async def answer(self, idents, single, headers, body, reader, writer):
-        """Delivers each call."""
-        await asyncio.sleep(self.work)
-        report, self.is_spoilt = ("80000000" if self.is_spoilt else "0.8"), False
-        return await self.deliver(idents, single, writer, f'X-Server-Load: {{"x0":{report},"x1":25}}')
+VALIDITY_S = 24.0
+SLOW_S, LEAVES_S = 5.0, 8.0  # when discovery becomes slow, and when the endpoint leaves
+LATE_S = 0.4  # how late discovery answers each call while it is slow
+TOLD_S = 6.0  # after which a change counts as told, heard or not
+GRACE_S = 0.5 + 0.05  # of the drain rule, and 50 ms of the sockets' rules
+HOLD_S = 0.15  # a courier may be held up so long between its clock and a write
 
 
 async def play(record, folder, couriers):
-    """Returns the messages that were taken on and never got their end."""
-    partners = [await Reporting(record, f"s-{dest}", dest).start() for dest in (1, 2, 3)]
-    platform = await Platform(record, partners).start()
+    """Returns the calls that came to the endpoint that has gone, or to the other partner's at its address."""
+    staying, leaving = [await Endpoint(record, f"s-{name}", 7).start() for name in ("stays", "leaves")]
+    platform = await Platform(
+        record, [staying, leaving, await Endpoint(record, "s-other", 8).start()]
+    ).start()
     terms = settings([grade("order-confirm", "idempotency_key", VALIDITY_S)])
     courier = Courier(record, terms, platform, folder)
     couriers.append(courier)
@@ -46,33 +40,46 @@
     client = Client(record, courier.port)
     if not await client.ready():
         raise UnusableError("the courier did not become ready")
-    hand_ins = []
-    for number in range(400):  # in clumps
-        if number == 120 and trouble():
-            partners[0].is_spoilt = True
-            record.note("trouble", what="the next answer of s-1 holds a spoilt report")
-        ident, dest = f"m{number:04d}", 1 + number % 3
+    began, hand_ins, left_at = record.now(), [], []
+    foreign = Endpoint(record, "s-other-2", 8)
+
+    async def replace():
+        await asyncio.sleep(LEAVES_S)
+        leaving.state = "leaving"
+        await platform.change(leaving)
+        await asyncio.sleep(2.0)
+        leaving.stop()
+        leaving.state = "left"
+        left_at.append(record.now())
+        await platform.change(leaving)
+        await asyncio.sleep(1.0)
+        platform.endpoints.append(await foreign.start(leaving.port))
+        await platform.change(foreign)
+
+    replacing = asyncio.create_task(replace())
+    for number in range(520):
+        if trouble() and not platform.answer_delay and record.now() - began >= SLOW_S:
+            platform.answer_delay = LATE_S
+            record.note("trouble", what="discovery answers late")
+        ident = f"m{number:04d}"
         hand_ins.append(
-            asyncio.create_task(client.hand_in("order-confirm", ident, dest, VALIDITY_S, key=f"k{number}"))
+            asyncio.create_task(client.hand_in("order-confirm", ident, 7, VALIDITY_S, key=f"k{number}"))
         )
-        if number % 8 == 7:
-            await asyncio.sleep(0.2)
-    await asyncio.gather(*hand_ins)
-    await asyncio.sleep(VALIDITY_S + SLACK_S + 1.5)
-    delivered = {ident for partner in partners for ident in partner.ran}
-    taken = [ident for ident, status in client.answers.items() if status in (200, 202)]
-    lost = [ident for ident in taken if ident not in delivered and ident not in platform.notices]
-    unanswered = [ident for ident, status in client.answers.items() if status is None]
-    if not taken:
-        raise UnusableError("no message was taken on")
-    breaks = (
-        [f"{len(lost)} of {len(taken)} messages taken on got no end: {' '.join(lost[:8])}"] if lost else []
-    )
-    if unanswered:
-        breaks.append(f"{len(unanswered)} messages got no answer: {' '.join(unanswered[:8])}")
-    refused = sum(status not in (None, 200, 202) for status in client.answers.values())
-    record.note("count", taken=len(taken), refused=refused, delivered=len(delivered))
-    return breaks
+        await asyncio.sleep(0.05)
+    await asyncio.gather(replacing, *hand_ins)
+    await asyncio.sleep(1.0)
+    allowed_until = left_at[0] + TOLD_S + GRACE_S + HOLD_S
+    late = [at for at, _, _, _ in leaving.arrivals + foreign.arrivals if at > allowed_until]
+    record.note("count", at_other_partner=len(foreign.arrivals), late=len(late), kept=len(staying.arrivals))
+    if not (staying.arrivals and leaving.arrivals):
+        raise UnusableError("an endpoint got no call")
+    if not late:
+        return []
+    first, last = late[0] - left_at[0], late[-1] - left_at[0]
+    return [
+        f"{len(late)} messages of one partner went to another's endpoint, "
+        f"{first:.1f} to {last:.1f} s after their own endpoint was listed as gone"
+    ]
 
 
 if __name__ == "__main__":
--- a/review/stage2.py
+++ b/review/stage2.py
@@ -174,14 +174,20 @@
     def __init__(self, record, ident, dest, kind="gateway", work=0.05):
         self.record, self.ident, self.dest, self.kind, self.work = record, ident, dest, kind, work
         self.arrivals, self.ran, self.state, self.port, self.server = [], [], "active", 0, None
-        self.connections, self.ended = 0, {}  # ended: when each message was delivered
+        self.connections, self.ended = set(), {}  # ended: when each message was delivered
 
-    async def start(self):
-        """Listens on a free port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=self.LIMIT)
+    async def start(self, port=0):
+        """Listens on that port, or on a free one."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=self.LIMIT)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    def stop(self):
+        """The process ends: nobody listens, and its connections are reset."""
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     def entry(self):
         """Its entry in discovery's list."""
         return {
@@ -196,7 +202,7 @@
         }
 
     async def _serve(self, reader, writer):
-        self.connections += 1
+        self.connections.add(writer)
         with suppress(OSError, asyncio.CancelledError):
             while (message := await read_message(reader)) is not None:
                 first, headers, body, began = message
@@ -213,6 +219,7 @@
                 self.arrivals.append((began - self.record.began, at, idents, headers))
                 if not await self.answer(idents, single, headers, body, reader, writer):
                     break
+        self.connections.discard(writer)
         writer.close()
 
     async def answer(self, idents, single, headers, body, reader, writer):
