--- a/review/stage2.py
+++ b/review/stage2.py
@@ -450,6 +450,8 @@
     sys.unraisablehook = lambda _: None  # connections that are still open when the event loop has ended
 
     async def whole():
+        for number in (signal.SIGTERM, signal.SIGINT):  # ends what was started, then exits with 2
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             async with asyncio.timeout(limit):
                 return await play(record, temporary, couriers)
@@ -464,7 +466,7 @@
     try:
         breaks = asyncio.run(whole())
         code = BROKEN if breaks else HELD
-    except Exception as fault:  # a fault of the case or of a stand-in is no verdict
+    except (Exception, asyncio.CancelledError) as fault:  # no verdict
         breaks, code = [f"could not run: {fault!r}"], UNUSABLE
         for courier in couriers:
             breaks += courier.log_tail()
@@ -477,5 +479,9 @@
         record.note("verdict", text=line)
         print(line)
     record.note("end", code=code, trouble=int(trouble()))
-    record.save()
+    try:
+        record.save()
+    except OSError as fault:
+        print(f"{record.path} cannot be written: {fault}")
+        code = UNUSABLE
     sys.exit(code)
