Contain an exception to its decision, and pass over numbers that are no rate or share

Cause: any finite number counted as a share of a limit (OverflowError in Route.paced_rate), and an exception left Scheduler.run in the middle of a batch, so that all that the batch had decided was dropped while the decisions took it for done.

Change: shares and rates are checked where they reach the decisions; an exception ends one decision, the rest of the batch is applied, and fault_recovery.py puts texts and slots right. Whether a submit may have run is noted before the endpoint's answer is learnt from. Related paths: weights of the list, delays of discovery nodes, an id's former number.

--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -13,8 +13,10 @@
 
 from calicopin import route_state
 from calicopin.departures import Departures
+from calicopin.fault_recovery import FaultRecovery
 from calicopin.interface import Close, How, Nack, Repeat, Submit, Undeliverable, Wake, Watch
 from calicopin.references import NO_RUN, References
+from calicopin.reported_limits import is_rate, is_report
 from calicopin.route import Route
 from calicopin.scheduler import Scheduler
 from calicopin.slow_start import COLD, OUT, OUTAGE_STREAK
@@ -41,6 +43,7 @@
         )
         self.call, self.ran_at, self.ran_zone, self.finished = None, event.ran_at, event.ran_zone, False
         self.restored, self.reference, self.reference_name = event.restored, None, None
+        self.submitted_in = None  # the last call for which its submit is among the actions
 
     def first_run(self):
         """(time, zone) of the first submit that may have run, of this text or another one under its
@@ -192,23 +195,34 @@
                 max(usual_timeout, 2.0 * route.longest_timeout) if patient else usual_timeout,
             )
             self.scheduler.actions.append(Submit(text.ident, self.ident, max(1.0, timeout)))
+            text.submitted_in = call
 
     def on_outcome(self, text, event):
-        """A submit has ended: updates the state of the endpoint, its kind and its route, and returns the
-        text.
+        """A submit has ended: its slot is free, the endpoint and its route learn from the outcome, and the
+        destination decides on the text.
         """
         call, text.call = text.call, None
-        outcome, route, call.pending = event.how, self.route, call.pending - 1
+        call.pending -= 1
+        if event.how not in NEVER_RAN and text.ran_at is None:
+            text.ran_at, text.ran_zone = call.sent_at, self.zone
+        if not call.pending:
+            self.release_call(call)
+        try:
+            self.learn(call, text.product, event)
+        finally:  # the text goes on, whatever the endpoint answered
+            self.scheduler.post(self.dest, "submit_ended", text, event)
+
+    def learn(self, call, product, event):
+        """Updates the endpoint, its kind and its route by the outcome of a submit of the call."""
+        outcome, route = event.how, self.route
         # each outcome of a call counts once
         first_of_call, first_of_outcome, call.last_outcome = (
             call.last_outcome is None,
             call.last_outcome != outcome,
             outcome,
         )
-        if not call.pending:
-            self.release_call(call)
-        if first_of_call and event.limit is not None:
-            route.note_limit(event.limit / 1000.0, event.left or 0.0, call.size)
+        if first_of_call and is_report(event.limit, event.left):
+            route.note_limit(event.limit / 1000.0, event.left, call.size)
         if outcome == How.UNREACHED:
             self.delay_next_connection()
         if first_of_call and self.was_stale(call, event):
@@ -226,12 +240,9 @@
             losses, delivered = route.slow_start.losses, outcome == How.DELIVERED
             losses.ended(call.burst, outcome in FAILURES, delivered, first_of_call)
         if first_of_outcome and outcome == How.DELIVERED:
-            self.record_delivery(text.product, event.elapsed)
+            self.record_delivery(product, event.elapsed)
         elif first_of_outcome and outcome not in (How.NOT_SENT, How.CALLED_OFF):
-            self.record_failure(text.product, outcome, event.wait, call)
-        if outcome not in NEVER_RAN and text.ran_at is None:
-            text.ran_at, text.ran_zone = call.sent_at, self.zone
-        self.scheduler.post(self.dest, "submit_ended", text, event)
+            self.record_failure(product, outcome, event.wait, call)
 
     def release_call(self, call):
         """The last text of a call has its outcome: its slot is free and its connection idle."""
@@ -342,14 +353,18 @@
         elif self.scheduler.now >= min(text.valid_until - self.tick, text.submit_deadline()):
             self.scheduler.post(self.registry, "give_up", text, 0.0, "no time left to repeat it")
         else:
-            at = next(
-                (index for index, other in enumerate(self.queue) if other.accepted_at > text.accepted_at),
-                len(self.queue),
-            )
-            self.queue.insert(at, text)
-            self.registry.schedule_expiry(text)
+            self.requeue(text)
         self.on_dispatch()
 
+    def requeue(self, text):
+        """Puts a text back into the queue, in the order of acceptance."""
+        at = next(
+            (index for index, other in enumerate(self.queue) if other.accepted_at > text.accepted_at),
+            len(self.queue),
+        )
+        self.queue.insert(at, text)
+        self.registry.schedule_expiry(text)
+
     def idle(self):
         """Whether maintenance can be left out: nothing waits, is in flight, was sent lately or warms up."""
         return not (
@@ -509,9 +524,9 @@
             if other is not head and other.first_run() == NO_RUN and self.registry.may_go(other)
         )
         texts = [head, *islice(others, min(self.bundle_size, self.max_bundle) - 1)]
+        endpoint.route.take_token(first=not head.tries)
         for text in texts:
             self.queue.remove(text)
-        endpoint.route.take_token(first=not head.tries)
         self.scheduler.post(endpoint, "send", texts)
         self.scheduler.post(self, "dispatch")
 
@@ -687,10 +702,10 @@
         undeliverable otherwise.
         """
         if not text.finished:
-            text.finished, advice = True, min(stay_away, self.max_retry_after)
-            self.scheduler.actions.append(
-                Nack(text.ident, advice, why) if text.nackable() else Undeliverable(text.ident, why)
-            )
+            advice = min(stay_away, self.max_retry_after)
+            answer = Nack(text.ident, advice, why) if text.nackable() else Undeliverable(text.ident, why)
+            text.finished = True
+            self.scheduler.actions.append(answer)
             self.remove(text)
 
     def on_withdrawn(self, ident):
@@ -743,7 +758,8 @@
 
     def handle(self, now, events):
         """Handles a batch of events at the time `now` (ms) and returns the actions in their order. The facade
-        and the simulator adapter call it. Raises AttributeError for an event of an unknown type.
+        and the simulator adapter call it. Raises AttributeError for an event of an unknown type. An exception
+        in one decision does not undo the others: it is in `faults` afterwards.
         """
         scheduler = self.scheduler
         scheduler.lag = max(
@@ -757,14 +773,22 @@
             [],
             [],
         )
+        scheduler.faults = []
         for event in events:
-            getattr(self, "on_" + type(event).__name__.lower())(event)
+            scheduler.contain(getattr(self, "on_" + type(event).__name__.lower()), event)
         scheduler.run()
+        if scheduler.faults:
+            FaultRecovery(self).run()
         if scheduler.timers and scheduler.timers[0][0] < scheduler.wake_at:
             scheduler.wake_at, scheduler.wake_token = scheduler.timers[0][0], scheduler.wake_token + 1
             scheduler.actions.append(Wake(scheduler.wake_at - now, scheduler.wake_token))
         return scheduler.actions
 
+    @property
+    def faults(self):
+        """The exceptions of the last batch."""
+        return self.scheduler.faults
+
     def may_begin(self, now, ident, texts):
         """Whether a call that needed time to connect may begin; the facade asks before it sends. Meanwhile
         its endpoint may have left the list, a wait or an outage may have come up, or the time for a submit
@@ -870,7 +894,7 @@
             dest, kind = self.dest(entry.dest), self.kinds[min(entry.kind, len(self.kinds) - 1)]
             dest.max_bundle, route_key = kind.max_bundle, entry.endpoint if kind.per_endpoint_routes else None
             route = self.route(dest, route_key)
-            route.listed_limit = entry.agreed / 1000.0 if entry.agreed else route.listed_limit
+            route.listed_limit = entry.agreed / 1000.0 if is_rate(entry.agreed) else route.listed_limit
             if not entry.ready:
                 dest.endpoints.pop(entry.endpoint, None)
             elif entry.endpoint not in dest.endpoints:
--- a/calicopin/deployment_settings.py
+++ b/calicopin/deployment_settings.py
@@ -38,7 +38,7 @@
     def forget(self, number):
         """Removes a number, and its id unless that has a newer one; raises KeyError for an unknown number."""
         ident = self.ident.pop(number)
-        if self.index[ident] == number:
+        if self.index.get(ident) == number:
             del self.index[ident]
 
 
--- a/calicopin/facade.py
+++ b/calicopin/facade.py
@@ -183,6 +183,7 @@
             deque(),
             deque(),
         )
+        self.faults = deque()  # exceptions in the decisions not yet returned by `next_fault`
         self.next_number, self.wake = 0, None
         self.tick(now)
 
@@ -453,6 +454,9 @@
         if self.events:
             events, self.events = self.events, []
             self._apply_actions(now, self.decisions.handle(now, events))
+            if self.decisions.faults:
+                self.faults.extend(self.decisions.faults)
+                self._end_unknown_texts()
             self.unlisted |= dict.fromkeys(self.decisions.forgotten_endpoints)
             for number in self.decisions.forgotten_destinations:
                 self.dropped_dests.append(self.dests.ident[number])
@@ -461,26 +465,46 @@
                 self._forget_unlisted(())
         return self.wake[0] if self.wake else float("inf")
 
+    def _end_unknown_texts(self):
+        """Ends the texts that the decisions do not hold: an exception came while they were handed in."""
+        known = self.decisions.registry.texts
+        for number in [number for number in self.texts if number not in known]:
+            text = self.texts.pop(number)
+            verdict = "bounced" if text.first_run() == (None, None) else "dead"
+            self.final_answers.append(FinalAnswer(text, verdict, why="a fault of the courier"))
+
     def _apply_actions(self, now, actions):
+        """Applies the actions of a batch; an exception in one is noted and does not hold up the others."""
         shared = {}
         for action in actions:
-            if isinstance(action, Submit):
-                self._submit(now, action, shared)
-            elif isinstance(action, (Nack, Undeliverable)):
-                text = self.texts.pop(action.text, None)
-                if text:
-                    nack = isinstance(action, Nack)
-                    stay_away = action.stay_away if nack else 0.0
-                    self.final_answers.append(
-                        FinalAnswer(text, "bounced" if nack else "dead", stay_away, why=action.why)
-                    )
-            elif isinstance(action, Wake):
-                self.wake = (now + action.after, action.token)
-            elif isinstance(action, Close):
-                if action.endpoint in self.places:
-                    self.endpoints_to_close.append(self.places[action.endpoint])
-            elif isinstance(action, Log):
-                self.log_lines.append(action.line)
+            try:
+                self._apply_action(now, action, shared)
+            except Exception as fault:
+                self.faults.append(fault)
+                if isinstance(action, Submit):  # no call was made for it: the decisions choose again
+                    self.events.append(Outcome(action.text, action.endpoint, How.NOT_SENT))
+
+    def _apply_action(self, now, action, shared):
+        if isinstance(action, Submit):
+            self._submit(now, action, shared)
+        elif isinstance(action, (Nack, Undeliverable)):
+            self._give_up(action)
+        elif isinstance(action, Wake):
+            self.wake = (now + action.after, action.token)
+        elif isinstance(action, Close):
+            if action.endpoint in self.places:
+                self.endpoints_to_close.append(self.places[action.endpoint])
+        elif isinstance(action, Log):
+            self.log_lines.append(action.line)
+
+    def _give_up(self, action):
+        """Adds the final answer of a text that the decisions give up."""
+        text = self.texts.pop(action.text, None)
+        if text is None:
+            return
+        nack = isinstance(action, Nack)
+        stay_away = action.stay_away if nack else 0.0
+        self.final_answers.append(FinalAnswer(text, "bounced" if nack else "dead", stay_away, why=action.why))
 
     def _submit(self, now, action, shared):
         """Adds a submit to a call; submits of one tick to one endpoint share a call, up to the bundle size.
@@ -538,6 +562,10 @@
         """Returns the next endpoint whose idle connections should be closed, or None."""
         return self.endpoints_to_close.popleft() if self.endpoints_to_close else None
 
+    def next_fault(self):
+        """Returns the next exception in the decisions, or None."""
+        return self.faults.popleft() if self.faults else None
+
     def next_log_line(self):
         """Returns the next log line for on-call staff, or None; destinations appear by their listed id."""
         return self._with_destination_id(self.log_lines.popleft()) if self.log_lines else None
--- a/calicopin/lifecycle/runtime.py
+++ b/calicopin/lifecycle/runtime.py
@@ -355,6 +355,8 @@
             self.list_deadline = None
             self.facade.pause_calls(bool(self.failed_turns))
         due = self.facade.tick(now)
+        while fault := self.facade.next_fault():
+            self.loop.faults.log_exception("decision.fault", "a decision failed, the others stand", fault)
         if self.list_deadline is not None:
             due = min(due, self.list_deadline)
         if self.restored_state is not None:
@@ -413,9 +415,9 @@
         while back := facade.next_returned_text():
             journal.submit_ended(*back)
         while self.calls_enabled and (call := facade.next_call()):
+            self.calls.append(call)  # first: a turn that fails below calls it off
             for text in call.texts:
                 journal.sent(text, now, call.place.zone)
-            self.calls.append(call)
         while end := facade.next_final_answer():
             self.counters.ended(end)
             if end.verdict is None:
@@ -423,8 +425,8 @@
                 self.complete(end.text)
             else:
                 call_log.log_given_up(end)
+                self.pending_notices.append(end.text)  # first: its notice is owed though the turn fails below
                 journal.given_up(end.text, end.verdict, end.wait)
-                self.pending_notices.append(end.text)
         for dropped in facade.dropped_destinations():
             for key in journal.routes.keys_of(dropped):
                 journal.route(*key, None)
--- /dev/null
+++ b/calicopin/reported_limits.py
@@ -0,0 +1,23 @@
+"""Which of the rates and shares that endpoints and the list report can be used. No I/O.
+
+A peer may send any number. One that is no rate or no share says nothing, and is passed over like a report
+that cannot be read.
+"""
+
+MIN_RATE = 1e-6  # calls a second: below it, the share of one sender is lost in rounding
+MAX_RATE = 1e9  # calls a second
+
+
+def is_rate(rate: float | None) -> bool:
+    """Whether a number of calls a second limits anything."""
+    return rate is not None and MIN_RATE <= rate <= MAX_RATE
+
+
+def is_share(share: float | None) -> bool:
+    """Whether a number is a share of a limit."""
+    return share is not None and 0.0 <= share <= 1.0
+
+
+def is_report(limit: float | None, left: float | None) -> bool:
+    """Whether an answer reports a limit (calls a second; 0: none) and the share of it that is left."""
+    return is_share(left) and (limit == 0.0 or is_rate(limit))
--- a/calicopin/scheduler.py
+++ b/calicopin/scheduler.py
@@ -15,16 +15,16 @@
     """A cooperative event loop: each actor has an inbox of messages, and timers are kept in one heap.
 
     `now` is the time of the current batch, and `lag` how far the batches lag behind their timers. `actions`
-    collects the actions of the batch, `changed_routes` the routes whose state has to be journalled again, and
-    `over_budget` the names of routes that got more calls than slow start allows. `number` and `seed` make the
-    random draws of each sender its own.
+    collects the actions of the batch, `faults` the exceptions in it, `changed_routes` the routes whose state
+    has to be journalled again, and `over_budget` the names of routes that got more calls than slow start
+    allows. `number` and `seed` make the random draws of each sender its own.
     """
 
     def __init__(self, number, seed):
         self.now, self.lag, self.actions = 0.0, 0.0, []
         self.pending, self.timers, self.sequence, self.wake_at = deque(), [], count(), float("inf")
         self.wake_token, self.number, self.draw_counter = 0, number, count(seed & 0xFFFFFFFF)
-        self.changed_routes, self.over_budget = {}, []
+        self.changed_routes, self.over_budget, self.faults = {}, [], []
 
     def post(self, actor, message, *args):
         """Puts a message into the actor's inbox: its method `on_MESSAGE` is called with these arguments."""
@@ -48,7 +48,14 @@
                 self.post(actor, message, *args)
             actor = self.pending.popleft()
             message, args = actor.inbox.popleft()
-            getattr(actor, "on_" + message)(*args)
+            self.contain(getattr(actor, "on_" + message), *args)
+
+    def contain(self, handler, *args):
+        """Calls a handler. An exception in it is noted; what the batch has decided stands."""
+        try:
+            handler(*args)
+        except Exception as fault:
+            self.faults.append(fault)
 
     def draw(self, ident):
         """A pseudorandom number from 0 up to, but not including, 1. It depends on number, seed, `ident` and
--- a/calicopin/simulator_adapter/instance.py
+++ b/calicopin/simulator_adapter/instance.py
@@ -109,6 +109,8 @@
         for action in self.courier.handle(now, events):
             writer = getattr(self, "_do_" + type(action).__name__.lower())
             lines.append(writer(action))
+        for fault in self.courier.faults:
+            raise fault
         return lines
 
     def _do_submit(self, action):
--- a/calicopin/soak/courier.py
+++ b/calicopin/soak/courier.py
@@ -18,7 +18,14 @@
 SHUTDOWN_TIMEOUT_SECONDS = 3.7  # from the stop signal to SIGKILL, the least that the protocol allows
 EXIT_POLL_SECONDS = 0.01
 FAULTS_VARIABLE = "LB_SOAK_FAULTS"  # read by `calicopin.soak.faulty_courier`
-FAULT_EVENTS = ("turn.fault", "call.fault", "request.fault", "coroutine.fault", "coroutine.again")
+FAULT_EVENTS = (
+    "turn.fault",
+    "decision.fault",
+    "call.fault",
+    "request.fault",
+    "coroutine.fault",
+    "coroutine.again",
+)
 
 
 class CourierProcess:
--- a/calicopin/subscription/messages.py
+++ b/calicopin/subscription/messages.py
@@ -13,6 +13,7 @@
 
 FORM_VERSION = 1  # version of these messages; any other is refused
 MAX_NAME_LENGTH = 256  # characters of a fleet's, courier's, node's or lease's name
+MAX_MILLISECONDS = 1e12  # of a lease or a delay, so that no time overflows
 MAX_DESTINATION = 999_999_999  # the largest destination number that clients may use
 
 
@@ -131,7 +132,8 @@
 
 
 def _check_milliseconds(value: Any, place: str) -> float:
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < float("inf"):
+    is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+    if not is_number or not 0 <= value <= MAX_MILLISECONDS:
         raise MessageError(place, "is no number of milliseconds")
     return float(value)
 
--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -22,6 +22,16 @@
 ASK_WITHIN_WAITS = 5.0  # after which the platform regards a polling courier as informed, in waits of a poll
 
 
+def decode_weight(value):
+    """The weight of an entry, in calls per second; 0.0 where there is none. A weight that is no number hides
+    no other news of the list.
+    """
+    try:
+        return float(value or 0.0)
+    except (TypeError, ValueError, OverflowError):
+        return 0.0
+
+
 def decode_list(data):
     """Decodes a list: (version, whether it is complete, places); raises ValueError if it is malformed.
 
@@ -38,7 +48,7 @@
                     str(entry.get("kind", "")),
                     str(entry.get("zone", "")),
                     entry["state"] == "active",
-                    float(entry.get("weight") or 0.0),
+                    decode_weight(entry.get("weight")),
                     entry["state"] == "left",
                 )
                 for entry in data["servers"]
