--- a/calicopin/handover/state.py
+++ b/calicopin/handover/state.py
@@ -244,5 +244,6 @@
         if one["patient"]:
             target.route.patient_call = known
         for text in call.open:
-            module.registry.texts[text].call = known
+            in_call = module.registry.texts[text]
+            in_call.call = in_call.submitted_in = known
     return call
--- a/tests/test_reported_numbers.py
+++ b/tests/test_reported_numbers.py
@@ -11,6 +11,7 @@
 from calicopin.decisions import Destination, Endpoint, Pool, Registry
 from calicopin.deployment_settings import Indices
 from calicopin.facade import CallProgress, CallResult
+from calicopin.handover.state import restore, snapshot
 from calicopin.interface import Entry, Listed
 from calicopin.route import Route
 from calicopin.scheduler import Scheduler
@@ -203,3 +204,20 @@
     service.play(VALIDITY_MS + 500.0)
     assert sorted(ident for ident, _ in service.ends) == sorted(f"m{number}" for number in range(30))
     assert service.faults
+
+
+def test_an_exception_behind_a_handover_leaves_the_calls_that_were_taken_over(monkeypatch):
+    """The state of a call that another process began must not look like a call that was never made."""
+    old, new = make_facade(), make_facade(places=[])
+    old.add_text(make_text("m0"))
+    old.tick(0.0)
+    call = old.next_call()
+    (taken_over,) = restore(new, snapshot(old, [call]), [make_text("m0")], 0.0)
+    monkeypatch.setattr(Registry, "on_shed", None)
+    new.decisions.scheduler.post(new.decisions.registry, "shed")
+    new.add_text(make_text("m1"))
+    new.tick(0.0)
+    assert new.next_fault() and [text.ident for text in new.next_call().texts] == ["m1"]
+    new.report(taken_over, CallResult(CallProgress.ANSWERED, status=200), 50.0)
+    new.tick(50.0)
+    assert take_endings(new) == [("m0", None)]
