Hear a discovery that answers late, pushed, asked for or from nodes

Callers saw: with a pushed list whose agent answers 0.4 s late, a courier heard no change any more, and 92 to 95 messages went to another partner's endpoint.

Cause: a call was given up 250 ms behind its wait however many had got no answer; where lists are asked for the time-out grew, but began anew with each answer.

Change: wire/answer_timeout.py; the time-out for connecting and for an answer grows with missed answers and follows the lateness of those that come. Two lines of test_wire_platform.py name the counter by its new place.

--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -7,15 +7,16 @@
 from loguru import logger
 
 from calicopin.facade import Place
+from calicopin.wire.answer_timeout import AnswerTimeout
 from calicopin.wire.http import TOO_LONG
 from calicopin.wire.loop import Until
 from calicopin.wire.persistent_client import PersistentClient
-from calicopin.wire.poll_schedule import PollSchedule, longest_pause
+from calicopin.wire.poll_schedule import POLL_INTERVAL_MS, TOLD, PollSchedule, longest_pause
 
 # to connect, and for an answer beyond the wait of a long poll: the agent is on this machine
 GRACE_MS = 250.0
 FIRST_ANSWER_GRACE_MS = 2.0 * GRACE_MS  # for the first answer after a start, once a call was not answered
-MAX_BACKOFF_EXPONENT = 16  # beyond it `answer_grace` has reached its maximum
+MAX_GRACE_MS = TOLD - 2.0 * GRACE_MS  # a call that is never answered and the next one fit into `TOLD`
 MAX_LIST_BYTES = 8 << 20
 EARLY_ANSWER_MS = 50.0  # by which an agent may end a wait too early
 ENDPOINT_STATES = ("active", "leaving", "left")
@@ -82,10 +83,10 @@
         self.version, self.wait, self.heard, self.spread = version, wait, heard, spread
         self.tried = self.answered = False
         self.answered_on = None  # the connection of the last answer
+        self.lateness = None  # of the last answer, in ms, where it is known
         self.logged_fault = None  # last one logged: it may recur ten times a second
-        # consecutive calls without an answer; meanwhile calls do not wait for changes, so that an agent that
-        # is back is noticed at once
-        self.silent_calls = 0
+        # while answers are missed, calls do not wait for changes, so that an agent that is back is noticed
+        self.answer_timeout = AnswerTimeout(GRACE_MS, MAX_GRACE_MS)
         self.poll_schedule = PollSchedule(
             senders, ASK_WITHIN_WAITS * wait, seed, pushed, longest_pause(wait, GRACE_MS)
         )
@@ -105,7 +106,7 @@
         while True:
             self.refused = False
             try:
-                until = self.loop.now() + GRACE_MS
+                until = self.loop.now() + self.answer_grace()
                 connection = yield from self.connect(until)
                 self.refused = not connection and self.loop.now() < until
                 update = (yield from self.request_list(connection)) if connection else None
@@ -122,48 +123,58 @@
             self.answered = self.answered or self.refused or update is not None
             if update is None or not connection.prepare_next_message():
                 self.close_connection()
-            self.silent_calls = self.silent_calls + 1 if update is None and not self.refused else 0
             if update is None:
+                self.answer_timeout.answered() if self.refused else self.answer_timeout.miss()
                 if self.refused:
                     if not self.poll_schedule.refusals:
                         logger.warning("discovery refuses calls for the list", event="discovery.refused")
                     self.poll_schedule.refused()
                 else:
                     self.poll_schedule.silent()
+                self.poll_schedule.pause = self.longest_pause()
                 yield Until(self.loop.now() + self.poll_schedule.again())
                 continue
             if self.poll_schedule.refusals:
                 logger.info("discovery answers again", event="discovery.again")
             self.poll_schedule.answered()
+            self.answer_timeout.answered(self.lateness)
             self.logged_fault = None
             version, whole, places = update
             self.heard(places, whole)
             self.version = version
 
     def answer_grace(self):
-        """Time allowed for an answer beyond the wait of the call, in ms.
+        """Time allowed for connecting, and for an answer beyond the wait of the call, in ms."""
+        grace = self.answer_timeout.current
+        # at a start, where many may start on a busy machine
+        is_second_call = self.poll_schedule.pushed and not self.answered and self.answer_timeout.missed
+        return max(grace, FIRST_ANSWER_GRACE_MS) if is_second_call else grace
 
-        Grows with consecutive calls without an answer: an overloaded discovery that answers every call late
-        would never be heard otherwise. The third such call allows as much as a whole poll, which still fits
-        into the 6 s of `poll_schedule.TOLD`.
+    def next_wait(self):
+        """How long (ms) the next call asks discovery to wait for a change. Two answers in a row that are as
+        late as allowed fit into `TOLD`.
         """
-        # at a start, where many may start on a busy machine
-        if self.poll_schedule.pushed and not self.answered:
-            return FIRST_ANSWER_GRACE_MS if self.silent_calls else GRACE_MS
-        if self.poll_schedule.pushed or not self.silent_calls:
-            return GRACE_MS
-        return min(self.wait + GRACE_MS, GRACE_MS * 4.0 ** min(self.silent_calls - 1, MAX_BACKOFF_EXPONENT))
+        if self.answer_timeout.missed:
+            return 0.0
+        return max(0.0, min(self.wait, TOLD - 2.0 * self.answer_timeout.current - GRACE_MS))
+
+    def longest_pause(self):
+        """The longest delay (ms) of the call after one that failed or was refused."""
+        return max(POLL_INTERVAL_MS, longest_pause(self.next_wait(), self.answer_timeout.current))
 
     def request_list(self, connection):
         """One call: the decoded list, or None if it was not answered with one in time."""
         wait, target = 0.0, "/api/targets"
         if self.version is not None:
-            wait = 0.0 if self.silent_calls else self.wait
+            wait = self.next_wait()
             target = f"{target}?index={self.version}&wait={wait:.0f}"
         began, reused = self.loop.now(), connection is self.answered_on and self.version is not None
         until = began + wait + self.answer_grace()
         request = h11.Request(method="GET", target=target, headers=[("Host", self.address)])
         status, body = (yield from connection.exchange(request, b"", MAX_LIST_BYTES, until)) or (0, b"")
+        elapsed = self.loop.now() - began
+        # an answer within the wait may tell of a change of any moment
+        self.lateness = max(0.0, elapsed - wait) if not wait or elapsed >= wait else None
         self.refused = status in (429, 503)
         if body is TOO_LONG:
             raise ValueError(f"the list is over {MAX_LIST_BYTES >> 20} MiB")
--- a/calicopin/wire/subscriber.py
+++ b/calicopin/wire/subscriber.py
@@ -24,6 +24,7 @@
 )
 from calicopin.subscription.nodes import NodeChoice
 from calicopin.subscription.session import AnswerContent, DestinationState, OutgoingRequest, Session
+from calicopin.wire.answer_timeout import LATENESS_MARGIN
 from calicopin.wire.discovery import decode_list
 from calicopin.wire.http import TOO_LONG
 from calicopin.wire.loop import READ, Event, Until
@@ -36,6 +37,7 @@
 # time-out of a request answered at once; couriers of a failed node may be queued before it
 PROMPT_TIMEOUT_MS = 1500.0
 STARTUP_LIMIT_MS = 1900.0  # after which the stored list is used without an answer of a node
+MAX_LATENESS_MS = 3000.0  # of answers that are still waited for
 PER_DESTINATION_MS = 0.05  # added to both time-outs: a complete answer for 100,000 destinations takes seconds
 AGAIN = 100.0  # between the beginnings of two requests, as every answer may come at once
 BATCH_INTERVAL_MS = 60.0  # between requests with new subscriptions (16 a second), which are batched
@@ -104,6 +106,7 @@
         self._settled: dict[int, list] = {}  # waiting events and lists, by destination
         self._calls = self._interrupted = self._sent = self._received = 0
         self._next_batch_at = 0.0
+        self._lateness = 0.0  # ms, of the last answer for which it is known
         self._logged_faults: dict[str, str] = {}  # the last one by node, until an answer comes
         for destination in restored or ():
             self._note_use(destination, loop.now())
@@ -221,7 +224,8 @@
         if not connection:
             return End.UNCONNECTED
         self._calls += 1
-        until = self.loop.now() + self._answer_timeout(ask, wait)
+        began = self.loop.now()
+        until = began + self._answer_timeout(ask, wait)
         data = connection.encode(*self._encode(ask, wait))
         done = yield from connection.write(data, until)
         self._sent += done
@@ -229,14 +233,23 @@
             if not ask.answered_immediately and (yield from self._await_answer(connection, until)):
                 return End.INTERRUPTED
             if (reply := (yield from self._read(connection, until))) is not None:
+                self._note_lateness(self.loop.now() - began, 0.0 if ask.answered_immediately else wait)
                 return reply
         return End.BROKEN if self.loop.now() < until else End.SILENT
 
     def _answer_timeout(self, ask: OutgoingRequest, wait: float) -> float:
-        """The time-out for an answer in ms."""
-        return (
-            PROMPT_TIMEOUT_MS if ask.answered_immediately else wait + PARKED_GRACE_MS
-        ) + PER_DESTINATION_MS * len(self.interest)
+        """The time-out for an answer in ms: longer while the node's answers are late, and once all nodes
+        have failed, since all may be late.
+        """
+        lateness = MAX_LATENESS_MS if self.nodes.all_nodes_failed else LATENESS_MARGIN * self._lateness
+        least = PROMPT_TIMEOUT_MS if ask.answered_immediately else PARKED_GRACE_MS
+        parked = 0.0 if ask.answered_immediately else wait
+        return parked + max(least, lateness) + PER_DESTINATION_MS * len(self.interest)
+
+    def _note_lateness(self, elapsed: float, wait: float) -> None:
+        """An answer came after `elapsed` ms; within the wait it may tell of a change of any moment."""
+        if elapsed >= wait:
+            self._lateness = min(MAX_LATENESS_MS, elapsed - wait)
 
     def _encode(self, ask: OutgoingRequest, wait: float):
         """The head and the body of a request."""
--- a/tests/test_wire_platform.py
+++ b/tests/test_wire_platform.py
@@ -231,12 +231,12 @@
         seed=1,
         pushed=pushed,
     )
-    discovery.silent_calls = 5000
+    discovery.answer_timeout.missed = 5000
     peer = listener.meet()
     peer.wait(b"\r\n\r\n")
     peer.say(answer(200, b'{"version":42,"full":true,"servers":[]}'))
     spin(loop, lambda: received == [True])
-    assert not discovery.silent_calls
+    assert not discovery.answer_timeout.missed
 
 
 def test_notices_are_batched_and_sent_until_acknowledged(loop):
