Write down what a start finds out, so that segments give back all after any restarts

Callers saw: with store = "segments" and two kills, four keys took effect a second time 10 to 20 s later.

Cause: a start marks a submit that was in flight as one that may have run; the single file is written anew and holds the mark, segments held it in memory only, and the records of the next submit hid the first. Read back against a model, the same store also lost the order of moved texts, ids of ended messages whose segment is gone, and the limit by a window that is over.

Change: the segment that a start begins holds these findings (records B and the new M); a text's record holds its order; an end without its text still tells the id.

--- a/calicopin/state/journal.py
+++ b/calicopin/state/journal.py
@@ -38,6 +38,7 @@
 # Versions that do not know the kind of a record take its first value for the id of a text, and pass over it.
 DISCOVERY_ADDRESS = b"D"
 KEY_WINDOWS = b"K"
+RAN = b"M"  # when and where the first submit of a text may have run, as a restart found it
 NO_IDENT = ""
 ENDED_ID_BYTES = 48  # approximate size of the id of an ended text
 KEY_WINDOW_BYTES = 48  # approximate size of one window of a key
@@ -125,6 +126,10 @@
         self.keys = KeyWindows(key_memory, max_validity)
         self.limit(most)
         self.texts, self.record_sizes, self.live_bytes, self.buffer, self.file = {}, {}, 0, bytearray(), None
+        self.acceptance_order, self.next_order = {}, 0  # of the live texts, by id
+        # live texts of which a restart found out more than their records say: by submits that were in flight,
+        # and in other ways
+        self.interrupted_texts, self.limited_texts = {}, {}
         self.routes = RouteStates()
         self.discovery_address = None  # `DiscoveryAddress` as told to the last process, once one is known
         self.interrupted = {}  # destinations to which the last process had a call in flight, in order
@@ -170,9 +175,13 @@
 
     def _complete_replay(self):
         """Derives what follows from all records together."""
+        order = self.acceptance_order
+        self.texts = {ident: self.texts[ident] for ident in sorted(self.texts, key=order.__getitem__)}
         self._mark_interrupted()
         for text in self.texts.values():
-            self.keys.apply_to(text, self.now())
+            if self.keys.apply_to(text, self.now()):
+                self.limited_texts[text.ident] = None
+        self.ended_ids.forget_expired(self.now())
 
     def _mark_interrupted(self):
         """Marks each submit that was in flight when the last process ended as one that may have been
@@ -180,7 +189,7 @@
         """
         for text in self.texts.values():
             if text.out_at is not None and text.ident not in self.in_flight_elsewhere:
-                self.interrupted[text.dest] = None
+                self.interrupted[text.dest] = self.interrupted_texts[text.ident] = None
                 text.mark_ended(True)
 
     def _apply_record(self, kind, payload):
@@ -188,6 +197,7 @@
             head, _, body = payload.partition(b"\n")
             values = json.loads(head)
             left_ms = values.pop("left", None)  # not in journals of older versions
+            self._note_order(values["ident"], values.pop("number", None))
             for name in ("until", "ran_at", "out_at"):
                 if values[name] is not None:
                     values[name] -= self.read_offset
@@ -233,12 +243,22 @@
         elif kind == GIVEN_UP:
             text.verdict, text.wait = values
             self.keys.ended(text, self.now())
+        elif kind == RAN:
+            text.limit_first_run(values[0] - self.read_offset, values[1])
         elif kind == ENDED:
-            del self.texts[ident]
+            del self.texts[ident], self.acceptance_order[ident]
             self.keys.ended(text, self.now())
             for at in values:  # not in journals of older versions
                 self.ended_ids.add(ident, min(at - self.read_offset, self.now()))
 
+    def _note_order(self, ident, order=None):
+        """Notes which text was accepted before which: its record may be written again behind later ones. A
+        record of an older version has no order.
+        """
+        if ident not in self.acceptance_order:
+            self.acceptance_order[ident] = self.next_order if order is None else order
+            self.next_order = max(self.next_order, self.acceptance_order[ident] + 1)
+
     # Writing.
 
     def _record(self, kind, payload):
@@ -262,6 +282,8 @@
             verdict=text.verdict,
             wait=text.wait,
             left=round(text.until - self.now(), 1),  # ms
+            # the order of acceptance, under a name that older versions read and assign anew
+            number=self.acceptance_order[text.ident],
         )
         return self._record(ACCEPTED, json.dumps(head).encode() + b"\n" + text.body)
 
@@ -330,6 +352,7 @@
     def accepted(self, text):
         """Records that a text was accepted; it survives a crash of the process once `flush` has returned."""
         self.texts[text.ident] = text
+        self._note_order(text.ident)
         self.buffer += self._add_cost(text, self._text_record(text))
 
     def sent(self, text, at, zone):
@@ -355,6 +378,7 @@
     def ended(self, text, now):
         """Records that nothing is owed for the text any more; its id is kept from `now` (ms) on."""
         if self.texts.pop(text.ident, None) is not None:
+            del self.acceptance_order[text.ident]
             self.live_bytes -= self.record_sizes.pop(text.ident)
             self._buffer_record(ENDED, text.ident, now + self.offset)
             self.ended_ids.add(text.ident, now)
--- a/calicopin/state/texts.py
+++ b/calicopin/state/texts.py
@@ -37,6 +37,11 @@
             self.ran_at, self.ran_zone = self.out_at, self.out_zone
         self.out_at = self.out_zone = None
 
+    def limit_first_run(self, ran_at, zone):
+        """Records that a submit of that time (ms) may have been executed, unless an earlier one may have."""
+        if self.ran_at is None or ran_at < self.ran_at:
+            self.ran_at, self.ran_zone = ran_at, zone
+
     def first_run(self):
         """(time, zone) of the first submit that may have run, the one in flight included; (None, None) if
         there is none.
--- a/calicopin/store/segments.py
+++ b/calicopin/store/segments.py
@@ -29,7 +29,9 @@
     FILE_HEADER,
     KEY_WINDOW_BYTES,
     KEY_WINDOWS,
+    RAN,
     RECORD_HEADER,
+    SUBMIT_ENDED,
     Journal,
     allocated_bytes,
     write_all,
@@ -199,13 +201,15 @@
             self._apply_record(kind, payload)
             self._assign(ident, number, len(payload) + 1 + RECORD_HEADER.size)
         elif kind == ENDED:
-            ident = json.loads(payload)[0]
+            ident, *ended_at = json.loads(payload)
             text, segment = self.texts.get(ident), self.segment_of.get(ident)
             self._apply_record(kind, payload)
+            self.ended_by_segment[number].append(ident)
             if text is not None:
                 self._unassign(ident)
-                self.ended_by_segment[number].append(ident)
                 self._assign_window(text, segment)
+            for at in ended_at:  # the segment with the text's record may be gone
+                self.ended_ids.add(ident, min(at - self.read_offset, self.now()))
         elif kind == ENDED_IDS:
             self._apply_record(kind, payload)
             self.ended_by_segment[number] += [ident for ident, _ in json.loads(payload)]
@@ -232,6 +236,7 @@
         for text in self.texts.values():
             if text.ran_at is None:
                 text.ran_at, text.ran_zone = text.until - self.max_validity, text.out_zone
+                self.limited_texts[text.ident] = None
 
     _checksum = staticmethod(zlib.crc32)
 
@@ -268,7 +273,7 @@
         """
         if text.ident in self.texts:
             segment = self.segment_of.get(text.ident, self.number)
-            del self.texts[text.ident]
+            del self.texts[text.ident], self.acceptance_order[text.ident]
             self._unassign(text.ident)
             self._buffer_record(ENDED, text.ident, now + self.offset)
             self.ended_ids.add(text.ident, now)
@@ -282,7 +287,8 @@
         self.to_rewrite |= dict.fromkeys(self.live_sizes.get(0, ()))
         self._open_segment()
         self._write()
-        self.to_rewrite.clear()
+        for written in (self.to_rewrite, self.interrupted_texts, self.limited_texts):
+            written.clear()
         try:
             self._remove_legacy_file()
         except OSError as fault:
@@ -298,8 +304,8 @@
 
     def _open_segment(self):
         """Creates the next segment, or the same one again if nothing was written to it. `segment_head` holds
-        its first records: the header, the discovery address, all routes, and the texts and key windows to be
-        written again.
+        its first records: the header, the discovery address, all routes, the texts and key windows to be
+        written again, and what a restart found out.
         """
         number = self.number if self.sizes.get(self.number) == 0 else self.number + 1
         file = self.system.create(self._path(number))
@@ -320,10 +326,26 @@
             + self._state_records()
             + self._key_record(keys)
             + b"".join(self._add_cost(text, self._text_record(text)) for text in moved)
+            + self._restart_records()
         )
         if not self.live_sizes.get(0):
             self.live_sizes.pop(0, None)
 
+    def _restart_records(self):
+        """What a restart found out of texts whose records stay in earlier segments: the next one could no
+        longer tell, once a further submit has ended or the window of a key is over.
+        """
+        ended = [ident for ident in self.interrupted_texts if ident in self.texts]
+        limited = [self.texts[ident] for ident in self.limited_texts if ident in self.texts]
+        return b"".join(
+            [self._record(SUBMIT_ENDED, json.dumps([ident, True]).encode()) for ident in ended]
+            + [
+                self._record(RAN, json.dumps([text.ident, text.ran_at + self.offset, text.ran_zone]).encode())
+                for text in limited
+                if text.ran_at is not None
+            ]
+        )
+
     def _sync_folder(self, file):
         """Makes the new segment's name durable; if that fails, the segment is not used."""
         try:
