Take deliveries in a row after a half of the calls failed for a cold return

Callers saw: a partner that failed 53% of its calls for 8.6 s was pushed over 1.8 to 1.9 s behind its cold return, by couriers that had seen 60 and more failures each.

Cause: the only sign of a partial outage, an excess of failures over deliveries, asks whether more than 45% fail; 53% reach it after some 300 calls.

Change: a likelihood ratio of 55% against 36% failing, which has to last; while calls fail nothing changes, three deliveries in a row then begin the cold time, and two failures of four calls take that back. Refused connections do not count.

--- a/calicopin/decisions.py
+++ b/calicopin/decisions.py
@@ -238,7 +238,8 @@
             route.apply_wait(event.wait)
         if first_of_outcome:
             losses, delivered = route.slow_start.losses, outcome == How.DELIVERED
-            losses.ended(call.burst, outcome in FAILURES, delivered, first_of_call)
+            unreached = outcome == How.UNREACHED
+            losses.ended(call.burst, outcome in FAILURES, delivered, first_of_call, unreached)
         if first_of_outcome and outcome == How.DELIVERED:
             self.record_delivery(product, event.elapsed)
         elif first_of_outcome and outcome not in (How.NOT_SENT, How.CALLED_OFF):
--- a/calicopin/loss_tracker.py
+++ b/calicopin/loss_tracker.py
@@ -22,19 +22,34 @@
 # An answer may take this many times as long as usual before its call stops counting as a likely delivery.
 LATE_ANSWER_FACTOR = 2.0
 MAX_BURSTS = 512
+# The evidence that at least a half of the calls fail is the log-likelihood ratio of these two shares. Refused
+# connections are none, since a crowded endpoint refuses them too.
+LOSS_SHARE = 0.36
+OUTAGE_SHARE = 0.55
+FAILURE_EVIDENCE = log(OUTAGE_SHARE / LOSS_SHARE)
+DELIVERY_EVIDENCE = log((1.0 - OUTAGE_SHARE) / (1.0 - LOSS_SHARE))
+MIN_EVIDENCE = 2.0
 # The fields that are journalled and handed over, in their stored order, with the attribute that holds each.
-STATE = {"excess": "known_excess", "failing": "mostly_failing", "losses": "usual_failures"}
+STATE = {
+    "excess": "known_excess",
+    "failing": "mostly_failing",
+    "losses": "usual_failures",
+    "evidence": "settled_evidence",
+    "half": "half_failing",
+}
 
 
 class Burst:
     """Calls that were sent at nearly the same time, from `sent_at` (ms) on: how many of them are `out`,
-    `failed` or were `delivered`. `settled` says that the tracker does not hold it any more.
+    `failed` (of them `unreached`, without a connection) or were `delivered`. `settled` says that the tracker
+    does not hold it any more.
     """
 
-    __slots__ = ("sent_at", "out", "failed", "delivered", "settled")
+    __slots__ = ("sent_at", "out", "failed", "unreached", "delivered", "settled")
 
     def __init__(self, sent_at: float):
         self.sent_at, self.out, self.failed, self.delivered, self.settled = sent_at, 0, 0, 0, False
+        self.unreached = 0
 
     @property
     def change(self) -> int:
@@ -47,6 +62,8 @@
 
     `mostly_failing` is set in an outage, until deliveries have made up for its failures. `settled_excess` is
     the excess up to the oldest burst that may still change, `bursts` are that one and all later ones.
+    `half_failing` says that at least a half of the calls may fail, `settled_evidence` how much speaks for it,
+    like `settled_excess`; `evidence_since` is when it was last 0, `evident_at` when it was last enough (ms).
     `usual_failures` is the average number of failures for each delivery. It counts the failures and
     deliveries since the excess was last 0 (`stretch_failures`, `stretch_deliveries`) only once it is 0 again,
     so that an outage is not taken for usual.
@@ -54,6 +71,8 @@
 
     def __init__(self):
         self.settled_excess, self.mostly_failing = 0, False
+        self.settled_evidence, self.half_failing, self.evidence_since = 0.0, False, 0.0
+        self.evident_at = 0.0  # when the evidence last was enough
         self.usual_failures, self.stretch_failures, self.stretch_deliveries = 0.0, 0, 0
         self.bursts: deque[Burst] = deque()
 
@@ -80,15 +99,23 @@
         self.bursts[-1].out += 1
         return self.bursts[-1]
 
-    def ended(self, burst: Burst, failed: bool = False, delivered: bool = False, first: bool = True) -> None:
+    def ended(
+        self,
+        burst: Burst,
+        failed: bool = False,
+        delivered: bool = False,
+        first: bool = True,
+        unreached: bool = False,
+    ) -> None:
         """A call of a burst has ended; neither `failed` nor `delivered` where that says nothing. A call whose
         texts end in several ways is reported once for each, `first` only once.
         """
         burst.out -= first
         burst.failed += failed
+        burst.unreached += unreached
         burst.delivered += delivered
         if burst.settled:
-            self._add(int(failed), int(delivered))
+            self._add(int(failed), int(delivered), int(unreached))
         self._settle_ended_bursts()
 
     def interrupted(self) -> None:
@@ -100,9 +127,10 @@
         while len(self.bursts) > 1 and (not self.bursts[0].out or len(self.bursts) > MAX_BURSTS):
             burst = self.bursts.popleft()
             burst.settled = True
-            self._add(burst.failed, burst.delivered)
+            self._add(burst.failed, burst.delivered, burst.unreached)
 
-    def _add(self, failed: int, delivered: int) -> None:
+    def _add(self, failed: int, delivered: int, unreached: int = 0) -> None:
+        self.settled_evidence = _added(self.settled_evidence, failed - unreached, delivered)
         self.settled_excess = self._limited(self.settled_excess + failed - delivered)
         self.stretch_failures += failed
         self.stretch_deliveries += delivered
@@ -130,6 +158,15 @@
             excess = self._limited(excess + burst.change - expected_deliveries)
         return excess
 
+    def evidence(self, now: float, usual_latency: float) -> float:
+        """The evidence that most calls fail; calls that are out count as in `excess`."""
+        evidence, late = self.settled_evidence, now - LATE_ANSWER_FACTOR * usual_latency
+        for burst in self.bursts:
+            expected_deliveries = burst.out if burst.sent_at > late else 0
+            failed = burst.failed - burst.unreached
+            evidence = _added(evidence, failed, burst.delivered + expected_deliveries)
+        return evidence
+
     def is_outage(self, now: float, usual_latency: float, usual_rate: float) -> bool:
         """Whether more calls fail than usual losses would bring by chance. The more calls there are, as by
         the usual rate, the larger an excess chance brings.
@@ -142,6 +179,18 @@
         )
         return self.excess(now, usual_latency) >= needed
 
+    def note_evidence(self, now: float, usual_latency: float, least_duration: float, hold: float) -> None:
+        """Notes whether at least a half of the calls may fail, which they do for `least_duration` (ms): one
+        crash breaks many calls at once. It holds until nothing speaks for it any more, and for `hold` (ms) at
+        the least: by chance, a half that fails looks like few for a while.
+        """
+        evidence = self.evidence(now, usual_latency)
+        if evidence >= MIN_EVIDENCE and now - self.evidence_since >= least_duration:
+            self.half_failing, self.evident_at = True, now
+        if not evidence:
+            self.evidence_since = now
+            self.half_failing = self.half_failing and now - self.evident_at < hold
+
     def returns_to_outage(self, now: float, usual_latency: float) -> bool:
         """Whether most calls fail again after a recovery from an outage."""
         return self.excess(now, usual_latency) >= RECOVERY_EXCESS
@@ -169,3 +218,9 @@
             burst.settled = True
         self.bursts.clear()
         self.settled_excess = self.stretch_failures = self.stretch_deliveries = 0
+        self.settled_evidence, self.half_failing = 0.0, False
+
+
+def _added(evidence: float, failed: int, delivered: int) -> float:
+    """The evidence with further outcomes; like the excess it never falls below 0."""
+    return max(0.0, evidence + failed * FAILURE_EVIDENCE + delivered * DELIVERY_EVIDENCE)
--- a/calicopin/slow_start.py
+++ b/calicopin/slow_start.py
@@ -18,6 +18,10 @@
 RARE_STREAK_EXPONENT = 12.0
 MIN_LASTING_FAILURES = 3  # failures in a row that mean an outage once they last for the rule's span
 WHOLE_CALL_ALLOWANCE = 1.0  # calls
+CROWDED = ("full", "unreached")  # outcomes that a crowded destination has too
+RETURN_STREAK = 3  # deliveries in a row that mean a return, where a half of the calls failed
+STILL_FAILING = 2  # failures among the last `STILL_FAILING_OF` calls: it has not returned
+STILL_FAILING_OF = 4
 CHECK_SLACK_CALLS = 1.0  # the check knows the rate only at the times of calls, not between them
 # The fields that are journalled and handed over, in their stored order, with the attribute that holds each.
 STATE = {
@@ -42,6 +46,8 @@
     `last_failure_at`; `usual_failures` is the average number of failures between two deliveries. `losses`
     tells whether most calls fail.
     `only_refusals` says that all of them were refusals, `last_was_refusal` that the last one was.
+    `recent_outcomes` are those of the last calls, true for a failure; `return_presumed` says that it is cold
+    only because deliveries in a row came after a half of the calls had failed.
     `suspected_since` is the `first_failure_at` of failures that may be an outage, or None.
     """
 
@@ -51,6 +57,8 @@
         self.failures, self.only_refusals, self.first_failure_at, self.last_failure_at = 0, False, 0.0, 0.0
         self.usual_failures, self.suspected_since, self.last_was_refusal = 0.0, None, False
         self.losses = LossTracker()
+        self.recent_outcomes: deque[bool] = deque(maxlen=STILL_FAILING_OF)
+        self.return_presumed = False
         # time (ms) and rate of each call that was sent while throttled
         self.recent_calls: deque[tuple[float, float]] = deque()
         self.violations = 0
@@ -141,7 +149,27 @@
             self.losses.check_recovery(now, usual_latency)
         self.usual_failures += 0.1 * (self.failures - self.usual_failures)
         self.failures, self.suspected_since = 0, None
-        return why
+        self.recent_outcomes.append(False)
+        self.losses.note_evidence(now, usual_latency, self.rule.span / 2.0, self.rule.cold)
+        return why or self._presume_return(now)
+
+    def _presume_return(self, now: float) -> str | None:
+        """Where a half of the calls failed, deliveries in a row are taken for the return: the destination is
+        cold.
+        """
+        last = list(self.recent_outcomes)[-RETURN_STREAK:]
+        if self.mode != WELL or not self.losses.half_failing or len(last) < RETURN_STREAK or any(last):
+            return None
+        self.mode, self.since, self.return_presumed = COLD, self.last_failure_at, True
+        self.warm_at = now + self.rule.cold
+        return f"{RETURN_STREAK} deliveries in a row after a half of the calls failed"
+
+    def _still_failing(self) -> str | None:
+        """A return that was only presumed has not come while calls fail: goes on as before it."""
+        if not self.return_presumed or self.mode != COLD or sum(self.recent_outcomes) < STILL_FAILING:
+            return None
+        self.mode, self.return_presumed = WELL, False
+        return "calls still fail"
 
     def failed(
         self, now: float, why: str, wait: float, usual_latency: float = 0.0, usual_rate: float = 0.0
@@ -160,6 +188,9 @@
         if self.mode == COLD and self.losses.mostly_failing and not refusal:
             self.since, self.warm_at = now, now + self.rule.cold
             return None
+        if why not in CROWDED:
+            self.recent_outcomes.append(True)
+            self.losses.note_evidence(now, usual_latency, self.rule.span / 2.0, self.rule.cold)
         detail = f"last {why}, requested wait {wait:.0f} ms"
         if self.is_lasting(now) or wait > self.rule.span:
             return self._enter_outage(now, detail)
@@ -171,14 +202,14 @@
             return self._enter_outage(now, detail)
         if self._most_calls_fail(now, usual_latency, usual_rate):
             return self._enter_outage(now, f"{excess} more failures than deliveries, {detail}")
-        return None
+        return self._still_failing()
 
     def _outage_streak(self) -> float:
         """How many failures in a row mean an outage."""
         return max(OUTAGE_STREAK, RARE_STREAK_EXPONENT / log(1.0 + 1.0 / max(1e-9, self.usual_failures)))
 
     def _most_calls_fail(self, now: float, usual_latency: float, usual_rate: float) -> bool:
-        if self.mode == COLD:
+        if self.mode == COLD and not self.return_presumed:
             return self.losses.returns_to_outage(now, usual_latency)
         return self.losses.is_outage(now, usual_latency, usual_rate)
 
@@ -190,6 +221,7 @@
     def _enter_outage(self, now: float, detail: str) -> str:
         reason = f"{self.failures} failures in {now - self.first_failure_at:.0f} ms, {detail}"
         self.mode, self.since, self.failures, self.suspected_since = OUT, now, 0, None
+        self.return_presumed = False
         self.losses.begin_outage()
         return reason
 
@@ -236,6 +268,7 @@
         if self.mode != COLD or now < self.warm_at or unanswered:
             return False
         self.mode, self.since, self.failures, self.suspected_since = WELL, now, 0, None
+        self.return_presumed = False
         self.losses.end_outage()
         return True
 
@@ -243,7 +276,8 @@
 
     def must_persist(self) -> bool:
         """Whether the next process has to know this state."""
-        return self.mode != WELL or self.failures > self.only_refusals or self.losses.known_excess > 0
+        losses = self.losses.known_excess > 0 or self.losses.half_failing
+        return self.mode != WELL or self.failures > self.only_refusals or losses
 
     def restore_clock(self, now: float, continuous: bool) -> None:
         """Adjusts the times after a restart: none may lie in the future but the end of the warm-up. Where the
--- a/tests/test_partial_outage.py
+++ b/tests/test_partial_outage.py
@@ -63,6 +63,61 @@
     assert [line for _, _, line in result.logs if " out:" in line] == []
 
 
+@pytest.mark.parametrize("failure", [Failure.ERROR, Failure.RESET])
+@pytest.mark.parametrize("senders", [1, 2, 6, 20])
+@pytest.mark.parametrize("failing", [0.5, 0.53, 0.6])
+@pytest.mark.parametrize("length", [8.6, 14.0])
+def test_a_destination_that_failed_a_half_of_the_calls_is_not_pushed_over(senders, failing, failure, length):
+    """review/9: with 53% failing no courier took it for an outage, and all kept their rate at the return."""
+    scenario = Scenario(senders, capacity=20.0, load=0.85, failure=failure, failing=failing, length=length)
+    assert play(scenario).excess() <= 0.0
+
+
+@pytest.mark.parametrize("failure", [Failure.ERROR, Failure.RESET])
+@pytest.mark.parametrize("loss", [0.15, 0.25, 0.30])
+@pytest.mark.parametrize("senders", [1, 2, 12])
+def test_losses_of_under_a_third_cost_as_little_as_before(senders, loss, failure):
+    """What a half of the calls failing needs must not slow a destination that loses 30% of them."""
+    scenario = Scenario(senders, failure=failure, failing=loss, load=0.45, length=25.0, warm_up=0.0)
+    assert play(scenario).revenue_share >= 0.9
+
+
+def test_deliveries_in_a_row_after_a_half_of_the_calls_failed_are_a_return_until_calls_fail():
+    slow_start, now = SlowStart(RULE, 2), 0.0
+
+    def call(failed, why="error"):
+        nonlocal now
+        now += 100.0
+        unreached = failed and why == "unreached"
+        burst = slow_start.losses.sent(now)
+        slow_start.losses.ended(burst, failed=failed, delivered=not failed, unreached=unreached)
+        return slow_start.failed(now, why, 0.0) if failed else slow_start.delivered(now)
+
+    for failed in [True, True, False] * 6:
+        call(failed)
+    assert slow_start.losses.half_failing and slow_start.mode == WELL
+    call(False)
+    assert call(False) and slow_start.mode == COLD
+    assert call(True) is None and slow_start.mode == COLD, "one failure is no sign"
+    assert call(True) and slow_start.mode == WELL
+    for _ in range(3):
+        call(False)
+    assert slow_start.mode == COLD
+    for _ in range(2):
+        call(True, "unreached")
+    assert slow_start.mode == COLD, "a crowded destination refuses connections"
+
+
+def test_a_burst_of_broken_calls_is_no_half_of_the_calls():
+    """One crash breaks all calls that are out."""
+    slow_start = SlowStart(RULE, 2)
+    burst = [slow_start.losses.sent(0.0) for _ in range(6)]
+    for one in burst[:4]:
+        slow_start.losses.ended(one, failed=True)
+        slow_start.failed(10.0, "broken", 0.0)
+    assert not slow_start.losses.half_failing
+
+
 def test_failures_that_end_before_the_deliveries_of_a_burst_are_no_outage():
     """Errors come sooner than deliveries: of 40 calls sent together the first 16 to end had failed."""
     fixture = DecisionsFixture()
