--- a/calicopin/loss_tracker.py
+++ b/calicopin/loss_tracker.py
@@ -36,6 +36,7 @@
     "losses": "usual_failures",
     "evidence": "settled_evidence",
     "half": "half_failing",
+    "presumed": "return_presumed",
 }
 
 
@@ -64,6 +65,7 @@
     the excess up to the oldest burst that may still change, `bursts` are that one and all later ones.
     `half_failing` says that at least a half of the calls may fail, `settled_evidence` how much speaks for it,
     like `settled_excess`; `evidence_since` is when it was last 0, `evident_at` when it was last enough (ms).
+    `return_presumed` says that the route is cold only because of deliveries in a row after that.
     `usual_failures` is the average number of failures for each delivery. It counts the failures and
     deliveries since the excess was last 0 (`stretch_failures`, `stretch_deliveries`) only once it is 0 again,
     so that an outage is not taken for usual.
@@ -72,7 +74,7 @@
     def __init__(self):
         self.settled_excess, self.mostly_failing = 0, False
         self.settled_evidence, self.half_failing, self.evidence_since = 0.0, False, 0.0
-        self.evident_at = 0.0  # when the evidence last was enough
+        self.evident_at, self.return_presumed = 0.0, False
         self.usual_failures, self.stretch_failures, self.stretch_deliveries = 0.0, 0, 0
         self.bursts: deque[Burst] = deque()
 
@@ -218,7 +220,7 @@
             burst.settled = True
         self.bursts.clear()
         self.settled_excess = self.stretch_failures = self.stretch_deliveries = 0
-        self.settled_evidence, self.half_failing = 0.0, False
+        self.settled_evidence, self.half_failing, self.return_presumed = 0.0, False, False
 
 
 def _added(evidence: float, failed: int, delivered: int) -> float:
--- a/calicopin/send_guard.py
+++ b/calicopin/send_guard.py
@@ -9,7 +9,7 @@
 from collections import Counter
 from enum import StrEnum
 
-from calicopin.slow_start import OUT, WELL
+from calicopin.slow_start import COLD, OUT, WELL
 
 
 class Invariant(StrEnum):
@@ -69,11 +69,14 @@
 
     def may_change(self, name: str, before: dict | None, after: dict | None, now: float) -> bool:
         """Whether the state of a route in the journal may be replaced: an outage has to become cold, and cold
-        has to last for the warm-up. A state of None restricts nothing.
+        has to last for the warm-up. A state of None restricts nothing. A return that was only presumed may be
+        taken back as long as it is remembered that a half of the calls failed.
         """
         mode = WELL if before is None else before["mode"]
         if mode == WELL or (after is not None and after["mode"] != WELL):
             return True
+        if mode == COLD and before.get("presumed") and after is not None and after.get("half"):
+            return True
         ended = now >= before["failed_at"] + self.cold if mode == OUT else now >= before["warm_at"]
         return self._check(ended, Invariant.OUTAGE_ENDS, name)
 
--- a/calicopin/slow_start.py
+++ b/calicopin/slow_start.py
@@ -46,8 +46,7 @@
     `last_failure_at`; `usual_failures` is the average number of failures between two deliveries. `losses`
     tells whether most calls fail.
     `only_refusals` says that all of them were refusals, `last_was_refusal` that the last one was.
-    `recent_outcomes` are those of the last calls, true for a failure; `return_presumed` says that it is cold
-    only because deliveries in a row came after a half of the calls had failed.
+    `recent_outcomes` are those of the last calls, true for a failure.
     `suspected_since` is the `first_failure_at` of failures that may be an outage, or None.
     """
 
@@ -58,7 +57,6 @@
         self.usual_failures, self.suspected_since, self.last_was_refusal = 0.0, None, False
         self.losses = LossTracker()
         self.recent_outcomes: deque[bool] = deque(maxlen=STILL_FAILING_OF)
-        self.return_presumed = False
         # time (ms) and rate of each call that was sent while throttled
         self.recent_calls: deque[tuple[float, float]] = deque()
         self.violations = 0
@@ -160,15 +158,16 @@
         last = list(self.recent_outcomes)[-RETURN_STREAK:]
         if self.mode != WELL or not self.losses.half_failing or len(last) < RETURN_STREAK or any(last):
             return None
-        self.mode, self.since, self.return_presumed = COLD, self.last_failure_at, True
+        self.mode, self.since, self.losses.return_presumed = COLD, self.last_failure_at, True
         self.warm_at = now + self.rule.cold
         return f"{RETURN_STREAK} deliveries in a row after a half of the calls failed"
 
     def _still_failing(self) -> str | None:
         """A return that was only presumed has not come while calls fail: goes on as before it."""
-        if not self.return_presumed or self.mode != COLD or sum(self.recent_outcomes) < STILL_FAILING:
+        presumed = self.mode == COLD and self.losses.return_presumed and self.losses.half_failing
+        if not presumed or sum(self.recent_outcomes) < STILL_FAILING:
             return None
-        self.mode, self.return_presumed = WELL, False
+        self.mode, self.losses.return_presumed = WELL, False
         return "calls still fail"
 
     def failed(
@@ -209,7 +208,7 @@
         return max(OUTAGE_STREAK, RARE_STREAK_EXPONENT / log(1.0 + 1.0 / max(1e-9, self.usual_failures)))
 
     def _most_calls_fail(self, now: float, usual_latency: float, usual_rate: float) -> bool:
-        if self.mode == COLD and not self.return_presumed:
+        if self.mode == COLD and not self.losses.return_presumed:
             return self.losses.returns_to_outage(now, usual_latency)
         return self.losses.is_outage(now, usual_latency, usual_rate)
 
@@ -221,7 +220,6 @@
     def _enter_outage(self, now: float, detail: str) -> str:
         reason = f"{self.failures} failures in {now - self.first_failure_at:.0f} ms, {detail}"
         self.mode, self.since, self.failures, self.suspected_since = OUT, now, 0, None
-        self.return_presumed = False
         self.losses.begin_outage()
         return reason
 
@@ -268,7 +266,6 @@
         if self.mode != COLD or now < self.warm_at or unanswered:
             return False
         self.mode, self.since, self.failures, self.suspected_since = WELL, now, 0, None
-        self.return_presumed = False
         self.losses.end_outage()
         return True
 
--- a/tests/test_send_guard.py
+++ b/tests/test_send_guard.py
@@ -6,9 +6,11 @@
 
 import pytest
 from courier_helper import CourierFixture, make_facade, make_text, take_calls
-from helper import answer, client, spin
+from helper import DecisionsFixture, answer, client, spin, submits
 
+from calicopin import route_state
 from calicopin.facade import Facade
+from calicopin.interface import How
 from calicopin.send_guard import Invariant, SendGuard
 from calicopin.state.journal import Journal
 from calicopin.system import System
@@ -80,6 +82,34 @@
     assert [invariant for invariant, _ in reports] == [Invariant.OUTAGE_ENDS] * 3
 
 
+def test_a_presumed_return_may_be_taken_back_only_while_the_failures_are_remembered():
+    guard, reports = guard_and_reports()
+    cold = OUTAGE | {"mode": "cold", "warm_at": 12000.0}
+    presumed, well = cold | {"presumed": True}, OUTAGE | {"mode": "well"}
+    assert guard.may_change("d", presumed, well | {"half": True}, 5000.0) and not reports
+    assert not guard.may_change("d", presumed, well | {"half": False}, 5000.0)
+    assert not guard.may_change("d", presumed, None, 5000.0)
+    assert not guard.may_change("d", cold, well | {"half": True}, 5000.0)
+    assert [invariant for invariant, _ in reports] == [Invariant.OUTAGE_ENDS] * 3
+
+
+def test_what_is_journalled_of_a_presumed_return_that_is_taken_back_breaks_no_invariant():
+    """The guard kept the cold state in the journal, and refused each call behind it."""
+    fixture, (guard, reports), kept, modes = DecisionsFixture(), guard_and_reports(), None, []
+    route = fixture.courier.dests[0].routes[None]
+    route.slow_start.losses.half_failing = True
+    for how in [How.DELIVERED] * 4 + [How.ERROR] * 3 + [How.DELIVERED] * 4:
+        (submit,) = submits(fixture.take(1)) or submits(fixture.step(after=5000.0))[:1]
+        fixture.outcome(submit, how, ended=True)
+        for changed in fixture.courier.scheduler.changed_routes:
+            after = route_state.values(changed) if changed.has_stored_state else None
+            assert guard.may_change("d", kept, after, fixture.now)
+            kept = after
+        fixture.courier.scheduler.changed_routes = {}
+        modes.append(route.mode)
+    assert not reports and modes.index("cold") < modes.index("well", modes.index("cold"))
+
+
 def test_a_call_that_a_slow_disk_delays_past_its_time_is_not_made_and_breaks_no_invariant():
     courier_facade, call = one_call(until=20000.0)
     guard, reports = guard_and_reports()
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -334,7 +334,7 @@
 STORED_FIELDS = (
     "rate start agreed limit tokens filled pause cut_at changed waited left sent_at usual flow cut_off "
     "mode since fails refused last_refused fail_since failed_at doubted gap warm_at "
-    "excess failing losses evidence half"
+    "excess failing losses evidence half presumed"
 ).split()
 
 
@@ -359,7 +359,7 @@
     assert (*failures, known.warm_at) == (20.0, 21.0, 22.0, 23.0, 24.0)
     losses = known.losses
     assert (losses.known_excess, losses.mostly_failing, losses.usual_failures) == (25.0, 26.0, 27.0)
-    assert (losses.settled_evidence, losses.half_failing) == (28.0, 29.0)
+    assert (losses.settled_evidence, losses.half_failing, losses.return_presumed) == (28.0, 29.0, 30.0)
 
 
 def test_a_handover_sends_the_decisions_under_their_outer_names():
