--- a/calicopin/reported_limits.py
+++ b/calicopin/reported_limits.py
@@ -6,6 +6,7 @@
 
 MIN_RATE = 1e-6  # calls a second: below it, the share of one sender is lost in rounding
 MAX_RATE = 1e9  # calls a second
+SHARE_NOISE = 0.5  # by which a report may miss the share, which is measured while calls go on
 
 
 def is_rate(rate: float | None) -> bool:
@@ -14,8 +15,8 @@
 
 
 def is_share(share: float | None) -> bool:
-    """Whether a number is a share of a limit."""
-    return share is not None and 0.0 <= share <= 1.0
+    """Whether a number is a share of a limit, but for noise."""
+    return share is not None and -SHARE_NOISE <= share <= 1.0 + SHARE_NOISE
 
 
 def is_report(limit: float | None, left: float | None) -> bool:
