--- a/calicopin/wire/discovery.py
+++ b/calicopin/wire/discovery.py
@@ -124,12 +124,13 @@
             if update is None or not connection.prepare_next_message():
                 self.close_connection()
             if update is None:
-                self.answer_timeout.answered() if self.refused else self.answer_timeout.miss()
                 if self.refused:
                     if not self.poll_schedule.refusals:
                         logger.warning("discovery refuses calls for the list", event="discovery.refused")
+                    self.answer_timeout.answered()
                     self.poll_schedule.refused()
                 else:
+                    self.answer_timeout.miss()
                     self.poll_schedule.silent()
                 self.poll_schedule.pause = self.longest_pause()
                 yield Until(self.loop.now() + self.poll_schedule.again())
